--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 PACKAGES = cmake ninja-build g++ ccache pkg-config clang-format clang-tidy libh2o-dev libuv1-dev \
   libnghttp2-dev prometheus-cpp-dev libcli11-dev liblog4cxx-dev catch2 \
   librapidcheck-dev libinih-dev libmsgpack-cxx-dev nlohmann-json3-dev \
-  libsodium-dev libxxhash-dev libssl-dev zlib1g-dev
+  libsodium-dev libxxhash-dev libboost-dev libssl-dev zlib1g-dev
 CCACHE = $(if $(shell command -v ccache),-DCMAKE_CXX_COMPILER_LAUNCHER=ccache)
 
 .PHONY: all setup build test demo fuzz proofs lint format bench-control bench-burst bench-requests capacity docs
--- a/packages/chalkwell/src/chalkwell/core/digest.cpp
+++ b/packages/chalkwell/src/chalkwell/core/digest.cpp
@@ -14,6 +14,15 @@
   return Digest(bytes);
 }
 
+Digest Digest::Sha256Of(std::string_view content) {
+  static_assert(crypto_hash_sha256_BYTES == kSize);
+  Bytes bytes{};
+  crypto_hash_sha256(bytes.data(),
+                     reinterpret_cast<const unsigned char*>(content.data()),
+                     content.size());
+  return Digest(bytes);
+}
+
 std::optional<Digest> Digest::FromHex(std::string_view text) {
   if (text.size() != 2 * kSize) {
     return std::nullopt;
--- a/packages/chalkwell/src/chalkwell/core/digest.hpp
+++ b/packages/chalkwell/src/chalkwell/core/digest.hpp
@@ -1,4 +1,5 @@
-// BLAKE2b-256 content digests: the only name by which weights are known.
+// Content digests: BLAKE2b-256, the name by which weights are known here, and
+// SHA-256 where a platform names them so.
 #pragma once
 
 #include <array>
@@ -23,6 +24,8 @@
 
   /// @brief Digest of the given content.
   [[nodiscard]] static Digest Of(std::string_view content);
+  /// @brief SHA-256 of the given content, for weights that are named so.
+  [[nodiscard]] static Digest Sha256Of(std::string_view content);
   /// @brief Parses 64 hexadecimal digits.
   /// @return nothing when the text has another length or other characters.
   [[nodiscard]] static std::optional<Digest> FromHex(std::string_view text);
--- /dev/null
+++ b/packages/chalkwell/src/chalkwell/routing/endpoint_table.cpp
@@ -0,0 +1,298 @@
+// Reports give what all entries sent; own requests since then are added.
+#include "chalkwell/routing/endpoint_table.hpp"
+
+#include <algorithm>
+#include <cmath>
+#include <utility>
+
+namespace chalkwell::routing {
+namespace {
+
+using Milliseconds = std::chrono::duration<double, std::milli>;
+
+/// Weight of a new sample in the mean wait of a plain service.
+constexpr double kWaitWeight = 0.2;
+/// Weight of a new sample in the share of failures.
+constexpr double kFailureWeight = 0.3;
+/// Requests under way that one of our own stands for while no report is fresh:
+/// other entries send too.
+constexpr std::uint32_t kUnreportedFactor = 3;
+/// Below this many milliseconds two choices count as equal.
+constexpr double kTieMs = 2;
+
+core::Duration Span(double milliseconds) {
+  return std::chrono::duration_cast<core::Duration>(Milliseconds(milliseconds));
+}
+
+double Ms(core::Duration span) { return Milliseconds(span).count(); }
+
+}  // namespace
+
+EndpointTable::EndpointTable(EndpointTableSettings settings, std::uint64_t seed)
+    : settings_(std::move(settings)), random_(seed) {}
+
+EndpointTable::Endpoint* EndpointTable::Find(const core::InstanceId& id) {
+  const auto found = endpoints_.find(id);
+  return found == endpoints_.end() ? nullptr : &found->second;
+}
+
+void EndpointTable::TakeList(std::vector<EndpointRow> rows,
+                             std::uint64_t revision, bool complete,
+                             core::TimePoint now) {
+  if (revision < revision_) {
+    return;
+  }
+  revision_ = revision;
+  for (auto& [id, endpoint] : endpoints_) {
+    if (!endpoint.missing_since_) {
+      endpoint.missing_since_ = now;
+    }
+  }
+  for (auto& row : rows) {
+    auto& endpoint = endpoints_[row.id_];
+    const bool leaving = endpoint.row_.leaving_ || row.leaving_;
+    endpoint.row_ = std::move(row);
+    endpoint.row_.leaving_ = leaving;
+    endpoint.missing_since_.reset();
+  }
+  if (complete) {
+    std::erase_if(endpoints_, [](const auto& entry) {
+      return entry.second.missing_since_.has_value();
+    });
+  } else {
+    DropMissing(now);
+  }
+}
+
+void EndpointTable::DropMissing(core::TimePoint now) {
+  std::erase_if(endpoints_, [&](const auto& entry) {
+    const auto& missing = entry.second.missing_since_;
+    return missing && now - *missing >= settings_.lapse_grace_;
+  });
+}
+
+void EndpointTable::TakeReport(const std::string& address,
+                               const LoadReport& report,
+                               core::TimePoint taken_at) {
+  for (auto& [id, endpoint] : endpoints_) {
+    if (endpoint.row_.address_ != address) {
+      continue;
+    }
+    if (endpoint.report_ && taken_at < endpoint.reported_at_) {
+      return;
+    }
+    endpoint.report_ = report;
+    endpoint.reported_at_ = taken_at;
+    endpoint.told_version_ = report.weights_version_;
+    endpoint.told_ = true;
+    std::erase_if(endpoint.sent_, [&](core::TimePoint sent) {
+      return sent < taken_at;
+    });
+    return;
+  }
+}
+
+void EndpointTable::MarkLeaving(const core::InstanceId& id) {
+  if (auto* endpoint = Find(id)) {
+    endpoint->row_.leaving_ = true;
+  }
+}
+
+void EndpointTable::MarkGone(const core::InstanceId& id) {
+  endpoints_.erase(id);
+}
+
+void EndpointTable::MarkVersion(const core::InstanceId& id,
+                                std::optional<std::uint64_t> version) {
+  if (auto* endpoint = Find(id)) {
+    endpoint->told_version_ = version;
+    endpoint->told_ = true;
+  }
+}
+
+void EndpointTable::OnSent(const core::InstanceId& id, double prompt_tokens,
+                           core::TimePoint now) {
+  if (auto* endpoint = Find(id)) {
+    ++endpoint->in_flight_;
+    endpoint->reading_ += prompt_tokens;
+    endpoint->sent_.push_back(now);
+  }
+}
+
+void EndpointTable::OnFirstByte(const core::InstanceId& id,
+                                double prompt_tokens, core::Duration waited,
+                                core::TimePoint /*now*/) {
+  auto* endpoint = Find(id);
+  if (endpoint == nullptr) {
+    return;
+  }
+  endpoint->reading_ = std::max(0.0, endpoint->reading_ - prompt_tokens);
+  endpoint->waited_ =
+      endpoint->waited_ == core::Duration{}
+          ? waited
+          : Span(Ms(endpoint->waited_) * (1 - kWaitWeight) +
+                 Ms(waited) * kWaitWeight);
+}
+
+void EndpointTable::OnEnded(const core::InstanceId& id, double prompt_tokens,
+                            bool answering, EndpointOutcome outcome,
+                            core::TimePoint now) {
+  auto* endpoint = Find(id);
+  if (endpoint == nullptr) {
+    return;
+  }
+  if (endpoint->in_flight_ > 0) {
+    --endpoint->in_flight_;
+  }
+  if (!answering) {
+    endpoint->reading_ = std::max(0.0, endpoint->reading_ - prompt_tokens);
+  }
+  if (!endpoint->sent_.empty()) {
+    endpoint->sent_.erase(endpoint->sent_.begin());
+  }
+  if (outcome == EndpointOutcome::kCancelled) {
+    return;
+  }
+  const bool failed = outcome == EndpointOutcome::kFailed;
+  endpoint->failing_ = FailingAt(*endpoint, now) * (1 - kFailureWeight) +
+                       (failed ? kFailureWeight : 0);
+  endpoint->failed_at_ = now;
+}
+
+double EndpointTable::FailingAt(const Endpoint& endpoint,
+                                core::TimePoint now) const {
+  const auto halves =
+      Ms(now - endpoint.failed_at_) / Ms(settings_.failure_half_life_);
+  return endpoint.failing_ * std::exp2(-halves);
+}
+
+bool EndpointTable::Usable(const Endpoint& endpoint,
+                           const ChoiceRequest& request) const {
+  const auto& row = endpoint.row_;
+  if (row.service_ != request.service_ || row.leaving_ ||
+      std::ranges::find(request.tried_, row.id_) != request.tried_.end()) {
+    return false;
+  }
+  if (request.engine_ == nullptr) {
+    return true;
+  }
+  if (endpoint.report_ && !endpoint.report_->accepting_) {
+    return false;
+  }
+  const auto version = endpoint.version();
+  return version && *version >= request.least_version_ &&
+         (!request.weights_version_ || version == request.weights_version_);
+}
+
+std::uint32_t EndpointTable::Occupied(const Endpoint& endpoint,
+                                      core::TimePoint now) const {
+  const bool fresh = endpoint.report_ &&
+                     now - endpoint.reported_at_ < settings_.report_age_;
+  if (!fresh) {
+    return endpoint.in_flight_ * kUnreportedFactor;
+  }
+  const auto since = static_cast<std::uint32_t>(endpoint.sent_.size());
+  return std::max(endpoint.in_flight_,
+                  endpoint.report_->active_ + endpoint.report_->queued_ +
+                      since);
+}
+
+core::Duration EndpointTable::FirstByte(const Endpoint& endpoint,
+                                        const ChoiceRequest& request,
+                                        std::uint32_t occupied) const {
+  if (request.engine_ == nullptr) {
+    const double waves =
+        static_cast<double>(occupied) / std::max(1U, endpoint.row_.slots_);
+    return Span(Ms(endpoint.waited_) * (1 + waves));
+  }
+  const auto& engine = *request.engine_;
+  const double pace = endpoint.report_ ? endpoint.report_->pace_ : 1;
+  const auto slots = std::max(1U, engine.slots_);
+  const auto running = std::min(occupied, slots);
+  const double step =
+      Ms(engine.step_) + Ms(engine.step_per_request_) * running +
+      Ms(engine.step_per_kilotoken_) * running *
+          (engine.usual_prompt_ + engine.usual_answer_) / 1000;
+  const double read_ms = 1000 / engine.read_per_second_;
+  // Prompts that wait are read one after the other, with steps in between.
+  double wait = (endpoint.reading_ + request.prompt_tokens_) * read_ms +
+                step * engine.stride_;
+  if (occupied >= slots) {
+    const double service =
+        step * engine.usual_answer_ + engine.usual_prompt_ * read_ms * running;
+    wait += service / slots * (occupied - slots + 1);
+  }
+  return Span(wait * pace);
+}
+
+std::optional<EndpointChoice> EndpointTable::Choose(
+    const ChoiceRequest& request, core::TimePoint now) {
+  struct Ranked {
+    double cost_ = 0;
+    std::uint64_t tie_ = 0;
+    const Endpoint* endpoint_ = nullptr;
+    std::uint32_t occupied_ = 0;
+    core::Duration first_byte_{};
+  };
+  std::optional<Ranked> best;
+  for (const auto& [id, endpoint] : endpoints_) {
+    if (!Usable(endpoint, request)) {
+      continue;
+    }
+    Ranked ranked;
+    ranked.endpoint_ = &endpoint;
+    ranked.occupied_ = Occupied(endpoint, now);
+    ranked.first_byte_ = FirstByte(endpoint, request, ranked.occupied_);
+    ranked.tie_ = random_();
+    ranked.cost_ = Ms(ranked.first_byte_) +
+                   FailingAt(endpoint, now) * Ms(settings_.failure_cost_);
+    if (request.engine_ != nullptr) {
+      // Each request that runs slows all others: even when places are free, the
+      // emptier endpoint is the better one.
+      ranked.cost_ += ranked.occupied_ * Ms(request.engine_->step_) / 2;
+    }
+    if (endpoint.row_.domain_ != settings_.domain_) {
+      ranked.cost_ += Ms(settings_.foreign_cost_);
+    }
+    const bool better =
+        !best || ranked.cost_ < best->cost_ - kTieMs ||
+        (ranked.cost_ < best->cost_ + kTieMs && ranked.tie_ < best->tie_);
+    if (better) {
+      best = ranked;
+    }
+  }
+  if (!best) {
+    return std::nullopt;
+  }
+  EndpointChoice choice;
+  choice.row_ = best->endpoint_->row_;
+  choice.row_.weights_version_ = best->endpoint_->version();
+  choice.first_byte_ = best->first_byte_;
+  choice.occupied_ = best->occupied_;
+  choice.reported_ = best->endpoint_->report_.has_value();
+  if (choice.reported_) {
+    choice.report_age_ = now - best->endpoint_->reported_at_;
+  }
+  return choice;
+}
+
+std::vector<EndpointRow> EndpointTable::Rows() const {
+  std::vector<EndpointRow> rows;
+  rows.reserve(endpoints_.size());
+  for (const auto& [id, endpoint] : endpoints_) {
+    rows.push_back(endpoint.row_);
+  }
+  return rows;
+}
+
+std::uint64_t EndpointTable::NewestVersion(const std::string& service) const {
+  std::uint64_t newest = 0;
+  for (const auto& [id, endpoint] : endpoints_) {
+    if (endpoint.row_.service_ == service) {
+      newest = std::max(newest, endpoint.version().value_or(0));
+    }
+  }
+  return newest;
+}
+
+}  // namespace chalkwell::routing
--- /dev/null
+++ b/packages/chalkwell/src/chalkwell/routing/endpoint_table.hpp
@@ -0,0 +1,187 @@
+// What an entry believes of each endpoint, from three sources with their ages:
+// the published list, load reports, and its own requests.
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <random>
+#include <string>
+#include <vector>
+
+#include "chalkwell/config/traffic_rules.hpp"
+#include "chalkwell/core/fwd.hpp"
+#include "chalkwell/core/identifier.hpp"
+#include "chalkwell/routing/fwd.hpp"
+
+namespace chalkwell::routing {
+
+/// @brief One row of the published list of endpoints.
+struct EndpointRow {
+  /// Names one incarnation: a restarted endpoint has another.
+  core::InstanceId id_;
+  std::string service_;
+  /// "ip:port".
+  std::string address_;
+  core::FailureDomainId domain_;
+  std::uint32_t slots_ = 1;
+  bool leaving_ = false;
+  /// Version of the weights that all layers hold; none for plain services and
+  /// for engines that cannot serve yet.
+  std::optional<std::uint64_t> weights_version_;
+
+  friend bool operator==(const EndpointRow&, const EndpointRow&) = default;
+};
+
+/// @brief What an endpoint reported of itself.
+struct LoadReport {
+  std::uint32_t active_ = 0;
+  std::uint32_t queued_ = 0;
+  /// False while it loads weights and takes nothing new.
+  bool accepting_ = true;
+  std::optional<std::uint64_t> weights_version_;
+  /// Over 1: slower than its profile says.
+  double pace_ = 1;
+};
+
+/// @brief Settings of the table.
+struct EndpointTableSettings {
+  /// Failure domain of this entry.
+  core::FailureDomainId domain_;
+  /// A report older than this no longer counts.
+  core::Duration report_age_ = std::chrono::milliseconds(1500);
+  /// What sending to another failure domain must gain to be worth its bytes.
+  core::Duration foreign_cost_ = std::chrono::milliseconds(40);
+  /// A row that leaves the published list is kept this long, in case its lease
+  /// lapsed while the store was away.
+  core::Duration lapse_grace_ = std::chrono::milliseconds(2500);
+  /// Half-life of what is remembered of failures.
+  core::Duration failure_half_life_ = std::chrono::seconds(3);
+  /// Expected delay of an endpoint that fails each request.
+  core::Duration failure_cost_ = std::chrono::seconds(3);
+};
+
+/// @brief An endpoint that could take a request, with what is expected of it.
+struct EndpointChoice {
+  EndpointRow row_;
+  /// Time until the first byte of the answer.
+  core::Duration first_byte_{};
+  /// Inputs of the choice, for the log.
+  std::uint32_t occupied_ = 0;
+  core::Duration report_age_{};
+  bool reported_ = false;
+};
+
+/// @brief Which endpoints a request may go to.
+struct ChoiceRequest {
+  std::string service_;
+  const config::EngineProfile* engine_ = nullptr;
+  double prompt_tokens_ = 0;
+  /// Weights the answer must come from; none for any.
+  std::optional<std::uint64_t> weights_version_;
+  /// Older weights are passed over; 0 for none.
+  std::uint64_t least_version_ = 0;
+  /// Endpoints already tried.
+  std::vector<core::InstanceId> tried_;
+};
+
+/// @brief How a request at an endpoint ended.
+enum class EndpointOutcome : std::uint8_t {
+  kAnswered,
+  /// Refused without running: full, or not the one expected.
+  kRefused,
+  /// Failed, broke or fell silent.
+  kFailed,
+  /// Given up for a reason of ours.
+  kCancelled,
+};
+
+/// @brief Endpoints by incarnation.
+class EndpointTable {
+ public:
+  EndpointTable(EndpointTableSettings settings, std::uint64_t seed);
+
+  /// @brief Takes the whole published list.
+  /// @param revision of the list; lower ones are ignored.
+  /// @param complete false when leases may have lapsed while the store was
+  /// away: missing rows are kept for the grace time.
+  void TakeList(std::vector<EndpointRow> rows, std::uint64_t revision,
+                bool complete, core::TimePoint now);
+  /// @brief Takes a report of the endpoint at an address.
+  void TakeReport(const std::string& address, const LoadReport& report,
+                  core::TimePoint taken_at);
+  /// @brief The endpoint said itself that it goes away.
+  void MarkLeaving(const core::InstanceId& id);
+  /// @brief Another incarnation answers at its address.
+  void MarkGone(const core::InstanceId& id);
+  /// @brief The endpoint said which weights it holds.
+  void MarkVersion(const core::InstanceId& id,
+                   std::optional<std::uint64_t> version);
+
+  void OnSent(const core::InstanceId& id, double prompt_tokens,
+              core::TimePoint now);
+  void OnFirstByte(const core::InstanceId& id, double prompt_tokens,
+                   core::Duration waited, core::TimePoint now);
+  /// @param answering whether the first byte had arrived.
+  void OnEnded(const core::InstanceId& id, double prompt_tokens,
+               bool answering, EndpointOutcome outcome, core::TimePoint now);
+
+  /// @brief The best endpoint for a request now.
+  [[nodiscard]] std::optional<EndpointChoice> Choose(
+      const ChoiceRequest& request, core::TimePoint now);
+
+  [[nodiscard]] std::size_t size() const noexcept { return endpoints_.size(); }
+  [[nodiscard]] std::uint64_t revision() const noexcept { return revision_; }
+  [[nodiscard]] bool heard() const noexcept { return revision_ > 0; }
+  /// @brief Rows believed in, for status pages and peers.
+  [[nodiscard]] std::vector<EndpointRow> Rows() const;
+  /// @brief Newest weights that any endpoint of a service holds.
+  [[nodiscard]] std::uint64_t NewestVersion(const std::string& service) const;
+
+ private:
+  struct Endpoint {
+    EndpointRow row_;
+    std::optional<LoadReport> report_;
+    core::TimePoint reported_at_;
+    /// Weights as the endpoint itself told them, if it did: newer than the
+    /// published row.
+    std::optional<std::uint64_t> told_version_;
+    bool told_ = false;
+    /// Own requests under way.
+    std::uint32_t in_flight_ = 0;
+    /// Own requests sent after the report was taken and still under way.
+    std::vector<core::TimePoint> sent_;
+    /// Prompt tokens of own requests that wait for their first byte.
+    double reading_ = 0;
+    /// Decaying share of failures, 0 to 1, as of `failed_at_`.
+    double failing_ = 0;
+    core::TimePoint failed_at_;
+    /// Decaying mean of waits for the first byte; plain services only.
+    core::Duration waited_{};
+    std::optional<core::TimePoint> missing_since_;
+
+    [[nodiscard]] std::optional<std::uint64_t> version() const noexcept {
+      return told_ ? told_version_ : row_.weights_version_;
+    }
+  };
+
+  [[nodiscard]] Endpoint* Find(const core::InstanceId& id);
+  [[nodiscard]] bool Usable(const Endpoint& endpoint,
+                            const ChoiceRequest& request) const;
+  [[nodiscard]] std::uint32_t Occupied(const Endpoint& endpoint,
+                                       core::TimePoint now) const;
+  [[nodiscard]] core::Duration FirstByte(const Endpoint& endpoint,
+                                         const ChoiceRequest& request,
+                                         std::uint32_t occupied) const;
+  [[nodiscard]] double FailingAt(const Endpoint& endpoint,
+                                 core::TimePoint now) const;
+  void DropMissing(core::TimePoint now);
+
+  EndpointTableSettings settings_;
+  std::mt19937_64 random_;
+  std::map<core::InstanceId, Endpoint> endpoints_;
+  /// Of the published list last taken; never falls.
+  std::uint64_t revision_ = 0;
+};
+
+}  // namespace chalkwell::routing
--- a/packages/chalkwell/src/chalkwell/routing/request_tracker.cpp
+++ b/packages/chalkwell/src/chalkwell/routing/request_tracker.cpp
@@ -19,6 +19,22 @@
   return "unknown";
 }
 
+std::string_view ToString(AttemptEnd end) noexcept {
+  switch (end) {
+    case AttemptEnd::kNeverSent:
+      return "never sent";
+    case AttemptEnd::kRefusedNotRun:
+      return "refused: not run";
+    case AttemptEnd::kFailedRan:
+      return "failed: ran";
+    case AttemptEnd::kLost:
+      return "lost";
+    case AttemptEnd::kComplete:
+      return "complete";
+  }
+  return "lost";
+}
+
 RequestTracker::RequestTracker(RequestTraits traits, RequestFaults faults)
     : traits_(std::move(traits)),
       faults_(faults),
--- a/packages/chalkwell/src/chalkwell/routing/request_tracker.hpp
+++ b/packages/chalkwell/src/chalkwell/routing/request_tracker.hpp
@@ -41,6 +41,9 @@
   kComplete,
 };
 
+/// @brief Text of an attempt's end in logs.
+[[nodiscard]] std::string_view ToString(AttemptEnd end) noexcept;
+
 /// @brief Number of an attempt within its request; the first is 1.
 using AttemptNumber = std::uint32_t;
 
--- a/packages/chalkwell/src/chalkwell/routing/retry_budget.hpp
+++ b/packages/chalkwell/src/chalkwell/routing/retry_budget.hpp
@@ -42,6 +42,8 @@
   [[nodiscard]] double Left(RetryKind kind, core::TimePoint now) const noexcept;
 
   void OnRequest(core::TimePoint now) noexcept;
+  /// @brief Changes the reserve, as when the entries that share it do.
+  void SetReserve(double reserve) noexcept { settings_.reserve_ = reserve; }
   /// @brief Takes one retry if there is one.
   [[nodiscard]] bool Take(RetryKind kind, core::TimePoint now) noexcept;
 
--- a/packages/chalkwell/src/chalkwell/swarm/planner.cpp
+++ b/packages/chalkwell/src/chalkwell/swarm/planner.cpp
@@ -20,6 +20,7 @@
   chunks_ = std::move(chunks);
   held_ = held;
   seen_ = held;
+  seen_at_.assign(chunks_.size(), now);
   outstanding_.clear();
   origin_outstanding_ = 0;
   for (auto& [id, peer] : peers_) {
@@ -41,8 +42,8 @@
   known.member_ = peer;
   known.chunks_ = chunks;
   for (std::size_t chunk = 0; chunk < chunks.size(); ++chunk) {
-    if (chunks.Has(chunk) && seen_.Add(chunk)) {
-      last_progress_ = now;
+    if (chunks.Has(chunk)) {
+      MarkSeen(chunk, now);
     }
   }
 }
@@ -77,7 +78,12 @@
 void Planner::OnChunk(std::size_t chunk, core::TimePoint now) {
   TakeOutstanding(chunk, true, now);
   held_.Add(chunk);
-  if (seen_.Add(chunk)) {
+  MarkSeen(chunk, now);
+}
+
+void Planner::MarkSeen(std::size_t chunk, core::TimePoint now) {
+  if (chunk < seen_at_.size() && seen_.Add(chunk)) {
+    seen_at_[chunk] = now;
     last_progress_ = now;
   }
 }
@@ -134,8 +140,10 @@
     const bool foreign = peer.member_.domain_ != self_.domain_;
     return std::pair(foreign, peer.outstanding_);
   };
+  const bool may_import = MayImport(chunk, now);
   for (auto& [id, peer] : peers_) {
-    const bool usable = peer.chunks_.Has(chunk) &&
+    const bool near = peer.member_.domain_ == self_.domain_;
+    const bool usable = peer.chunks_.Has(chunk) && (near || may_import) &&
                         peer.outstanding_ < settings_.per_peer_ &&
                         now >= peer.rests_until_;
     if (usable && (best == nullptr || cost(peer) < cost(*best))) {
@@ -145,6 +153,20 @@
   return best;
 }
 
+bool Planner::MayImport(std::size_t chunk, core::TimePoint now) const {
+  if (settings_.import_silence_ == core::Duration{}) {
+    return true;
+  }
+  const auto item = chunks_[chunk].digest_.ToHex();
+  const auto own = core::RendezvousScore(item, self_.id_.value());
+  const auto ahead = std::ranges::count_if(
+      members_, [&](const SwarmMember& member) {
+        return member.domain_ == self_.domain_ &&
+               core::RendezvousScore(item, member.id_.value()) > own;
+      });
+  return now - seen_at_[chunk] >= settings_.import_silence_ * ahead;
+}
+
 std::size_t Planner::DrawRank(std::size_t chunk) const {
   auto& rank = ranks_[chunk];
   if (!rank) {
--- a/packages/chalkwell/src/chalkwell/swarm/planner.hpp
+++ b/packages/chalkwell/src/chalkwell/swarm/planner.hpp
@@ -33,6 +33,10 @@
   core::Duration chunk_timeout_ = std::chrono::seconds(5);
   /// Peers with this many failures in a row are left out for a while.
   unsigned max_failures_ = 3;
+  /// A chunk that only other failure domains hold is asked for there by the
+  /// first in rank of the own domain; the next one follows after this time.
+  /// Zero: anyone may ask at once.
+  core::Duration import_silence_{};
   core::Duration failure_rest_ = std::chrono::seconds(2);
 };
 
@@ -107,6 +111,8 @@
   [[nodiscard]] std::optional<DrawCause> MayDraw(std::size_t chunk,
                                                  core::TimePoint now) const;
   [[nodiscard]] std::size_t DrawRank(std::size_t chunk) const;
+  [[nodiscard]] bool MayImport(std::size_t chunk, core::TimePoint now) const;
+  void MarkSeen(std::size_t chunk, core::TimePoint now);
   [[nodiscard]] std::size_t Holders(std::size_t chunk) const;
   void TakeOutstanding(std::size_t chunk, bool good, core::TimePoint now);
   void Ask(std::size_t chunk, Peer* peer, core::TimePoint now,
@@ -126,6 +132,8 @@
   std::size_t origin_outstanding_ = 0;
   /// Chunks that some peer or this member is known to hold.
   ChunkSet seen_;
+  /// When each chunk of `seen_` was seen for the first time.
+  std::vector<core::TimePoint> seen_at_;
   /// When a chunk was last seen for the first time.
   core::TimePoint last_progress_;
   std::uint64_t elected_draws_ = 0;
--- a/packages/cli/src/cli/inspect_commands.cpp
+++ b/packages/cli/src/cli/inspect_commands.cpp
@@ -40,6 +40,18 @@
       return "entry";
     case daemon::UsedBy::kAgent:
       return "agent";
+    case daemon::UsedBy::kDirectEntry:
+      return "entry with an adapter";
+    case daemon::UsedBy::kDirectAgent:
+      return "agent with an adapter";
+    case daemon::UsedBy::kDirect:
+      return "both with an adapter";
+    case daemon::UsedBy::kEntries:
+      return "entry, with an adapter or without";
+    case daemon::UsedBy::kAgents:
+      return "agent, with an adapter or without";
+    case daemon::UsedBy::kAll:
+      return "all";
   }
   return "";
 }
--- /dev/null
+++ b/packages/daemon/src/daemon/direct/direct_agent.cpp
@@ -0,0 +1,182 @@
+// The engine's report is free and fresh for its own agent: it is read often,
+// and told to the entries when it has changed.
+#include "daemon/direct/direct_agent.hpp"
+
+#include <nlohmann/json.hpp>
+#include <utility>
+
+#include "daemon/admin.hpp"
+#include "daemon/direct/direct_settings.hpp"
+
+namespace chalkwell::daemon::direct {
+namespace {
+
+using std::chrono::milliseconds;
+
+/// Between two reports: a token step takes some 10 ms, a request a second.
+constexpr auto kPollInterval = milliseconds(60);
+/// An unchanged report is told this often, well within the age at which an
+/// entry stops believing it.
+constexpr auto kRepeat = milliseconds(500);
+/// Rules are read again when the source of weights is not known.
+constexpr auto kRulesInterval = milliseconds(1000);
+constexpr double kPaceUnit = 1000;
+
+membership::Member SelfOf(ProcessBase& process) {
+  membership::Member self;
+  self.id_ = process.id();
+  self.kind_ = membership::MemberKind::kAgent;
+  self.domain_ = process.domain();
+  self.address_ = process.settings().Text("listen", "peer");
+  self.service_ = process.settings().Text("endpoint", "role");
+  return self;
+}
+
+bool SameLoad(const LoadMessage& left, const LoadMessage& right) {
+  return left.active_ == right.active_ && left.queued_ == right.queued_ &&
+         left.accepting_ == right.accepting_ &&
+         left.version_ == right.version_ && left.pace_ == right.pace_;
+}
+
+}  // namespace
+
+DirectAgent::DirectAgent(ProcessBase& process, Adapter adapter)
+    : process_(process),
+      adapter_(std::move(adapter)),
+      service_(process.settings().Text("endpoint", "role")),
+      endpoint_(process.settings().Text("endpoint", "backend")),
+      reader_(process.loop(), adapter_.store_,
+              ReaderSettingsOf(process.settings()), process.log(),
+              process.metrics(),
+              [this](Section, const Published& published) {
+                OnPublished(published);
+              }),
+      mesh_(process.loop(), SelfOf(process), MeshSettingsOf(process.settings()),
+            process.log(), process.metrics(),
+            {.on_load_ = nullptr,
+             .on_held_ =
+                 [this](const membership::Member& sender,
+                        const HeldMessage& held) {
+                   weights_.OnHeld(sender, held);
+                 },
+             .on_weights_ =
+                 [this](const std::string& model, std::uint64_t version) {
+                   weights_.OnNamed({model, version});
+                 },
+             .on_lost_ =
+                 [this](const membership::Member& member) {
+                   weights_.OnLost(member);
+                 },
+             .weights_ =
+                 [this] {
+                   std::map<std::string, std::uint64_t> known;
+                   if (weights_.wanted().version_ > 0) {
+                     known[weights_.wanted().model_] =
+                         weights_.wanted().version_;
+                   }
+                   return known;
+                 }}),
+      weights_(process, adapter_.weights_, mesh_),
+      poll_(process.loop()),
+      rules_(process.loop()) {}
+
+void DirectAgent::Run() {
+  const auto& settings = process_.settings();
+  admin_ = OpenAdmin(
+      process_.loop(), ParseAddress(settings.Text("listen", "admin")),
+      process_.metrics(),
+      {.not_ready_ =
+           [this] {
+             return engine_answers_ ? "" : "the engine does not answer";
+           },
+       .status_ = [this] { return Status(); },
+       .refresh_ = [] {}});
+  mesh_.Start();
+  reader_.Watch(Section::kWeights);
+  ReadRules();
+  PollEngine();
+  process_.Run([this] { mesh_.Leave(); });
+}
+
+void DirectAgent::ReadRules() {
+  if (!model_.empty() && !weights_.NeedsOrigin()) {
+    return;
+  }
+  reader_.ReadNow(Section::kRules);
+  rules_.Once(kRulesInterval, [this] { ReadRules(); });
+}
+
+void DirectAgent::OnPublished(const Published& published) {
+  if (published.rules_) {
+    FindModel(*published.rules_);
+  }
+  for (const auto& weights : published.weights_) {
+    weights_.OnNamed(weights);
+  }
+}
+
+void DirectAgent::FindModel(const config::TrafficRules& rules) {
+  for (const auto& service : rules.services_) {
+    if (service.name_ == service_ && service.engine_) {
+      model_ = service.engine_->model_;
+      weights_.SetModel(model_, service.engine_->pieces_);
+    }
+    if (!service.origin_.empty()) {
+      weights_.SetOrigin(ParseAddress(service.origin_), service.domain_);
+    }
+  }
+}
+
+void DirectAgent::PollEngine() {
+  adapter_.weights_.report_([this](const std::optional<EngineReport>& report) {
+    OnReport(report);
+    poll_.Once(kPollInterval, [this] { PollEngine(); });
+  });
+}
+
+void DirectAgent::OnReport(const std::optional<EngineReport>& report) {
+  const auto now = process_.loop().Now();
+  if (engine_answers_ != report.has_value()) {
+    engine_answers_ = report.has_value();
+    process_.log().Write(engine_answers_
+                             ? core::EventNumber::kEndpointReady
+                             : core::EventNumber::kEngineUnreachable,
+                         {{"endpoint", endpoint_}});
+  }
+  if (!report) {
+    weights_.OnEngineLost();
+    return;
+  }
+  weights_.OnReport(*report);
+  LoadMessage load;
+  load.endpoint_ = endpoint_;
+  load.active_ = report->load_.active_;
+  load.queued_ = report->load_.queued_;
+  load.accepting_ = !weights_.switching() && !report->ordered_;
+  load.pace_ = static_cast<std::uint32_t>(report->load_.pace_ * kPaceUnit);
+  const auto held = report->models_.find(model_);
+  if (held != report->models_.end()) {
+    load.version_ = held->second;
+  }
+  if (last_pushed_ && SameLoad(*last_pushed_, load) &&
+      now - pushed_at_ < kRepeat) {
+    return;
+  }
+  last_pushed_ = load;
+  pushed_at_ = now;
+  mesh_.PushLoad(load);
+}
+
+std::string DirectAgent::Status() const {
+  const nlohmann::json status{{"id", process_.id().value()},
+                              {"domain", process_.domain().value()},
+                              {"model", model_},
+                              {"wanted_version", weights_.wanted().version_},
+                              {"serving_version", weights_.serving()},
+                              {"pieces_held", weights_.held().count()},
+                              {"pieces", weights_.held().size()},
+                              {"members", mesh_.Live().size()}};
+  return status.dump();
+}
+
+}  // namespace chalkwell::daemon::direct
--- /dev/null
+++ b/packages/daemon/src/daemon/direct/direct_entry.cpp
@@ -0,0 +1,380 @@
+// Admission by what is in force and by what endpoints can do in time.
+#include "daemon/direct/direct_entry.hpp"
+
+#include <algorithm>
+#include <nlohmann/json.hpp>
+#include <utility>
+
+#include "daemon/admin.hpp"
+#include "daemon/direct/direct_settings.hpp"
+
+namespace chalkwell::daemon::direct {
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr int kUnauthorized = 401;
+constexpr int kNotFound = 404;
+constexpr int kBadRequest = 400;
+constexpr int kUnavailable = 503;
+/// Wait told to a caller when nothing better is known.
+constexpr auto kRetryAfter = milliseconds(500);
+/// A stream whose first event is expected later than this many targets is not
+/// begun: it would be late, and make others late.
+constexpr double kAdmitTargets = 1.25;
+/// What is left of a deadline when it is too late to begin.
+constexpr auto kLeastTime = milliseconds(30);
+/// Part of the fleet's reserve of retries that is used: not every entry knows
+/// of every other.
+constexpr double kReserveUsed = 0.5;
+/// Old weights are not used for this last part of the time they may be.
+constexpr auto kVersionMargin = milliseconds(700);
+/// The platform stops sending new connections after two probes, one a second.
+constexpr auto kStopListening = milliseconds(2600);
+
+std::string Millis(core::Duration span) {
+  return std::to_string(
+      std::chrono::duration_cast<milliseconds>(span).count());
+}
+
+membership::Member SelfOf(ProcessBase& process) {
+  membership::Member self;
+  self.id_ = process.id();
+  self.kind_ = membership::MemberKind::kEntry;
+  self.domain_ = process.domain();
+  self.address_ = process.settings().Text("listen", "peer");
+  return self;
+}
+
+}  // namespace
+
+DirectEntry::DirectEntry(ProcessBase& process, Adapter adapter)
+    : process_(process),
+      adapter_(std::move(adapter)),
+      endpoints_({.domain_ = process.domain()}, std::random_device{}()),
+      budget_(RetryBudgetOf(process.settings())),
+      context_{process.loop(),    process.http(), adapter_,
+               endpoints_,        budget_,        process.log(),
+               process.metrics(), process.tracer(),
+               [this](const std::string& model) { return LeastVersion(model); }},
+      reader_(process.loop(), adapter_.store_, ReaderSettingsOf(process.settings()),
+              process.log(), process.metrics(),
+              [this](Section section, const Published& published) {
+                OnPublished(section, published);
+              }),
+      mesh_(process.loop(), SelfOf(process), MeshSettingsOf(process.settings()),
+            process.log(), process.metrics(),
+            {.on_load_ = [this](const LoadMessage& load) { OnLoad(load); },
+             .on_held_ = nullptr,
+             .on_weights_ =
+                 [this](const std::string& model, std::uint64_t version) {
+                   TakeWeights({model, version});
+                 },
+             .on_lost_ = nullptr,
+             .weights_ =
+                 [this] {
+                   std::map<std::string, std::uint64_t> known;
+                   for (const auto& [model, named] : weights_) {
+                     known[model] = named.version_;
+                   }
+                   return known;
+                 }}),
+      stop_timer_(process.loop()) {}
+
+void DirectEntry::Run() {
+  auto& loop = process_.loop();
+  const auto& settings = process_.settings();
+  admin_ = OpenAdmin(loop, ParseAddress(settings.Text("listen", "admin")),
+                     process_.metrics(),
+                     {.not_ready_ = [this] { return NotReady(); },
+                      .status_ = [this] { return Status(); },
+                      .refresh_ = [] {}});
+  ready_ = std::make_unique<Http1Server>(
+      loop, ParseAddress(settings.Text("listen", "ready")),
+      Http1ServerHooks{.limits_ = [] { return HttpLimits{}; },
+                       .on_refused_ = nullptr},
+      [this](const HttpExchangePtr& exchange) { OnReady(exchange); });
+  callers_ = std::make_unique<Http1Server>(
+      loop, ParseAddress(settings.Text("listen", "caller")),
+      Http1ServerHooks{
+          .limits_ = [this] { return Limits(); },
+          .on_refused_ =
+              [this](int status, const std::string& peer) {
+                process_.log().Write(
+                    core::EventNumber::kCallerLimit,
+                    {{"status", std::to_string(status)}, {"peer", peer}});
+              }},
+      [this](const HttpExchangePtr& exchange) { OnCaller(exchange); });
+  process_.log().Write(core::EventNumber::kListening,
+                       {{"caller", settings.Text("listen", "caller")}});
+  mesh_.Start();
+  reader_.Watch(Section::kRules);
+  reader_.Watch(Section::kWeights);
+  reader_.Poll(Section::kEndpoints);
+  process_.Run([this] { BeginStop(); });
+}
+
+void DirectEntry::BeginStop() {
+  mesh_.Leave();
+  callers_->CloseAfterAnswers();
+  process_.stop().OnWorkTaken();
+  stop_timer_.Once(kStopListening, [this] {
+    callers_->StopAccepting();
+    callers_->CloseIdle();
+    process_.stop().OnWorkEnded();
+  });
+}
+
+void DirectEntry::OnReady(const HttpExchangePtr& exchange) {
+  const auto reason = NotReady();
+  exchange->Respond(reason.empty() ? 200 : kUnavailable, {}, reason);
+}
+
+std::string DirectEntry::NotReady() const {
+  if (process_.stopping()) {
+    return "stopping";
+  }
+  if (rules_.empty()) {
+    return "no rules were heard yet";
+  }
+  return endpoints_.heard() ? "" : "no endpoints were heard yet";
+}
+
+HttpLimits DirectEntry::Limits() const {
+  HttpLimits limits;
+  if (rules_.empty()) {
+    return limits;
+  }
+  const auto& in_force = rules_.rules().limits_;
+  limits.header_bytes_ = in_force.header_bytes_;
+  limits.body_bytes_ = in_force.body_bytes_;
+  limits.request_time_ = in_force.header_time_;
+  limits.idle_time_ = in_force.idle_time_;
+  return limits;
+}
+
+void DirectEntry::OnPublished(Section section, const Published& published) {
+  const auto now = process_.loop().Now();
+  if (published.rules_) {
+    TakeRules(*published.rules_, "store");
+  }
+  for (const auto& weights : published.weights_) {
+    TakeWeights(weights);
+  }
+  if (section != Section::kEndpoints) {
+    return;
+  }
+  const auto before = endpoints_.Rows();
+  const bool lapses = now - reader_.reachable_since() < milliseconds(2500);
+  endpoints_.TakeList(published.endpoints_, published.revision_, !lapses, now);
+  const auto after = endpoints_.Rows();
+  if (before != after) {
+    const auto leaving =
+        std::ranges::count_if(after, &routing::EndpointRow::leaving_);
+    process_.log().Write(core::EventNumber::kEndpointsChanged,
+                         {{"revision", std::to_string(published.revision_)},
+                          {"endpoints", std::to_string(after.size())},
+                          {"leaving", std::to_string(leaving)}});
+  }
+}
+
+void DirectEntry::TakeRules(const config::TrafficRules& rules,
+                            const std::string& source) {
+  if (!rules_.Accept(rules)) {
+    return;
+  }
+  process_.log().Write(core::EventNumber::kRulesInForce,
+                       {{"version", std::to_string(rules.version_)},
+                        {"routes", std::to_string(rules.routes_.size())},
+                        {"source", source}});
+  process_.metrics().Set("rules_version", {},
+                         static_cast<double>(rules.version_));
+}
+
+void DirectEntry::TakeWeights(const NamedWeights& weights) {
+  auto& named = weights_[weights.model_];
+  if (weights.version_ <= named.version_) {
+    return;
+  }
+  named = {weights.version_, process_.loop().Now()};
+  process_.log().Write(core::EventNumber::kWeightsNamed,
+                       {{"model", weights.model_},
+                        {"version", std::to_string(weights.version_)}});
+}
+
+std::uint64_t DirectEntry::LeastVersion(const std::string& model) const {
+  const auto found = weights_.find(model);
+  if (found == weights_.end() || found->second.version_ <= 1) {
+    return 0;
+  }
+  const auto age = process_.loop().Now() - found->second.heard_at_;
+  const auto bound =
+      process_.settings().Milliseconds("rollout", "version_bound_ms");
+  return age >= bound - kVersionMargin ? found->second.version_ : 0;
+}
+
+void DirectEntry::OnLoad(const LoadMessage& message) {
+  routing::LoadReport report;
+  report.active_ = message.active_;
+  report.queued_ = message.queued_;
+  report.accepting_ = message.accepting_;
+  report.pace_ = message.pace_ / 1000.0;
+  if (message.version_ > 0) {
+    report.weights_version_ = message.version_;
+  }
+  endpoints_.TakeReport(message.endpoint_, report, process_.loop().Now());
+}
+
+void DirectEntry::OnCaller(const HttpExchangePtr& exchange) {
+  const auto now = process_.loop().Now();
+  const auto& http = exchange->request();
+  auto caller = adapter_.requests_.read_request_(http);
+  if (rules_.empty()) {
+    Refuse(*exchange, caller, kUnavailable, core::EventNumber::kRequestRefused,
+           "no rules were heard yet", kRetryAfter);
+    return;
+  }
+  const auto* route = rules_.FindRoute(caller.host_, http.path_);
+  if (route == nullptr) {
+    Refuse(*exchange, caller, kNotFound, core::EventNumber::kBadRequest,
+           "no route for this host and path", std::nullopt);
+    return;
+  }
+  AdmittedDirect request;
+  request.priority_ = route->priority_;
+  if (rules_.rules().accounts_ && !route->public_) {
+    const auto* account = rules_.FindAccount(caller.key_);
+    if (account == nullptr) {
+      Refuse(*exchange, caller, kUnauthorized,
+             core::EventNumber::kAccountRefused, "the key is not known",
+             std::nullopt);
+      return;
+    }
+    request.account_ = account->id_;
+    request.priority_ = account->priority_.value_or(route->priority_);
+  }
+  if (caller.id_.empty()) {
+    Refuse(*exchange, caller, kBadRequest, core::EventNumber::kBadRequest,
+           "the request carries no id", std::nullopt);
+    return;
+  }
+  request.service_ = config::TrafficTable::ServiceFor(*route, caller.id_);
+  if (const auto* service = rules_.FindService(request.service_)) {
+    request.engine_ = service->engine_;
+  }
+  request.received_at_ = now;
+  request.deadline_ = now + std::min(route->timeout_,
+                                     caller.time_left_.value_or(route->timeout_));
+  request.rules_version_ = rules_.rules().version_;
+  request.route_ = *route;
+  request.caller_ = std::move(caller);
+  Admit(exchange, std::move(request));
+}
+
+std::optional<core::Duration> DirectEntry::RefusalOf(
+    const AdmittedDirect& request, core::TimePoint now, std::string& reason) {
+  if (request.deadline_ - now < kLeastTime) {
+    reason = "too little time is left";
+    return kRetryAfter;
+  }
+  routing::ChoiceRequest wanted;
+  wanted.service_ = request.service_;
+  wanted.prompt_tokens_ = request.caller_.prompt_tokens_;
+  if (request.engine_) {
+    wanted.engine_ = &*request.engine_;
+    wanted.least_version_ = LeastVersion(request.engine_->model_);
+  }
+  const auto choice = endpoints_.Choose(wanted, now);
+  if (!choice) {
+    reason = "no endpoint of service " + request.service_ + " can take work";
+    return kRetryAfter;
+  }
+  const auto limit = std::chrono::duration_cast<core::Duration>(
+      request.route_.target_latency_ * kAdmitTargets);
+  if (request.engine_ && choice->first_byte_ > limit) {
+    reason = "its first event is expected after " +
+             Millis(choice->first_byte_) + " ms, target " +
+             Millis(request.route_.target_latency_) + " ms";
+    return std::max<core::Duration>(choice->first_byte_ - limit / 2,
+                                    milliseconds(100));
+  }
+  return std::nullopt;
+}
+
+void DirectEntry::Admit(const HttpExchangePtr& exchange,
+                        AdmittedDirect request) {
+  const auto now = process_.loop().Now();
+  std::string reason;
+  if (const auto wait = RefusalOf(request, now, reason)) {
+    Refuse(*exchange, request.caller_, kUnavailable,
+           core::EventNumber::kRequestRefused, reason, wait);
+    return;
+  }
+  ++in_flight_;
+  process_.stop().OnWorkTaken();
+  budget_.SetReserve(ReserveShare());
+  std::make_shared<DirectRequest>(context_, exchange, std::move(request),
+                                  [this] {
+                                    --in_flight_;
+                                    process_.stop().OnWorkEnded();
+                                  })
+      ->Start();
+}
+
+double DirectEntry::ReserveShare() const {
+  const auto total =
+      process_.settings().Number("requests", "retry_reserve");
+  const auto live = mesh_.Live();
+  const auto entries =
+      1 + std::ranges::count(live, membership::MemberKind::kEntry,
+                             &membership::Member::kind_);
+  return kReserveUsed * static_cast<double>(total) /
+         static_cast<double>(entries);
+}
+
+void DirectEntry::Refuse(HttpExchange& exchange, const CallerRequest& caller,
+                         int status, core::EventNumber event,
+                         const std::string& reason,
+                         std::optional<core::Duration> retry_after) {
+  process_.log().Write(
+      event, {{"request", caller.id_},
+              {"status", std::to_string(status)},
+              {"reason", reason},
+              {"rules", std::to_string(rules_.rules().version_)},
+              {"retry_after_ms", retry_after ? Millis(*retry_after) : "none"}});
+  process_.metrics().Count("refused_total",
+                           {{"status", std::to_string(status)}});
+  exchange.Respond(status,
+                   adapter_.requests_.own_headers_(caller.id_, retry_after),
+                   reason + "\n");
+}
+
+std::string DirectEntry::Status() const {
+  auto rows = nlohmann::json::array();
+  for (const auto& row : endpoints_.Rows()) {
+    rows.push_back({{"id", row.id_.value()},
+                    {"domain", row.domain_.value()},
+                    {"role", row.service_},
+                    {"connected", true},
+                    {"ready", !row.leaving_},
+                    {"leaving", row.leaving_},
+                    {"version", row.weights_version_.value_or(0)},
+                    {"weights", ""},
+                    {"load", 0}});
+  }
+  const nlohmann::json status{{"id", process_.id().value()},
+                              {"domain", process_.domain().value()},
+                              {"ready", NotReady().empty()},
+                              {"not_ready_reason", NotReady()},
+                              {"watching_platform", reader_.reachable()},
+                              {"rules_version", rules_.rules().version_},
+                              {"bundle_version", 0},
+                              {"model", ""},
+                              {"members", mesh_.Live().size()},
+                              {"requests_in_flight", in_flight_},
+                              {"requests_waiting", 0},
+                              {"endpoints", rows}};
+  return status.dump();
+}
+
+}  // namespace chalkwell::daemon::direct
--- /dev/null
+++ b/packages/daemon/src/daemon/direct/direct_entry.hpp
@@ -0,0 +1,73 @@
+// The entry of a deployment whose endpoints are called directly: it reads what
+// is published, admits requests by it, and sends each straight to an endpoint.
+#pragma once
+
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "chalkwell/config/traffic_rules.hpp"
+#include "chalkwell/routing/endpoint_table.hpp"
+#include "chalkwell/routing/retry_budget.hpp"
+#include "daemon/direct/direct_request.hpp"
+#include "daemon/direct/hooks.hpp"
+#include "daemon/direct/mesh_node.hpp"
+#include "daemon/direct/published_reader.hpp"
+#include "daemon/http1_server.hpp"
+#include "daemon/process_base.hpp"
+
+namespace chalkwell::daemon::direct {
+
+/// @brief One entry instance.
+class DirectEntry {
+ public:
+  DirectEntry(ProcessBase& process, Adapter adapter);
+
+  /// @brief Serves until a planned stop is finished.
+  void Run();
+
+ private:
+  void OnPublished(Section section, const Published& published);
+  void TakeRules(const config::TrafficRules& rules, const std::string& source);
+  void TakeWeights(const NamedWeights& weights);
+  void OnLoad(const LoadMessage& message);
+  void OnCaller(const HttpExchangePtr& exchange);
+  void OnReady(const HttpExchangePtr& exchange);
+  void Refuse(HttpExchange& exchange, const CallerRequest& caller, int status,
+              core::EventNumber event, const std::string& reason,
+              std::optional<core::Duration> retry_after);
+  void Admit(const HttpExchangePtr& exchange, AdmittedDirect request);
+  [[nodiscard]] std::optional<core::Duration> RefusalOf(
+      const AdmittedDirect& request, core::TimePoint now,
+      std::string& reason);
+  [[nodiscard]] HttpLimits Limits() const;
+  [[nodiscard]] std::string NotReady() const;
+  [[nodiscard]] std::uint64_t LeastVersion(const std::string& model) const;
+  [[nodiscard]] double ReserveShare() const;
+  void BeginStop();
+  [[nodiscard]] std::string Status() const;
+
+  /// Newest weights of a model and when they were heard of.
+  struct Named {
+    std::uint64_t version_ = 0;
+    core::TimePoint heard_at_;
+  };
+
+  ProcessBase& process_;
+  Adapter adapter_;
+  config::TrafficTable rules_;
+  routing::EndpointTable endpoints_;
+  routing::RetryBudget budget_;
+  std::map<std::string, Named> weights_;
+  RequestContext context_;
+  PublishedReader reader_;
+  MeshNode mesh_;
+  std::unique_ptr<Http1Server> callers_;
+  std::unique_ptr<Http1Server> ready_;
+  std::unique_ptr<HttpServer> admin_;
+  Timer stop_timer_;
+  std::size_t in_flight_ = 0;
+};
+
+}  // namespace chalkwell::daemon::direct
--- /dev/null
+++ b/packages/daemon/src/daemon/direct/direct_request.hpp
@@ -0,0 +1,122 @@
+// One caller's request, sent straight to endpoints: it performs what the
+// request tracker decides.
+#pragma once
+
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+
+#include "chalkwell/routing/endpoint_table.hpp"
+#include "chalkwell/routing/event_splitter.hpp"
+#include "chalkwell/routing/request_tracker.hpp"
+#include "chalkwell/routing/retry_budget.hpp"
+#include "daemon/direct/hooks.hpp"
+#include "daemon/event_log.hpp"
+#include "daemon/metrics.hpp"
+#include "daemon/tracer.hpp"
+
+namespace chalkwell::daemon::direct {
+
+/// @brief What all requests of an entry share.
+struct RequestContext {
+  Loop& loop_;
+  HttpClient& http_;
+  const Adapter& adapter_;
+  routing::EndpointTable& endpoints_;
+  routing::RetryBudget& budget_;
+  EventLog& log_;
+  Metrics& metrics_;
+  Tracer& tracer_;
+  /// Least weights version that a request of a model may begin on.
+  std::function<std::uint64_t(const std::string& model)> least_version_;
+};
+
+/// @brief A request that was admitted.
+struct AdmittedDirect {
+  CallerRequest caller_;
+  config::TrafficRoute route_;
+  core::ClientAccountId account_;
+  std::optional<std::uint32_t> priority_;
+  std::string service_;
+  std::optional<config::EngineProfile> engine_;
+  core::TimePoint received_at_;
+  core::TimePoint deadline_;
+  std::uint64_t rules_version_ = 0;
+};
+
+/// @brief Attempts and answer of one request.
+class DirectRequest : public std::enable_shared_from_this<DirectRequest> {
+ public:
+  /// @param done called once when the request has ended.
+  DirectRequest(RequestContext& context, HttpExchangePtr exchange,
+                AdmittedDirect request, std::function<void()> done);
+  DirectRequest(const DirectRequest&) = delete;
+  DirectRequest& operator=(const DirectRequest&) = delete;
+  ~DirectRequest() = default;
+
+  void Start();
+
+ private:
+  /// One attempt; replaced by the next.
+  struct Attempt {
+    routing::AttemptNumber number_ = 0;
+    routing::EndpointChoice choice_;
+    core::TimePoint sent_at_;
+    std::shared_ptr<HttpCall> call_;
+    int status_ = 0;
+    HttpHeaders headers_;
+    AnswerFacts facts_;
+    std::string body_;
+    bool answering_ = false;
+    /// Its answer goes to the caller as it arrives.
+    bool streams_ = false;
+    bool counted_ = false;
+  };
+
+  void Perform(const routing::RequestActions& actions);
+  void Choose(const routing::ChooseEndpoint& choose);
+  void Send(const routing::SendAttempt& send);
+  void OnHead(routing::AttemptNumber number, int status,
+              const HttpHeaders& headers);
+  void OnData(routing::AttemptNumber number, std::string_view bytes);
+  void OnPlainData(std::string_view bytes);
+  void OnEnd(routing::AttemptNumber number, HttpEnd end);
+  void OnSilence();
+  void OnDeadline();
+  void OnCallerGone();
+  void EndAttempt(routing::AttemptEnd end, routing::EndpointOutcome outcome);
+  void EndAnswered();
+  [[nodiscard]] routing::AttemptEnd EndOfAnswer() const;
+  void Forward(std::string_view bytes);
+  void Finish(const routing::FinishRequest& finish);
+  void RespondOwn(const routing::FinishRequest& finish);
+  void ExpectFirstByte();
+  void ExpectEvent();
+  void CountEnded(routing::EndpointOutcome outcome);
+  [[nodiscard]] bool current(routing::AttemptNumber number) const noexcept {
+    return !ended_ && attempt_.number_ == number && attempt_.call_ != nullptr;
+  }
+
+  RequestContext& context_;
+  HttpExchangePtr exchange_;
+  AdmittedDirect request_;
+  std::function<void()> done_;
+  routing::RequestTracker tracker_;
+  Attempt attempt_;
+  std::optional<routing::EndpointChoice> chosen_;
+  std::vector<core::InstanceId> tried_;
+  /// Weights of the stream that the caller is being sent.
+  std::optional<std::uint64_t> stream_version_;
+  routing::EventSplitter events_;
+  bool started_ = false;
+  bool ended_ = false;
+  bool past_deadline_ = false;
+  /// The last failure that an endpoint itself answered.
+  std::optional<HttpResponse> failure_;
+  Timer deadline_;
+  Timer silence_;
+  Span span_;
+};
+
+}  // namespace chalkwell::daemon::direct
--- /dev/null
+++ b/packages/daemon/src/daemon/direct/direct_settings.cpp
@@ -0,0 +1,31 @@
+// Settings of the direct processes.
+#include "daemon/direct/direct_settings.hpp"
+
+namespace chalkwell::daemon::direct {
+
+routing::RetryBudgetSettings RetryBudgetOf(const Settings& settings) {
+  routing::RetryBudgetSettings budget;
+  budget.share_ = settings.Share("requests", "retry_share");
+  budget.reserve_ =
+      static_cast<double>(settings.Number("requests", "retry_reserve"));
+  return budget;
+}
+
+PublishedReaderSettings ReaderSettingsOf(const Settings& settings) {
+  PublishedReaderSettings reader;
+  reader.watch_wait_ = settings.Milliseconds("platform", "watch_wait_ms");
+  reader.poll_interval_ = settings.Milliseconds("platform", "poll_ms");
+  return reader;
+}
+
+MeshSettings MeshSettingsOf(const Settings& settings) {
+  MeshSettings mesh;
+  mesh.listen_ = ParseAddress(settings.Text("listen", "peer"));
+  for (const auto& seed : settings.List("mesh", "seeds")) {
+    mesh.seeds_.push_back(ParseAddress(seed));
+  }
+  mesh.interval_ = settings.Milliseconds("mesh", "interval_ms");
+  return mesh;
+}
+
+}  // namespace chalkwell::daemon::direct
--- /dev/null
+++ b/packages/daemon/src/daemon/direct/direct_settings.hpp
@@ -0,0 +1,17 @@
+// Parts of the settings as the direct processes use them.
+#pragma once
+
+#include "chalkwell/routing/retry_budget.hpp"
+#include "daemon/direct/mesh_node.hpp"
+#include "daemon/direct/published_reader.hpp"
+#include "daemon/settings.hpp"
+
+namespace chalkwell::daemon::direct {
+
+[[nodiscard]] routing::RetryBudgetSettings RetryBudgetOf(
+    const Settings& settings);
+[[nodiscard]] PublishedReaderSettings ReaderSettingsOf(
+    const Settings& settings);
+[[nodiscard]] MeshSettings MeshSettingsOf(const Settings& settings);
+
+}  // namespace chalkwell::daemon::direct
--- /dev/null
+++ b/packages/daemon/src/daemon/direct/mesh_node.cpp
@@ -0,0 +1,198 @@
+// Rumours of members, and pushes of reports.
+#include "daemon/direct/mesh_node.hpp"
+
+#include <random>
+#include <utility>
+
+#include "daemon/messages.hpp"
+
+namespace chalkwell::daemon::direct {
+namespace {
+
+/// Members told at each interval, and rows told to each: at 1 s and some 60
+/// bytes a row this is about 1 KB a second for each process.
+constexpr std::size_t kTargets = 2;
+constexpr std::size_t kRows = 8;
+/// Seeds are greeted this often at the start, whether or not they answer.
+constexpr unsigned kGreetings = 5;
+constexpr auto kGreetingInterval = std::chrono::milliseconds(150);
+
+MemberMessage ToMessage(const membership::Member& member) {
+  return {.id_ = member.id_.value(),
+          .incarnation_ = member.incarnation_,
+          .kind_ = static_cast<std::uint8_t>(member.kind_),
+          .domain_ = member.domain_.value(),
+          .address_ = member.address_,
+          .service_ = member.service_,
+          .beat_ = member.beat_,
+          .leaving_ = member.leaving_};
+}
+
+membership::Member ToMember(const MemberMessage& message) {
+  membership::Member member;
+  member.id_ = core::InstanceId(message.id_);
+  member.incarnation_ = message.incarnation_;
+  member.kind_ = message.kind_ == 0 ? membership::MemberKind::kEntry
+                                    : membership::MemberKind::kAgent;
+  member.domain_ = core::FailureDomainId(message.domain_);
+  member.address_ = message.address_;
+  member.service_ = message.service_;
+  member.beat_ = message.beat_;
+  member.leaving_ = message.leaving_;
+  return member;
+}
+
+membership::Member WithIncarnation(membership::Member member) {
+  member.incarnation_ = std::random_device{}();
+  return member;
+}
+
+}  // namespace
+
+MeshNode::MeshNode(Loop& loop, membership::Member self, MeshSettings settings,
+                   EventLog& log, Metrics& metrics, MeshHooks hooks)
+    : loop_(loop),
+      settings_(std::move(settings)),
+      table_(WithIncarnation(std::move(self)), {}, std::random_device{}()),
+      log_(log),
+      metrics_(metrics),
+      hooks_(std::move(hooks)),
+      timer_(loop) {}
+
+void MeshNode::Start() {
+  socket_ = std::make_unique<UdpSocket>(
+      loop_, settings_.listen_,
+      [this](std::string_view bytes) { OnDatagram(bytes); });
+  Greet();
+}
+
+void MeshNode::SetSeeds(std::vector<Address> seeds) {
+  settings_.seeds_ = std::move(seeds);
+}
+
+void MeshNode::Greet() {
+  table_.Beat();
+  auto message = Envelope();
+  for (const auto& seed : settings_.seeds_) {
+    Send(Address{seed.ip_, settings_.listen_.port_}.ToString(), message);
+  }
+  Tick();
+}
+
+void MeshNode::Tick() {
+  table_.Beat();
+  for (const auto& lost : table_.Expire(loop_.Now())) {
+    log_.Write(core::EventNumber::kMemberLost,
+               {{"member", lost.id_.value()}, {"address", lost.address_}});
+    if (hooks_.on_lost_) {
+      hooks_.on_lost_(lost);
+    }
+  }
+  for (const auto& target : table_.Targets(kTargets)) {
+    auto message = Envelope();
+    for (const auto& row : table_.Sample(kRows)) {
+      message.rows_.push_back(ToMessage(row));
+    }
+    Send(target.address_, message);
+  }
+  metrics_.Set("members", {}, static_cast<double>(table_.Live().size()));
+  const bool greets = ++greetings_ < kGreetings || table_.Live().empty();
+  timer_.Once(greets ? core::Duration(kGreetingInterval) : settings_.interval_,
+              [this, greets] { greets ? Greet() : Tick(); });
+}
+
+void MeshNode::Leave() {
+  table_.Leave();
+  table_.Beat();
+  const auto message = Envelope();
+  for (const auto& member : table_.Live()) {
+    Send(member.address_, message);
+  }
+}
+
+MeshMessage MeshNode::Envelope() const {
+  MeshMessage message;
+  message.sender_ = ToMessage(table_.self());
+  if (hooks_.weights_) {
+    message.weights_ = hooks_.weights_();
+  }
+  return message;
+}
+
+void MeshNode::Send(const std::string& address, const MeshMessage& message) {
+  if (socket_ != nullptr &&
+      !socket_->Send(ParseAddress(address), Pack(message))) {
+    metrics_.Count("datagrams_not_sent_total", {});
+  }
+}
+
+void MeshNode::OnDatagram(std::string_view bytes) {
+  const auto message = Unpack<MeshMessage>(std::string(bytes), "datagram");
+  const auto now = loop_.Now();
+  const auto sender = ToMember(message.sender_);
+  const auto merge = [&](const membership::Member& member) {
+    const auto end = table_.Merge(member, now);
+    if (end == membership::MergeEnd::kJoined) {
+      log_.Write(
+          core::EventNumber::kMemberJoined,
+          {{"member", member.id_.value()}, {"address", member.address_}});
+    }
+    return end;
+  };
+  if (merge(sender) == membership::MergeEnd::kJoined) {
+    // A newcomer learns at once who else is there.
+    auto answer = Envelope();
+    for (const auto& row : table_.Sample(2 * kRows)) {
+      answer.rows_.push_back(ToMessage(row));
+    }
+    Send(sender.address_, answer);
+  }
+  for (const auto& row : message.rows_) {
+    merge(ToMember(row));
+  }
+  for (const auto& load : message.loads_) {
+    if (hooks_.on_load_) {
+      hooks_.on_load_(load);
+    }
+  }
+  for (const auto& held : message.held_) {
+    if (hooks_.on_held_) {
+      hooks_.on_held_(sender, held);
+    }
+  }
+  for (const auto& [model, version] : message.weights_) {
+    if (hooks_.on_weights_) {
+      hooks_.on_weights_(model, version);
+    }
+  }
+}
+
+void MeshNode::PushLoad(const LoadMessage& load) {
+  auto message = Envelope();
+  message.loads_.push_back(load);
+  for (const auto& member : table_.Live()) {
+    if (member.kind_ == membership::MemberKind::kEntry) {
+      Send(member.address_, message);
+    }
+  }
+}
+
+void MeshNode::PushHeld(const HeldMessage& held) {
+  auto message = Envelope();
+  message.held_.push_back(held);
+  for (const auto& member : table_.Live()) {
+    if (member.kind_ == membership::MemberKind::kAgent &&
+        member.service_ == table_.self().service_) {
+      Send(member.address_, message);
+    }
+  }
+}
+
+void MeshNode::PushWeights() {
+  const auto message = Envelope();
+  for (const auto& member : table_.Live()) {
+    Send(member.address_, message);
+  }
+}
+
+}  // namespace chalkwell::daemon::direct
--- /dev/null
+++ b/packages/daemon/src/daemon/direct/weights_keeper.cpp
@@ -0,0 +1,640 @@
+// One version at a time; a newer one ends whatever is under way.
+#include "daemon/direct/weights_keeper.hpp"
+
+#include <algorithm>
+#include <random>
+#include <utility>
+
+#include "daemon/messages.hpp"
+
+namespace chalkwell::daemon::direct {
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr std::string_view kPiecePath = "/v1/staged-piece";
+constexpr std::string_view kManifestPath = "/v1/pieces-manifest";
+constexpr int kOk = 200;
+constexpr int kNotFound = 404;
+constexpr auto kTick = milliseconds(40);
+/// Changes of what is held are told this often at most: a piece takes some 30
+/// ms on a link of 7 Mbit/s.
+constexpr auto kAnnounceInterval = milliseconds(120);
+/// Unchanged news is repeated, since datagrams are lost.
+constexpr auto kRepeat = milliseconds(1000);
+/// The next in rank asks the source for the manifest after this.
+constexpr auto kManifestStep = milliseconds(300);
+/// A piece that no own neighbour has is imported by the next in rank then.
+constexpr auto kImportSilence = milliseconds(350);
+constexpr auto kPieceTimeout = milliseconds(2500);
+constexpr auto kDrawSilence = milliseconds(900);
+/// Pieces asked for at once: enough to fill a link of 7 Mbit/s over 6 ms.
+constexpr std::size_t kInFlight = 6;
+constexpr std::size_t kPerPeer = 2;
+/// The source's link is shared by all agents: one piece each.
+constexpr std::size_t kOriginInFlight = 1;
+constexpr std::size_t kMaxPeerBody = std::size_t{1} << 20;
+/// An order that shows no effect for this long is given again.
+constexpr auto kOrderTime = milliseconds(7000);
+/// Time an engine may need to finish its requests and load: a switch that has
+/// not begun this long before the bound begins without its turn.
+constexpr auto kSwitchTime = milliseconds(3200);
+constexpr double kOutShare = 0.5;
+constexpr auto kTurnLease = milliseconds(2600);
+
+swarm::PlannerSettings PlannerSettingsOf() {
+  swarm::PlannerSettings planner;
+  planner.origin_copies_ = 1;
+  planner.per_peer_ = kPerPeer;
+  planner.in_flight_ = kInFlight;
+  planner.origin_in_flight_ = kOriginInFlight;
+  planner.draw_silence_ = kDrawSilence;
+  planner.chunk_timeout_ = kPieceTimeout;
+  planner.import_silence_ = kImportSilence;
+  return planner;
+}
+
+std::string_view ToText(bool value) { return value ? "yes" : "no"; }
+
+}  // namespace
+
+WeightsKeeper::WeightsKeeper(ProcessBase& process, const WeightsClient& client,
+                             MeshNode& mesh)
+    : process_(process),
+      client_(client),
+      mesh_(mesh),
+      planner_({process.id(), process.domain()}, PlannerSettingsOf(),
+               std::random_device{}()),
+      turns_(process.id(), kOutShare, kTurnLease),
+      server_(std::make_unique<PeerServer>(
+          process.loop(), ParseAddress(process.settings().Text("listen", "peer")),
+          kMaxPeerBody, [this](const PeerCallPtr& call) { OnPeerCall(call); })),
+      tick_(process.loop()) {
+  tick_.Every(kTick, [this] { Tick(); });
+}
+
+void WeightsKeeper::SetModel(const std::string& model, std::size_t pieces) {
+  model_ = model;
+  usual_pieces_ = pieces;
+}
+
+void WeightsKeeper::SetOrigin(const Address& origin,
+                              const core::FailureDomainId& domain) {
+  origin_ = origin;
+  origin_domain_ = domain;
+}
+
+void WeightsKeeper::OnNamed(const NamedWeights& weights) {
+  if (weights.version_ <= wanted_.version_ ||
+      (!model_.empty() && weights.model_ != model_)) {
+    return;
+  }
+  wanted_ = weights;
+  wanted_since_ = process_.loop().Now();
+  process_.log().Write(core::EventNumber::kWeightsNamed,
+                       {{"model", weights.model_},
+                        {"version", std::to_string(weights.version_)}});
+  if (phase_ != Phase::kSettled) {
+    process_.log().Write(core::EventNumber::kFetchAbandoned,
+                         {{"for", std::to_string(weights.version_)}});
+    SetPhase(Phase::kSettled);
+  }
+}
+
+void WeightsKeeper::SetPhase(Phase phase) {
+  phase_ = phase;
+  phase_since_ = process_.loop().Now();
+  if (phase == Phase::kSettled) {
+    ++job_;
+    switching_ = false;
+  }
+}
+
+void WeightsKeeper::OnEngineLost() { heard_engine_ = false; }
+
+void WeightsKeeper::OnReport(const EngineReport& report) {
+  const auto held = report.models_.find(model_);
+  const auto version = held == report.models_.end() ? 0 : held->second;
+  const bool restarted = report.orders_ < orders_seen_;
+  orders_seen_ = report.orders_;
+  heard_engine_ = true;
+  if (restarted && phase_ != Phase::kSettled) {
+    SetPhase(Phase::kSettled);
+  }
+  if (version == serving_) {
+    return;
+  }
+  serving_ = version;
+  announce_due_ = true;
+  process_.log().Write(version > 0 ? core::EventNumber::kEndpointReady
+                                   : core::EventNumber::kEndpointNotReady,
+                       {{"model", model_},
+                        {"version", std::to_string(version)},
+                        {"restarted", std::string(ToText(restarted))}});
+  const bool arrived =
+      version > 0 && version >= wanted_.version_ && phase_ == Phase::kOrdered;
+  if (arrived) {
+    SetPhase(Phase::kSettled);
+    turns_.OnServing(process_.id(), version, process_.loop().Now());
+  }
+}
+
+void WeightsKeeper::Tick() {
+  const auto now = process_.loop().Now();
+  if (model_.empty() || !heard_engine_) {
+    return;
+  }
+  switch (phase_) {
+    case Phase::kSettled:
+      if (serving_ == 0 || serving_ < wanted_.version_) {
+        Begin();
+      } else {
+        CheckStagedAtStart();
+      }
+      break;
+    case Phase::kManifest:
+      AskManifest();
+      break;
+    case Phase::kFetching:
+      Pump();
+      break;
+    case Phase::kStaged:
+      TakeTurn();
+      break;
+    case Phase::kVerifying:
+      break;
+    case Phase::kOrdered:
+      if (now - phase_since_ >= kOrderTime) {
+        SetPhase(Phase::kSettled);
+      }
+      break;
+  }
+  const bool due = announce_due_ && now - announced_at_ >= kAnnounceInterval;
+  if (due || now - announced_at_ >= kRepeat) {
+    Announce(!due);
+  }
+}
+
+void WeightsKeeper::CheckStagedAtStart() {
+  // An engine that serves from the start may have its weights staged too: then
+  // its neighbours can have them from here.
+  if (staged_checked_ || manifest_ || usual_pieces_ == 0) {
+    return;
+  }
+  staged_checked_ = true;
+  client_.staged_(model_, 0, [this](const std::optional<std::string>& bytes) {
+    if (bytes && !manifest_ && phase_ == Phase::kSettled) {
+      held_ = swarm::ChunkSet(usual_pieces_);
+      for (std::size_t piece = 0; piece < usual_pieces_; ++piece) {
+        held_.Add(piece);
+      }
+      announce_due_ = true;
+    }
+  });
+}
+
+void WeightsKeeper::Begin() {
+  ++job_;
+  manifest_.reset();
+  held_ = {};
+  staging_ = 0;
+  manifest_asked_ = false;
+  manifest_since_ = process_.loop().Now();
+  SetPhase(Phase::kManifest);
+  process_.log().Write(core::EventNumber::kFetchStarted,
+                       {{"model", model_},
+                        {"version", std::to_string(wanted_.version_)},
+                        {"serving", std::to_string(serving_)}});
+  AskManifest();
+}
+
+std::size_t WeightsKeeper::ManifestRank() const {
+  const auto item = model_ + ":" + std::to_string(wanted_.version_);
+  const auto own = core::RendezvousScore(item, process_.id().value());
+  const auto members = Members();
+  return static_cast<std::size_t>(
+      std::ranges::count_if(members, [&](const swarm::SwarmMember& member) {
+        return core::RendezvousScore(item, member.id_.value()) > own;
+      }));
+}
+
+void WeightsKeeper::AskManifest() {
+  if (manifest_asked_) {
+    return;
+  }
+  for (const auto& [id, peer] : peers_) {
+    const bool has = peer.held_.model_ == model_ && peer.held_.pieces_ > 0 &&
+                     peer.held_.has_manifest_ &&
+                     (wanted_.version_ == 0 ||
+                      peer.held_.version_ == wanted_.version_);
+    if (has) {
+      AskPeerManifest(id);
+      return;
+    }
+  }
+  const auto waited = process_.loop().Now() - manifest_since_;
+  if (origin_ && waited >= kManifestStep * static_cast<int>(ManifestRank())) {
+    AskOriginManifest();
+  }
+}
+
+void WeightsKeeper::AskPeerManifest(const core::InstanceId& peer) {
+  manifest_asked_ = true;
+  const PieceMessage ask{model_, wanted_.version_, 0};
+  ConnectionTo(peer)->Ask(
+      std::string(kManifestPath), Pack(ask),
+      [this, job = job_, peer](PeerEnd end, int status,
+                               const std::string& body) {
+        if (!Current(job)) {
+          return;
+        }
+        manifest_asked_ = false;
+        if (end != PeerEnd::kWhole || status != kOk) {
+          peers_.erase(peer);
+          return;
+        }
+        const auto message = Unpack<ManifestMessage>(body, peer.value());
+        WeightsManifest manifest{message.model_, message.version_, {}};
+        for (const auto& bytes : message.digests_) {
+          core::Digest::Bytes digest{};
+          if (bytes.size() != digest.size()) {
+            return;
+          }
+          std::ranges::copy(bytes, digest.begin());
+          manifest.digests_.emplace_back(digest);
+        }
+        TakeManifest(manifest);
+      });
+}
+
+void WeightsKeeper::AskOriginManifest() {
+  manifest_asked_ = true;
+  process_.metrics().Count("origin_manifests_total", {});
+  client_.manifest_(
+      *origin_, model_, wanted_.version_,
+      [this, job = job_](const std::optional<WeightsManifest>& manifest) {
+        if (!Current(job)) {
+          return;
+        }
+        manifest_asked_ = false;
+        if (manifest) {
+          TakeManifest(*manifest);
+        } else {
+          process_.log().Write(core::EventNumber::kChunkFailed,
+                               {{"what", "manifest"}, {"source", "origin"}});
+        }
+      });
+}
+
+void WeightsKeeper::TakeManifest(const WeightsManifest& manifest) {
+  if (phase_ != Phase::kManifest || manifest.model_ != model_ ||
+      manifest.digests_.empty() ||
+      (wanted_.version_ != 0 && manifest.version_ != wanted_.version_)) {
+    return;
+  }
+  if (wanted_.version_ == 0) {
+    wanted_ = {model_, manifest.version_};
+    wanted_since_ = process_.loop().Now();
+  }
+  manifest_ = manifest;
+  held_ = swarm::ChunkSet(manifest.digests_.size());
+  SetPhase(Phase::kFetching);
+  announce_due_ = true;
+  turns_.Start(wanted_.version_, process_.loop().Now());
+  if (serving_ == 0) {
+    // What was staged before a restart may still be there.
+    staging_ = 1;
+    ReadStaged(0);
+  } else {
+    StartPlanner();
+  }
+}
+
+void WeightsKeeper::ReadStaged(std::size_t piece) {
+  client_.staged_(model_, piece,
+                  [this, job = job_, piece](
+                      const std::optional<std::string>& bytes) {
+                    if (!Current(job)) {
+                      return;
+                    }
+                    if (bytes && core::Digest::Sha256Of(*bytes) ==
+                                     manifest_->digests_[piece]) {
+                      held_.Add(piece);
+                    }
+                    const bool nothing = piece == 0 && !bytes;
+                    if (nothing || piece + 1 == held_.size()) {
+                      staging_ = 0;
+                      StartPlanner();
+                    } else {
+                      ReadStaged(piece + 1);
+                    }
+                  });
+}
+
+void WeightsKeeper::StartPlanner() {
+  std::vector<bundle::Chunk> chunks;
+  for (const auto& digest : manifest_->digests_) {
+    chunks.push_back({digest, 1});
+  }
+  const auto now = process_.loop().Now();
+  planner_.Start(std::move(chunks), held_, now);
+  for (const auto& [id, peer] : peers_) {
+    if (peer.held_.version_ == wanted_.version_) {
+      planner_.OnAnnounced(
+          {id, peer.member_.domain_},
+          swarm::ChunkSet::FromBytes(peer.held_.bits_, held_.size()), now);
+    }
+  }
+  announce_due_ = true;
+  Pump();
+}
+
+std::vector<swarm::SwarmMember> WeightsKeeper::Members() const {
+  std::vector<swarm::SwarmMember> members{{process_.id(), process_.domain()}};
+  for (const auto& member : mesh_.Live()) {
+    if (member.kind_ != membership::MemberKind::kAgent ||
+        member.service_ != mesh_.self().service_) {
+      continue;
+    }
+    const auto peer = peers_.find(member.id_);
+    const bool done = peer != peers_.end() && wanted_.version_ > 0 &&
+                      peer->second.held_.serving_ >= wanted_.version_;
+    if (!done) {
+      members.push_back({member.id_, member.domain_});
+    }
+  }
+  return members;
+}
+
+void WeightsKeeper::Pump() {
+  if (staging_ > 0 && !planner_.outstanding() && held_.count() == 0) {
+    return;
+  }
+  const auto now = process_.loop().Now();
+  for (const auto& late : planner_.TakeTimedOut(now)) {
+    process_.log().Write(
+        core::EventNumber::kChunkFailed,
+        {{"piece", std::to_string(late.chunk_)},
+         {"source", late.peer_ ? late.peer_->value() : "origin"},
+         {"reason", "timeout"}});
+  }
+  planner_.SetMembers(Members());
+  for (const auto& order : planner_.Next(now)) {
+    Fetch(order);
+  }
+  if (held_.full()) {
+    process_.log().Write(
+        core::EventNumber::kFetchFinished,
+        {{"version", std::to_string(wanted_.version_)},
+         {"elected_draws",
+          std::to_string(planner_.draws(swarm::DrawCause::kElected))},
+         {"silence_draws",
+          std::to_string(planner_.draws(swarm::DrawCause::kSilence))}});
+    SetPhase(Phase::kStaged);
+  }
+}
+
+void WeightsKeeper::Fetch(const swarm::FetchOrder& order) {
+  if (order.peer_) {
+    FetchFromPeer(order);
+  } else {
+    FetchFromOrigin(order.chunk_);
+  }
+}
+
+void WeightsKeeper::FetchFromPeer(const swarm::FetchOrder& order) {
+  const PieceMessage ask{model_, wanted_.version_,
+                         static_cast<std::uint32_t>(order.chunk_)};
+  ConnectionTo(*order.peer_)
+      ->Ask(std::string(kPiecePath), Pack(ask),
+            [this, job = job_, piece = order.chunk_, peer = *order.peer_](
+                PeerEnd end, int status, std::string body) {
+              if (Current(job)) {
+                const bool good = end == PeerEnd::kWhole && status == kOk;
+                OnPiece(piece,
+                        good ? std::optional(std::move(body)) : std::nullopt,
+                        peer.value());
+              }
+            });
+}
+
+void WeightsKeeper::FetchFromOrigin(std::size_t piece) {
+  if (!origin_) {
+    planner_.OnFailed(piece, process_.loop().Now());
+    return;
+  }
+  process_.log().Write(core::EventNumber::kOriginDrawn,
+                       {{"piece", std::to_string(piece)}});
+  process_.metrics().Count("origin_pieces_total", {});
+  client_.piece_(*origin_, model_, wanted_.version_, piece,
+                 [this, job = job_, piece](std::optional<std::string> bytes) {
+                   if (Current(job)) {
+                     OnPiece(piece, bytes, "origin");
+                   }
+                 });
+}
+
+void WeightsKeeper::OnPiece(std::size_t piece,
+                            const std::optional<std::string>& bytes,
+                            const std::string& source) {
+  const auto now = process_.loop().Now();
+  const bool good =
+      bytes &&
+      core::Digest::Sha256Of(*bytes) == manifest_->digests_.at(piece);
+  if (!good) {
+    planner_.OnFailed(piece, now);
+    process_.log().Write(bytes ? core::EventNumber::kChunkCorrupt
+                               : core::EventNumber::kChunkFailed,
+                         {{"piece", std::to_string(piece)},
+                          {"source", source}});
+    return;
+  }
+  if (!held_.Has(piece)) {
+    Stage(piece, *bytes);
+  }
+}
+
+void WeightsKeeper::Stage(std::size_t piece, std::string bytes) {
+  client_.stage_(model_, piece, std::move(bytes),
+                 [this, job = job_, piece](bool taken) {
+                   if (!Current(job)) {
+                     return;
+                   }
+                   const auto now = process_.loop().Now();
+                   if (!taken) {
+                     planner_.OnFailed(piece, now);
+                     process_.log().Write(core::EventNumber::kStageFailed,
+                                          {{"piece", std::to_string(piece)}});
+                     return;
+                   }
+                   held_.Add(piece);
+                   planner_.OnChunk(piece, now);
+                   announce_due_ = true;
+                   Pump();
+                 });
+}
+
+void WeightsKeeper::TakeTurn() {
+  const auto now = process_.loop().Now();
+  std::set<core::InstanceId> near{process_.id()};
+  for (const auto& [id, peer] : peers_) {
+    if (peer.member_.domain_ != process_.domain()) {
+      continue;
+    }
+    near.insert(id);
+    if (peer.held_.serving_ >= wanted_.version_) {
+      turns_.OnServing(id, peer.held_.serving_, now);
+    }
+  }
+  turns_.SetMembers(std::move(near));
+  const auto bound =
+      process_.settings().Milliseconds("rollout", "version_bound_ms");
+  const bool urgent = now - wanted_since_ >= bound - kSwitchTime;
+  if (serving_ != 0 && !urgent && !turns_.MayGo(now)) {
+    return;
+  }
+  process_.log().Write(core::EventNumber::kTurnTaken,
+                       {{"version", std::to_string(wanted_.version_)},
+                        {"serving", std::to_string(serving_)},
+                        {"urgent", std::string(ToText(urgent))}});
+  switching_ = true;
+  Verify();
+}
+
+void WeightsKeeper::Verify() {
+  SetPhase(Phase::kVerifying);
+  spoilt_ = 0;
+  VerifyNext(0);
+}
+
+void WeightsKeeper::VerifyNext(std::size_t piece) {
+  if (piece == held_.size()) {
+    if (spoilt_ == 0) {
+      Order();
+      return;
+    }
+    switching_ = false;
+    SetPhase(Phase::kFetching);
+    StartPlanner();
+    return;
+  }
+  client_.staged_(
+      model_, piece,
+      [this, job = job_, piece](const std::optional<std::string>& bytes) {
+        if (!Current(job)) {
+          return;
+        }
+        const bool good = bytes && core::Digest::Sha256Of(*bytes) ==
+                                       manifest_->digests_[piece];
+        if (!good) {
+          ++spoilt_;
+          held_.Remove(piece);
+          process_.log().Write(core::EventNumber::kStagedSpoilt,
+                               {{"piece", std::to_string(piece)}});
+        }
+        VerifyNext(piece + 1);
+      });
+}
+
+void WeightsKeeper::Order() {
+  SetPhase(Phase::kOrdered);
+  process_.log().Write(core::EventNumber::kOrderSent,
+                       {{"model", model_},
+                        {"version", std::to_string(wanted_.version_)}});
+  client_.start_(model_, wanted_.version_, [this, job = job_](OrderEnd end) {
+    if (!Current(job)) {
+      return;
+    }
+    if (end == OrderEnd::kRefused) {
+      process_.log().Write(core::EventNumber::kOrderRefused,
+                           {{"version", std::to_string(wanted_.version_)}});
+      switching_ = false;
+      SetPhase(Phase::kStaged);
+    }
+  });
+}
+
+void WeightsKeeper::OnHeld(const membership::Member& sender,
+                           const HeldMessage& held) {
+  auto& peer = peers_[sender.id_];
+  peer.member_ = sender;
+  peer.held_ = held;
+  const bool wanted = phase_ == Phase::kFetching && manifest_ &&
+                      held.model_ == model_ &&
+                      held.version_ == wanted_.version_;
+  if (wanted) {
+    planner_.OnAnnounced(
+        {sender.id_, sender.domain_},
+        swarm::ChunkSet::FromBytes(held.bits_, held_.size()),
+        process_.loop().Now());
+  }
+}
+
+void WeightsKeeper::OnLost(const membership::Member& member) {
+  peers_.erase(member.id_);
+  planner_.OnPeerLost(member.id_);
+}
+
+void WeightsKeeper::Announce(bool repeat) {
+  announced_at_ = process_.loop().Now();
+  if (!repeat) {
+    announce_due_ = false;
+  }
+  HeldMessage held;
+  held.model_ = model_;
+  held.version_ = manifest_ ? manifest_->version_ : serving_;
+  held.pieces_ = static_cast<std::uint32_t>(held_.size());
+  held.bits_ = held_.ToBytes();
+  held.serving_ = serving_;
+  held.has_manifest_ = manifest_.has_value();
+  mesh_.PushHeld(held);
+}
+
+std::shared_ptr<PeerConnection> WeightsKeeper::ConnectionTo(
+    const core::InstanceId& peer) {
+  auto& known = peers_.at(peer);
+  if (known.connection_ == nullptr) {
+    known.connection_ = std::make_shared<PeerConnection>(
+        process_.loop(), ParseAddress(known.member_.address_));
+  }
+  return known.connection_;
+}
+
+void WeightsKeeper::OnPeerCall(const PeerCallPtr& call) {
+  const auto message = Unpack<PieceMessage>(call->body(), "peer");
+  if (call->path() == kPiecePath) {
+    AnswerPiece(call, message);
+    return;
+  }
+  const bool known = call->path() == kManifestPath && manifest_ &&
+                     manifest_->model_ == message.model_ &&
+                     (message.version_ == 0 ||
+                      manifest_->version_ == message.version_);
+  if (!known) {
+    call->Respond(kNotFound, "");
+    return;
+  }
+  ManifestMessage answer{manifest_->model_, manifest_->version_, {}};
+  for (const auto& digest : manifest_->digests_) {
+    const auto& bytes = digest.bytes();
+    answer.digests_.emplace_back(bytes.begin(), bytes.end());
+  }
+  call->Respond(kOk, Pack(answer));
+}
+
+void WeightsKeeper::AnswerPiece(const PeerCallPtr& call,
+                                const PieceMessage& message) {
+  const bool held = message.model_ == model_ && held_.Has(message.piece_);
+  if (!held) {
+    call->Respond(kNotFound, "");
+    return;
+  }
+  // The engine's staging is the store; the asker compares the digest.
+  client_.staged_(model_, message.piece_,
+                  [call](const std::optional<std::string>& bytes) {
+                    call->Respond(bytes ? kOk : kNotFound,
+                                  bytes.value_or(std::string()));
+                  });
+}
+
+}  // namespace chalkwell::daemon::direct
--- /dev/null
+++ b/packages/daemon/src/daemon/direct/weights_keeper.hpp
@@ -0,0 +1,151 @@
+// Keeps one engine on the newest weights: fetches their pieces from peers or
+// the source, stages and verifies them, and orders the switch in its turn.
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "chalkwell/rollout/turns.hpp"
+#include "chalkwell/swarm/chunk_set.hpp"
+#include "chalkwell/swarm/planner.hpp"
+#include "daemon/direct/hooks.hpp"
+#include "daemon/direct/mesh_node.hpp"
+#include "daemon/peer_connection.hpp"
+#include "daemon/peer_server.hpp"
+#include "daemon/process_base.hpp"
+
+namespace chalkwell::daemon::direct {
+
+/// @brief Request for a version's manifest or one of its pieces.
+struct PieceMessage {
+  std::string model_;
+  std::uint64_t version_ = 0;
+  std::uint32_t piece_ = 0;
+  MSGPACK_DEFINE(model_, version_, piece_)
+};
+
+/// @brief A manifest between agents.
+struct ManifestMessage {
+  std::string model_;
+  std::uint64_t version_ = 0;
+  /// 32 bytes each.
+  std::vector<std::string> digests_;
+  MSGPACK_DEFINE(model_, version_, digests_)
+};
+
+/// @brief Weights of one engine.
+class WeightsKeeper {
+ public:
+  WeightsKeeper(ProcessBase& process, const WeightsClient& client,
+                MeshNode& mesh);
+
+  /// @param pieces of its weights, as published; 0 when not known.
+  void SetModel(const std::string& model, std::size_t pieces);
+  void SetOrigin(const Address& origin, const core::FailureDomainId& domain);
+  /// @brief A version was published or heard of.
+  void OnNamed(const NamedWeights& weights);
+  void OnHeld(const membership::Member& sender, const HeldMessage& held);
+  void OnLost(const membership::Member& member);
+  void OnReport(const EngineReport& report);
+  void OnEngineLost();
+
+  [[nodiscard]] bool NeedsOrigin() const noexcept { return !origin_; }
+  [[nodiscard]] const NamedWeights& wanted() const noexcept { return wanted_; }
+  [[nodiscard]] std::uint64_t serving() const noexcept { return serving_; }
+  /// @brief Whether the engine is changing its weights or about to.
+  [[nodiscard]] bool switching() const noexcept { return switching_; }
+  [[nodiscard]] const swarm::ChunkSet& held() const noexcept { return held_; }
+
+ private:
+  /// A peer as it announced itself.
+  struct Peer {
+    membership::Member member_;
+    HeldMessage held_;
+    std::shared_ptr<PeerConnection> connection_;
+  };
+  enum class Phase : std::uint8_t {
+    /// The engine serves what is wanted.
+    kSettled,
+    kManifest,
+    kFetching,
+    /// All pieces are staged; it waits for its turn.
+    kStaged,
+    /// Staged pieces are compared with their digests once more.
+    kVerifying,
+    kOrdered,
+  };
+
+  void Tick();
+  void Begin();
+  void AskManifest();
+  void TakeManifest(const WeightsManifest& manifest);
+  void ReadStaged(std::size_t piece);
+  void Pump();
+  void Fetch(const swarm::FetchOrder& order);
+  void OnPiece(std::size_t piece, const std::optional<std::string>& bytes,
+               const std::string& source);
+  void Stage(std::size_t piece, std::string bytes);
+  void TakeTurn();
+  void StartPlanner();
+  void CheckStagedAtStart();
+  void AskPeerManifest(const core::InstanceId& peer);
+  void AskOriginManifest();
+  void FetchFromPeer(const swarm::FetchOrder& order);
+  void FetchFromOrigin(std::size_t piece);
+  void Verify();
+  void VerifyNext(std::size_t piece);
+  void Order();
+  void SetPhase(Phase phase);
+  void Announce(bool repeat);
+  void OnPeerCall(const PeerCallPtr& call);
+  void AnswerPiece(const PeerCallPtr& call, const PieceMessage& message);
+  [[nodiscard]] bool EnginePresent() const noexcept { return heard_engine_; }
+  [[nodiscard]] std::size_t ManifestRank() const;
+  [[nodiscard]] std::shared_ptr<PeerConnection> ConnectionTo(
+      const core::InstanceId& peer);
+  [[nodiscard]] std::vector<swarm::SwarmMember> Members() const;
+  [[nodiscard]] bool Current(std::uint64_t job) const noexcept {
+    return job == job_;
+  }
+
+  ProcessBase& process_;
+  const WeightsClient& client_;
+  MeshNode& mesh_;
+  std::string model_;
+  std::size_t usual_pieces_ = 0;
+  std::optional<Address> origin_;
+  core::FailureDomainId origin_domain_;
+  NamedWeights wanted_;
+  core::TimePoint wanted_since_;
+  /// 0 while the engine serves no whole weights.
+  std::uint64_t serving_ = 0;
+  std::uint64_t orders_seen_ = 0;
+  bool heard_engine_ = false;
+  Phase phase_ = Phase::kSettled;
+  core::TimePoint phase_since_;
+  bool switching_ = false;
+  /// Rises with each fetch; answers of earlier ones are dropped.
+  std::uint64_t job_ = 0;
+  std::optional<WeightsManifest> manifest_;
+  /// Pieces verified and staged at the engine.
+  swarm::ChunkSet held_;
+  std::size_t staging_ = 0;
+  swarm::Planner planner_;
+  rollout::Turns turns_;
+  std::map<core::InstanceId, Peer> peers_;
+  std::unique_ptr<PeerServer> server_;
+  core::TimePoint announced_at_;
+  bool announce_due_ = false;
+  bool manifest_asked_ = false;
+  core::TimePoint manifest_since_;
+  /// Whether the staging of a served version was looked at.
+  bool staged_checked_ = false;
+  std::size_t spoilt_ = 0;
+  Timer tick_;
+};
+
+}  // namespace chalkwell::daemon::direct
--- a/packages/daemon/src/daemon/http_client.cpp
+++ b/packages/daemon/src/daemon/http_client.cpp
@@ -1,217 +1,376 @@
-// h2o's http1client. Its objects end themselves after an error or the end of
-// the body; a call never touches the client after that.
+// A connection carries one request at a time. It is kept only when the response
+// was whole, nothing followed it and the server did not ask to close.
 #include "daemon/http_client.hpp"
 
-#include <h2o.h>
-#include <h2o/http1client.h>
-
 #include <algorithm>
-#include <cctype>
+#include <charconv>
+#include <deque>
 #include <utility>
 
+#include "daemon/http_parser.hpp"
+#include "daemon/tcp_stream.hpp"
+
 namespace chalkwell::daemon {
 namespace {
 
-class Call final : public HttpCall, public std::enable_shared_from_this<Call> {
+/// Part of the server's own limit within which a kept connection is used.
+constexpr double kKeepShare = 0.5;
+/// Connections at rest to one address; more are closed.
+constexpr std::size_t kMaxAtRest = 16;
+
+std::string Serialize(const Address& address, const HttpRequest& request,
+                      bool keep) {
+  std::string head = request.method_ + " " + request.path_ + " HTTP/1.1\r\n";
+  if (FindHeader(request.headers_, "host").empty()) {
+    head.append("host: ").append(address.ToString()).append("\r\n");
+  }
+  for (const auto& [name, value] : request.headers_) {
+    head.append(name).append(": ").append(value).append("\r\n");
+  }
+  if (!keep) {
+    head += "connection: close\r\n";
+  }
+  if (!request.body_.empty() || request.method_ == "POST" ||
+      request.method_ == "PUT") {
+    head += "content-length: " + std::to_string(request.body_.size()) + "\r\n";
+  }
+  return head + "\r\n" + request.body_;
+}
+
+/// How long the server keeps a connection at rest, as its header says.
+std::optional<core::Duration> KeepAliveTime(const HttpHeaders& headers) {
+  const auto value = FindHeader(headers, "keep-alive");
+  const auto at = value.find("timeout=");
+  if (at == std::string_view::npos) {
+    return std::nullopt;
+  }
+  const auto text = value.substr(at + 8);
+  unsigned seconds = 0;
+  const auto [end, error] =
+      std::from_chars(text.data(), text.data() + text.size(), seconds);
+  return error == std::errc{} ? std::optional(std::chrono::seconds(seconds))
+                              : std::nullopt;
+}
+
+}  // namespace
+
+struct HttpClient::State : std::enable_shared_from_this<State> {
+  class Connection;
+  using ConnectionPtr = std::shared_ptr<Connection>;
+
+  State(Loop& loop, core::Duration io_timeout)
+      : loop_(loop), io_timeout_(io_timeout) {}
+
+  ConnectionPtr TakeKept(const Address& address, core::Duration max_rest);
+  void Keep(const ConnectionPtr& connection);
+
+  Loop& loop_;
+  core::Duration io_timeout_;
+  std::map<Address, std::deque<ConnectionPtr>> at_rest_;
+  std::map<Address, std::size_t> connections_;
+};
+
+class HttpClient::State::Connection final
+    : public HttpCall,
+      public std::enable_shared_from_this<Connection> {
  public:
-  Call(const Address& address, const HttpRequest& request,
-       HttpCallbacks callbacks)
-      : callbacks_(std::move(callbacks)),
-        is_head_(request.method_ == "HEAD"),
-        head_(Head(address, request)),
-        body_(request.body_) {}
-
-  void Connect(h2o_http1client_ctx_t* context, const Address& address) {
+  Connection(std::shared_ptr<State> state, Address address)
+      : state_(std::move(state)),
+        address_(std::move(address)),
+        parser_(HttpParser::Kind::kResponse, HttpLimits{}),
+        timer_(state_->loop_) {
+    ++state_->connections_[address_];
+  }
+  ~Connection() override {
+    const auto found = state_->connections_.find(address_);
+    if (--found->second == 0) {
+      state_->connections_.erase(found);
+    }
+  }
+
+  [[nodiscard]] const Address& address() const noexcept { return address_; }
+  [[nodiscard]] bool Fresh(core::TimePoint now,
+                           core::Duration max_rest) const {
+    return stream_ != nullptr && stream_->open() &&
+           now - rested_since_ < std::min(max_rest, keep_time_);
+  }
+
+  void Start(const HttpRequest& request, HttpCallbacks callbacks,
+             HttpSendOptions options) {
     self_ = shared_from_this();
-    h2o_http1client_connect(
-        &client_, this, context,
-        h2o_iovec_init(address.ip_.data(), address.ip_.size()), address.port_,
-        0, OnConnect);
+    callbacks_ = std::move(callbacks);
+    options_ = std::move(options);
+    bytes_ = Serialize(address_, request, options_.keep_);
+    parser_.Next(HttpLimits{});
+    if (request.method_ == "HEAD") {
+      parser_.ExpectNoBody();
+    }
+    told_head_ = false;
+    if (stream_ != nullptr) {
+      SendBytes();
+      return;
+    }
+    StreamSettings settings;
+    settings.connect_timeout_ = options_.connect_timeout_;
+    stream_ = TcpStream::Connect(state_->loop_, address_, settings,
+                                 [this](bool open) {
+                                   if (open) {
+                                     Watch();
+                                     SendBytes();
+                                   } else {
+                                     Finish(HttpEnd::kNotSent);
+                                   }
+                                 });
   }
 
   void Cancel() override {
     callbacks_ = {};
-    cancelled_ = true;
-    if (client_ != nullptr && !in_callback_) {
-      auto* client = std::exchange(client_, nullptr);
-      h2o_http1client_cancel(client);
-      self_.reset();
+    options_ = {};
+    Close();
+  }
+
+  void SetReading(bool reading) override {
+    if (busy() && stream_ != nullptr) {
+      stream_->SetReading(reading);
+      reading ? ExpectBytes() : timer_.Cancel();
+    }
+  }
+
+  void Close() {
+    timer_.Cancel();
+    if (stream_ != nullptr) {
+      stream_->Close();
     }
+    // The last reference may be this one.
+    const auto self = std::move(self_);
   }
 
  private:
-  static std::string Head(const Address& address, const HttpRequest& request) {
-    std::string head = request.method_;
-    const auto add = [&head](std::initializer_list<std::string_view> parts) {
-      for (const auto part : parts) {
-        head += part;
+  [[nodiscard]] bool busy() const noexcept { return self_ != nullptr; }
+
+  void Watch() {
+    stream_->Observe(
+        {.on_data_ = [this](std::string_view bytes) { OnData(bytes); },
+         .on_end_ = [this](StreamEnd end) { OnEnd(end); },
+         .on_drained_ = nullptr});
+  }
+
+  void SendBytes() {
+    stream_->Write(std::exchange(bytes_, {}));
+    ExpectBytes();
+  }
+
+  void ExpectBytes() {
+    timer_.Once(options_.silence_.value_or(state_->io_timeout_),
+                [this] { Finish(HttpEnd::kBroken); });
+  }
+
+  void OnData(std::string_view bytes) {
+    if (!busy()) {
+      // Bytes that no request asked for belong to nobody.
+      stream_->Close();
+      return;
+    }
+    const auto self = self_;
+    ExpectBytes();
+    while (!bytes.empty() && busy()) {
+      bytes.remove_prefix(FeedSome(bytes));
+      if (!busy()) {
+        return;
       }
-    };
-    add({" ", request.path_, " HTTP/1.1\r\nhost: ", address.ToString(),
-         "\r\nconnection: close\r\n"});
-    for (const auto& [name, value] : request.headers_) {
-      add({name, ": ", value, "\r\n"});
-    }
-    if (!request.body_.empty() || request.method_ == "POST" ||
-        request.method_ == "PUT") {
-      add({"content-length: ", std::to_string(request.body_.size()), "\r\n"});
-    }
-    add({"\r\n"});
-    return head;
-  }
-
-  static Call* Of(h2o_http1client_t* client) {
-    return static_cast<Call*>(client->data);
-  }
-
-  static h2o_http1client_head_cb OnConnect(h2o_http1client_t* client,
-                                           const char* error,
-                                           h2o_iovec_t** buffers,
-                                           std::size_t* count,
-                                           int* method_is_head) {
-    auto* call = Of(client);
-    if (error != nullptr) {
-      call->Finish(HttpEnd::kNotSent);
-      return nullptr;
-    }
-    call->buffers_[0] = h2o_iovec_init(call->head_.data(), call->head_.size());
-    call->buffers_[1] = h2o_iovec_init(call->body_.data(), call->body_.size());
-    *buffers = call->buffers_;
-    *count = call->body_.empty() ? 1 : 2;
-    *method_is_head = call->is_head_ ? 1 : 0;
-    return OnHead;
-  }
-
-  static h2o_http1client_body_cb OnHead(h2o_http1client_t* client,
-                                        const char* error, int /*minor*/,
-                                        int status, h2o_iovec_t /*message*/,
-                                        h2o_header_t* headers,
-                                        std::size_t count, int /*rlen*/) {
-    auto* call = Of(client);
-    const bool ended = error == h2o_http1client_error_is_eos;
-    if (error != nullptr && !ended) {
-      call->Finish(HttpEnd::kBroken);
-      return nullptr;
-    }
-    HttpHeaders list;
-    for (std::size_t i = 0; i < count; ++i) {
-      std::string name(headers[i].name->base, headers[i].name->len);
-      std::ranges::transform(name, name.begin(), [](unsigned char c) {
-        return static_cast<char>(std::tolower(c));
-      });
-      list.emplace_back(std::move(name), std::string(headers[i].value.base,
-                                                     headers[i].value.len));
-    }
-    call->Report([&] {
-      if (call->callbacks_.on_head_) {
-        call->callbacks_.on_head_(status, list);
+      if (parser_.fault() != HttpFault::kNone) {
+        Finish(HttpEnd::kBroken);
+        return;
       }
-    });
-    if (ended) {
-      call->Finish(HttpEnd::kWhole);
-      return nullptr;
+      if (parser_.done() && !SkipIfNotFinal()) {
+        const bool clean = bytes.empty();
+        FinishWhole(clean);
+        return;
+      }
+    }
+  }
+
+  /// Feeds up to the end of the head first, so that it is judged before any
+  /// byte of the body is handed on.
+  std::size_t FeedSome(std::string_view bytes) {
+    if (!told_head_) {
+      held_body_.clear();
+      parser_.OnBody(
+          [this](std::string_view body) { held_body_.append(body); });
     }
-    if (call->cancelled_) {
-      call->Release();
-      return nullptr;
+    const auto taken = parser_.Feed(bytes);
+    if (!told_head_ && parser_.head_done()) {
+      TellHead();
     }
-    return OnBody;
+    return taken;
   }
 
-  static int OnBody(h2o_http1client_t* client, const char* error) {
-    auto* call = Of(client);
-    const auto input =
-        h2o_iovec_init(client->sock->input->bytes, client->sock->input->size);
-    const bool broken =
-        error != nullptr && error != h2o_http1client_error_is_eos;
-    // After an error the rest of the input is not decoded: no part of a body.
-    if (input.len > 0 && !broken) {
-      call->Report([&] {
-        if (call->callbacks_.on_data_) {
-          call->callbacks_.on_data_({input.base, input.len});
-        }
-      });
-      h2o_buffer_consume(&client->sock->input, input.len);
+  void TellHead() {
+    told_head_ = true;
+    const bool interim = parser_.status() < 200;
+    ours_ = !interim &&
+            (!options_.is_ours_ || options_.is_ours_(parser_.headers()));
+    parser_.OnBody([this](std::string_view body) {
+      if (ours_ && callbacks_.on_data_) {
+        Guarded([&] { callbacks_.on_data_(body); });
+      }
+    });
+    if (!ours_) {
+      return;
+    }
+    keep_time_ = core::Duration::max();
+    if (const auto time = KeepAliveTime(parser_.headers())) {
+      keep_time_ = std::chrono::duration_cast<core::Duration>(*time *
+                                                              kKeepShare);
+    }
+    if (callbacks_.on_head_) {
+      Guarded(
+          [&] { callbacks_.on_head_(parser_.status(), parser_.headers()); });
     }
-    if (error != nullptr) {
-      call->Finish(error == h2o_http1client_error_is_eos ? HttpEnd::kWhole
-                                                         : HttpEnd::kBroken);
-      return 0;
+    const auto body = std::exchange(held_body_, {});
+    if (!body.empty() && callbacks_.on_data_) {
+      Guarded([&] { callbacks_.on_data_(body); });
     }
-    if (call->cancelled_) {
-      call->Release();
-      return -1;
+  }
+
+  /// Whether the response that ended was an interim one or another request's.
+  bool SkipIfNotFinal() {
+    if (ours_) {
+      return false;
+    }
+    const bool more = parser_.status() < 200 || parser_.keep_alive();
+    if (!more) {
+      return false;
     }
-    return 0;
+    parser_.Next(HttpLimits{});
+    told_head_ = false;
+    return true;
   }
 
-  void Report(const std::function<void()>& task) {
-    in_callback_ = true;
-    Guarded(task);
-    in_callback_ = false;
+  void OnEnd(StreamEnd end) {
+    if (!busy()) {
+      return;
+    }
+    const auto self = self_;
+    const bool whole = end == StreamEnd::kClosed && told_head_ && ours_ &&
+                       parser_.FeedEnd();
+    Finish(whole ? HttpEnd::kWhole : HttpEnd::kBroken);
   }
 
-  void Finish(HttpEnd end) {
-    client_ = nullptr;
+  void FinishWhole(bool clean) {
+    if (!ours_) {
+      Finish(HttpEnd::kBroken);
+      return;
+    }
+    const bool keep = clean && options_.keep_ && parser_.keep_alive() &&
+                      stream_->open() && stream_->pending() == 0;
+    if (!keep) {
+      Finish(HttpEnd::kWhole);
+      return;
+    }
+    timer_.Cancel();
     const auto self = std::move(self_);
     const auto done = std::move(callbacks_.on_end_);
+    callbacks_ = {};
+    options_ = {};
+    stream_->SetReading(true);
+    rested_since_ = state_->loop_.Now();
+    state_->Keep(self);
     if (done) {
-      Guarded([&] { done(end); });
+      Guarded([&] { done(HttpEnd::kWhole); });
     }
-    callbacks_ = {};
   }
 
-  void Release() {
-    client_ = nullptr;
-    self_.reset();
+  void Finish(HttpEnd end) {
+    const auto self = shared_from_this();
+    const auto done = std::move(callbacks_.on_end_);
+    callbacks_ = {};
+    options_ = {};
+    Close();
+    if (done) {
+      Guarded([&] { done(end); });
+    }
   }
 
+  std::shared_ptr<State> state_;
+  Address address_;
+  TcpStream::Ptr stream_;
+  HttpParser parser_;
   HttpCallbacks callbacks_;
-  bool is_head_;
-  std::string head_;
-  std::string body_;
-  h2o_iovec_t buffers_[2]{};
-  h2o_http1client_t* client_ = nullptr;
-  bool in_callback_ = false;
-  bool cancelled_ = false;
-  /// Keeps the call alive while h2o refers to it.
-  std::shared_ptr<Call> self_;
+  HttpSendOptions options_;
+  std::string bytes_;
+  std::string held_body_;
+  bool told_head_ = false;
+  bool ours_ = true;
+  core::Duration keep_time_ = core::Duration::max();
+  core::TimePoint rested_since_;
+  Timer timer_;
+  /// Set while a request is under way; keeps the connection alive.
+  std::shared_ptr<Connection> self_;
 };
 
-}  // namespace
+HttpClient::State::ConnectionPtr HttpClient::State::TakeKept(
+    const Address& address, core::Duration max_rest) {
+  const auto found = at_rest_.find(address);
+  if (found == at_rest_.end()) {
+    return nullptr;
+  }
+  auto& kept = found->second;
+  const auto now = loop_.Now();
+  ConnectionPtr taken;
+  while (!kept.empty() && taken == nullptr) {
+    // The one used last is the least likely to have been closed.
+    auto connection = std::move(kept.back());
+    kept.pop_back();
+    if (connection->Fresh(now, max_rest)) {
+      taken = std::move(connection);
+    } else {
+      connection->Close();
+    }
+  }
+  if (kept.empty()) {
+    at_rest_.erase(found);
+  }
+  return taken;
+}
 
-struct HttpClient::State {
-  h2o_multithread_queue_t* queue_ = nullptr;
-  h2o_multithread_receiver_t receiver_{};
-  h2o_timeout_t timeout_{};
-  h2o_http1client_ctx_t context_{};
-};
+void HttpClient::State::Keep(const ConnectionPtr& connection) {
+  auto& kept = at_rest_[connection->address()];
+  kept.push_back(connection);
+  if (kept.size() > kMaxAtRest) {
+    const auto oldest = kept.front();
+    kept.pop_front();
+    oldest->Close();
+  }
+}
 
 HttpClient::HttpClient(Loop& loop, core::Duration io_timeout)
-    : state_(new State) {
-  state_->queue_ = h2o_multithread_create_queue(loop.raw());
-  h2o_multithread_register_receiver(state_->queue_, &state_->receiver_,
-                                    h2o_hostinfo_getaddr_receiver);
-  const auto millis =
-      std::chrono::duration_cast<std::chrono::milliseconds>(io_timeout);
-  h2o_timeout_init(loop.raw(), &state_->timeout_,
-                   static_cast<std::uint64_t>(millis.count()));
-  state_->context_.loop = loop.raw();
-  state_->context_.getaddr_receiver = &state_->receiver_;
-  state_->context_.io_timeout = &state_->timeout_;
-}
+    : state_(std::make_shared<State>(loop, io_timeout)) {}
+
+HttpClient::~HttpClient() { state_->at_rest_.clear(); }
 
 std::shared_ptr<HttpCall> HttpClient::Send(const Address& address,
                                            const HttpRequest& request,
-                                           HttpCallbacks callbacks) {
-  auto call = std::make_shared<Call>(address, request, std::move(callbacks));
-  call->Connect(&state_->context_, address);
-  return call;
+                                           HttpCallbacks callbacks,
+                                           HttpSendOptions options) {
+  auto connection =
+      options.keep_ ? state_->TakeKept(address, options.max_rest_) : nullptr;
+  if (connection == nullptr) {
+    connection = std::make_shared<State::Connection>(state_, address);
+  }
+  connection->Start(request, std::move(callbacks), std::move(options));
+  return connection;
+}
+
+std::size_t HttpClient::ConnectionsTo(const Address& address) const {
+  const auto found = state_->connections_.find(address);
+  return found == state_->connections_.end() ? 0 : found->second;
 }
 
 std::shared_ptr<HttpCall> HttpClient::Fetch(
     const Address& address, const HttpRequest& request,
-    std::function<void(HttpResponse)> done, std::size_t max_bytes) {
+    std::function<void(HttpResponse)> done, std::size_t max_bytes,
+    HttpSendOptions options) {
   auto response = std::make_shared<HttpResponse>();
   auto oversized = std::make_shared<bool>(false);
   HttpCallbacks callbacks;
@@ -230,7 +389,7 @@
     response->end_ = *oversized ? HttpEnd::kBroken : end;
     done(std::move(*response));
   };
-  return Send(address, request, std::move(callbacks));
+  return Send(address, request, std::move(callbacks), std::move(options));
 }
 
 }  // namespace chalkwell::daemon
--- a/packages/daemon/src/daemon/http_client.hpp
+++ b/packages/daemon/src/daemon/http_client.hpp
@@ -1,7 +1,9 @@
-// HTTP/1.1 client by h2o, towards back ends, platform, weight store and origin.
+// HTTP/1.1 client towards endpoints, platform, weight store and origin, with
+// kept connections. A cut never looks like a whole response.
 #pragma once
 
 #include <functional>
+#include <map>
 #include <memory>
 #include <optional>
 #include <string>
@@ -31,12 +33,29 @@
   std::function<void(HttpEnd end)> on_end_;
 };
 
+/// @brief How one request uses connections.
+struct HttpSendOptions {
+  /// Whether a kept connection may be used, and kept afterwards.
+  bool keep_ = false;
+  /// A connection at rest for longer is not used again: the server may be
+  /// closing it, or the path may have gone silent.
+  core::Duration max_rest_ = std::chrono::seconds(2);
+  core::Duration connect_timeout_ = std::chrono::milliseconds(1000);
+  /// Longest silence of the server; the client's own when left out.
+  std::optional<core::Duration> silence_;
+  /// False for a response that belongs to an earlier request on the same
+  /// connection: it is dropped and the next one is awaited.
+  std::function<bool(const HttpHeaders& headers)> is_ours_;
+};
+
 /// @brief A request under way; dropping it does not cancel it.
 class HttpCall {
  public:
   virtual ~HttpCall() = default;
   /// @brief Closes the connection; no callback follows.
   virtual void Cancel() = 0;
+  /// @brief Holds back the response while its reader is slow.
+  virtual void SetReading(bool /*reading*/) {}
 };
 
 /// @brief A whole response.
@@ -56,25 +75,28 @@
  public:
   /// @param io_timeout longest silence of a server.
   HttpClient(Loop& loop, core::Duration io_timeout);
-  ~HttpClient() = default;
+  ~HttpClient();
   HttpClient(const HttpClient&) = delete;
   HttpClient& operator=(const HttpClient&) = delete;
 
   std::shared_ptr<HttpCall> Send(const Address& address,
                                  const HttpRequest& request,
-                                 HttpCallbacks callbacks);
+                                 HttpCallbacks callbacks,
+                                 HttpSendOptions options = {});
   /// @brief Sends a request and collects the whole response.
   /// @param max_bytes longer bodies count as broken.
-  std::shared_ptr<HttpCall> Fetch(const Address& address,
-                                  const HttpRequest& request,
-                                  std::function<void(HttpResponse)> done,
-                                  std::size_t max_bytes = std::size_t{64}
-                                                          << 20);
+  std::shared_ptr<HttpCall> Fetch(
+      const Address& address, const HttpRequest& request,
+      std::function<void(HttpResponse)> done,
+      std::size_t max_bytes = std::size_t{64} << 20,
+      HttpSendOptions options = {});
+  /// @brief Connections to an address, at rest or in use.
+  [[nodiscard]] std::size_t ConnectionsTo(const Address& address) const;
 
  private:
   struct State;
-  /// Stays with the loop: requests under way refer to it.
-  State* state_;
+  /// Connections and calls share it: it may outlive the client.
+  std::shared_ptr<State> state_;
 };
 
 }  // namespace chalkwell::daemon
--- a/packages/daemon/src/daemon/http_server.hpp
+++ b/packages/daemon/src/daemon/http_server.hpp
@@ -51,6 +51,10 @@
   virtual void End(bool whole) = 0;
   /// @brief Called once if the caller goes away before the end.
   virtual void OnAbort(std::function<void()> handler) = 0;
+  /// @brief Bytes written that the caller has not taken yet.
+  [[nodiscard]] virtual std::size_t pending() const noexcept { return 0; }
+  /// @brief Called whenever the caller has taken all that was written.
+  virtual void OnDrained(std::function<void()> /*handler*/) {}
 };
 
 using HttpExchangePtr = std::shared_ptr<HttpExchange>;
--- a/packages/daemon/src/daemon/loop.cpp
+++ b/packages/daemon/src/daemon/loop.cpp
@@ -112,6 +112,10 @@
   Start(period, period, std::move(task));
 }
 
-void Timer::Cancel() noexcept { uv_timer_stop(&state_->handle_); }
+void Timer::Cancel() noexcept {
+  uv_timer_stop(&state_->handle_);
+  // What the task holds is let go of with it.
+  state_->task_ = nullptr;
+}
 
 }  // namespace chalkwell::daemon
--- a/packages/daemon/src/daemon/main.cpp
+++ b/packages/daemon/src/daemon/main.cpp
@@ -1,12 +1,16 @@
 // chalkwelld: the two daemons, entry and agent.
 #include <CLI/CLI.hpp>
+#include <csignal>
 #include <iostream>
 #include <string>
 
 #include "chalkwell/core/error.hpp"
 #include "daemon/agent.hpp"
+#include "daemon/direct/direct_agent.hpp"
+#include "daemon/direct/direct_entry.hpp"
 #include "daemon/entry.hpp"
 #include "daemon/version.hpp"
+#include "platform/adapter.hpp"
 
 namespace {
 
@@ -16,6 +20,9 @@
 struct Options {
   std::string config_;
   bool check_ = false;
+  /// Name of the adapter to a deployment's platform; empty for the product's
+  /// own interface.
+  std::string adapter_;
 };
 
 CLI::App* AddCommand(CLI::App& app, const char* name, const char* help,
@@ -25,19 +32,37 @@
       ->required();
   command->add_flag("--check", options.check_,
                     "check the settings, report every fault, and exit");
+  command
+      ->add_option("--adapter", options.adapter_,
+                   "serve a deployment's own platform through its adapter")
+      ->check(CLI::IsMember({"platform"}));
   return command;
 }
 
-int RunDaemon(const Options& options, chalkwell::daemon::UsedBy user) {
-  using chalkwell::daemon::UsedBy;
-  const auto settings =
-      chalkwell::daemon::Settings::Load(options.config_, user);
-  if (options.check_) {
-    std::cout << options.config_ << ": settings are valid\n";
-    return 0;
+/// Entry or agent that speaks a deployment's platform.
+void RunDirect(chalkwell::daemon::Loop& loop,
+               const chalkwell::daemon::Settings& settings, bool is_entry) {
+  namespace direct = chalkwell::daemon::direct;
+  using chalkwell::daemon::ParseAddress;
+  static chalkwell::daemon::ProcessBase process(loop, settings,
+                                                is_entry ? "entry" : "agent");
+  const auto store = ParseAddress(settings.Text("platform", "address"));
+  if (is_entry) {
+    static direct::DirectEntry entry(
+        process,
+        chalkwell::platform::MakeAdapter(process.http(), store, std::nullopt));
+    entry.Run();
+  } else {
+    const auto engine = ParseAddress(settings.Text("endpoint", "backend"));
+    static direct::DirectAgent agent(
+        process,
+        chalkwell::platform::MakeAdapter(process.http(), store, engine));
+    agent.Run();
   }
-  const bool is_entry = user == UsedBy::kEntry;
-  static chalkwell::daemon::Loop loop;
+}
+
+void RunOwn(chalkwell::daemon::Loop& loop,
+            const chalkwell::daemon::Settings& settings, bool is_entry) {
   static chalkwell::daemon::Process process(loop, settings,
                                             is_entry ? "entry" : "agent");
   if (is_entry) {
@@ -47,6 +72,27 @@
     static chalkwell::daemon::Agent agent(process);
     agent.Run();
   }
+}
+
+int RunDaemon(const Options& options, bool is_entry) {
+  using chalkwell::daemon::UsedBy;
+  // Until the loop listens for it, a hang-up must not end the process.
+  std::signal(SIGHUP, SIG_IGN);
+  const bool direct = !options.adapter_.empty();
+  const auto own = is_entry ? UsedBy::kEntry : UsedBy::kAgent;
+  const auto adapted = is_entry ? UsedBy::kDirectEntry : UsedBy::kDirectAgent;
+  const auto settings = chalkwell::daemon::Settings::Load(
+      options.config_, direct ? adapted : own);
+  if (options.check_) {
+    std::cout << options.config_ << ": settings are valid\n";
+    return 0;
+  }
+  static chalkwell::daemon::Loop loop;
+  if (direct) {
+    RunDirect(loop, settings, is_entry);
+  } else {
+    RunOwn(loop, settings, is_entry);
+  }
   // Connections may still refer to the parts of the process: leave at once.
   std::cout.flush();
   std::_Exit(0);
@@ -68,9 +114,7 @@
              options);
   CLI11_PARSE(app, argc, argv);
   try {
-    const auto user = entry->parsed() ? chalkwell::daemon::UsedBy::kEntry
-                                      : chalkwell::daemon::UsedBy::kAgent;
-    return RunDaemon(options, user);
+    return RunDaemon(options, entry->parsed());
   } catch (const chalkwell::core::Error& error) {
     std::cerr << "chalkwelld: " << error.what() << "\n";
     return error.step() == chalkwell::core::Step::kSettings ? kExitSettings
--- a/packages/daemon/src/daemon/process.hpp
+++ b/packages/daemon/src/daemon/process.hpp
@@ -1,46 +1,26 @@
-// What both daemons share: settings, log, metrics, tracer, configuration and
-// the reader of the configuration service.
+// What both daemons that follow signed documents share: configuration and the
+// reader of the configuration service.
 #pragma once
 
-#include <functional>
-#include <memory>
 #include <string>
 
-#include "chalkwell/membership/planned_stop.hpp"
 #include "daemon/config_node.hpp"
-#include "daemon/event_log.hpp"
-#include "daemon/http_client.hpp"
-#include "daemon/loop.hpp"
-#include "daemon/metrics.hpp"
 #include "daemon/peer_connection.hpp"
 #include "daemon/peer_server.hpp"
 #include "daemon/platform_reader.hpp"
-#include "daemon/settings.hpp"
-#include "daemon/tracer.hpp"
+#include "daemon/process_base.hpp"
 
 namespace chalkwell::daemon {
 
-/// @brief Common parts of one daemon process.
-class Process {
+/// @brief Common parts of one entry or agent.
+class Process : public ProcessBase {
  public:
   /// @param name of the subcommand.
   Process(Loop& loop, const Settings& settings, std::string name);
 
-  [[nodiscard]] Loop& loop() noexcept { return loop_; }
-  [[nodiscard]] const Settings& settings() const noexcept { return settings_; }
-  [[nodiscard]] const core::InstanceId& id() const noexcept { return id_; }
-  [[nodiscard]] const core::FailureDomainId& domain() const noexcept {
-    return domain_;
-  }
-  [[nodiscard]] EventLog& log() noexcept { return log_; }
-  [[nodiscard]] Metrics& metrics() noexcept { return metrics_; }
-  [[nodiscard]] HttpClient& http() noexcept { return http_; }
-  [[nodiscard]] Tracer& tracer() noexcept { return tracer_; }
   [[nodiscard]] ConfigNode& config() noexcept { return config_; }
   [[nodiscard]] PlatformReader& platform() noexcept { return platform_; }
   [[nodiscard]] PeerConnectionSettings connection_settings() const;
-  [[nodiscard]] membership::PlannedStop& stop() noexcept { return stop_; }
-  [[nodiscard]] bool stopping() const noexcept { return stop_.leaving(); }
 
   /// @brief Answers /v1/sync.
   /// @return the request.
@@ -48,27 +28,9 @@
   /// @brief Answers a malformed call: the error goes to the log and the peer.
   void AnswerError(const PeerCallPtr& call, const std::exception& error);
 
-  /// @brief Runs until a planned stop is finished or a second signal comes.
-  /// @param begin_stop called once at the first SIGTERM or SIGINT.
-  void Run(std::function<void()> begin_stop);
-
  private:
-  void OnStopSignal();
-  void CheckStopped();
-
-  Loop& loop_;
-  Settings settings_;
-  core::InstanceId id_;
-  core::FailureDomainId domain_;
-  EventLog log_;
-  Metrics metrics_;
-  HttpClient http_;
-  Tracer tracer_;
   ConfigNode config_;
   PlatformReader platform_;
-  Timer stop_timer_;
-  std::function<void()> begin_stop_;
-  membership::PlannedStop stop_;
 };
 
 }  // namespace chalkwell::daemon
--- /dev/null
+++ b/packages/daemon/src/daemon/process_base.cpp
@@ -0,0 +1,88 @@
+// Start, reload and planned stop of a daemon.
+#include "daemon/process_base.hpp"
+
+#include <csignal>
+#include <utility>
+
+namespace chalkwell::daemon {
+namespace {
+
+constexpr auto kIoTimeout = std::chrono::seconds(120);
+constexpr auto kStopCheck = std::chrono::milliseconds(50);
+/// Time for the last answers to leave the sockets.
+constexpr auto kFlushTime = std::chrono::milliseconds(300);
+
+core::Severity SeverityOf(const std::string& level) {
+  if (level == "debug") {
+    return core::Severity::kDebug;
+  }
+  if (level == "warning") {
+    return core::Severity::kWarning;
+  }
+  return level == "error" ? core::Severity::kError : core::Severity::kInfo;
+}
+
+std::optional<Address> OptionalAddress(const Settings& settings,
+                                       const std::string& section,
+                                       const std::string& key) {
+  const auto& text = settings.Text(section, key);
+  return text.empty() ? std::nullopt : std::optional(ParseAddress(text));
+}
+
+}  // namespace
+
+ProcessBase::ProcessBase(Loop& loop, const Settings& settings, std::string name)
+    : loop_(loop),
+      settings_(settings),
+      id_(settings.Text("instance", "id")),
+      domain_(settings.Text("instance", "domain")),
+      log_(settings.Text("log", "format") == "json" ? LogFormat::kJson
+                                                    : LogFormat::kText,
+           SeverityOf(settings.Text("log", "level")), id_.value()),
+      http_(loop, kIoTimeout),
+      tracer_(loop, http_, "chalkwell-" + name,
+              OptionalAddress(settings, "trace", "collector")),
+      stop_timer_(loop),
+      stop_(settings.Milliseconds("stop", "drain_ms")) {
+  log_.OnEvent(
+      [this](core::EventNumber number) { metrics_.CountEvent(number); });
+  SetUncaughtHandler([this](const std::exception& error) {
+    log_.Write(core::EventNumber::kInternalError, {{"error", error.what()}});
+  });
+  log_.Write(core::EventNumber::kStarted,
+             {{"subcommand", name}, {"domain", domain_.value()}});
+}
+
+void ProcessBase::Run(std::function<void()> begin_stop) {
+  begin_stop_ = std::move(begin_stop);
+  std::signal(SIGPIPE, SIG_IGN);
+  loop_.OnSignal(SIGTERM, [this] { OnStopSignal(); });
+  loop_.OnSignal(SIGINT, [this] { OnStopSignal(); });
+  loop_.Run();
+}
+
+void ProcessBase::OnReload(std::function<void()> handler) {
+  loop_.OnSignal(SIGHUP, std::move(handler));
+}
+
+void ProcessBase::OnStopSignal() {
+  if (stop_.leaving()) {
+    loop_.Stop();
+    return;
+  }
+  stop_.Begin(loop_.Now());
+  log_.Write(core::EventNumber::kStopping);
+  begin_stop_();
+  stop_timer_.Every(kStopCheck, [this] { CheckStopped(); });
+}
+
+void ProcessBase::CheckStopped() {
+  if (!stop_.MayExit(loop_.Now())) {
+    return;
+  }
+  log_.Write(core::EventNumber::kStopped,
+             {{"unfinished", std::to_string(stop_.work())}});
+  stop_timer_.Once(kFlushTime, [this] { loop_.Stop(); });
+}
+
+}  // namespace chalkwell::daemon
--- a/packages/daemon/src/daemon/settings.cpp
+++ b/packages/daemon/src/daemon/settings.cpp
@@ -78,7 +78,7 @@
 }
 
 bool Applies(const SettingDescription& setting, UsedBy user) {
-  return setting.used_by_ == UsedBy::kBoth || setting.used_by_ == user;
+  return Overlap(setting.used_by_, user);
 }
 
 std::string NearestName(const std::string& name) {
@@ -128,6 +128,10 @@
   });
 }
 
+bool IsAddressList(const std::string& value) {
+  return std::ranges::all_of(Split(value, ','), IsAddress);
+}
+
 bool IsValid(const SettingDescription& setting, const std::string& value) {
   switch (setting.type_) {
     case SettingType::kText:
@@ -149,6 +153,8 @@
     }
     case SettingType::kKeys:
       return IsKeyList(value);
+    case SettingType::kAddresses:
+      return IsAddressList(value);
   }
   return false;
 }
@@ -253,6 +259,8 @@
       return "one of " + std::string(setting.choices_);
     case SettingType::kKeys:
       return "public keys of 64 hexadecimal digits, separated by commas";
+    case SettingType::kAddresses:
+      return "IP numbers and ports separated by commas, or nothing";
   }
   return "";
 }
--- a/packages/daemon/src/daemon/settings.hpp
+++ b/packages/daemon/src/daemon/settings.hpp
@@ -15,8 +15,26 @@
 
 namespace chalkwell::daemon {
 
-/// @brief Which subcommands use a setting.
-enum class UsedBy : std::uint8_t { kBoth, kEntry, kAgent };
+/// @brief Which processes use a setting: a set of bits. The direct processes
+/// are those that a deployment's adapter serves.
+enum class UsedBy : std::uint8_t {
+  kEntry = 1,
+  kAgent = 2,
+  /// Entry and agent of the product's own interface.
+  kBoth = 3,
+  kDirectEntry = 4,
+  kEntries = 5,
+  kDirectAgent = 8,
+  kAgents = 10,
+  /// Entry and agent with an adapter.
+  kDirect = 12,
+  kAll = 15,
+};
+
+/// @brief Whether two sets share a process.
+[[nodiscard]] constexpr bool Overlap(UsedBy left, UsedBy right) noexcept {
+  return (static_cast<unsigned>(left) & static_cast<unsigned>(right)) != 0;
+}
 /// @brief What a value may be.
 enum class SettingType : std::uint8_t {
   kText,
@@ -25,6 +43,8 @@
   kShare,
   kChoice,
   kKeys,
+  /// Any number of addresses, separated by commas; none is allowed.
+  kAddresses,
 };
 
 /// @brief One row of the table.
--- /dev/null
+++ b/packages/daemon/src/daemon/tcp_stream.cpp
@@ -0,0 +1,367 @@
+// TCP by libuv. The handle outlives its owner until the loop has closed it.
+#include "daemon/tcp_stream.hpp"
+
+#include <arpa/inet.h>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+
+#include <array>
+#include <utility>
+
+#include "chalkwell/core/error.hpp"
+
+namespace chalkwell::daemon {
+namespace {
+
+constexpr int kBacklog = 1024;
+/// One read at a time on a loop: the buffer is shared by all its streams.
+constexpr std::size_t kReadBytes = std::size_t{32} << 10;
+/// How long a finished connection goes on dropping what the peer sends.
+constexpr auto kLinger = std::chrono::milliseconds(1000);
+/// Keep-alive probes find a peer that is gone while nothing is written.
+constexpr int kProbeIdleSeconds = 2;
+constexpr int kProbeIntervalSeconds = 1;
+constexpr int kProbeCount = 3;
+
+std::array<char, kReadBytes>& ReadBuffer() {
+  static std::array<char, kReadBytes> buffer;
+  return buffer;
+}
+
+void SetOption(int descriptor, int level, int option, int value) {
+  (void)::setsockopt(descriptor, level, option, &value, sizeof(value));
+}
+
+}  // namespace
+
+struct TcpStream::Handle {
+  uv_tcp_t tcp_{};
+  /// Null once the owner has closed it.
+  TcpStream* owner_ = nullptr;
+};
+
+struct TcpStream::WriteRequest {
+  uv_write_t request_{};
+  std::string bytes_;
+};
+
+TcpStream::TcpStream(Loop& loop, const StreamSettings& settings)
+    : loop_(loop), settings_(settings), handle_(new Handle) {
+  uv_tcp_init(loop.raw(), &handle_->tcp_);
+  handle_->tcp_.data = handle_;
+  handle_->owner_ = this;
+}
+
+TcpStream::~TcpStream() { Close(); }
+
+TcpStream::Ptr TcpStream::Accept(Loop& loop, uv_stream_t* listener,
+                                 const StreamSettings& settings) {
+  Ptr stream(new TcpStream(loop, settings));
+  auto* raw = reinterpret_cast<uv_stream_t*>(&stream->handle_->tcp_);
+  if (uv_accept(listener, raw) != 0) {
+    return nullptr;
+  }
+  stream->ApplyOptions();
+  return stream;
+}
+
+TcpStream::Ptr TcpStream::Connect(Loop& loop, const Address& address,
+                                  const StreamSettings& settings,
+                                  std::function<void(bool open)> done) {
+  Ptr stream(new TcpStream(loop, settings));
+  stream->connected_ = std::move(done);
+  auto* request = new uv_connect_t;
+  const auto storage = address.ToSockaddr();
+  const int error = uv_tcp_connect(
+      request, &stream->handle_->tcp_,
+      reinterpret_cast<const sockaddr*>(&storage),
+      [](uv_connect_t* connect, int status) {
+        auto* owner = static_cast<Handle*>(connect->handle->data)->owner_;
+        delete connect;
+        if (owner != nullptr) {
+          owner->OnConnected(status == 0);
+        }
+      });
+  if (error != 0) {
+    delete request;
+  }
+  // A refused call is reported from the loop, as every other end is.
+  stream->timer_ = std::make_unique<Timer>(loop);
+  stream->timer_->Once(
+      error == 0 ? settings.connect_timeout_ : core::Duration{},
+      [owner = stream.get()] { owner->OnConnected(false); });
+  return stream;
+}
+
+void TcpStream::OnConnected(bool open) {
+  const auto self = shared_from_this();
+  timer_.reset();
+  const auto handler = std::exchange(connected_, nullptr);
+  if (!handler) {
+    return;
+  }
+  if (open) {
+    ApplyOptions();
+    StartReading();
+  } else {
+    Close();
+  }
+  Guarded([&] { handler(open); });
+}
+
+void TcpStream::ApplyOptions() {
+  uv_os_fd_t descriptor = -1;
+  auto* raw = reinterpret_cast<uv_handle_t*>(&handle_->tcp_);
+  if (uv_fileno(raw, &descriptor) != 0) {
+    return;
+  }
+  const auto limit = std::chrono::duration_cast<std::chrono::milliseconds>(
+      settings_.unacknowledged_);
+  SetOption(descriptor, IPPROTO_TCP, TCP_NODELAY, 1);
+  SetOption(descriptor, IPPROTO_TCP, TCP_USER_TIMEOUT,
+            static_cast<int>(limit.count()));
+  SetOption(descriptor, SOL_SOCKET, SO_KEEPALIVE, 1);
+  SetOption(descriptor, IPPROTO_TCP, TCP_KEEPIDLE, kProbeIdleSeconds);
+  SetOption(descriptor, IPPROTO_TCP, TCP_KEEPINTVL, kProbeIntervalSeconds);
+  SetOption(descriptor, IPPROTO_TCP, TCP_KEEPCNT, kProbeCount);
+}
+
+void TcpStream::Observe(StreamObserver observer) {
+  observer_ = std::move(observer);
+  if (open() && !connected_ && !reading_) {
+    StartReading();
+  }
+}
+
+std::string TcpStream::PeerIp() const {
+  sockaddr_storage storage{};
+  int length = sizeof(storage);
+  if (handle_ == nullptr ||
+      uv_tcp_getpeername(&handle_->tcp_, reinterpret_cast<sockaddr*>(&storage),
+                         &length) != 0) {
+    return "";
+  }
+  std::array<char, INET6_ADDRSTRLEN> text{};
+  if (storage.ss_family == AF_INET) {
+    uv_ip4_name(reinterpret_cast<sockaddr_in*>(&storage), text.data(),
+                text.size());
+  } else {
+    uv_ip6_name(reinterpret_cast<sockaddr_in6*>(&storage), text.data(),
+                text.size());
+  }
+  return text.data();
+}
+
+void TcpStream::StartReading() {
+  reading_ = true;
+  uv_read_start(
+      reinterpret_cast<uv_stream_t*>(&handle_->tcp_),
+      [](uv_handle_t*, std::size_t, uv_buf_t* buffer) {
+        *buffer = uv_buf_init(ReadBuffer().data(), kReadBytes);
+      },
+      [](uv_stream_t* raw, ssize_t size, const uv_buf_t* buffer) {
+        auto* owner = static_cast<Handle*>(raw->data)->owner_;
+        if (owner != nullptr && size != 0) {
+          owner->OnRead(size, buffer->base);
+        }
+      });
+}
+
+void TcpStream::SetReading(bool reading) {
+  if (!open() || reading == reading_) {
+    return;
+  }
+  if (reading) {
+    StartReading();
+    return;
+  }
+  reading_ = false;
+  uv_read_stop(reinterpret_cast<uv_stream_t*>(&handle_->tcp_));
+}
+
+void TcpStream::OnRead(ssize_t size, const char* bytes) {
+  const auto self = shared_from_this();
+  if (size < 0) {
+    End(size == UV_EOF ? StreamEnd::kClosed : StreamEnd::kBroken);
+    return;
+  }
+  if (finishing_ || !observer_.on_data_) {
+    return;
+  }
+  Guarded([&] {
+    observer_.on_data_({bytes, static_cast<std::size_t>(size)});
+  });
+}
+
+void TcpStream::End(StreamEnd end) {
+  const auto handler = std::move(observer_.on_end_);
+  const bool told = !finishing_;
+  Close();
+  if (told && handler) {
+    Guarded([&] { handler(end); });
+  }
+}
+
+void TcpStream::Write(std::string bytes) {
+  if (!open() || finishing_ || bytes.empty()) {
+    return;
+  }
+  auto* raw = reinterpret_cast<uv_stream_t*>(&handle_->tcp_);
+  if (pending_ == 0) {
+    uv_buf_t buffer = uv_buf_init(bytes.data(),
+                                  static_cast<unsigned>(bytes.size()));
+    const int sent = uv_try_write(raw, &buffer, 1);
+    if (sent == static_cast<int>(bytes.size())) {
+      return;
+    }
+    if (sent > 0) {
+      bytes.erase(0, static_cast<std::size_t>(sent));
+    }
+  }
+  auto* request = new WriteRequest{{}, std::move(bytes)};
+  request->request_.data = request;
+  const auto size = request->bytes_.size();
+  uv_buf_t buffer =
+      uv_buf_init(request->bytes_.data(), static_cast<unsigned>(size));
+  pending_ += size;
+  const int error = uv_write(
+      &request->request_, raw, &buffer, 1, [](uv_write_t* write, int status) {
+        auto* done = static_cast<WriteRequest*>(write->data);
+        auto* owner = static_cast<Handle*>(write->handle->data)->owner_;
+        const auto written = done->bytes_.size();
+        delete done;
+        if (owner != nullptr) {
+          owner->OnWritten(written, status);
+        }
+      });
+  if (error != 0) {
+    // The read side reports the broken connection.
+    pending_ -= size;
+    delete request;
+  }
+}
+
+void TcpStream::OnWritten(std::size_t size, int status) {
+  const auto self = shared_from_this();
+  pending_ -= size;
+  if (status != 0) {
+    End(StreamEnd::kBroken);
+    return;
+  }
+  if (pending_ > 0) {
+    return;
+  }
+  if (finishing_) {
+    ShutDown();
+  } else if (observer_.on_drained_) {
+    Guarded(observer_.on_drained_);
+  }
+}
+
+void TcpStream::Close() {
+  timer_.reset();
+  connected_ = nullptr;
+  auto* handle = std::exchange(handle_, nullptr);
+  if (handle == nullptr) {
+    return;
+  }
+  handle->owner_ = nullptr;
+  uv_close(
+      reinterpret_cast<uv_handle_t*>(&handle->tcp_),
+      [](uv_handle_t* raw) { delete static_cast<Handle*>(raw->data); });
+}
+
+void TcpStream::Reset() {
+  auto* handle = handle_;
+  if (handle == nullptr) {
+    return;
+  }
+  uv_os_fd_t descriptor = -1;
+  if (uv_fileno(reinterpret_cast<uv_handle_t*>(&handle->tcp_), &descriptor) ==
+      0) {
+    const linger abort{.l_onoff = 1, .l_linger = 0};
+    (void)::setsockopt(descriptor, SOL_SOCKET, SO_LINGER, &abort,
+                       sizeof(abort));
+  }
+  Close();
+}
+
+void TcpStream::Finish() {
+  if (!open() || finishing_) {
+    return;
+  }
+  finishing_ = true;
+  SetReading(true);
+  // The stream keeps itself alive until it has ended.
+  timer_ = std::make_unique<Timer>(loop_);
+  timer_->Once(settings_.unacknowledged_,
+               [self = shared_from_this()] { self->Close(); });
+  if (pending_ == 0) {
+    ShutDown();
+  }
+}
+
+void TcpStream::ShutDown() {
+  auto* request = new uv_shutdown_t;
+  const int error = uv_shutdown(
+      request, reinterpret_cast<uv_stream_t*>(&handle_->tcp_),
+      [](uv_shutdown_t* shutdown, int) { delete shutdown; });
+  if (error != 0) {
+    delete request;
+  }
+  timer_->Once(kLinger, [self = shared_from_this()] { self->Close(); });
+}
+
+struct TcpListener::State {
+  uv_tcp_t tcp_{};
+  Loop* loop_ = nullptr;
+  std::function<void(TcpStream::Ptr)> on_connection_;
+};
+
+TcpListener::TcpListener(Loop& loop, const Address& address,
+                         std::function<void(TcpStream::Ptr)> on_connection)
+    : state_(new State{{}, &loop, std::move(on_connection)}) {
+  uv_tcp_init(loop.raw(), &state_->tcp_);
+  state_->tcp_.data = state_;
+  const auto storage = address.ToSockaddr();
+  int error = uv_tcp_bind(&state_->tcp_,
+                          reinterpret_cast<const sockaddr*>(&storage), 0);
+  if (error == 0) {
+    error = uv_listen(reinterpret_cast<uv_stream_t*>(&state_->tcp_), kBacklog,
+                      [](uv_stream_t* listener, int status) {
+                        auto* state = static_cast<State*>(listener->data);
+                        if (status != 0) {
+                          return;
+                        }
+                        auto stream =
+                            TcpStream::Accept(*state->loop_, listener);
+                        if (stream != nullptr) {
+                          Guarded([&] {
+                            state->on_connection_(std::move(stream));
+                          });
+                        }
+                      });
+  }
+  if (error != 0) {
+    Stop();
+    throw core::Error(core::Step::kListen, address.ToString(),
+                      uv_strerror(error));
+  }
+  sockaddr_storage bound{};
+  int length = sizeof(bound);
+  uv_tcp_getsockname(&state_->tcp_, reinterpret_cast<sockaddr*>(&bound),
+                     &length);
+  port_ = ntohs(reinterpret_cast<const sockaddr_in*>(&bound)->sin_port);
+}
+
+TcpListener::~TcpListener() { Stop(); }
+
+void TcpListener::Stop() {
+  auto* state = std::exchange(state_, nullptr);
+  if (state != nullptr) {
+    uv_close(reinterpret_cast<uv_handle_t*>(&state->tcp_),
+             [](uv_handle_t* raw) { delete static_cast<State*>(raw->data); });
+  }
+}
+
+}  // namespace chalkwell::daemon
