Old weights end by the naming of each version; switches in turns; pieces paced

Turns: the lease ran from the fetch, so all went at once. Late events: several pieces in a row before them on a 7.3 Mbit/s link.

--- /dev/null
+++ b/packages/chalkwell/src/chalkwell/rollout/version_bound.cpp
@@ -0,0 +1,34 @@
+// Bounds of versions.
+#include "chalkwell/rollout/version_bound.hpp"
+
+namespace chalkwell::rollout {
+namespace {
+
+/// Versions kept; one that is older was superseded long ago.
+constexpr std::size_t kMaxNamed = 64;
+
+}  // namespace
+
+bool VersionBound::OnNamed(std::uint64_t version, core::TimePoint now) {
+  if (version <= newest()) {
+    return false;
+  }
+  named_.push_back({version, now});
+  if (named_.size() > kMaxNamed) {
+    named_.pop_front();
+  }
+  return true;
+}
+
+std::uint64_t VersionBound::Least(core::Duration bound,
+                                  core::TimePoint now) const noexcept {
+  std::uint64_t least = 0;
+  for (const auto& named : named_) {
+    if (now - named.heard_at_ >= bound) {
+      least = named.version_;
+    }
+  }
+  return least;
+}
+
+}  // namespace chalkwell::rollout
--- a/packages/daemon/src/daemon/direct/direct_entry.cpp
+++ b/packages/daemon/src/daemon/direct/direct_entry.cpp
@@ -27,8 +27,9 @@
 /// Part of the fleet's reserve of retries that is used: not every entry knows
 /// of every other.
 constexpr double kReserveUsed = 0.5;
-/// Old weights are not used for this last part of the time they may be.
-constexpr auto kVersionMargin = milliseconds(700);
+/// Old weights are not used for this last part of the time they may be: a
+/// request may wait at its endpoint before it begins.
+constexpr auto kVersionMargin = milliseconds(1100);
 /// The platform stops sending new connections after two probes, one a second.
 constexpr auto kStopListening = milliseconds(2600);
 
@@ -75,7 +76,7 @@
                  [this] {
                    std::map<std::string, std::uint64_t> known;
                    for (const auto& [model, named] : weights_) {
-                     known[model] = named.version_;
+                     known[model] = named.newest();
                    }
                    return known;
                  }}),
@@ -192,11 +193,10 @@
 }
 
 void DirectEntry::TakeWeights(const NamedWeights& weights) {
-  auto& named = weights_[weights.model_];
-  if (weights.version_ <= named.version_) {
+  if (!weights_[weights.model_].OnNamed(weights.version_,
+                                        process_.loop().Now())) {
     return;
   }
-  named = {weights.version_, process_.loop().Now()};
   process_.log().Write(core::EventNumber::kWeightsNamed,
                        {{"model", weights.model_},
                         {"version", std::to_string(weights.version_)}});
@@ -204,13 +204,12 @@
 
 std::uint64_t DirectEntry::LeastVersion(const std::string& model) const {
   const auto found = weights_.find(model);
-  if (found == weights_.end() || found->second.version_ <= 1) {
+  if (found == weights_.end()) {
     return 0;
   }
-  const auto age = process_.loop().Now() - found->second.heard_at_;
   const auto bound =
       process_.settings().Milliseconds("rollout", "version_bound_ms");
-  return age >= bound - kVersionMargin ? found->second.version_ : 0;
+  return found->second.Least(bound - kVersionMargin, process_.loop().Now());
 }
 
 void DirectEntry::OnLoad(const LoadMessage& message) {
--- a/packages/daemon/src/daemon/direct/direct_entry.hpp
+++ b/packages/daemon/src/daemon/direct/direct_entry.hpp
@@ -8,6 +8,7 @@
 #include <vector>
 
 #include "chalkwell/config/traffic_rules.hpp"
+#include "chalkwell/rollout/version_bound.hpp"
 #include "chalkwell/routing/endpoint_table.hpp"
 #include "chalkwell/routing/retry_budget.hpp"
 #include "daemon/direct/direct_request.hpp"
@@ -48,18 +49,13 @@
   void BeginStop();
   [[nodiscard]] std::string Status() const;
 
-  /// Newest weights of a model and when they were heard of.
-  struct Named {
-    std::uint64_t version_ = 0;
-    core::TimePoint heard_at_;
-  };
-
   ProcessBase& process_;
   Adapter adapter_;
   config::TrafficTable rules_;
   routing::EndpointTable endpoints_;
   routing::RetryBudget budget_;
-  std::map<std::string, Named> weights_;
+  /// By model.
+  std::map<std::string, rollout::VersionBound> weights_;
   RequestContext context_;
   PublishedReader reader_;
   MeshNode mesh_;
--- a/packages/daemon/src/daemon/direct/weights_keeper.cpp
+++ b/packages/daemon/src/daemon/direct/weights_keeper.cpp
@@ -30,15 +30,20 @@
 constexpr auto kDrawSilence = milliseconds(900);
 /// Pieces asked for at once: enough to fill a link of 7 Mbit/s over 6 ms.
 constexpr std::size_t kInFlight = 6;
-constexpr std::size_t kPerPeer = 2;
+constexpr std::size_t kPerPeer = 1;
+/// Part of the link that pieces may take: answers share it, and an event that
+/// waits behind several pieces is late.
+constexpr double kUploadShare = 0.75;
+constexpr double kBytesPerMegabit = 125'000;
 /// The source's link is shared by all agents: one piece each.
 constexpr std::size_t kOriginInFlight = 1;
 constexpr std::size_t kMaxPeerBody = std::size_t{1} << 20;
 /// An order that shows no effect for this long is given again.
 constexpr auto kOrderTime = milliseconds(7000);
-/// Time an engine may need to finish its requests and load: a switch that has
-/// not begun this long before the bound begins without its turn.
-constexpr auto kSwitchTime = milliseconds(3200);
+/// Once ordered, an engine begins no request on its old weights. A switch that
+/// has not begun this long before the bound begins without its turn: time to
+/// verify what is staged and to order.
+constexpr auto kSwitchTime = milliseconds(1500);
 constexpr double kOutShare = 0.5;
 constexpr auto kTurnLease = milliseconds(2600);
 
@@ -66,6 +71,10 @@
       planner_({process.id(), process.domain()}, PlannerSettingsOf(),
                std::random_device{}()),
       turns_(process.id(), kOutShare, kTurnLease),
+      upload_(static_cast<std::uint64_t>(
+                  process.settings().Share("weights", "link_mbps") *
+                  kBytesPerMegabit * kUploadShare),
+              {}),
       server_(std::make_unique<PeerServer>(
           process.loop(), ParseAddress(process.settings().Text("listen", "peer")),
           kMaxPeerBody, [this](const PeerCallPtr& call) { OnPeerCall(call); })),
@@ -300,7 +309,6 @@
   held_ = swarm::ChunkSet(manifest.digests_.size());
   SetPhase(Phase::kFetching);
   announce_due_ = true;
-  turns_.Start(wanted_.version_, process_.loop().Now());
   if (serving_ == 0) {
     // What was staged before a restart may still be there.
     staging_ = 1;
@@ -390,6 +398,7 @@
           std::to_string(planner_.draws(swarm::DrawCause::kElected))},
          {"silence_draws",
           std::to_string(planner_.draws(swarm::DrawCause::kSilence))}});
+    turns_.Start(wanted_.version_, now);
     SetPhase(Phase::kStaged);
   }
 }
@@ -630,11 +639,19 @@
     return;
   }
   // The engine's staging is the store; the asker compares the digest.
-  client_.staged_(model_, message.piece_,
-                  [call](const std::optional<std::string>& bytes) {
-                    call->Respond(bytes ? kOk : kNotFound,
-                                  bytes.value_or(std::string()));
-                  });
+  client_.staged_(
+      model_, message.piece_,
+      [this, call](std::optional<std::string> bytes) {
+        if (!bytes) {
+          call->Respond(kNotFound, "");
+          return;
+        }
+        const auto wait =
+            upload_.Reserve(bytes->size(), process_.loop().Now());
+        process_.loop().After(wait, [call, bytes = std::move(*bytes)] {
+          call->Respond(kOk, bytes);
+        });
+      });
 }
 
 }  // namespace chalkwell::daemon::direct
--- a/packages/daemon/src/daemon/direct/weights_keeper.hpp
+++ b/packages/daemon/src/daemon/direct/weights_keeper.hpp
@@ -11,6 +11,7 @@
 
 #include "chalkwell/rollout/turns.hpp"
 #include "chalkwell/swarm/chunk_set.hpp"
+#include "chalkwell/swarm/pacer.hpp"
 #include "chalkwell/swarm/planner.hpp"
 #include "daemon/direct/hooks.hpp"
 #include "daemon/direct/mesh_node.hpp"
@@ -136,6 +137,7 @@
   std::size_t staging_ = 0;
   swarm::Planner planner_;
   rollout::Turns turns_;
+  swarm::Pacer upload_;
   std::map<core::InstanceId, Peer> peers_;
   std::unique_ptr<PeerServer> server_;
   core::TimePoint announced_at_;
--- a/packages/daemon/src/daemon/settings_table.cpp
+++ b/packages/daemon/src/daemon/settings_table.cpp
@@ -123,6 +123,8 @@
      "", "bytes/s",
      "Rate of this machine's link that weights and live answers share; 0 for "
      "no limit."},
+    {kDirectAgent, "weights", "link_mbps", kShare, "0", false, 0, 1e6, "",
+     "Mbit/s", "This machine's link; pieces take a part of it; 0 for no limit."},
     {kAgent, "weights", "memory_bytes", kNumber, "268435456", false, 1 << 20,
      kTera, "", "bytes", "Chunks kept for peers."},
     {kAgent, "weights", "origin_copies", kNumber, "1", false, 1, 4, "",
