An answer without a length is passed on without one

Ruled out: a reset taken for an end (the log of the connection shows a clean close each time). Change: such an answer goes on framed as it came, by the end of the connection.

--- a/packages/daemon/src/daemon/direct/direct_request.cpp
+++ b/packages/daemon/src/daemon/direct/direct_request.cpp
@@ -276,6 +276,7 @@
   } else if (end == HttpEnd::kBroken) {
     EndAttempt(routing::AttemptEnd::kLost, routing::EndpointOutcome::kFailed);
   } else {
+    attempt_.unframed_ = end == HttpEnd::kUnframed;
     EndAnswered();
   }
 }
@@ -389,10 +390,7 @@
     }
     exchange_->End(answered);
   } else if (answered) {
-    exchange_->Respond(
-        attempt_.status_,
-        context_.adapter_.requests_.caller_headers_(attempt_.headers_),
-        std::move(attempt_.body_));
+    RespondAnswer();
   } else {
     RespondOwn(finish);
   }
@@ -412,6 +410,19 @@
   done();
 }
 
+void DirectRequest::RespondAnswer() {
+  const auto headers =
+      context_.adapter_.requests_.caller_headers_(attempt_.headers_);
+  if (!attempt_.unframed_) {
+    exchange_->Respond(attempt_.status_, headers, std::move(attempt_.body_));
+    return;
+  }
+  // No more is claimed for it than the endpoint did.
+  exchange_->StartUnframed(attempt_.status_, headers);
+  exchange_->Write(attempt_.body_);
+  exchange_->End(true);
+}
+
 void DirectRequest::RespondOwn(const routing::FinishRequest& finish) {
   const auto& codec = context_.adapter_.requests_;
   if (finish.outcome_ == routing::Outcome::kFailedRan && failure_) {
--- a/packages/daemon/src/daemon/direct/direct_request.hpp
+++ b/packages/daemon/src/daemon/direct/direct_request.hpp
@@ -71,6 +71,8 @@
     bool answering_ = false;
     /// Its answer goes to the caller as it arrives.
     bool streams_ = false;
+    /// Its answer gave no length.
+    bool unframed_ = false;
     bool counted_ = false;
   };
 
@@ -90,6 +92,7 @@
   [[nodiscard]] routing::AttemptEnd EndOfAnswer() const;
   void Forward(std::string_view bytes);
   void Finish(const routing::FinishRequest& finish);
+  void RespondAnswer();
   void RespondOwn(const routing::FinishRequest& finish);
   void ExpectFirstByte();
   void ExpectEvent();
--- a/packages/daemon/src/daemon/http1_server.cpp
+++ b/packages/daemon/src/daemon/http1_server.cpp
@@ -70,6 +70,7 @@
     return !keep_alive_ || server_.closing_;
   }
   [[nodiscard]] bool http_1_0() const noexcept { return http_1_0_; }
+  void CloseAfterAnswer() noexcept { keep_alive_ = false; }
 
   /// The exchange has written its whole answer.
   void EndAnswer(bool whole);
@@ -149,6 +150,14 @@
     Finish(*connection, true);
   }
 
+  void StartUnframed(int status, const HttpHeaders& headers) override {
+    if (const auto connection = connection_.lock()) {
+      connection->CloseAfterAnswer();
+      unframed_ = true;
+    }
+    Start(status, headers);
+  }
+
   void Start(int status, const HttpHeaders& headers) override {
     const auto connection = connection_.lock();
     if (connection == nullptr || started_) {
@@ -157,7 +166,7 @@
     started_ = true;
     auto head = Head(*connection, status, headers);
     const bool bodyless = request_.method_ == "HEAD" || !HasBody(status);
-    chunked_ = !bodyless && !connection->http_1_0() &&
+    chunked_ = !bodyless && !unframed_ && !connection->http_1_0() &&
                FindHeader(headers, "content-length").empty();
     bodyless_ = bodyless;
     if (chunked_) {
@@ -240,6 +249,7 @@
   std::weak_ptr<Http1Connection> connection_;
   HttpRequest request_;
   bool started_ = false;
+  bool unframed_ = false;
   bool chunked_ = false;
   bool bodyless_ = false;
   bool ended_ = false;
--- a/packages/daemon/src/daemon/http_client.cpp
+++ b/packages/daemon/src/daemon/http_client.cpp
@@ -254,7 +254,7 @@
     const auto self = self_;
     const bool whole = end == StreamEnd::kClosed && told_head_ && ours_ &&
                        parser_.FeedEnd();
-    Finish(whole ? HttpEnd::kWhole : HttpEnd::kBroken);
+    Finish(whole ? HttpEnd::kUnframed : HttpEnd::kBroken);
   }
 
   void FinishWhole(bool clean) {
--- a/packages/daemon/src/daemon/http_client.hpp
+++ b/packages/daemon/src/daemon/http_client.hpp
@@ -19,6 +19,9 @@
 enum class HttpEnd : std::uint8_t {
   /// The whole response arrived.
   kWhole,
+  /// The response gave no length and its connection was closed, not reset:
+  /// whole as far as can be told. A server that dies looks the same.
+  kUnframed,
   /// The connection could not be opened: nothing was sent.
   kNotSent,
   /// The connection broke or timed out after the request was sent.
@@ -66,7 +69,8 @@
   std::string body_;
 
   [[nodiscard]] bool ok() const noexcept {
-    return end_ == HttpEnd::kWhole && status_ >= 200 && status_ < 300;
+    return (end_ == HttpEnd::kWhole || end_ == HttpEnd::kUnframed) &&
+           status_ >= 200 && status_ < 300;
   }
 };
 
--- a/packages/daemon/src/daemon/http_server.hpp
+++ b/packages/daemon/src/daemon/http_server.hpp
@@ -45,6 +45,11 @@
                        std::string body) = 0;
   /// @brief Begins a streamed response.
   virtual void Start(int status, const HttpHeaders& headers) = 0;
+  /// @brief Begins a response whose length nobody vouches for: it ends with the
+  /// connection.
+  virtual void StartUnframed(int status, const HttpHeaders& headers) {
+    Start(status, headers);
+  }
   virtual void Write(std::string_view bytes) = 0;
   /// @param whole false breaks the connection, so that the caller sees that
   /// the response is not whole.
