Lifetimes: no connection dropped in its own call, callbacks end after they ran; a crash leaves a line

Read for lifetimes: a peer's connection was erased inside the answer of its own call; a cancelled call destroyed the callback that was running; a request behind one that closes its connection was handled and never answered.

--- a/packages/daemon/src/daemon/direct/direct_entry.cpp
+++ b/packages/daemon/src/daemon/direct/direct_entry.cpp
@@ -30,7 +30,7 @@
 /// Old weights are not used for this last part of the time they may be: a
 /// request may be long on a narrowed link, and wait at its endpoint before it
 /// begins.
-constexpr auto kVersionMargin = milliseconds(2000);
+constexpr auto kVersionMargin = milliseconds(1400);
 /// The platform stops sending new connections after two probes, one a second.
 constexpr auto kStopListening = milliseconds(2600);
 
--- a/packages/daemon/src/daemon/direct/weights_keeper.cpp
+++ b/packages/daemon/src/daemon/direct/weights_keeper.cpp
@@ -43,7 +43,7 @@
 /// Once ordered, an engine begins no request on its old weights. A switch that
 /// has not begun this long before the bound begins without its turn: time to
 /// verify what is staged and to order.
-constexpr auto kSwitchTime = milliseconds(2200);
+constexpr auto kSwitchTime = milliseconds(1700);
 constexpr double kOutShare = 0.5;
 constexpr auto kTurnLease = milliseconds(2600);
 
@@ -259,7 +259,10 @@
         }
         manifest_asked_ = false;
         if (end != PeerEnd::kWhole || status != kOk) {
-          peers_.erase(peer);
+          // Its connection is in use by this call: it is not dropped here.
+          if (const auto known = peers_.find(peer); known != peers_.end()) {
+            known->second.held_.has_manifest_ = false;
+          }
           return;
         }
         const auto message = Unpack<ManifestMessage>(body, peer.value());
--- a/packages/daemon/src/daemon/http1_server.cpp
+++ b/packages/daemon/src/daemon/http1_server.cpp
@@ -77,6 +77,7 @@
   /// Closes and forgets the connection.
   void Drop();
   void CloseQuietly() {
+    next_.clear();
     stream_->Finish();
     Forget();
   }
@@ -220,8 +221,9 @@
     }
   }
   void Drained() {
-    if (on_drained_) {
-      Guarded(on_drained_);
+    // It may replace or clear itself.
+    if (const auto handler = on_drained_) {
+      Guarded(handler);
     }
   }
 
--- a/packages/daemon/src/daemon/http_client.cpp
+++ b/packages/daemon/src/daemon/http_client.cpp
@@ -124,7 +124,8 @@
   }
 
   void Cancel() override {
-    callbacks_ = {};
+    // One of them may be running: they are destroyed by a later turn.
+    state_->loop_.Post([dead = std::exchange(callbacks_, {})] {});
     options_ = {};
     Close();
   }
--- a/packages/daemon/src/daemon/main.cpp
+++ b/packages/daemon/src/daemon/main.cpp
@@ -6,6 +6,7 @@
 
 #include "chalkwell/core/error.hpp"
 #include "daemon/agent.hpp"
+#include "daemon/crash_report.hpp"
 #include "daemon/direct/direct_agent.hpp"
 #include "daemon/direct/direct_entry.hpp"
 #include "daemon/entry.hpp"
@@ -76,6 +77,7 @@
 
 int RunDaemon(const Options& options, bool is_entry) {
   using chalkwell::daemon::UsedBy;
+  chalkwell::daemon::ReportCrashes();
   // Until the loop listens for it, a hang-up must not end the process.
   std::signal(SIGHUP, SIG_IGN);
   const bool direct = !options.adapter_.empty();
--- a/tests/daemon/http1_server_test.cpp
+++ b/tests/daemon/http1_server_test.cpp
@@ -237,6 +237,20 @@
   CHECK(answer.find("connection: close") != std::string::npos);
 }
 
+TEST_CASE("nothing behind a request that closes its connection is handled",
+          "[daemon]") {
+  int handled = 0;
+  Fixture fixture([&](const HttpExchangePtr& exchange) {
+    ++handled;
+    Echo(exchange);
+  });
+  const auto answer = fixture.Ask(
+      "GET /1 HTTP/1.1\r\nhost: a\r\nconnection: close\r\n\r\n"
+      "GET /2 HTTP/1.1\r\nhost: a\r\n\r\n");
+  CHECK(answer.find("/1|") != std::string::npos);
+  CHECK(handled == 1);
+}
+
 TEST_CASE("a reader that does not read is seen by what is pending",
           "[daemon]") {
   HttpExchangePtr held;
