Engines that are not heard are the last choice, and never near the bound of their weights

Change: without a fresh report an engine costs 200 ms more and may not be given old weights' work when 2.5 s of delay would pass the bound.

--- a/packages/chalkwell/src/chalkwell/routing/endpoint_table.cpp
+++ b/packages/chalkwell/src/chalkwell/routing/endpoint_table.cpp
@@ -194,10 +194,30 @@
 core::Duration EndpointTable::ExtraDelay(const Endpoint& endpoint,
                                          core::TimePoint now) const {
   const auto late = LateAt(endpoint, now);
-  const bool fresh =
-      endpoint.report_ && now - endpoint.reported_at_ < settings_.report_age_;
   // There and back.
-  return fresh ? std::max(late, endpoint.report_->path_delay_ * 2) : late;
+  return Reported(endpoint, now)
+             ? std::max(late, endpoint.report_->path_delay_ * 2)
+             : late;
+}
+
+bool EndpointTable::Reported(const Endpoint& endpoint,
+                             core::TimePoint now) const {
+  return endpoint.report_ &&
+         now - endpoint.reported_at_ < settings_.report_age_;
+}
+
+bool EndpointTable::TooOld(const Endpoint& endpoint,
+                           const ChoiceRequest& request,
+                           core::Duration first_byte,
+                           core::TimePoint now) const {
+  if (request.engine_ == nullptr ||
+      endpoint.version() >= request.versions_.next_) {
+    return false;
+  }
+  const auto begins = Reported(endpoint, now)
+                          ? first_byte
+                          : std::max(first_byte, settings_.unreported_delay_);
+  return now + begins >= request.versions_.until_;
 }
 
 bool EndpointTable::Usable(const Endpoint& endpoint,
@@ -220,9 +240,7 @@
 
 std::uint32_t EndpointTable::Occupied(const Endpoint& endpoint,
                                       core::TimePoint now) const {
-  const bool fresh =
-      endpoint.report_ && now - endpoint.reported_at_ < settings_.report_age_;
-  if (!fresh) {
+  if (!Reported(endpoint, now)) {
     return endpoint.in_flight_ * kUnreportedFactor;
   }
   const auto since = static_cast<std::uint32_t>(endpoint.sent_.size());
@@ -277,10 +295,7 @@
     ranked.occupied_ = Occupied(endpoint, now);
     const auto extra = ExtraDelay(endpoint, now);
     ranked.first_byte_ = FirstByte(endpoint, request, ranked.occupied_) + extra;
-    const bool too_old = request.engine_ != nullptr &&
-                         endpoint.version() < request.versions_.next_ &&
-                         now + ranked.first_byte_ >= request.versions_.until_;
-    if (too_old) {
+    if (TooOld(endpoint, request, ranked.first_byte_, now)) {
       continue;
     }
     ranked.tie_ = random_();
@@ -290,6 +305,9 @@
       // Each request that runs slows all others: even when places are free, the
       // emptier endpoint is the better one.
       ranked.cost_ += ranked.occupied_ * Ms(request.engine_->step_) / 2;
+      if (!Reported(endpoint, now)) {
+        ranked.cost_ += Ms(settings_.unreported_cost_);
+      }
     }
     if (endpoint.row_.domain_ != settings_.domain_) {
       ranked.cost_ += Ms(settings_.foreign_cost_);
--- a/packages/chalkwell/src/chalkwell/routing/endpoint_table.hpp
+++ b/packages/chalkwell/src/chalkwell/routing/endpoint_table.hpp
@@ -52,6 +52,12 @@
   core::FailureDomainId domain_;
   /// A report older than this no longer counts.
   core::Duration report_age_ = std::chrono::milliseconds(1500);
+  /// An engine whose agent is not heard may be dead, frozen or behind a full
+  /// link: others are better by this much.
+  core::Duration unreported_cost_ = std::chrono::milliseconds(200);
+  /// How late a request may begin at such an engine: its link may hold it back
+  /// by more than a second.
+  core::Duration unreported_delay_ = std::chrono::milliseconds(2500);
   /// What sending to another failure domain must gain to be worth its bytes.
   core::Duration foreign_cost_ = std::chrono::milliseconds(40);
   /// A row that leaves the published list is kept this long, in case its lease
@@ -203,6 +209,13 @@
   [[nodiscard]] double FailingAt(const Endpoint& endpoint,
                                  core::TimePoint now) const;
   /// @brief Delay beyond what the engine's work explains.
+  [[nodiscard]] bool Reported(const Endpoint& endpoint,
+                              core::TimePoint now) const;
+  /// @brief Whether a request would begin on weights that may not be used then.
+  [[nodiscard]] bool TooOld(const Endpoint& endpoint,
+                            const ChoiceRequest& request,
+                            core::Duration first_byte,
+                            core::TimePoint now) const;
   [[nodiscard]] core::Duration ExtraDelay(const Endpoint& endpoint,
                                           core::TimePoint now) const;
   void DropMissing(core::TimePoint now);
--- a/packages/daemon/src/daemon/direct/direct_agent.cpp
+++ b/packages/daemon/src/daemon/direct/direct_agent.cpp
@@ -70,6 +70,7 @@
                  [this](const membership::Member& member) {
                    weights_.OnLost(member);
                  },
+             .on_departed_ = nullptr,
              .weights_ =
                  [this] {
                    std::map<std::string, std::uint64_t> known;
--- a/packages/daemon/src/daemon/direct/direct_entry.cpp
+++ b/packages/daemon/src/daemon/direct/direct_entry.cpp
@@ -84,6 +84,10 @@
                    TakeWeights({model, version});
                  },
              .on_lost_ = nullptr,
+             .on_departed_ =
+                 [this](const DepartedMessage& departed) {
+                   OnDeparted(departed);
+                 },
              .weights_ =
                  [this] {
                    std::map<std::string, std::uint64_t> known;
@@ -219,6 +223,34 @@
                          {{"revision", std::to_string(published.revision_)},
                           {"endpoints", std::to_string(after.size())},
                           {"leaving", std::to_string(leaving)}});
+    TellDeparted(before, after);
+  }
+}
+
+void DirectEntry::TellDeparted(const std::vector<routing::EndpointRow>& before,
+                               const std::vector<routing::EndpointRow>& after) {
+  DepartedMessage departed;
+  for (const auto& row : before) {
+    const auto now =
+        std::ranges::find(after, row.id_, &routing::EndpointRow::id_);
+    if (now == after.end()) {
+      departed.gone_.push_back(row.id_.value());
+    } else if (now->leaving_ && !row.leaving_) {
+      departed.leaving_.push_back(row.id_.value());
+    }
+  }
+  if (!departed.leaving_.empty() || !departed.gone_.empty()) {
+    mesh_.PushDeparted(departed);
+  }
+}
+
+void DirectEntry::OnDeparted(const DepartedMessage& departed) {
+  for (const auto& id : departed.leaving_) {
+    endpoints_.MarkLeaving(core::InstanceId(id));
+  }
+  // One that came back is in the next list that is read.
+  for (const auto& id : departed.gone_) {
+    endpoints_.MarkGone(core::InstanceId(id));
   }
 }
 
--- a/packages/daemon/src/daemon/direct/direct_entry.hpp
+++ b/packages/daemon/src/daemon/direct/direct_entry.hpp
@@ -37,6 +37,9 @@
   void TakePublished(Section section, const Published& published,
                      const std::string& source);
   void TakeList(const Published& published);
+  void TellDeparted(const std::vector<routing::EndpointRow>& before,
+                    const std::vector<routing::EndpointRow>& after);
+  void OnDeparted(const DepartedMessage& departed);
   void AskPeersIfCutOff();
   void OnLoad(const LoadMessage& message);
   void OnCaller(const HttpExchangePtr& exchange);
--- a/packages/daemon/src/daemon/direct/mesh_node.cpp
+++ b/packages/daemon/src/daemon/direct/mesh_node.cpp
@@ -170,6 +170,11 @@
       hooks_.on_held_(sender, held);
     }
   }
+  const auto& departed = message.departed_;
+  if (hooks_.on_departed_ &&
+      !(departed.leaving_.empty() && departed.gone_.empty())) {
+    hooks_.on_departed_(departed);
+  }
   for (const auto& [model, version] : message.weights_) {
     if (hooks_.on_weights_) {
       hooks_.on_weights_(model, version);
@@ -181,6 +186,16 @@
   // The most frequent datagram of all: it carries nothing else.
   MeshMessage message;
   message.loads_.push_back(load);
+  SendToEntries(message);
+}
+
+void MeshNode::PushDeparted(const DepartedMessage& departed) {
+  MeshMessage message;
+  message.departed_ = departed;
+  SendToEntries(message);
+}
+
+void MeshNode::SendToEntries(const MeshMessage& message) {
   for (const auto& member : table_.Live()) {
     if (member.kind_ == membership::MemberKind::kEntry) {
       Send(member.address_, message);
--- a/packages/daemon/src/daemon/direct/mesh_node.hpp
+++ b/packages/daemon/src/daemon/direct/mesh_node.hpp
@@ -63,6 +63,13 @@
   MSGPACK_DEFINE(model_, version_, pieces_, bits_, serving_, has_manifest_)
 };
 
+/// @brief Endpoints that are seen to leave or to be gone.
+struct DepartedMessage {
+  std::vector<std::string> leaving_;
+  std::vector<std::string> gone_;
+  MSGPACK_DEFINE(leaving_, gone_)
+};
+
 /// @brief One datagram.
 struct MeshMessage {
   MemberMessage sender_;
@@ -73,7 +80,8 @@
   std::map<std::string, std::uint64_t> weights_;
   /// Whether the sender wants an answer, to know that the other lives.
   bool asks_ = false;
-  MSGPACK_DEFINE(sender_, rows_, loads_, held_, weights_, asks_)
+  DepartedMessage departed_;
+  MSGPACK_DEFINE(sender_, rows_, loads_, held_, weights_, asks_, departed_)
 };
 
 /// @brief Settings of a node.
@@ -93,6 +101,7 @@
   std::function<void(const std::string& model, std::uint64_t version)>
       on_weights_;
   std::function<void(const membership::Member& member)> on_lost_;
+  std::function<void(const DepartedMessage& departed)> on_departed_;
   /// Newest weights known here.
   std::function<std::map<std::string, std::uint64_t>()> weights_;
 };
@@ -115,6 +124,9 @@
   }
   /// @brief Sends a report to every live entry.
   void PushLoad(const LoadMessage& load);
+  /// @brief Tells every live entry which endpoints leave: the one that reads
+  /// the list first spares the others the wait for their own reading.
+  void PushDeparted(const DepartedMessage& departed);
   /// @brief Sends what this agent holds to the agents of its service.
   void PushHeld(const HeldMessage& held);
   /// @brief Sends news of weights to every live member.
@@ -127,6 +139,7 @@
   void Send(const std::string& address, const MeshMessage& message);
   [[nodiscard]] MeshMessage Envelope() const;
   void Greet();
+  void SendToEntries(const MeshMessage& message);
 
   Loop& loop_;
   MeshSettings settings_;
--- a/tests/routing/endpoint_table_test.cpp
+++ b/tests/routing/endpoint_table_test.cpp
@@ -94,6 +94,19 @@
              request.versions_ = {0, 2, kStart + 700ms};
            },
            "far"},
+      Case{"its old weights may begin too late, and nothing is heard of it",
+           [](auto& table, auto& request) {
+             table.MarkVersion(core::InstanceId("far"), 2);
+             request.versions_ = {0, 2, kStart + 2s};
+           },
+           "far"},
+      Case{"another one reports",
+           [](auto& table, auto&) {
+             LoadReport report;
+             report.weights_version_ = 1;
+             table.TakeReport("far:1", report, kStart);
+           },
+           "far"},
       Case{"its path holds messages back",
            [](auto& table, auto&) {
              LoadReport report;
@@ -183,6 +196,9 @@
   busy.weights_version_ = 1;
   busy.active_ = 16;
   table.TakeReport("b:1", busy, kStart + 30s);
+  LoadReport idle;
+  idle.weights_version_ = 1;
+  table.TakeReport("a:1", idle, kStart + 30s);
   CHECK(Chosen(table, request, kStart + 30s) == "a");
 }
 
