--- a/packages/chalkwell/src/chalkwell/routing/endpoint_chooser.hpp
+++ b/packages/chalkwell/src/chalkwell/routing/endpoint_chooser.hpp
@@ -1,4 +1,4 @@
-// Endpoint choice: prompt-prefix affinity with bounded load, else the better
+// Endpoint choice: affinity by prompt prefix with bounded load, else the better
 // of two; own failure domain first.
 #pragma once
 
--- a/packages/daemon/src/daemon/http1_server.cpp
+++ b/packages/daemon/src/daemon/http1_server.cpp
@@ -128,8 +128,8 @@
     const auto connection = connection_.lock();
     return connection == nullptr ? 0 : connection->pending();
   }
-  void OnDrained(std::function<void()> handler) override {
-    on_drained_ = std::move(handler);
+  void OnDrained(const std::function<void()>& handler) override {
+    on_drained_ = handler;
   }
 
   void Respond(int status, const HttpHeaders& headers,
--- a/packages/daemon/src/daemon/http_server.hpp
+++ b/packages/daemon/src/daemon/http_server.hpp
@@ -59,7 +59,7 @@
   /// @brief Bytes written that the caller has not taken yet.
   [[nodiscard]] virtual std::size_t pending() const noexcept { return 0; }
   /// @brief Called whenever the caller has taken all that was written.
-  virtual void OnDrained(std::function<void()> /*handler*/) {}
+  virtual void OnDrained(const std::function<void()>& /*handler*/) {}
 };
 
 using HttpExchangePtr = std::shared_ptr<HttpExchange>;
--- /dev/null
+++ b/tests/platform/codec_test.cpp
@@ -0,0 +1,209 @@
+// Translation of requests, answers and published documents, good and bad.
+#include <catch2/catch.hpp>
+#include <nlohmann/json.hpp>
+
+#include "platform/adapter.hpp"
+#include "platform/published_json.hpp"
+
+namespace chalkwell::platform {
+namespace {
+
+using daemon::FindHeader;
+using daemon::HttpHeaders;
+using daemon::HttpRequest;
+using namespace std::chrono_literals;
+
+TEST_CASE("what a caller's headers say", "[platform]") {
+  struct Row {
+    HttpHeaders headers_;
+    std::string key_;
+    std::optional<core::Duration> left_;
+    double prompt_;
+    double answer_;
+  };
+  const auto row = GENERATE(
+      Row{{{"authorization", "Bearer abc"},
+           {"deadline-ms", "1500"},
+           {"token-counts", "1460,80"}},
+          "abc",
+          1500ms,
+          1460,
+          80},
+      Row{{{"authorization", "Basic abc"}, {"deadline-ms", "soon"}},
+          "",
+          std::nullopt,
+          0,
+          0},
+      Row{{{"deadline-ms", "-5"}, {"token-counts", "12"}}, "", 0ms, 0, 0},
+      Row{{{"token-counts", "x,y"}}, "", std::nullopt, 0, 0},
+      Row{{}, "", std::nullopt, 0, 0});
+  const auto caller =
+      MakeRequestCodec().read_request_({.headers_ = row.headers_});
+  CHECK(caller.key_ == row.key_);
+  CHECK(caller.time_left_ == row.left_);
+  CHECK(caller.prompt_tokens_ == row.prompt_);
+  CHECK(caller.answer_tokens_ == row.answer_);
+}
+
+TEST_CASE("what of a caller's headers reaches an endpoint", "[platform]") {
+  const HttpRequest request{.method_ = "POST",
+                            .path_ = "/a?b",
+                            .headers_ = {{"host", "h"},
+                                         {"attempt-id", "a1"},
+                                         {"authorization", "Bearer k"},
+                                         {"tenant", "forged"},
+                                         {"expect-instance", "forged"},
+                                         {"request-priority", "0"},
+                                         {"connection", "keep-alive, X-Hop"},
+                                         {"x-hop", "1"},
+                                         {"te", "trailers"},
+                                         {"transfer-encoding", "chunked"},
+                                         {"content-length", "4"},
+                                         {"last-event-id", "3"},
+                                         {"x-other", "kept"}},
+                            .body_ = "body"};
+  daemon::direct::AttemptTerms terms;
+  terms.incarnation_ = core::InstanceId("i-1");
+  terms.weights_version_ = 7;
+  terms.account_ = core::ClientAccountId("acct");
+  terms.time_left_ = 1234ms;
+  terms.priority_ = 12;
+  const auto codec = MakeRequestCodec();
+  const auto attempt = codec.write_attempt_(request, {}, terms);
+  struct Row {
+    std::string name_;
+    std::string value_;
+  };
+  for (const auto& row :
+       {Row{"host", "h"}, Row{"attempt-id", "a1"}, Row{"authorization", ""},
+        Row{"tenant", "acct"}, Row{"expect-instance", "i-1"},
+        Row{"expect-version", "7"}, Row{"request-priority", "9"},
+        Row{"connection", ""}, Row{"x-hop", ""}, Row{"te", ""},
+        Row{"transfer-encoding", ""}, Row{"content-length", ""},
+        Row{"deadline-ms", "1234"}, Row{"last-event-id", "3"},
+        Row{"x-other", "kept"}}) {
+    CAPTURE(row.name_);
+    CHECK(FindHeader(attempt.headers_, row.name_) == row.value_);
+  }
+  terms.resume_after_ = 9;
+  terms.account_ = {};
+  const auto resumed = codec.write_attempt_(request, {}, terms);
+  CHECK(FindHeader(resumed.headers_, "last-event-id") == "9");
+  CHECK(FindHeader(resumed.headers_, "tenant").empty());
+}
+
+TEST_CASE("what the head of an answer says", "[platform]") {
+  struct Row {
+    int status_;
+    HttpHeaders headers_;
+    bool not_run_;
+    bool other_;
+    bool signed_;
+  };
+  const auto row =
+      GENERATE(Row{200, {{"response-seal", "s"}}, false, false, true},
+               Row{200, {}, false, false, false},
+               Row{503, {{"not-executed", "1"}}, true, false, false},
+               Row{503, {}, false, false, false},
+               Row{421, {{"instance-id", "i-2"}}, true, true, false},
+               Row{500, {{"response-seal", "s"}}, false, false, true});
+  const auto facts = MakeRequestCodec().read_answer_(row.status_, row.headers_);
+  CHECK(facts.not_run_ == row.not_run_);
+  CHECK(facts.other_endpoint_ == row.other_);
+  CHECK(facts.signed_ == row.signed_);
+}
+
+TEST_CASE("an answer of our own tells when to come back", "[platform]") {
+  const auto headers = MakeRequestCodec().own_headers_("a1", 350ms);
+  CHECK(FindHeader(headers, "retry-after") == "0.35");
+  CHECK(FindHeader(headers, "attempt-id") == "a1");
+  CHECK(FindHeader(MakeRequestCodec().own_headers_("", std::nullopt),
+                   "retry-after")
+            .empty());
+}
+
+nlohmann::json Rules() {
+  return {{"version", 7},
+          {"routes",
+           {{{"name", "r"},
+             {"host", "h"},
+             {"pathPrefix", "/p/"},
+             {"kind", "streaming"},
+             {"resumable", true},
+             {"timeoutMs", 6000},
+             {"targetLatencyMs", 400},
+             {"targetGapMs", 300},
+             {"priority", 1},
+             {"maxAttempts", 2},
+             {"trafficSplit",
+              {{{"service", "a"}, {"weight", 90}},
+               {{"service", "b"}, {"weight", 10}}}}}}},
+          {"services",
+           {{{"name", "a"},
+             {"maxConns", 424},
+             {"engine",
+              {{"slots", 16},
+               {"chunks", 96},
+               {"step_ms", 9.27},
+               {"models", {{{"name", "m"}}}}}}},
+            {{"name", "src"}, {"origin", "1.2.3.4:5"}, {"zone", "z"}}}}};
+}
+
+TEST_CASE("rules become typed, unknown fields are ignored", "[platform]") {
+  auto text = Rules();
+  text["new_field"] = "ignored";
+  const auto rules = DecodeRules(text);
+  CHECK(rules.version_ == 7);
+  REQUIRE(rules.routes_.size() == 1);
+  const auto& route = rules.routes_.front();
+  CHECK(route.streaming_);
+  CHECK(route.repeatable());
+  CHECK(route.timeout_ == 6000ms);
+  CHECK(route.target_gap_ == 300ms);
+  CHECK(route.services_.size() == 2);
+  CHECK_FALSE(rules.accounts_.has_value());
+  CHECK(rules.services_.front().engine_->slots_ == 16);
+  CHECK(rules.services_.front().engine_->step_ == 9270us);
+  CHECK(rules.services_.back().origin_ == "1.2.3.4:5");
+}
+
+TEST_CASE("rules that lack what they need are refused whole", "[platform]") {
+  const std::string field = GENERATE("version", "routes", "services");
+  auto text = Rules();
+  text.erase(field);
+  CHECK_THROWS_WITH(DecodeRules(text), Catch::Contains(field));
+  auto route = Rules();
+  route["routes"][0].erase("host");
+  CHECK_THROWS_WITH(DecodeRules(route), Catch::Contains("host"));
+}
+
+TEST_CASE("rows of endpoints", "[platform]") {
+  struct Row {
+    nlohmann::json models_;
+    std::string state_;
+    std::optional<std::uint64_t> version_;
+    bool leaving_;
+  };
+  const auto row =
+      GENERATE(Row{nlohmann::json::array(), "ready", std::nullopt, false},
+               Row{{{{"name", "m"}, {"version", 3}}}, "ready", 3, false},
+               Row{{{{"name", "m"},
+                     {"version", 3},
+                     {"layers", nlohmann::json::array()}}},
+                   "ready",
+                   std::nullopt,
+                   false},
+               Row{{{{"name", "m"}, {"version", 3}}}, "draining", 3, true});
+  const auto decoded = DecodeEndpoint("servers/i-1", {{"service", "a"},
+                                                      {"addr", "1.2.3.4:5"},
+                                                      {"zone", "z"},
+                                                      {"slots", 16},
+                                                      {"state", row.state_},
+                                                      {"models", row.models_}});
+  CHECK(decoded.id_.value() == "i-1");
+  CHECK(decoded.weights_version_ == row.version_);
+  CHECK(decoded.leaving_ == row.leaving_);
+}
+
+}  // namespace
+}  // namespace chalkwell::platform
--- /dev/null
+++ b/tests/platform/names_test.cpp
@@ -0,0 +1,93 @@
+// The names of the users' platform stand in platform/ and its tests only.
+#include <array>
+#include <catch2/catch.hpp>
+#include <filesystem>
+#include <fstream>
+#include <sstream>
+#include <string>
+#include <vector>
+
+namespace chalkwell {
+namespace {
+
+/// Headers, paths, keys and fields that no other part may name.
+constexpr auto kNames =
+    std::to_array<const char*>({"attempt-id",       "Attempt-Id",
+                                "response-seal",    "Response-Seal",
+                                "expect-instance",  "Expect-Instance",
+                                "expect-version",   "Expect-Version",
+                                "not-executed",     "Not-Executed",
+                                "token-counts",     "Token-Counts",
+                                "prompt-prefix",    "Prompt-Prefix",
+                                "weight-versions",  "Weight-Versions",
+                                "length-hint",      "Length-Hint",
+                                "at-server",        "At-Server",
+                                "request-priority", "Request-Priority",
+                                "deadline-ms",      "Deadline-Ms",
+                                "instance-id",      "Instance-Id",
+                                "kv-range",         "kv-watch",
+                                "kv-key",           "stage-put",
+                                "stage-get",        "sampleSize",
+                                "tlsKey",           "asOf",
+                                "morePages",        "afterRev",
+                                "busySlots",        "coldLeftMs",
+                                "targetLatencyMs",  "targetGapMs",
+                                "trafficSplit",     "pathPrefix",
+                                "apiKeys",          "maxAttempts",
+                                "maxConns",         "op/config",
+                                "op/version",       "servers/"});
+
+/// Whether a text has a name, other than as the product's own "x-" header.
+bool Has(const std::string& text, const std::string& name) {
+  for (auto at = text.find(name); at != std::string::npos;
+       at = text.find(name, at + 1)) {
+    const bool own = at >= 2 && text.compare(at - 2, 2, "x-") == 0;
+    if (!own) {
+      return true;
+    }
+  }
+  return false;
+}
+
+std::vector<std::filesystem::path> SourcesOf(const std::string& folder) {
+  std::vector<std::filesystem::path> files;
+  const std::filesystem::path root(CHALKWELL_SOURCES);
+  for (const auto& entry :
+       std::filesystem::recursive_directory_iterator(root / folder)) {
+    if (entry.is_regular_file()) {
+      files.push_back(entry.path());
+    }
+  }
+  return files;
+}
+
+TEST_CASE("only the adapter knows the platform's names", "[platform]") {
+  const std::string folder =
+      GENERATE("packages", "bench", "scripts", "examples");
+  for (const auto& path : SourcesOf(folder)) {
+    std::ifstream file(path);
+    std::stringstream text;
+    text << file.rdbuf();
+    const auto content = text.str();
+    for (const auto* name : kNames) {
+      INFO(path << " names " << name);
+      CHECK_FALSE(Has(content, name));
+    }
+  }
+}
+
+TEST_CASE("the list finds what it looks for", "[platform]") {
+  bool found = false;
+  for (const auto& path : SourcesOf("platform")) {
+    std::ifstream file(path);
+    std::stringstream text;
+    text << file.rdbuf();
+    found = found || Has(text.str(), "response-seal");
+  }
+  CHECK(found);
+  CHECK(Has("name: deadline-ms", "deadline-ms"));
+  CHECK_FALSE(Has("name: x-deadline-ms", "deadline-ms"));
+}
+
+}  // namespace
+}  // namespace chalkwell
