--- a/packages/cli/src/cli/inspect_commands.cpp
+++ b/packages/cli/src/cli/inspect_commands.cpp
@@ -88,9 +88,8 @@
 
 }  // namespace
 
-void CheckSettings(const std::string& path, bool is_entry) {
-  (void)daemon::Settings::Load(
-      path, is_entry ? daemon::UsedBy::kEntry : daemon::UsedBy::kAgent);
+void CheckSettings(const std::string& path, daemon::UsedBy user) {
+  (void)daemon::Settings::Load(path, user);
   std::cout << path << ": settings are valid\n";
 }
 
--- a/packages/cli/src/cli/inspect_commands.hpp
+++ b/packages/cli/src/cli/inspect_commands.hpp
@@ -3,10 +3,12 @@
 
 #include <string>
 
+#include "daemon/settings.hpp"
+
 namespace chalkwell::cli {
 
 /// @brief Checks a settings file.
-void CheckSettings(const std::string& path, bool is_entry);
+void CheckSettings(const std::string& path, daemon::UsedBy user);
 /// @brief Checks a published document as the daemons would.
 /// @param key of the document, such as "instances".
 void CheckDocument(const std::string& key, const std::string& path,
--- a/packages/cli/src/cli/main.cpp
+++ b/packages/cli/src/cli/main.cpp
@@ -152,6 +152,7 @@
   struct Options {
     std::string entry_;
     std::string agent_;
+    bool adapter_ = false;
     std::string key_;
     std::string document_;
     std::string trusted_;
@@ -161,6 +162,8 @@
       "check", "check settings or a document before it is published");
   command->add_option("--entry", options->entry_, "settings of an entry");
   command->add_option("--agent", options->agent_, "settings of an agent");
+  command->add_flag("--adapter", options->adapter_,
+                    "the settings are of a deployment with an adapter");
   command->add_option("--document", options->document_, "document to publish");
   command->add_option("--key", options->key_,
                       "its key: bundle, trust, instances, accounts or routes");
@@ -168,11 +171,16 @@
                       "public key, for signed documents");
   command->callback([&action, options] {
     action = [options] {
+      using chalkwell::daemon::UsedBy;
       if (!options->entry_.empty()) {
-        chalkwell::cli::CheckSettings(options->entry_, true);
+        chalkwell::cli::CheckSettings(
+            options->entry_,
+            options->adapter_ ? UsedBy::kDirectEntry : UsedBy::kEntry);
       }
       if (!options->agent_.empty()) {
-        chalkwell::cli::CheckSettings(options->agent_, false);
+        chalkwell::cli::CheckSettings(
+            options->agent_,
+            options->adapter_ ? UsedBy::kDirectAgent : UsedBy::kAgent);
       }
       if (!options->document_.empty()) {
         chalkwell::cli::CheckDocument(options->key_, options->document_,
--- a/packages/daemon/src/daemon/direct/weights_keeper.cpp
+++ b/packages/daemon/src/daemon/direct/weights_keeper.cpp
@@ -28,8 +28,9 @@
 constexpr auto kImportSilence = milliseconds(350);
 constexpr auto kPieceTimeout = milliseconds(2500);
 constexpr auto kDrawSilence = milliseconds(900);
-/// Pieces asked for at once: enough to fill a link of 7 Mbit/s over 6 ms.
-constexpr std::size_t kInFlight = 6;
+/// Pieces asked for at once: enough to fill a link of 7 Mbit/s over 6 ms, and
+/// no more, since requests wait behind them where a link is narrowed.
+constexpr std::size_t kInFlight = 4;
 constexpr std::size_t kPerPeer = 1;
 /// Part of the link that pieces may take: answers share it, and an event that
 /// waits behind several pieces is late.
@@ -43,7 +44,7 @@
 /// Once ordered, an engine begins no request on its old weights. A switch that
 /// has not begun this long before the bound begins without its turn: time to
 /// verify what is staged and to order.
-constexpr auto kSwitchTime = milliseconds(1700);
+constexpr auto kSwitchTime = milliseconds(2500);
 constexpr double kOutShare = 0.5;
 constexpr auto kTurnLease = milliseconds(2600);
 
--- a/packages/daemon/src/daemon/http_parser.cpp
+++ b/packages/daemon/src/daemon/http_parser.cpp
@@ -108,7 +108,7 @@
   std::string held_;
 
   template <typename Task>
-  auto With(Task task) const {
+  [[nodiscard]] auto With(Task task) const {
     return kind_ == Kind::kRequest ? task(*request_) : task(*response_);
   }
   template <typename Task>
--- a/tests/config/traffic_rules_test.cpp
+++ b/tests/config/traffic_rules_test.cpp
@@ -58,7 +58,8 @@
   auto next = Rules(30);
   next.routes_.pop_back();
   next.accounts_->front().keys_ = {"k2"};
-  REQUIRE(table.Accept(std::move(next)));
+  const bool accepted = table.Accept(std::move(next));
+  REQUIRE(accepted);
   CHECK(table.rules().version_ == 30);
   CHECK(table.FindRoute("b", "/x/") == nullptr);
   CHECK(table.FindAccount("k1") == nullptr);
--- a/tests/daemon/raw_socket.hpp
+++ b/tests/daemon/raw_socket.hpp
@@ -38,7 +38,7 @@
     (void)::send(descriptor_, bytes.data(), bytes.size(), MSG_NOSIGNAL);
   }
   /// Reads until the end of the connection, or until `text` was seen.
-  std::string ReadUntil(const std::string& text = "") const {
+  [[nodiscard]] std::string ReadUntil(const std::string& text = "") const {
     std::string all;
     char buffer[4096];
     while (text.empty() || all.find(text) == std::string::npos) {
--- a/tests/daemon/settings_test.cpp
+++ b/tests/daemon/settings_test.cpp
@@ -46,6 +46,27 @@
                     Catch::Contains(expected) && Catch::Contains("f.ini:1"));
 }
 
+TEST_CASE("settings of a deployment with an adapter", "[daemon]") {
+  const std::string good =
+      "[instance]\nid = a\ndomain = d\n[listen]\nadmin = 127.0.0.1:1\n"
+      "peer = 127.0.0.1:2\ncaller = 127.0.0.1:3\nready = 127.0.0.1:5\n"
+      "[platform]\naddress = 127.0.0.1:4\n";
+  const auto parse = [&](const std::string& text) {
+    return Settings::Parse(good + text, "f", UsedBy::kDirectEntry);
+  };
+  CHECK(parse("[mesh]\nseeds = 10.0.0.1:1,10.0.0.2:1\n")
+            .List("mesh", "seeds")
+            .size() == 2);
+  CHECK(parse("[mesh]\nseeds =\n").List("mesh", "seeds").empty());
+  CHECK_THROWS_WITH(parse("[mesh]\nseeds = host:1\n"),
+                    Catch::Contains("IP numbers and ports"));
+  CHECK_THROWS_WITH(parse("[bundle]\ntrusted_keys = " + kKey + "\n"),
+                    Catch::Contains("is not used by this subcommand"));
+  CHECK_THROWS_WITH(
+      Settings::Parse("[log]\nformat = text\n", "f", UsedBy::kDirectAgent),
+      Catch::Contains("[endpoint] backend is missing"));
+}
+
 TEST_CASE("all faults are told at once", "[daemon]") {
   CHECK_THROWS_WITH(Settings::Parse("[log]\nformat = x\n", "f", UsedBy::kAgent),
                     Catch::Contains("[instance] id is missing") &&
