--- /dev/null
+++ b/packages/daemon/src/daemon/direct/piece_exchange.cpp
@@ -0,0 +1,176 @@
+// The engine's staging is the store: pieces are read from it when asked for,
+// and whoever asked compares them with their digests.
+#include "daemon/direct/piece_exchange.hpp"
+
+#include <algorithm>
+#include <utility>
+
+#include "daemon/messages.hpp"
+
+namespace chalkwell::daemon::direct {
+namespace {
+
+constexpr std::string_view kPiecePath = "/v1/staged-piece";
+constexpr std::string_view kManifestPath = "/v1/pieces-manifest";
+constexpr int kOk = 200;
+constexpr int kNotFound = 404;
+constexpr std::size_t kMaxPeerBody = std::size_t{1} << 20;
+/// Part of the link that pieces may take: answers share it, and an event that
+/// waits behind several pieces is late.
+constexpr double kUploadShare = 0.85;
+constexpr double kBytesPerMegabit = 125'000;
+
+std::uint64_t UploadRate(const Settings& settings) {
+  return static_cast<std::uint64_t>(settings.Share("weights", "link_mbps") *
+                                    kBytesPerMegabit * kUploadShare);
+}
+
+ManifestMessage ToMessage(const WeightsManifest& manifest) {
+  ManifestMessage message{manifest.model_, manifest.version_, {}};
+  for (const auto& digest : manifest.digests_) {
+    const auto& bytes = digest.bytes();
+    message.digests_.emplace_back(bytes.begin(), bytes.end());
+  }
+  return message;
+}
+
+std::optional<WeightsManifest> ToManifest(const ManifestMessage& message) {
+  WeightsManifest manifest{message.model_, message.version_, {}};
+  for (const auto& bytes : message.digests_) {
+    core::Digest::Bytes digest{};
+    if (bytes.size() != digest.size()) {
+      return std::nullopt;
+    }
+    std::ranges::copy(bytes, digest.begin());
+    manifest.digests_.emplace_back(digest);
+  }
+  return manifest;
+}
+
+}  // namespace
+
+PieceExchange::PieceExchange(ProcessBase& process, const WeightsClient& client,
+                             MeshNode& mesh, PieceSource source)
+    : process_(process),
+      client_(client),
+      mesh_(mesh),
+      source_(std::move(source)),
+      upload_(UploadRate(process.settings()), {}),
+      server_(std::make_unique<PeerServer>(
+          process.loop(),
+          ParseAddress(process.settings().Text("listen", "peer")), kMaxPeerBody,
+          [this](const PeerCallPtr& call) { OnCall(call); })) {}
+
+void PieceExchange::OnHeld(const membership::Member& sender,
+                           const HeldMessage& held) {
+  peers_[sender.id_] = {sender, held};
+}
+
+void PieceExchange::OnLost(const membership::Member& member) {
+  peers_.erase(member.id_);
+}
+
+std::vector<swarm::SwarmMember> PieceExchange::Lacking(
+    std::uint64_t version) const {
+  std::vector<swarm::SwarmMember> members{{process_.id(), process_.domain()}};
+  for (const auto& member : mesh_.Live()) {
+    if (member.kind_ != membership::MemberKind::kAgent ||
+        member.service_ != mesh_.self().service_) {
+      continue;
+    }
+    const auto peer = peers_.find(member.id_);
+    const bool serves = peer != peers_.end() && version > 0 &&
+                        peer->second.held_.serving_ >= version;
+    if (!serves) {
+      members.push_back({member.id_, member.domain_});
+    }
+  }
+  return members;
+}
+
+std::shared_ptr<PeerConnection> PieceExchange::ConnectionTo(
+    const core::InstanceId& peer) {
+  const auto& address = peers_.at(peer).member_.address_;
+  auto& connection = connections_[address];
+  if (connection == nullptr) {
+    connection = std::make_shared<PeerConnection>(process_.loop(),
+                                                  ParseAddress(address));
+  }
+  return connection;
+}
+
+void PieceExchange::AskPiece(
+    const core::InstanceId& peer, const PieceMessage& ask,
+    std::function<void(std::optional<std::string>)> done) {
+  ConnectionTo(peer)->Ask(
+      std::string(kPiecePath), Pack(ask),
+      [done = std::move(done)](PeerEnd end, int status, std::string body) {
+        const bool good = end == PeerEnd::kWhole && status == kOk;
+        done(good ? std::optional(std::move(body)) : std::nullopt);
+      });
+}
+
+void PieceExchange::AskManifest(
+    const core::InstanceId& peer, const PieceMessage& ask,
+    std::function<void(std::optional<WeightsManifest>)> done) {
+  ConnectionTo(peer)->Ask(
+      std::string(kManifestPath), Pack(ask),
+      [this, peer, done = std::move(done)](PeerEnd end, int status,
+                                           const std::string& body) {
+        std::optional<WeightsManifest> manifest;
+        if (end == PeerEnd::kWhole && status == kOk) {
+          manifest = ToManifest(Unpack<ManifestMessage>(body, peer.value()));
+        }
+        const auto known = peers_.find(peer);
+        if (!manifest && known != peers_.end()) {
+          known->second.held_.has_manifest_ = false;
+        }
+        done(std::move(manifest));
+      });
+}
+
+void PieceExchange::OnCall(const PeerCallPtr& call) {
+  const auto message = Unpack<PieceMessage>(call->body(), "peer");
+  if (call->path() == kPiecePath) {
+    AnswerPiece(call, message);
+  } else if (call->path() == kManifestPath) {
+    AnswerManifest(call, message);
+  } else {
+    call->Respond(kNotFound, "");
+  }
+}
+
+void PieceExchange::AnswerManifest(const PeerCallPtr& call,
+                                   const PieceMessage& message) {
+  const auto* manifest = source_.manifest_();
+  const bool known =
+      manifest != nullptr && manifest->model_ == message.model_ &&
+      (message.version_ == 0 || manifest->version_ == message.version_);
+  if (known) {
+    call->Respond(kOk, Pack(ToMessage(*manifest)));
+  } else {
+    call->Respond(kNotFound, "");
+  }
+}
+
+void PieceExchange::AnswerPiece(const PeerCallPtr& call,
+                                const PieceMessage& message) {
+  if (!source_.holds_(message.model_, message.piece_)) {
+    call->Respond(kNotFound, "");
+    return;
+  }
+  client_.staged_(
+      message.model_, message.piece_,
+      [this, call](std::optional<std::string> bytes) {
+        if (!bytes) {
+          call->Respond(kNotFound, "");
+          return;
+        }
+        const auto wait = upload_.Reserve(bytes->size(), process_.loop().Now());
+        process_.loop().After(wait, [call, bytes = std::move(*bytes)] {
+          call->Respond(kOk, bytes);
+        });
+      });
+}
+
+}  // namespace chalkwell::daemon::direct
--- /dev/null
+++ b/packages/daemon/src/daemon/direct/piece_exchange.hpp
@@ -0,0 +1,96 @@
+// Pieces and manifests between agents: who holds what, asking for it, and
+// giving it at a pace that leaves room for answers on the link.
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <msgpack.hpp>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "chalkwell/swarm/pacer.hpp"
+#include "chalkwell/swarm/planner.hpp"
+#include "daemon/direct/hooks.hpp"
+#include "daemon/direct/mesh_node.hpp"
+#include "daemon/peer_connection.hpp"
+#include "daemon/peer_server.hpp"
+#include "daemon/process_base.hpp"
+
+namespace chalkwell::daemon::direct {
+
+/// @brief Request for a version's manifest or one of its pieces.
+struct PieceMessage {
+  std::string model_;
+  std::uint64_t version_ = 0;
+  std::uint32_t piece_ = 0;
+  MSGPACK_DEFINE(model_, version_, piece_)
+};
+
+/// @brief A manifest between agents.
+struct ManifestMessage {
+  std::string model_;
+  std::uint64_t version_ = 0;
+  /// 32 bytes each.
+  std::vector<std::string> digests_;
+  MSGPACK_DEFINE(model_, version_, digests_)
+};
+
+/// @brief What this agent can give.
+struct PieceSource {
+  std::function<bool(const std::string& model, std::size_t piece)> holds_;
+  /// Null while there is none.
+  std::function<const WeightsManifest*()> manifest_;
+};
+
+/// @brief Another agent of the same service as it announced itself.
+struct PiecePeer {
+  membership::Member member_;
+  HeldMessage held_;
+};
+
+/// @brief The agent among its neighbours.
+class PieceExchange {
+ public:
+  PieceExchange(ProcessBase& process, const WeightsClient& client,
+                MeshNode& mesh, PieceSource source);
+
+  void OnHeld(const membership::Member& sender, const HeldMessage& held);
+  void OnLost(const membership::Member& member);
+  [[nodiscard]] const std::map<core::InstanceId, PiecePeer>& peers()
+      const noexcept {
+    return peers_;
+  }
+  /// @brief Live agents that do not serve a version yet, this one included.
+  [[nodiscard]] std::vector<swarm::SwarmMember> Lacking(
+      std::uint64_t version) const;
+
+  /// @brief Asks a peer for a piece; nothing when it does not give it.
+  void AskPiece(const core::InstanceId& peer, const PieceMessage& ask,
+                std::function<void(std::optional<std::string>)> done);
+  /// @brief Asks a peer for a manifest. One that has none is not asked again
+  /// before it announces one.
+  void AskManifest(const core::InstanceId& peer, const PieceMessage& ask,
+                   std::function<void(std::optional<WeightsManifest>)> done);
+
+ private:
+  void OnCall(const PeerCallPtr& call);
+  void AnswerPiece(const PeerCallPtr& call, const PieceMessage& message);
+  void AnswerManifest(const PeerCallPtr& call, const PieceMessage& message);
+  [[nodiscard]] std::shared_ptr<PeerConnection> ConnectionTo(
+      const core::InstanceId& peer);
+
+  ProcessBase& process_;
+  const WeightsClient& client_;
+  MeshNode& mesh_;
+  PieceSource source_;
+  swarm::Pacer upload_;
+  std::map<core::InstanceId, PiecePeer> peers_;
+  /// By address; kept, since a call may be under way on it.
+  std::map<std::string, std::shared_ptr<PeerConnection>> connections_;
+  std::unique_ptr<PeerServer> server_;
+};
+
+}  // namespace chalkwell::daemon::direct
--- a/packages/daemon/src/daemon/direct/weights_keeper.cpp
+++ b/packages/daemon/src/daemon/direct/weights_keeper.cpp
@@ -5,17 +5,11 @@
 #include <random>
 #include <utility>
 
-#include "daemon/messages.hpp"
-
 namespace chalkwell::daemon::direct {
 namespace {
 
 using std::chrono::milliseconds;
 
-constexpr std::string_view kPiecePath = "/v1/staged-piece";
-constexpr std::string_view kManifestPath = "/v1/pieces-manifest";
-constexpr int kOk = 200;
-constexpr int kNotFound = 404;
 constexpr auto kTick = milliseconds(40);
 /// Changes of what is held are told this often at most: a piece takes some 30
 /// ms on a link of 7 Mbit/s.
@@ -34,13 +28,8 @@
 /// time: requests wait behind pieces.
 constexpr auto kFullLink = milliseconds(150);
 constexpr std::size_t kPerPeer = 1;
-/// Part of the link that pieces may take: answers share it, and an event that
-/// waits behind several pieces is late.
-constexpr double kUploadShare = 0.85;
-constexpr double kBytesPerMegabit = 125'000;
 /// The source's link is shared by all agents: one piece each.
 constexpr std::size_t kOriginInFlight = 1;
-constexpr std::size_t kMaxPeerBody = std::size_t{1} << 20;
 /// An order that shows no effect for this long is given again.
 constexpr auto kOrderTime = milliseconds(7000);
 /// Once ordered, an engine begins no request on its old weights. A switch that
@@ -71,17 +60,16 @@
     : process_(process),
       client_(client),
       mesh_(mesh),
+      peers_(
+          process, client, mesh,
+          {.holds_ =
+               [this](const std::string& model, std::size_t piece) {
+                 return model == model_ && held_.Has(piece);
+               },
+           .manifest_ = [this] { return manifest_ ? &*manifest_ : nullptr; }}),
       planner_({process.id(), process.domain()}, PlannerSettingsOf(),
                std::random_device{}()),
       turns_(process.id(), kOutShare, kTurnLease),
-      upload_(static_cast<std::uint64_t>(
-                  process.settings().Share("weights", "link_mbps") *
-                  kBytesPerMegabit * kUploadShare),
-              {}),
-      server_(std::make_unique<PeerServer>(
-          process.loop(),
-          ParseAddress(process.settings().Text("listen", "peer")), kMaxPeerBody,
-          [this](const PeerCallPtr& call) { OnPeerCall(call); })),
       tick_(process.loop()) {
   tick_.Every(kTick, [this] { Tick(); });
 }
@@ -224,7 +212,7 @@
 std::size_t WeightsKeeper::ManifestRank() const {
   const auto item = model_ + ":" + std::to_string(wanted_.version_);
   const auto own = core::RendezvousScore(item, process_.id().value());
-  const auto members = Members();
+  const auto members = peers_.Lacking(wanted_.version_);
   return static_cast<std::size_t>(
       std::ranges::count_if(members, [&](const swarm::SwarmMember& member) {
         return core::RendezvousScore(item, member.id_.value()) > own;
@@ -235,7 +223,7 @@
   if (manifest_asked_) {
     return;
   }
-  for (const auto& [id, peer] : peers_) {
+  for (const auto& [id, peer] : peers_.peers()) {
     const bool has =
         peer.held_.model_ == model_ && peer.held_.pieces_ > 0 &&
         peer.held_.has_manifest_ &&
@@ -253,36 +241,49 @@
 
 void WeightsKeeper::AskPeerManifest(const core::InstanceId& peer) {
   manifest_asked_ = true;
-  const PieceMessage ask{model_, wanted_.version_, 0};
-  ConnectionTo(peer)->Ask(
-      std::string(kManifestPath), Pack(ask),
-      [this, job = job_, peer](PeerEnd end, int status,
-                               const std::string& body) {
+  peers_.AskManifest(
+      peer, {model_, wanted_.version_, 0},
+      [this, job = job_](const std::optional<WeightsManifest>& manifest) {
         if (!Current(job)) {
           return;
         }
         manifest_asked_ = false;
-        if (end != PeerEnd::kWhole || status != kOk) {
-          // Its connection is in use by this call: it is not dropped here.
-          if (const auto known = peers_.find(peer); known != peers_.end()) {
-            known->second.held_.has_manifest_ = false;
-          }
-          return;
-        }
-        const auto message = Unpack<ManifestMessage>(body, peer.value());
-        WeightsManifest manifest{message.model_, message.version_, {}};
-        for (const auto& bytes : message.digests_) {
-          core::Digest::Bytes digest{};
-          if (bytes.size() != digest.size()) {
-            return;
-          }
-          std::ranges::copy(bytes, digest.begin());
-          manifest.digests_.emplace_back(digest);
+        if (manifest) {
+          TakeManifest(*manifest);
         }
-        TakeManifest(manifest);
       });
 }
 
+void WeightsKeeper::FetchFromPeer(const swarm::FetchOrder& order) {
+  const PieceMessage ask{model_, wanted_.version_,
+                         static_cast<std::uint32_t>(order.chunk_)};
+  peers_.AskPiece(*order.peer_, ask,
+                  [this, job = job_, piece = order.chunk_, peer = *order.peer_](
+                      const std::optional<std::string>& bytes) {
+                    if (Current(job)) {
+                      OnPiece(piece, bytes, peer.value());
+                    }
+                  });
+}
+
+void WeightsKeeper::OnHeld(const membership::Member& sender,
+                           const HeldMessage& held) {
+  peers_.OnHeld(sender, held);
+  const bool wanted = phase_ == Phase::kFetching && manifest_ &&
+                      held.model_ == model_ &&
+                      held.version_ == wanted_.version_;
+  if (wanted) {
+    planner_.OnAnnounced({sender.id_, sender.domain_},
+                         swarm::ChunkSet::FromBytes(held.bits_, held_.size()),
+                         process_.loop().Now());
+  }
+}
+
+void WeightsKeeper::OnLost(const membership::Member& member) {
+  peers_.OnLost(member);
+  planner_.OnPeerLost(member.id_);
+}
+
 void WeightsKeeper::AskOriginManifest() {
   manifest_asked_ = true;
   process_.metrics().Count("origin_manifests_total", {});
@@ -353,7 +354,7 @@
   }
   const auto now = process_.loop().Now();
   planner_.Start(std::move(chunks), held_, now);
-  for (const auto& [id, peer] : peers_) {
+  for (const auto& [id, peer] : peers_.peers()) {
     if (peer.held_.version_ == wanted_.version_) {
       planner_.OnAnnounced(
           {id, peer.member_.domain_},
@@ -364,23 +365,6 @@
   Pump();
 }
 
-std::vector<swarm::SwarmMember> WeightsKeeper::Members() const {
-  std::vector<swarm::SwarmMember> members{{process_.id(), process_.domain()}};
-  for (const auto& member : mesh_.Live()) {
-    if (member.kind_ != membership::MemberKind::kAgent ||
-        member.service_ != mesh_.self().service_) {
-      continue;
-    }
-    const auto peer = peers_.find(member.id_);
-    const bool done = peer != peers_.end() && wanted_.version_ > 0 &&
-                      peer->second.held_.serving_ >= wanted_.version_;
-    if (!done) {
-      members.push_back({member.id_, member.domain_});
-    }
-  }
-  return members;
-}
-
 void WeightsKeeper::Pump() {
   if (staging_ > 0 && !planner_.outstanding() && held_.count() == 0) {
     return;
@@ -393,7 +377,7 @@
          {"source", late.peer_ ? late.peer_->value() : "origin"},
          {"reason", "timeout"}});
   }
-  planner_.SetMembers(Members());
+  planner_.SetMembers(peers_.Lacking(wanted_.version_));
   planner_.SetInFlight(mesh_.InboundDelay() >= kFullLink ? 1 : kInFlight);
   for (const auto& order : planner_.Next(now)) {
     Fetch(order);
@@ -419,22 +403,6 @@
   }
 }
 
-void WeightsKeeper::FetchFromPeer(const swarm::FetchOrder& order) {
-  const PieceMessage ask{model_, wanted_.version_,
-                         static_cast<std::uint32_t>(order.chunk_)};
-  ConnectionTo(*order.peer_)
-      ->Ask(std::string(kPiecePath), Pack(ask),
-            [this, job = job_, piece = order.chunk_, peer = *order.peer_](
-                PeerEnd end, int status, std::string body) {
-              if (Current(job)) {
-                const bool good = end == PeerEnd::kWhole && status == kOk;
-                OnPiece(piece,
-                        good ? std::optional(std::move(body)) : std::nullopt,
-                        peer.value());
-              }
-            });
-}
-
 void WeightsKeeper::FetchFromOrigin(std::size_t piece) {
   if (!origin_) {
     planner_.OnFailed(piece, process_.loop().Now());
@@ -493,7 +461,7 @@
 void WeightsKeeper::TakeTurn() {
   const auto now = process_.loop().Now();
   std::set<core::InstanceId> near{process_.id()};
-  for (const auto& [id, peer] : peers_) {
+  for (const auto& [id, peer] : peers_.peers()) {
     if (peer.member_.domain_ != process_.domain()) {
       continue;
     }
@@ -570,26 +538,6 @@
   });
 }
 
-void WeightsKeeper::OnHeld(const membership::Member& sender,
-                           const HeldMessage& held) {
-  auto& peer = peers_[sender.id_];
-  peer.member_ = sender;
-  peer.held_ = held;
-  const bool wanted = phase_ == Phase::kFetching && manifest_ &&
-                      held.model_ == model_ &&
-                      held.version_ == wanted_.version_;
-  if (wanted) {
-    planner_.OnAnnounced({sender.id_, sender.domain_},
-                         swarm::ChunkSet::FromBytes(held.bits_, held_.size()),
-                         process_.loop().Now());
-  }
-}
-
-void WeightsKeeper::OnLost(const membership::Member& member) {
-  peers_.erase(member.id_);
-  planner_.OnPeerLost(member.id_);
-}
-
 void WeightsKeeper::Announce(bool repeat) {
   announced_at_ = process_.loop().Now();
   if (!repeat) {
@@ -605,57 +553,4 @@
   mesh_.PushHeld(held);
 }
 
-std::shared_ptr<PeerConnection> WeightsKeeper::ConnectionTo(
-    const core::InstanceId& peer) {
-  auto& known = peers_.at(peer);
-  if (known.connection_ == nullptr) {
-    known.connection_ = std::make_shared<PeerConnection>(
-        process_.loop(), ParseAddress(known.member_.address_));
-  }
-  return known.connection_;
-}
-
-void WeightsKeeper::OnPeerCall(const PeerCallPtr& call) {
-  const auto message = Unpack<PieceMessage>(call->body(), "peer");
-  if (call->path() == kPiecePath) {
-    AnswerPiece(call, message);
-    return;
-  }
-  const bool known =
-      call->path() == kManifestPath && manifest_ &&
-      manifest_->model_ == message.model_ &&
-      (message.version_ == 0 || manifest_->version_ == message.version_);
-  if (!known) {
-    call->Respond(kNotFound, "");
-    return;
-  }
-  ManifestMessage answer{manifest_->model_, manifest_->version_, {}};
-  for (const auto& digest : manifest_->digests_) {
-    const auto& bytes = digest.bytes();
-    answer.digests_.emplace_back(bytes.begin(), bytes.end());
-  }
-  call->Respond(kOk, Pack(answer));
-}
-
-void WeightsKeeper::AnswerPiece(const PeerCallPtr& call,
-                                const PieceMessage& message) {
-  const bool held = message.model_ == model_ && held_.Has(message.piece_);
-  if (!held) {
-    call->Respond(kNotFound, "");
-    return;
-  }
-  // The engine's staging is the store; the asker compares the digest.
-  client_.staged_(
-      model_, message.piece_, [this, call](std::optional<std::string> bytes) {
-        if (!bytes) {
-          call->Respond(kNotFound, "");
-          return;
-        }
-        const auto wait = upload_.Reserve(bytes->size(), process_.loop().Now());
-        process_.loop().After(wait, [call, bytes = std::move(*bytes)] {
-          call->Respond(kOk, bytes);
-        });
-      });
-}
-
 }  // namespace chalkwell::daemon::direct
--- a/packages/daemon/src/daemon/direct/weights_keeper.hpp
+++ b/packages/daemon/src/daemon/direct/weights_keeper.hpp
@@ -3,41 +3,19 @@
 #pragma once
 
 #include <cstdint>
-#include <map>
-#include <memory>
 #include <optional>
 #include <string>
-#include <vector>
 
 #include "chalkwell/rollout/turns.hpp"
 #include "chalkwell/swarm/chunk_set.hpp"
-#include "chalkwell/swarm/pacer.hpp"
 #include "chalkwell/swarm/planner.hpp"
 #include "daemon/direct/hooks.hpp"
 #include "daemon/direct/mesh_node.hpp"
-#include "daemon/peer_connection.hpp"
-#include "daemon/peer_server.hpp"
+#include "daemon/direct/piece_exchange.hpp"
 #include "daemon/process_base.hpp"
 
 namespace chalkwell::daemon::direct {
 
-/// @brief Request for a version's manifest or one of its pieces.
-struct PieceMessage {
-  std::string model_;
-  std::uint64_t version_ = 0;
-  std::uint32_t piece_ = 0;
-  MSGPACK_DEFINE(model_, version_, piece_)
-};
-
-/// @brief A manifest between agents.
-struct ManifestMessage {
-  std::string model_;
-  std::uint64_t version_ = 0;
-  /// 32 bytes each.
-  std::vector<std::string> digests_;
-  MSGPACK_DEFINE(model_, version_, digests_)
-};
-
 /// @brief Weights of one engine.
 class WeightsKeeper {
  public:
@@ -62,12 +40,6 @@
   [[nodiscard]] const swarm::ChunkSet& held() const noexcept { return held_; }
 
  private:
-  /// A peer as it announced itself.
-  struct Peer {
-    membership::Member member_;
-    HeldMessage held_;
-    std::shared_ptr<PeerConnection> connection_;
-  };
   enum class Phase : std::uint8_t {
     /// The engine serves what is wanted.
     kSettled,
@@ -102,13 +74,7 @@
   void Order();
   void SetPhase(Phase phase);
   void Announce(bool repeat);
-  void OnPeerCall(const PeerCallPtr& call);
-  void AnswerPiece(const PeerCallPtr& call, const PieceMessage& message);
-  [[nodiscard]] bool EnginePresent() const noexcept { return heard_engine_; }
   [[nodiscard]] std::size_t ManifestRank() const;
-  [[nodiscard]] std::shared_ptr<PeerConnection> ConnectionTo(
-      const core::InstanceId& peer);
-  [[nodiscard]] std::vector<swarm::SwarmMember> Members() const;
   [[nodiscard]] bool Current(std::uint64_t job) const noexcept {
     return job == job_;
   }
@@ -135,11 +101,9 @@
   /// Pieces verified and staged at the engine.
   swarm::ChunkSet held_;
   std::size_t staging_ = 0;
+  PieceExchange peers_;
   swarm::Planner planner_;
   rollout::Turns turns_;
-  swarm::Pacer upload_;
-  std::map<core::InstanceId, Peer> peers_;
-  std::unique_ptr<PeerServer> server_;
   core::TimePoint announced_at_;
   bool announce_due_ = false;
   bool manifest_asked_ = false;
