--- a/packages/daemon/src/daemon/direct/weights_keeper.cpp
+++ b/packages/daemon/src/daemon/direct/weights_keeper.cpp
@@ -411,12 +411,13 @@
   process_.log().Write(core::EventNumber::kOriginDrawn,
                        {{"piece", std::to_string(piece)}});
   process_.metrics().Count("origin_pieces_total", {});
-  client_.piece_(*origin_, model_, wanted_.version_, piece,
-                 [this, job = job_, piece](std::optional<std::string> bytes) {
-                   if (Current(job)) {
-                     OnPiece(piece, bytes, "origin");
-                   }
-                 });
+  client_.piece_(
+      *origin_, model_, wanted_.version_, piece,
+      [this, job = job_, piece](const std::optional<std::string>& bytes) {
+        if (Current(job)) {
+          OnPiece(piece, bytes, "origin");
+        }
+      });
 }
 
 void WeightsKeeper::OnPiece(std::size_t piece,
