A piece that its holder cannot give is dropped and drawn anew

Ruled out: a slow source, cut links (other pieces came), wrong digests (6, retried). Change: the holder drops and fetches again what it cannot read whole; the planner no longer counts a peer that failed to give a chunk as its holder until it announces it again. A test of the planner failed first.

--- a/packages/chalkwell/src/chalkwell/swarm/planner.cpp
+++ b/packages/chalkwell/src/chalkwell/swarm/planner.cpp
@@ -67,6 +67,9 @@
              peer != peers_.end()) {
     --peer->second.outstanding_;
     peer->second.failures_ = good ? 0 : peer->second.failures_ + 1;
+    if (!good) {
+      peer->second.chunks_.Remove(chunk);
+    }
     if (peer->second.failures_ >= settings_.max_failures_) {
       peer->second.rests_until_ = now + settings_.failure_rest_;
       peer->second.failures_ = 0;
@@ -88,6 +91,8 @@
   }
 }
 
+void Planner::OnDropped(std::size_t chunk) { held_.Remove(chunk); }
+
 void Planner::OnFailed(std::size_t chunk, core::TimePoint now) {
   TakeOutstanding(chunk, false, now);
 }
--- a/packages/chalkwell/src/chalkwell/swarm/planner.hpp
+++ b/packages/chalkwell/src/chalkwell/swarm/planner.hpp
@@ -87,7 +87,10 @@
   void OnPeerLost(const core::InstanceId& peer);
   /// @brief A verified chunk arrived.
   void OnChunk(std::size_t chunk, core::TimePoint now);
-  /// @brief A request failed, timed out or gave a corrupt chunk.
+  /// @brief A chunk that was held is gone; it is asked for again.
+  void OnDropped(std::size_t chunk);
+  /// @brief A request failed, timed out or gave a corrupt chunk. The peer does
+  /// not count as its holder until it announces the chunk again.
   void OnFailed(std::size_t chunk, core::TimePoint now);
   /// @brief Requests whose time is up; they count as failed.
   [[nodiscard]] std::vector<FetchOrder> TakeTimedOut(core::TimePoint now);
--- a/packages/daemon/src/daemon/direct/piece_exchange.cpp
+++ b/packages/daemon/src/daemon/direct/piece_exchange.cpp
@@ -1,5 +1,5 @@
 // The engine's staging is the store: pieces are read from it when asked for,
-// and whoever asked compares them with their digests.
+// and both sides compare them with their digests.
 #include "daemon/direct/piece_exchange.hpp"
 
 #include <algorithm>
@@ -153,6 +153,19 @@
   }
 }
 
+bool PieceExchange::Whole(const PieceMessage& message,
+                          const std::optional<std::string>& bytes) const {
+  if (!bytes) {
+    return false;
+  }
+  const auto* manifest = source_.manifest_();
+  const bool known = manifest != nullptr &&
+                     manifest->version_ == message.version_ &&
+                     message.piece_ < manifest->digests_.size();
+  return !known ||
+         core::Digest::Sha256Of(*bytes) == manifest->digests_[message.piece_];
+}
+
 void PieceExchange::AnswerPiece(const PeerCallPtr& call,
                                 const PieceMessage& message) {
   if (!source_.holds_(message.model_, message.piece_)) {
@@ -161,8 +174,10 @@
   }
   client_.staged_(
       message.model_, message.piece_,
-      [this, call](std::optional<std::string> bytes) {
-        if (!bytes) {
+      [this, call, message](std::optional<std::string> bytes) {
+        if (!Whole(message, bytes)) {
+          // Announced on, it would keep all others from drawing it.
+          source_.on_missing_(message.piece_);
           call->Respond(kNotFound, "");
           return;
         }
--- a/packages/daemon/src/daemon/direct/piece_exchange.hpp
+++ b/packages/daemon/src/daemon/direct/piece_exchange.hpp
@@ -43,6 +43,8 @@
   std::function<bool(const std::string& model, std::size_t piece)> holds_;
   /// Null while there is none.
   std::function<const WeightsManifest*()> manifest_;
+  /// A piece that was held can no longer be read whole.
+  std::function<void(std::size_t piece)> on_missing_;
 };
 
 /// @brief Another agent of the same service as it announced itself.
@@ -78,6 +80,8 @@
  private:
   void OnCall(const PeerCallPtr& call);
   void AnswerPiece(const PeerCallPtr& call, const PieceMessage& message);
+  [[nodiscard]] bool Whole(const PieceMessage& message,
+                           const std::optional<std::string>& bytes) const;
   void AnswerManifest(const PeerCallPtr& call, const PieceMessage& message);
   [[nodiscard]] std::shared_ptr<PeerConnection> ConnectionTo(
       const core::InstanceId& peer);
--- a/packages/daemon/src/daemon/direct/weights_keeper.cpp
+++ b/packages/daemon/src/daemon/direct/weights_keeper.cpp
@@ -60,13 +60,13 @@
     : process_(process),
       client_(client),
       mesh_(mesh),
-      peers_(
-          process, client, mesh,
-          {.holds_ =
-               [this](const std::string& model, std::size_t piece) {
-                 return model == model_ && held_.Has(piece);
-               },
-           .manifest_ = [this] { return manifest_ ? &*manifest_ : nullptr; }}),
+      peers_(process, client, mesh,
+             {.holds_ =
+                  [this](const std::string& model, std::size_t piece) {
+                    return model == model_ && held_.Has(piece);
+                  },
+              .manifest_ = [this] { return manifest_ ? &*manifest_ : nullptr; },
+              .on_missing_ = [this](std::size_t piece) { OnMissing(piece); }}),
       planner_({process.id(), process.domain()}, PlannerSettingsOf(),
                std::random_device{}()),
       turns_(process.id(), kOutShare, kTurnLease),
@@ -459,6 +459,22 @@
                  });
 }
 
+void WeightsKeeper::OnMissing(std::size_t piece) {
+  if (!held_.Has(piece)) {
+    return;
+  }
+  held_.Remove(piece);
+  announce_due_ = true;
+  process_.log().Write(core::EventNumber::kStagedSpoilt,
+                       {{"piece", std::to_string(piece)}});
+  if (phase_ == Phase::kFetching) {
+    planner_.OnDropped(piece);
+  } else if (phase_ == Phase::kStaged) {
+    SetPhase(Phase::kFetching);
+    StartPlanner();
+  }
+}
+
 void WeightsKeeper::TakeTurn() {
   const auto now = process_.loop().Now();
   std::set<core::InstanceId> near{process_.id()};
--- a/packages/daemon/src/daemon/direct/weights_keeper.hpp
+++ b/packages/daemon/src/daemon/direct/weights_keeper.hpp
@@ -62,6 +62,7 @@
   void OnPiece(std::size_t piece, const std::optional<std::string>& bytes,
                const std::string& source);
   void Stage(std::size_t piece, std::string bytes);
+  void OnMissing(std::size_t piece);
   void TakeTurn();
   void StartPlanner();
   void CheckStagedAtStart();
--- a/tests/swarm/swarm_test.cpp
+++ b/tests/swarm/swarm_test.cpp
@@ -247,5 +247,32 @@
   }
 }
 
+TEST_CASE("a chunk that its holder cannot give is drawn from the origin",
+          "[swarm]") {
+  // Seen on a day: two pieces lost by the staging that announced them kept a
+  // whole fleet from its new weights for 25 s.
+  const auto chunks = Chunks(1);
+  const SwarmMember self{core::InstanceId("a"), core::FailureDomainId("d")};
+  const SwarmMember holder{core::InstanceId("b"), core::FailureDomainId("d")};
+  Planner planner(self, {}, 1);
+  planner.SetMembers({self});
+  planner.Start(chunks, ChunkSet(1), kStart);
+  ChunkSet all(1);
+  all.Add(0);
+  planner.OnAnnounced(holder, all, kStart);
+  const auto first = planner.Next(kStart);
+  REQUIRE(first.size() == 1);
+  CHECK(first.front().peer_ == holder.id_);
+  planner.OnFailed(0, kStart + 10ms);
+  const auto second = planner.Next(kStart + 10ms);
+  REQUIRE(second.size() == 1);
+  CHECK_FALSE(second.front().peer_.has_value());
+  planner.OnChunk(0, kStart + 20ms);
+  CHECK(planner.complete());
+  planner.OnDropped(0);
+  CHECK_FALSE(planner.complete());
+  CHECK(planner.Next(kStart + 30ms).size() == 1);
+}
+
 }  // namespace
 }  // namespace chalkwell::swarm
