Pieces are asked for by the time they are under way; narrowed links draw last

Ruled out: the delay of datagrams as a measure. Change: swarm/fetch_window: additive increase, halving by the time pieces take beyond their own, less their wait at the sender, which answers tell; what was asked for is cancelled with its fetch. Narrowed links (under a fifth of their rate) are told to the others, come last in rank, and what only they hold is drawn anew. What no neighbour holds is imported first. Reports older than 700 ms say nothing of a link near a bound. Switches are urgent by the bound of what is served, not of what is wanted (version 2 ends version 1, also when version 3 is next). Members that serve weights do not count when a newcomer asks for the list of pieces. Tests failed first: window on a narrowed link, stale reports, draws and imports, end of a version.

--- a/packages/chalkwell/src/chalkwell/membership/path_delay.cpp
+++ b/packages/chalkwell/src/chalkwell/membership/path_delay.cpp
@@ -6,8 +6,15 @@
 namespace chalkwell::membership {
 namespace {
 
-/// Long enough for some messages, short enough to follow a link.
-constexpr auto kWindow = std::chrono::seconds(1);
+/// A queue on the own link grows and drains within this time.
+constexpr auto kShortWindow = std::chrono::milliseconds(250);
+/// Messages that the short window must hold: one alone may show the delay of
+/// its sender's link.
+constexpr std::size_t kFewSamples = 3;
+/// At rest a process hears some two messages a second.
+constexpr auto kLongWindow = std::chrono::seconds(1);
+/// A full link loses datagrams: what the last one showed counts for this long.
+constexpr auto kMemory = std::chrono::seconds(3);
 
 }  // namespace
 
@@ -20,19 +27,34 @@
 
 void LinkDelay::OnMessage(core::Duration delay, core::TimePoint now) {
   samples_.push_back({now, delay});
-  while (now - samples_.front().at_ > kWindow) {
+  while (now - samples_.front().at_ > kLongWindow) {
     samples_.pop_front();
   }
 }
 
-core::Duration LinkDelay::At(core::TimePoint now) const {
+std::optional<core::Duration> LinkDelay::LeastWithin(
+    core::Duration window, std::size_t samples, core::TimePoint now) const {
   std::optional<core::Duration> least;
+  std::size_t seen = 0;
   for (const auto& sample : samples_) {
-    if (now - sample.at_ <= kWindow) {
+    if (now - sample.at_ <= window) {
       least = std::min(least.value_or(sample.delay_), sample.delay_);
+      ++seen;
     }
   }
-  return least.value_or(core::Duration{});
+  return seen >= samples ? least : std::nullopt;
+}
+
+core::Duration LinkDelay::At(core::TimePoint now) const {
+  if (const auto least = LeastWithin(kShortWindow, kFewSamples, now)) {
+    return *least;
+  }
+  if (const auto least = LeastWithin(kLongWindow, 1, now)) {
+    return *least;
+  }
+  const bool remembered =
+      !samples_.empty() && now - samples_.back().at_ <= kMemory;
+  return remembered ? samples_.back().delay_ : core::Duration{};
 }
 
 }  // namespace chalkwell::membership
--- a/packages/chalkwell/src/chalkwell/membership/path_delay.hpp
+++ b/packages/chalkwell/src/chalkwell/membership/path_delay.hpp
@@ -28,7 +28,9 @@
  public:
   /// @brief A message of some sender was under way longer by `delay`.
   void OnMessage(core::Duration delay, core::TimePoint now);
-  /// @brief Least delay of the last second; zero when nothing was heard.
+  /// @brief Least delay of the last messages: of a quarter of a second if that
+  /// brought several, else of a second, else of the last message, which counts
+  /// for some seconds. Zero when nothing was heard.
   [[nodiscard]] core::Duration At(core::TimePoint now) const;
 
  private:
@@ -37,7 +39,11 @@
     core::Duration delay_;
   };
 
-  /// In order of time; none older than the window.
+  /// @return none when the window holds fewer samples.
+  [[nodiscard]] std::optional<core::Duration> LeastWithin(
+      core::Duration window, std::size_t samples, core::TimePoint now) const;
+
+  /// In order of time; none older than the longest window, but the newest.
   std::deque<Sample> samples_;
 };
 
--- a/packages/chalkwell/src/chalkwell/rollout/version_bound.cpp
+++ b/packages/chalkwell/src/chalkwell/rollout/version_bound.cpp
@@ -31,6 +31,16 @@
   return least;
 }
 
+std::optional<core::TimePoint> VersionBound::EndOf(
+    std::uint64_t version, core::Duration bound) const noexcept {
+  for (const auto& named : named_) {
+    if (named.version_ > version) {
+      return named.heard_at_ + bound;
+    }
+  }
+  return std::nullopt;
+}
+
 routing::VersionRule VersionBound::RuleAt(core::Duration bound,
                                           core::TimePoint now) const noexcept {
   routing::VersionRule rule;
--- a/packages/chalkwell/src/chalkwell/rollout/version_bound.hpp
+++ b/packages/chalkwell/src/chalkwell/rollout/version_bound.hpp
@@ -4,6 +4,7 @@
 
 #include <cstdint>
 #include <deque>
+#include <optional>
 
 #include "chalkwell/core/fwd.hpp"
 #include "chalkwell/routing/endpoint_table.hpp"
@@ -23,6 +24,9 @@
   /// @param bound time after its naming from which a version is the least.
   [[nodiscard]] std::uint64_t Least(core::Duration bound,
                                     core::TimePoint now) const noexcept;
+  /// @brief When a version may no longer be used; none while it is the newest.
+  [[nodiscard]] std::optional<core::TimePoint> EndOf(
+      std::uint64_t version, core::Duration bound) const noexcept;
   /// @brief The least version and the bound that comes next.
   [[nodiscard]] routing::VersionRule RuleAt(core::Duration bound,
                                             core::TimePoint now) const noexcept;
--- a/packages/chalkwell/src/chalkwell/routing/endpoint_table.cpp
+++ b/packages/chalkwell/src/chalkwell/routing/endpoint_table.cpp
@@ -212,7 +212,9 @@
       endpoint.version() >= request.versions_.next_) {
     return false;
   }
-  const auto begins = Reported(endpoint, now)
+  const bool link_known = endpoint.report_ && now - endpoint.reported_at_ <
+                                                  settings_.link_report_age_;
+  const auto begins = link_known
                           ? first_byte
                           : std::max(first_byte, settings_.unreported_delay_);
   return now + begins >= request.versions_.until_;
--- a/packages/chalkwell/src/chalkwell/routing/endpoint_table.hpp
+++ b/packages/chalkwell/src/chalkwell/routing/endpoint_table.hpp
@@ -55,9 +55,12 @@
   /// An engine whose agent is not heard may be dead, frozen or behind a full
   /// link: others are better by this much.
   core::Duration unreported_cost_ = std::chrono::milliseconds(200);
-  /// How late a request may begin at such an engine: its link may hold it back
-  /// by more than a second.
+  /// How late a request may begin at an engine that is not heard: its link may
+  /// hold it back by more than a second.
   core::Duration unreported_delay_ = std::chrono::milliseconds(2500);
+  /// Older than this, a report says nothing of the link any more: agents report
+  /// every 500 ms at least, and a full link loses their datagrams.
+  core::Duration link_report_age_ = std::chrono::milliseconds(700);
   /// What sending to another failure domain must gain to be worth its bytes.
   core::Duration foreign_cost_ = std::chrono::milliseconds(40);
   /// A row that leaves the published list is kept this long, in case its lease
--- a/packages/chalkwell/src/chalkwell/swarm/fwd.hpp
+++ b/packages/chalkwell/src/chalkwell/swarm/fwd.hpp
@@ -9,6 +9,7 @@
 class Planner;
 class Pacer;
 class Assembly;
+class FetchWindow;
 struct FetchOrder;
 struct PlannerSettings;
 
--- a/packages/chalkwell/src/chalkwell/swarm/planner.cpp
+++ b/packages/chalkwell/src/chalkwell/swarm/planner.cpp
@@ -2,6 +2,7 @@
 #include "chalkwell/swarm/planner.hpp"
 
 #include <algorithm>
+#include <tuple>
 #include <utility>
 
 #include "chalkwell/core/digest.hpp"
@@ -34,12 +35,22 @@
 void Planner::SetMembers(std::vector<SwarmMember> members) {
   members_ = std::move(members);
   ranks_.assign(chunks_.size(), std::nullopt);
+  for (const auto& member : members_) {
+    if (member.id_ == self_.id_) {
+      self_.slow_ = member.slow_;
+    } else if (const auto peer = peers_.find(member.id_);
+               peer != peers_.end()) {
+      peer->second.member_.slow_ = member.slow_;
+    }
+  }
 }
 
 void Planner::OnAnnounced(const SwarmMember& peer, const ChunkSet& chunks,
                           core::TimePoint now) {
   auto& known = peers_[peer.id_];
+  const bool slow = known.member_.slow_;
   known.member_ = peer;
+  known.member_.slow_ = slow;
   known.chunks_ = chunks;
   for (std::size_t chunk = 0; chunk < chunks.size(); ++chunk) {
     if (chunks.Has(chunk)) {
@@ -110,15 +121,21 @@
   return late;
 }
 
-std::size_t Planner::Holders(std::size_t chunk) const {
-  return static_cast<std::size_t>(std::ranges::count_if(
-      peers_,
-      [chunk](const auto& entry) { return entry.second.chunks_.Has(chunk); }));
+Planner::HolderCount Planner::Holders(std::size_t chunk) const {
+  HolderCount count;
+  for (const auto& [id, peer] : peers_) {
+    if (peer.chunks_.Has(chunk)) {
+      ++count.all_;
+      count.near_ += peer.member_.domain_ == self_.domain_ ? 1 : 0;
+      count.quick_ += peer.member_.slow_ ? 0 : 1;
+    }
+  }
+  return count;
 }
 
 std::vector<std::size_t> Planner::MissingRarestFirst() {
   struct Ranked {
-    std::size_t holders_;
+    HolderCount holders_;
     std::uint64_t tie_;
     std::size_t chunk_;
   };
@@ -129,7 +146,8 @@
     }
   }
   std::ranges::sort(ranked, {}, [](const Ranked& entry) {
-    return std::pair(entry.holders_, entry.tie_);
+    // What no neighbour holds comes first: they wait for its import.
+    return std::tuple(entry.holders_.near_, entry.holders_.all_, entry.tie_);
   });
   std::vector<std::size_t> missing;
   missing.reserve(ranked.size());
@@ -139,7 +157,8 @@
   return missing;
 }
 
-Planner::Peer* Planner::BestPeerFor(std::size_t chunk, core::TimePoint now) {
+Planner::Peer* Planner::BestPeerFor(std::size_t chunk, bool slow,
+                                    core::TimePoint now) {
   Peer* best = nullptr;
   const auto cost = [this](const Peer& peer) {
     const bool foreign = peer.member_.domain_ != self_.domain_;
@@ -149,6 +168,7 @@
   for (auto& [id, peer] : peers_) {
     const bool near = peer.member_.domain_ == self_.domain_;
     const bool usable = peer.chunks_.Has(chunk) && (near || may_import) &&
+                        peer.member_.slow_ == slow &&
                         peer.outstanding_ < settings_.per_peer_ &&
                         now >= peer.rests_until_;
     if (usable && (best == nullptr || cost(peer) < cost(*best))) {
@@ -162,25 +182,27 @@
   if (settings_.import_silence_ == core::Duration{}) {
     return true;
   }
+  const auto ahead = static_cast<int>(Rank(chunk, true));
+  return now - seen_at_[chunk] >= settings_.import_silence_ * ahead;
+}
+
+std::size_t Planner::Rank(std::size_t chunk, bool near) const {
   const auto item = chunks_[chunk].digest_.ToHex();
-  const auto own = core::RendezvousScore(item, self_.id_.value());
-  const auto ahead =
+  const auto key = [&](const SwarmMember& member) {
+    return std::pair(!member.slow_,
+                     core::RendezvousScore(item, member.id_.value()));
+  };
+  const auto own = key(self_);
+  return static_cast<std::size_t>(
       std::ranges::count_if(members_, [&](const SwarmMember& member) {
-        return member.domain_ == self_.domain_ &&
-               core::RendezvousScore(item, member.id_.value()) > own;
-      });
-  return now - seen_at_[chunk] >= settings_.import_silence_ * ahead;
+        return (!near || member.domain_ == self_.domain_) && key(member) > own;
+      }));
 }
 
 std::size_t Planner::DrawRank(std::size_t chunk) const {
   auto& rank = ranks_[chunk];
   if (!rank) {
-    const auto item = chunks_[chunk].digest_.ToHex();
-    const auto own = core::RendezvousScore(item, self_.id_.value());
-    rank = static_cast<std::size_t>(
-        std::ranges::count_if(members_, [&](const SwarmMember& member) {
-          return core::RendezvousScore(item, member.id_.value()) > own;
-        }));
+    rank = Rank(chunk, false);
   }
   return *rank;
 }
@@ -193,7 +215,7 @@
   }
   const auto behind = rank - settings_.origin_copies_ + 1;
   const auto silence = now - last_progress_;
-  if (Holders(chunk) == 0 &&
+  if (Holders(chunk).quick_ == 0 &&
       silence >= settings_.draw_silence_ * static_cast<int>(behind)) {
     return DrawCause::kSilence;
   }
@@ -218,16 +240,22 @@
   for (const auto chunk : MissingRarestFirst()) {
     const auto from_peers = outstanding_.size() - origin_outstanding_;
     if (from_peers < settings_.in_flight_) {
-      if (auto* peer = BestPeerFor(chunk, now); peer != nullptr) {
+      if (auto* peer = BestPeerFor(chunk, false, now); peer != nullptr) {
         Ask(chunk, peer, now, orders);
         continue;
       }
+      auto* slow =
+          MayAskSlow(chunk, now) ? BestPeerFor(chunk, true, now) : nullptr;
+      if (slow != nullptr) {
+        Ask(chunk, slow, now, orders);
+        continue;
+      }
     }
     if (origin_outstanding_ >= settings_.origin_in_flight_) {
       continue;
     }
     const auto cause = MayDraw(chunk, now);
-    if (cause && (Holders(chunk) == 0)) {
+    if (cause && Holders(chunk).quick_ == 0) {
       ++(*cause == DrawCause::kElected ? elected_draws_ : silence_draws_);
       Ask(chunk, nullptr, now, orders);
     }
@@ -235,4 +263,9 @@
   return orders;
 }
 
+bool Planner::MayAskSlow(std::size_t chunk, core::TimePoint now) const {
+  return Holders(chunk).quick_ == 0 &&
+         now - seen_at_[chunk] >= settings_.draw_silence_;
+}
+
 }  // namespace chalkwell::swarm
--- a/packages/chalkwell/src/chalkwell/swarm/planner.hpp
+++ b/packages/chalkwell/src/chalkwell/swarm/planner.hpp
@@ -44,6 +44,10 @@
 struct SwarmMember {
   core::InstanceId id_;
   core::FailureDomainId domain_;
+  /// Its link is narrowed: it comes last in rank, and what only such members
+  /// hold is drawn by others. Chunks would fill its link for good, live answers
+  /// wait behind them, and all others wait for what it draws.
+  bool slow_ = false;
 };
 
 /// @brief One chunk to fetch now.
@@ -77,7 +81,8 @@
   /// @brief Begins a fetch; chunks already held are not asked again.
   void Start(std::vector<bundle::Chunk> chunks, const ChunkSet& held,
              core::TimePoint now);
-  /// @brief Live members, this one included; they elect who draws.
+  /// @brief Live members, this one included; they elect who draws, and tell
+  /// which links are narrowed.
   void SetMembers(std::vector<SwarmMember> members);
   /// @brief Changes how many requests may be outstanding at all peers.
   void SetInFlight(std::size_t most) noexcept { settings_.in_flight_ = most; }
@@ -106,19 +111,32 @@
     unsigned failures_ = 0;
     core::TimePoint rests_until_;
   };
+  /// Peers known to hold a chunk: of the own failure domain, and all.
+  struct HolderCount {
+    std::size_t near_ = 0;
+    std::size_t all_ = 0;
+    std::size_t quick_ = 0;
+  };
   struct Request {
     std::optional<core::InstanceId> peer_;
     core::TimePoint since_;
   };
 
   [[nodiscard]] std::vector<std::size_t> MissingRarestFirst();
-  [[nodiscard]] Peer* BestPeerFor(std::size_t chunk, core::TimePoint now);
+  /// @param slow whether slow peers are looked at, or the others.
+  [[nodiscard]] Peer* BestPeerFor(std::size_t chunk, bool slow,
+                                  core::TimePoint now);
+  /// @brief Whether a chunk that only slow peers hold has waited long enough
+  /// for others to draw it.
+  [[nodiscard]] bool MayAskSlow(std::size_t chunk, core::TimePoint now) const;
+  /// @brief Members ahead of this one: quick ones first, then by score.
+  [[nodiscard]] std::size_t Rank(std::size_t chunk, bool near) const;
   [[nodiscard]] std::optional<DrawCause> MayDraw(std::size_t chunk,
                                                  core::TimePoint now) const;
   [[nodiscard]] std::size_t DrawRank(std::size_t chunk) const;
   [[nodiscard]] bool MayImport(std::size_t chunk, core::TimePoint now) const;
   void MarkSeen(std::size_t chunk, core::TimePoint now);
-  [[nodiscard]] std::size_t Holders(std::size_t chunk) const;
+  [[nodiscard]] HolderCount Holders(std::size_t chunk) const;
   void TakeOutstanding(std::size_t chunk, bool good, core::TimePoint now);
   void Ask(std::size_t chunk, Peer* peer, core::TimePoint now,
            std::vector<FetchOrder>& orders);
--- a/packages/daemon/src/daemon/direct/direct_agent.cpp
+++ b/packages/daemon/src/daemon/direct/direct_agent.cpp
@@ -2,6 +2,7 @@
 // and told to the entries when it has changed.
 #include "daemon/direct/direct_agent.hpp"
 
+#include <algorithm>
 #include <nlohmann/json.hpp>
 #include <utility>
 
@@ -34,10 +35,23 @@
   return self;
 }
 
+/// A change of the link's delay is worth a report from here on: entries compare
+/// it with what crossing to another failure domain costs.
+constexpr std::uint32_t kInboundStepMs = 60;
+
+std::uint32_t Difference(std::uint32_t left, std::uint32_t right) {
+  return std::max(left, right) - std::min(left, right);
+}
+
+/// Pieces that take this much longer than alone show a narrowed link. Below it
+/// they may have waited at their senders, and say little of the own link.
+constexpr auto kNarrowedLink = milliseconds(400);
+
 bool SameLoad(const LoadMessage& left, const LoadMessage& right) {
   return left.active_ == right.active_ && left.queued_ == right.queued_ &&
          left.accepting_ == right.accepting_ &&
-         left.version_ == right.version_ && left.pace_ == right.pace_;
+         left.version_ == right.version_ && left.pace_ == right.pace_ &&
+         Difference(left.inbound_ms_, right.inbound_ms_) < kInboundStepMs;
 }
 
 }  // namespace
@@ -159,6 +173,9 @@
   load.queued_ = report->load_.queued_;
   load.accepting_ = !weights_.switching() && !report->ordered_;
   load.pace_ = static_cast<std::uint32_t>(report->load_.pace_ * kPaceUnit);
+  const auto inbound = InboundDelay(now);
+  load.inbound_ms_ = static_cast<std::uint32_t>(
+      std::chrono::duration_cast<milliseconds>(inbound).count());
   const auto held = report->models_.find(model_);
   if (held != report->models_.end()) {
     load.version_ = held->second;
@@ -173,13 +190,18 @@
   }
   load.sent_ms_ = static_cast<std::uint64_t>(
       std::chrono::duration_cast<milliseconds>(now.time_since_epoch()).count());
-  load.inbound_ms_ = static_cast<std::uint32_t>(
-      std::chrono::duration_cast<milliseconds>(mesh_.InboundDelay()).count());
   last_pushed_ = load;
   pushed_at_ = now;
   mesh_.PushLoad(load);
 }
 
+core::Duration DirectAgent::InboundDelay(core::TimePoint now) const {
+  // A narrowed link drops datagrams: those that arrive may have been quick.
+  const auto pieces = weights_.LinkDelay(now);
+  return pieces > kNarrowedLink ? std::max(pieces, mesh_.InboundDelay())
+                                : mesh_.InboundDelay();
+}
+
 std::string DirectAgent::Status() const {
   const nlohmann::json status{{"id", process_.id().value()},
                               {"domain", process_.domain().value()},
--- a/packages/daemon/src/daemon/direct/direct_agent.hpp
+++ b/packages/daemon/src/daemon/direct/direct_agent.hpp
@@ -28,6 +28,8 @@
   void OnPublished(const Published& published);
   void FindModel(const config::TrafficRules& rules);
   void ReadRules();
+  /// @brief How long the own link holds back what comes in.
+  [[nodiscard]] core::Duration InboundDelay(core::TimePoint now) const;
   [[nodiscard]] std::string Status() const;
 
   ProcessBase& process_;
--- a/packages/daemon/src/daemon/direct/direct_settings.cpp
+++ b/packages/daemon/src/daemon/direct/direct_settings.cpp
@@ -2,6 +2,16 @@
 #include "daemon/direct/direct_settings.hpp"
 
 namespace chalkwell::daemon::direct {
+namespace {
+
+constexpr double kBytesPerMegabit = 125'000;
+
+}  // namespace
+
+std::uint64_t LinkRate(const Settings& settings) {
+  return static_cast<std::uint64_t>(settings.Share("weights", "link_mbps") *
+                                    kBytesPerMegabit);
+}
 
 routing::RetryBudgetSettings RetryBudgetOf(const Settings& settings) {
   routing::RetryBudgetSettings budget;
--- a/packages/daemon/src/daemon/direct/direct_settings.hpp
+++ b/packages/daemon/src/daemon/direct/direct_settings.hpp
@@ -14,4 +14,7 @@
     const Settings& settings);
 [[nodiscard]] MeshSettings MeshSettingsOf(const Settings& settings);
 
+/// @brief Rate of the machine's link in bytes a second; 0 when not set.
+[[nodiscard]] std::uint64_t LinkRate(const Settings& settings);
+
 }  // namespace chalkwell::daemon::direct
--- a/packages/daemon/src/daemon/direct/mesh_messages.hpp
+++ b/packages/daemon/src/daemon/direct/mesh_messages.hpp
@@ -56,7 +56,10 @@
   std::uint64_t serving_ = 0;
   /// Whether it can give the list of the version's pieces.
   bool has_manifest_ = false;
-  MSGPACK_DEFINE(model_, version_, pieces_, bits_, serving_, has_manifest_)
+  /// Its machine's link carries far less than it is set to.
+  bool narrowed_ = false;
+  MSGPACK_DEFINE(model_, version_, pieces_, bits_, serving_, has_manifest_,
+                 narrowed_)
 };
 
 /// @brief Endpoints that are seen to leave or to be gone.
--- a/packages/daemon/src/daemon/direct/piece_exchange.cpp
+++ b/packages/daemon/src/daemon/direct/piece_exchange.cpp
@@ -5,6 +5,7 @@
 #include <algorithm>
 #include <utility>
 
+#include "daemon/direct/direct_settings.hpp"
 #include "daemon/messages.hpp"
 
 namespace chalkwell::daemon::direct {
@@ -18,11 +19,10 @@
 /// Part of the link that pieces may take: answers share it, and an event that
 /// waits behind several pieces is late.
 constexpr double kUploadShare = 0.85;
-constexpr double kBytesPerMegabit = 125'000;
 
 std::uint64_t UploadRate(const Settings& settings) {
-  return static_cast<std::uint64_t>(settings.Share("weights", "link_mbps") *
-                                    kBytesPerMegabit * kUploadShare);
+  return static_cast<std::uint64_t>(static_cast<double>(LinkRate(settings)) *
+                                    kUploadShare);
 }
 
 ManifestMessage ToMessage(const WeightsManifest& manifest) {
@@ -71,18 +71,20 @@
 }
 
 std::vector<swarm::SwarmMember> PieceExchange::Lacking(
-    std::uint64_t version) const {
-  std::vector<swarm::SwarmMember> members{{process_.id(), process_.domain()}};
+    std::uint64_t version, bool self_narrowed) const {
+  std::vector<swarm::SwarmMember> members{
+      {process_.id(), process_.domain(), self_narrowed}};
   for (const auto& member : mesh_.Live()) {
     if (member.kind_ != membership::MemberKind::kAgent ||
         member.service_ != mesh_.self().service_) {
       continue;
     }
     const auto peer = peers_.find(member.id_);
-    const bool serves = peer != peers_.end() && version > 0 &&
-                        peer->second.held_.serving_ >= version;
-    if (!serves) {
-      members.push_back({member.id_, member.domain_});
+    const bool heard = peer != peers_.end();
+    const auto least = std::max<std::uint64_t>(version, 1);
+    if (!heard || peer->second.held_.serving_ < least) {
+      const bool narrowed = heard && peer->second.held_.narrowed_;
+      members.push_back({member.id_, member.domain_, narrowed});
     }
   }
   return members;
@@ -101,15 +103,38 @@
 
 void PieceExchange::AskPiece(
     const core::InstanceId& peer, const PieceMessage& ask,
-    std::function<void(std::optional<std::string>)> done) {
-  ConnectionTo(peer)->Ask(
+    std::function<void(std::optional<ReceivedPiece>)> done) {
+  const auto piece = std::size_t{ask.piece_};
+  const auto since = process_.loop().Now();
+  asked_[piece] = ConnectionTo(peer)->Ask(
       std::string(kPiecePath), Pack(ask),
-      [done = std::move(done)](PeerEnd end, int status, std::string body) {
-        const bool good = end == PeerEnd::kWhole && status == kOk;
-        done(good ? std::optional(std::move(body)) : std::nullopt);
+      [this, peer, piece, since, done = std::move(done)](
+          PeerEnd end, int status, const std::string& body) {
+        asked_.erase(piece);
+        if (end != PeerEnd::kWhole || status != kOk) {
+          done(std::nullopt);
+          return;
+        }
+        auto answer = Unpack<PieceAnswer>(body, peer.value());
+        const auto transfer = process_.loop().Now() - since -
+                              std::chrono::milliseconds(answer.waited_ms_);
+        done(ReceivedPiece{std::move(answer.bytes_), transfer});
       });
 }
 
+void PieceExchange::CancelPiece(std::size_t piece) {
+  const auto call = asked_.extract(piece);
+  if (!call.empty()) {
+    call.mapped()->Cancel();
+  }
+}
+
+void PieceExchange::CancelPieces() {
+  for (const auto& [piece, call] : std::exchange(asked_, {})) {
+    call->Cancel();
+  }
+}
+
 void PieceExchange::AskManifest(
     const core::InstanceId& peer, const PieceMessage& ask,
     std::function<void(std::optional<WeightsManifest>)> done) {
@@ -182,8 +207,13 @@
           return;
         }
         const auto wait = upload_.Reserve(bytes->size(), process_.loop().Now());
-        process_.loop().After(wait, [call, bytes = std::move(*bytes)] {
-          call->Respond(kOk, bytes);
+        PieceAnswer answer;
+        answer.waited_ms_ = static_cast<std::uint32_t>(
+            std::chrono::duration_cast<std::chrono::milliseconds>(wait)
+                .count());
+        answer.bytes_ = std::move(*bytes);
+        process_.loop().After(wait, [call, answer = std::move(answer)] {
+          call->Respond(kOk, Pack(answer));
         });
       });
 }
--- a/packages/daemon/src/daemon/direct/piece_exchange.hpp
+++ b/packages/daemon/src/daemon/direct/piece_exchange.hpp
@@ -29,6 +29,21 @@
   MSGPACK_DEFINE(model_, version_, piece_)
 };
 
+/// @brief A piece, with how long it waited for its sender's own pace: what else
+/// its way took is the links' doing.
+struct PieceAnswer {
+  std::uint32_t waited_ms_ = 0;
+  std::string bytes_;
+  MSGPACK_DEFINE(waited_ms_, bytes_)
+};
+
+/// @brief A piece that arrived.
+struct ReceivedPiece {
+  std::string bytes_;
+  /// From the request to the last byte, less the wait at the sender.
+  core::Duration transfer_{};
+};
+
 /// @brief A manifest between agents.
 struct ManifestMessage {
   std::string model_;
@@ -66,12 +81,19 @@
     return peers_;
   }
   /// @brief Live agents that do not serve a version yet, this one included.
+  /// @param version 0 for any: then those that serve none.
+  /// @param self_narrowed whether the own link is narrowed.
   [[nodiscard]] std::vector<swarm::SwarmMember> Lacking(
-      std::uint64_t version) const;
+      std::uint64_t version, bool self_narrowed) const;
 
   /// @brief Asks a peer for a piece; nothing when it does not give it.
   void AskPiece(const core::InstanceId& peer, const PieceMessage& ask,
-                std::function<void(std::optional<std::string>)> done);
+                std::function<void(std::optional<ReceivedPiece>)> done);
+  /// @brief Gives up a piece that was asked for: what is left of it does not
+  /// fill the link.
+  void CancelPiece(std::size_t piece);
+  /// @brief Gives up all that were asked for.
+  void CancelPieces();
   /// @brief Asks a peer for a manifest. One that has none is not asked again
   /// before it announces one.
   void AskManifest(const core::InstanceId& peer, const PieceMessage& ask,
@@ -94,6 +116,8 @@
   std::map<core::InstanceId, PiecePeer> peers_;
   /// By address; kept, since a call may be under way on it.
   std::map<std::string, std::shared_ptr<PeerConnection>> connections_;
+  /// By piece.
+  std::map<std::size_t, OutgoingCallPtr> asked_;
   std::unique_ptr<PeerServer> server_;
 };
 
--- a/packages/daemon/src/daemon/direct/weights_keeper.cpp
+++ b/packages/daemon/src/daemon/direct/weights_keeper.cpp
@@ -5,6 +5,8 @@
 #include <random>
 #include <utility>
 
+#include "daemon/direct/direct_settings.hpp"
+
 namespace chalkwell::daemon::direct {
 namespace {
 
@@ -19,14 +21,9 @@
 /// The next in rank asks the source for the manifest after this.
 constexpr auto kManifestStep = milliseconds(300);
 /// A piece that no own neighbour has is imported by the next in rank then.
-constexpr auto kImportSilence = milliseconds(350);
+constexpr auto kImportSilence = milliseconds(500);
 constexpr auto kPieceTimeout = milliseconds(2500);
 constexpr auto kDrawSilence = milliseconds(900);
-/// Pieces asked for at once: enough to fill a link of 7 Mbit/s over 6 ms.
-constexpr std::size_t kInFlight = 6;
-/// A link that holds back what comes in for this long gets one piece at a
-/// time: requests wait behind pieces.
-constexpr auto kFullLink = milliseconds(150);
 constexpr std::size_t kPerPeer = 1;
 /// The source's link is shared by all agents: one piece each.
 constexpr std::size_t kOriginInFlight = 1;
@@ -43,7 +40,6 @@
   swarm::PlannerSettings planner;
   planner.origin_copies_ = 1;
   planner.per_peer_ = kPerPeer;
-  planner.in_flight_ = kInFlight;
   planner.origin_in_flight_ = kOriginInFlight;
   planner.draw_silence_ = kDrawSilence;
   planner.chunk_timeout_ = kPieceTimeout;
@@ -51,6 +47,12 @@
   return planner;
 }
 
+swarm::FetchWindowSettings WindowSettingsOf(const Settings& settings) {
+  swarm::FetchWindowSettings window;
+  window.bytes_per_second_ = LinkRate(settings);
+  return window;
+}
+
 std::string_view ToText(bool value) { return value ? "yes" : "no"; }
 
 }  // namespace
@@ -69,6 +71,7 @@
               .on_missing_ = [this](std::size_t piece) { OnMissing(piece); }}),
       planner_({process.id(), process.domain()}, PlannerSettingsOf(),
                std::random_device{}()),
+      window_(WindowSettingsOf(process.settings())),
       turns_(process.id(), kOutShare, kTurnLease),
       tick_(process.loop()) {
   tick_.Every(kTick, [this] { Tick(); });
@@ -91,7 +94,7 @@
     return;
   }
   wanted_ = weights;
-  wanted_since_ = process_.loop().Now();
+  named_.OnNamed(weights.version_, process_.loop().Now());
   process_.log().Write(core::EventNumber::kWeightsNamed,
                        {{"model", weights.model_},
                         {"version", std::to_string(weights.version_)}});
@@ -107,6 +110,7 @@
   phase_since_ = process_.loop().Now();
   if (phase == Phase::kSettled) {
     ++job_;
+    peers_.CancelPieces();
     switching_ = false;
   }
 }
@@ -209,10 +213,15 @@
   AskManifest();
 }
 
+std::vector<swarm::SwarmMember> WeightsKeeper::Lacking() const {
+  return peers_.Lacking(wanted_.version_,
+                        window_.Narrowed(process_.loop().Now()));
+}
+
 std::size_t WeightsKeeper::ManifestRank() const {
   const auto item = model_ + ":" + std::to_string(wanted_.version_);
   const auto own = core::RendezvousScore(item, process_.id().value());
-  const auto members = peers_.Lacking(wanted_.version_);
+  const auto members = Lacking();
   return static_cast<std::size_t>(
       std::ranges::count_if(members, [&](const swarm::SwarmMember& member) {
         return core::RendezvousScore(item, member.id_.value()) > own;
@@ -257,13 +266,21 @@
 void WeightsKeeper::FetchFromPeer(const swarm::FetchOrder& order) {
   const PieceMessage ask{model_, wanted_.version_,
                          static_cast<std::uint32_t>(order.chunk_)};
-  peers_.AskPiece(*order.peer_, ask,
-                  [this, job = job_, piece = order.chunk_, peer = *order.peer_](
-                      const std::optional<std::string>& bytes) {
-                    if (Current(job)) {
-                      OnPiece(piece, bytes, peer.value());
-                    }
-                  });
+  peers_.AskPiece(
+      *order.peer_, ask,
+      [this, job = job_, piece = order.chunk_,
+       peer = *order.peer_](const std::optional<ReceivedPiece>& received) {
+        if (!Current(job)) {
+          return;
+        }
+        if (!received) {
+          OnPiece(piece, std::nullopt, peer.value());
+          return;
+        }
+        window_.OnChunk(received->transfer_, received->bytes_.size(),
+                        process_.loop().Now());
+        OnPiece(piece, received->bytes_, peer.value());
+      });
 }
 
 void WeightsKeeper::OnHeld(const membership::Member& sender,
@@ -311,7 +328,7 @@
   }
   if (wanted_.version_ == 0) {
     wanted_ = {model_, manifest.version_};
-    wanted_since_ = process_.loop().Now();
+    named_.OnNamed(manifest.version_, process_.loop().Now());
   }
   manifest_ = manifest;
   held_ = swarm::ChunkSet(manifest.digests_.size());
@@ -354,6 +371,7 @@
   }
   const auto now = process_.loop().Now();
   planner_.Start(std::move(chunks), held_, now);
+  window_.Start();
   for (const auto& [id, peer] : peers_.peers()) {
     if (peer.held_.version_ == wanted_.version_) {
       planner_.OnAnnounced(
@@ -371,14 +389,15 @@
   }
   const auto now = process_.loop().Now();
   for (const auto& late : planner_.TakeTimedOut(now)) {
+    peers_.CancelPiece(late.chunk_);
     process_.log().Write(
         core::EventNumber::kChunkFailed,
         {{"piece", std::to_string(late.chunk_)},
          {"source", late.peer_ ? late.peer_->value() : "origin"},
          {"reason", "timeout"}});
   }
-  planner_.SetMembers(peers_.Lacking(wanted_.version_));
-  planner_.SetInFlight(mesh_.InboundDelay() >= kFullLink ? 1 : kInFlight);
+  planner_.SetMembers(Lacking());
+  planner_.SetInFlight(window_.size());
   for (const auto& order : planner_.Next(now)) {
     Fetch(order);
   }
@@ -475,6 +494,13 @@
   }
 }
 
+bool WeightsKeeper::Urgent(core::TimePoint now) const {
+  const auto bound =
+      process_.settings().Milliseconds("rollout", "version_bound_ms");
+  const auto end = named_.EndOf(serving_, bound);
+  return end && now >= *end - kSwitchTime;
+}
+
 void WeightsKeeper::TakeTurn() {
   const auto now = process_.loop().Now();
   std::set<core::InstanceId> near{process_.id()};
@@ -488,9 +514,7 @@
     }
   }
   turns_.SetMembers(std::move(near));
-  const auto bound =
-      process_.settings().Milliseconds("rollout", "version_bound_ms");
-  const bool urgent = now - wanted_since_ >= bound - kSwitchTime;
+  const bool urgent = Urgent(now);
   if (serving_ != 0 && !urgent && !turns_.MayGo(now)) {
     return;
   }
@@ -567,6 +591,7 @@
   held.bits_ = held_.ToBytes();
   held.serving_ = serving_;
   held.has_manifest_ = manifest_.has_value();
+  held.narrowed_ = window_.Narrowed(announced_at_);
   mesh_.PushHeld(held);
 }
 
--- a/packages/daemon/src/daemon/direct/weights_keeper.hpp
+++ b/packages/daemon/src/daemon/direct/weights_keeper.hpp
@@ -7,7 +7,9 @@
 #include <string>
 
 #include "chalkwell/rollout/turns.hpp"
+#include "chalkwell/rollout/version_bound.hpp"
 #include "chalkwell/swarm/chunk_set.hpp"
+#include "chalkwell/swarm/fetch_window.hpp"
 #include "chalkwell/swarm/planner.hpp"
 #include "daemon/direct/hooks.hpp"
 #include "daemon/direct/mesh_node.hpp"
@@ -37,6 +39,10 @@
   [[nodiscard]] std::uint64_t serving() const noexcept { return serving_; }
   /// @brief Whether the engine is changing its weights or about to.
   [[nodiscard]] bool switching() const noexcept { return switching_; }
+  /// @brief How long pieces that arrive wait on the own link.
+  [[nodiscard]] core::Duration LinkDelay(core::TimePoint now) const {
+    return window_.Delay(now);
+  }
   [[nodiscard]] const swarm::ChunkSet& held() const noexcept { return held_; }
 
  private:
@@ -64,6 +70,8 @@
   void Stage(std::size_t piece, std::string bytes);
   void OnMissing(std::size_t piece);
   void TakeTurn();
+  /// @brief Whether the switch cannot wait for its turn.
+  [[nodiscard]] bool Urgent(core::TimePoint now) const;
   void StartPlanner();
   void CheckStagedAtStart();
   void AskPeerManifest(const core::InstanceId& peer);
@@ -75,6 +83,8 @@
   void Order();
   void SetPhase(Phase phase);
   void Announce(bool repeat);
+  /// @brief Members that want the version too, this one included.
+  [[nodiscard]] std::vector<swarm::SwarmMember> Lacking() const;
   [[nodiscard]] std::size_t ManifestRank() const;
   [[nodiscard]] bool Current(std::uint64_t job) const noexcept {
     return job == job_;
@@ -88,7 +98,8 @@
   std::optional<Address> origin_;
   core::FailureDomainId origin_domain_;
   NamedWeights wanted_;
-  core::TimePoint wanted_since_;
+  /// Versions heard of, with their times.
+  rollout::VersionBound named_;
   /// 0 while the engine serves no whole weights.
   std::uint64_t serving_ = 0;
   std::uint64_t orders_seen_ = 0;
@@ -104,6 +115,7 @@
   std::size_t staging_ = 0;
   PieceExchange peers_;
   swarm::Planner planner_;
+  swarm::FetchWindow window_;
   rollout::Turns turns_;
   core::TimePoint announced_at_;
   bool announce_due_ = false;
--- a/tests/membership/path_delay_test.cpp
+++ b/tests/membership/path_delay_test.cpp
@@ -41,5 +41,34 @@
   CHECK(link.At(start + 9s) == 0ms);
 }
 
+TEST_CASE("a link that fills is seen at once when much is heard",
+          "[membership]") {
+  // Seen: the least of a whole second hid a queue of 1.6 s while it grew.
+  const core::TimePoint start{10h};
+  LinkDelay link;
+  for (int i = 0; i < 10; ++i) {
+    link.OnMessage(5ms, start + i * 20ms);
+  }
+  CHECK(link.At(start + 200ms) == 5ms);
+  for (int i = 0; i < 10; ++i) {
+    link.OnMessage(700ms, start + 500ms + i * 20ms);
+  }
+  CHECK(link.At(start + 700ms) == 700ms);
+}
+
+TEST_CASE("what the last message showed holds while nothing is heard",
+          "[membership]") {
+  struct Row {
+    core::Duration after_;
+    core::Duration delay_;
+  };
+  const auto row =
+      GENERATE(Row{900ms, 800ms}, Row{2500ms, 800ms}, Row{3500ms, 0ms});
+  const core::TimePoint start{10h};
+  LinkDelay link;
+  link.OnMessage(800ms, start);
+  CHECK(link.At(start + row.after_) == row.delay_);
+}
+
 }  // namespace
 }  // namespace chalkwell::membership
--- a/tests/rollout/version_bound_test.cpp
+++ b/tests/rollout/version_bound_test.cpp
@@ -28,6 +28,21 @@
   CHECK(bound.Least(8s, kStart + row.after_) == row.least_);
 }
 
+TEST_CASE("a version ends by the first that is named after it", "[rollout]") {
+  // Seen: engines with version 1 waited for the bound of version 3, while
+  // version 2 had ended what they served 2 s before.
+  struct Row {
+    std::uint64_t version_;
+    std::optional<core::TimePoint> end_;
+  };
+  const auto row = GENERATE(Row{1, kStart + 8s}, Row{2, kStart + 10s},
+                            Row{3, std::nullopt}, Row{4, std::nullopt});
+  VersionBound bound;
+  bound.OnNamed(2, kStart);
+  bound.OnNamed(3, kStart + 2s);
+  CHECK(bound.EndOf(row.version_, 8s) == row.end_);
+}
+
 TEST_CASE("many versions keep the bounds of those that still count",
           "[rollout]") {
   VersionBound bound;
--- a/tests/routing/endpoint_table_test.cpp
+++ b/tests/routing/endpoint_table_test.cpp
@@ -131,6 +131,28 @@
   CHECK(Chosen(table, request, kStart) == row.chosen_);
 }
 
+TEST_CASE("old weights are left early at an engine whose reports stay away",
+          "[routing]") {
+  // Seen: a narrowed link lost an agent's reports; the last one was 1.3 s old
+  // and good, and a request took 1.6 s and began after the bound.
+  struct Case {
+    core::Duration age_;
+    std::string chosen_;
+  };
+  const auto row = GENERATE(Case{100ms, "a"}, Case{600ms, "a"},
+                            Case{800ms, "far"}, Case{1300ms, "far"});
+  auto table = Table({Row("a"), Row("far", "elsewhere")});
+  LoadReport report;
+  report.weights_version_ = 1;
+  table.TakeReport("a:1", report, kStart);
+  table.MarkVersion(core::InstanceId("far"), 2);
+  const auto engine = Engine();
+  const auto now = kStart + row.age_;
+  ChoiceRequest request{.service_ = "pool", .engine_ = &engine};
+  request.versions_ = {0, 2, now + 2s};
+  CHECK(Chosen(table, request, now) == row.chosen_);
+}
+
 TEST_CASE("the emptier endpoint is chosen, the near one when equal",
           "[routing]") {
   struct Case {
--- a/tests/swarm/swarm_test.cpp
+++ b/tests/swarm/swarm_test.cpp
@@ -48,6 +48,85 @@
   CHECK(assembly.whole());
 }
 
+TEST_CASE("what only a member on a narrowed link holds is drawn by another",
+          "[swarm]") {
+  // Seen: two of fifteen members had a tenth of their links; the chunks that
+  // they drew kept all others waiting for 6.4 s instead of 3.7 s.
+  struct Row {
+    std::string name_;
+    bool slow_;
+    bool other_holds_;
+    core::Duration after_;
+    /// Empty: nobody; "origin": drawn.
+    std::string asked_;
+  };
+  const auto row = GENERATE(
+      Row{"a quick holder is asked", false, false, 0ms, "holder"},
+      Row{"a slow one is not", true, false, 0ms, "origin"},
+      Row{"nor when another holds the chunk", true, true, 0ms, "other"},
+      Row{"but when nobody else came to hold it", true, false, 3s, "holder"});
+  CAPTURE(row.name_);
+  const core::FailureDomainId domain("d");
+  Planner planner({core::InstanceId("me"), domain},
+                  {.origin_copies_ = 1, .per_peer_ = 1}, 1);
+  planner.Start(Chunks(1), ChunkSet(1), kStart);
+  ChunkSet whole(1);
+  whole.Add(0);
+  planner.OnAnnounced({core::InstanceId("holder"), domain}, whole, kStart);
+  if (row.other_holds_) {
+    // Farther away, so that only the narrowed link speaks for it.
+    planner.OnAnnounced({core::InstanceId("other"), core::FailureDomainId("e")},
+                        whole, kStart);
+  }
+  planner.SetMembers({{core::InstanceId("me"), domain},
+                      {core::InstanceId("holder"), domain, row.slow_}});
+  const auto orders = planner.Next(kStart + row.after_);
+  REQUIRE(orders.size() == 1);
+  const auto& peer = orders.front().peer_;
+  CHECK((peer ? peer->value() : "origin") == row.asked_);
+}
+
+TEST_CASE("members on narrowed links come last in rank, and draw if alone",
+          "[swarm]") {
+  const core::FailureDomainId domain("d");
+  const bool other_slow = GENERATE(false, true);
+  // Whatever the scores say: of many chunks each would get a share.
+  Planner planner({core::InstanceId("me"), domain},
+                  {.origin_copies_ = 1, .origin_in_flight_ = 50}, 1);
+  planner.Start(Chunks(50), ChunkSet(50), kStart);
+  planner.SetMembers({{core::InstanceId("me"), domain, true},
+                      {core::InstanceId("other"), domain, other_slow}});
+  const auto drawn = planner.Next(kStart).size();
+  if (other_slow) {
+    CHECK(drawn > 5);
+    CHECK(drawn < 45);
+  } else {
+    CHECK(drawn == 0);
+  }
+}
+
+TEST_CASE("what no neighbour holds is asked for first", "[swarm]") {
+  // Seen: imports waited behind chunks that neighbours held, the next in rank
+  // imported them too, and twice the bytes crossed between regions.
+  const core::FailureDomainId near("d");
+  const core::FailureDomainId far("e");
+  Planner planner({core::InstanceId("me"), near},
+                  {.origin_copies_ = 0, .per_peer_ = 2, .in_flight_ = 1}, 1);
+  planner.SetMembers({{core::InstanceId("me"), near}});
+  planner.Start(Chunks(2), ChunkSet(2), kStart);
+  ChunkSet first(2);
+  first.Add(0);
+  ChunkSet second(2);
+  second.Add(1);
+  planner.OnAnnounced({core::InstanceId("n"), near}, first, kStart);
+  for (const auto* id : {"f", "g", "h"}) {
+    planner.OnAnnounced({core::InstanceId(id), far}, second, kStart);
+  }
+  const auto orders = planner.Next(kStart);
+  REQUIRE(orders.size() == 1);
+  CHECK(orders.front().chunk_ == 1);
+}
+
 TEST_CASE("weights never pass the rate and never starve", "[swarm]") {
   CHECK(rc::check([](const std::vector<std::uint16_t>& sizes) {
     constexpr std::uint64_t kRate = 100'000;
