An agent that restarts beside a serving engine leaves it alone

They then ordered what the engine held; the engine said that it was done, its version did not change, so the agent never took the order for carried out and told entries for 7 s (the time of an order) that the engine takes nothing. Ruled out: lost weights (the engines' reports had version 3), the source (it was up), a queue (engines stood idle). Change: reports count from the moment at which the model is known; whatever an agent is about ends when its engine is seen to serve what is wanted. Tests: two with real processes, both failed first (an order, a fetch).

--- a/packages/daemon/src/daemon/direct/weights_keeper.cpp
+++ b/packages/daemon/src/daemon/direct/weights_keeper.cpp
@@ -118,6 +118,10 @@
 void WeightsKeeper::OnEngineLost() { heard_engine_ = false; }
 
 void WeightsKeeper::OnReport(const EngineReport& report) {
+  if (model_.empty()) {
+    // Which of its models counts is not known yet: it may serve already.
+    return;
+  }
   const auto held = report.models_.find(model_);
   const auto version = held == report.models_.end() ? 0 : held->second;
   const bool restarted = report.orders_ < orders_seen_;
@@ -126,9 +130,17 @@
   if (restarted && phase_ != Phase::kSettled) {
     SetPhase(Phase::kSettled);
   }
-  if (version == serving_) {
-    return;
+  if (version != serving_) {
+    OnServing(version, restarted);
+  }
+  const bool needless = version > 0 && version >= wanted_.version_;
+  if (needless && phase_ != Phase::kSettled && !report.ordered_) {
+    SetPhase(Phase::kSettled);
+    turns_.OnServing(process_.id(), version, process_.loop().Now());
   }
+}
+
+void WeightsKeeper::OnServing(std::uint64_t version, bool restarted) {
   serving_ = version;
   announce_due_ = true;
   process_.log().Write(version > 0 ? core::EventNumber::kEndpointReady
@@ -136,12 +148,6 @@
                        {{"model", model_},
                         {"version", std::to_string(version)},
                         {"restarted", std::string(ToText(restarted))}});
-  const bool arrived =
-      version > 0 && version >= wanted_.version_ && phase_ == Phase::kOrdered;
-  if (arrived) {
-    SetPhase(Phase::kSettled);
-    turns_.OnServing(process_.id(), version, process_.loop().Now());
-  }
 }
 
 void WeightsKeeper::Tick() {
--- a/packages/daemon/src/daemon/direct/weights_keeper.hpp
+++ b/packages/daemon/src/daemon/direct/weights_keeper.hpp
@@ -59,6 +59,8 @@
   };
 
   void Tick();
+  /// @brief The engine serves another version than before; 0 for none.
+  void OnServing(std::uint64_t version, bool restarted);
   void Begin();
   void AskManifest();
   void TakeManifest(const WeightsManifest& manifest);
--- a/tests/platform/path_test.cpp
+++ b/tests/platform/path_test.cpp
@@ -410,6 +410,53 @@
         static_cast<int>(2 * kPieces) + (spoilt ? 1 : 0));
 }
 
+TEST_CASE("an agent that restarts beside a serving engine leaves it alone",
+          "[platform]") {
+  // Seen: after all processes were killed, agents read their engines before
+  // they knew the model, took them for empty, ordered what they served, and
+  // kept them from requests for 7 s.
+  Deployment deployment;
+  deployment.engine_.SetVersion(2);
+  deployment.store_.Put("op/version/m", {{"model", "m"}, {"version", 2}});
+  deployment.store_.SetBusy(true);
+  const auto agent = deployment.StartAgent("a1");
+  REQUIRE(Eventually([&] { return deployment.engine_.reports() >= 5; }));
+  deployment.store_.SetBusy(false);
+  REQUIRE(Eventually([&] {
+    const auto log = deployment.Log("a1");
+    return log.find("weights-named") != std::string::npos &&
+           log.find("restarted") != std::string::npos;
+  }));
+  const auto reports = deployment.engine_.reports();
+  REQUIRE(
+      Eventually([&] { return deployment.engine_.reports() >= reports + 20; }));
+  CHECK(deployment.engine_.orders() == 0);
+  CHECK(deployment.Log("a1").find("fetch-started") == std::string::npos);
+}
+
+TEST_CASE("an engine that already holds what is ordered is free at once",
+          "[platform]") {
+  // The engine came to hold the version while its agent was fetching it.
+  Deployment deployment;
+  const auto entry = deployment.StartEntry("e1", deployment.store_.address());
+  REQUIRE(Eventually([&] { return entry.Ready(); }));
+  deployment.origin_.SetDown(true);
+  const auto agent = deployment.StartAgent("a1");
+  REQUIRE(Eventually([&] {
+    return deployment.Log("a1").find("fetch-started") != std::string::npos;
+  }));
+  deployment.engine_.SetVersion(1);
+  deployment.PutRows();
+  CHECK(Eventually(
+      [&] { return Status(Ask(entry, RequestText("/model/x"))) == "200"; }));
+  deployment.origin_.SetDown(false);
+  const auto reports = deployment.engine_.reports();
+  REQUIRE(
+      Eventually([&] { return deployment.engine_.reports() >= reports + 20; }));
+  CHECK(deployment.engine_.orders() == 0);
+  CHECK(Status(Ask(entry, RequestText("/model/x"))) == "200");
+}
+
 TEST_CASE("a request of a model waits for an engine that holds it",
           "[platform]") {
   Deployment deployment;
--- a/tests/platform/standins.cpp
+++ b/tests/platform/standins.cpp
@@ -267,6 +267,7 @@
 }
 
 void EndpointStandin::Report(const HttpExchangePtr& exchange) const {
+  ++reports_;
   auto models = nlohmann::json::array();
   if (version_ > 0) {
     models.push_back({{"name", "m"}, {"version", version_.load()}});
@@ -386,6 +387,10 @@
 }
 
 void OriginStandin::OnCall(const HttpExchangePtr& exchange) {
+  if (down_) {
+    exchange->Respond(503, {}, "");
+    return;
+  }
   const auto& path = exchange->request().path_;
   const auto version = NumberOr(Query(path, "version"), 1);
   if (path.starts_with("/manifest/")) {
--- a/tests/platform/standins.hpp
+++ b/tests/platform/standins.hpp
@@ -115,6 +115,9 @@
   [[nodiscard]] std::uint64_t version() const { return version_; }
   [[nodiscard]] int runs() const { return runs_; }
   [[nodiscard]] int gone() const { return gone_; }
+  /// @brief Times that its agent asked for its report.
+  [[nodiscard]] int reports() const { return reports_; }
+  [[nodiscard]] std::uint64_t orders() const { return orders_; }
   /// @brief Requests that ran, as they arrived.
   [[nodiscard]] std::vector<daemon::HttpRequest> requests() const;
   [[nodiscard]] std::map<std::size_t, std::string> staged() const;
@@ -137,6 +140,7 @@
   std::atomic<std::uint64_t> orders_{0};
   std::atomic<int> runs_{0};
   std::atomic<int> gone_{0};
+  mutable std::atomic<int> reports_{0};
   std::vector<daemon::HttpRequest> requests_;
   std::map<std::size_t, std::string> staged_;
   std::vector<daemon::HttpExchangePtr> held_;
@@ -152,6 +156,8 @@
   [[nodiscard]] static std::string Piece(std::uint64_t version,
                                          std::size_t piece);
   [[nodiscard]] int drawn() const { return drawn_; }
+  /// @brief While true every call gets 503.
+  void SetDown(bool down) { down_ = down; }
   /// @brief The next piece arrives spoilt.
   void SpoilNext() { spoil_ = true; }
 
@@ -161,6 +167,7 @@
   std::size_t pieces_;
   std::atomic<int> drawn_{0};
   std::atomic<bool> spoil_{false};
+  std::atomic<bool> down_{false};
   std::unique_ptr<daemon::Http1Server> server_;
 };
 
