Connections are shared among entries; attempts have spans; tests of limits, reload, restart without the store

Tests: rows of the table for the share and the load; with real processes 408, 413 and 431 against limits that changed, SIGHUP twice with good and faulty settings, an entry that restarts while the store is away (503 and not ready until a peer teaches it).

--- a/packages/chalkwell/src/chalkwell/routing/endpoint_table.cpp
+++ b/packages/chalkwell/src/chalkwell/routing/endpoint_table.cpp
@@ -267,6 +267,11 @@
       std::ranges::find(request.tried_, row.id_) != request.tried_.end()) {
     return false;
   }
+  const bool full = request.max_in_flight_ > 0 &&
+                    endpoint.in_flight_ >= request.max_in_flight_;
+  if (full) {
+    return false;
+  }
   if (request.engine_ == nullptr) {
     return true;
   }
@@ -374,6 +379,12 @@
   return choice;
 }
 
+std::uint32_t EndpointTable::LoadOf(const core::InstanceId& id,
+                                    core::TimePoint now) const {
+  const auto found = endpoints_.find(id);
+  return found == endpoints_.end() ? 0 : Occupied(found->second, now);
+}
+
 std::vector<EndpointRow> EndpointTable::Rows() const {
   std::vector<EndpointRow> rows;
   rows.reserve(endpoints_.size());
--- a/packages/chalkwell/src/chalkwell/routing/endpoint_table.hpp
+++ b/packages/chalkwell/src/chalkwell/routing/endpoint_table.hpp
@@ -117,6 +117,9 @@
   /// Weights the answer must come from; none for any.
   std::optional<std::uint64_t> weights_version_;
   VersionRule versions_;
+  /// Own requests that one endpoint may have under way: each has a connection,
+  /// and all entries share what the endpoint accepts. 0 for any number.
+  std::uint32_t max_in_flight_ = 0;
   /// Endpoints already tried.
   std::vector<core::InstanceId> tried_;
 };
@@ -176,6 +179,9 @@
   [[nodiscard]] std::size_t size() const noexcept { return endpoints_.size(); }
   [[nodiscard]] std::uint64_t revision() const noexcept { return revision_; }
   [[nodiscard]] bool heard() const noexcept { return revision_ > 0; }
+  /// @brief Requests believed to be at an endpoint; 0 when it is not known.
+  [[nodiscard]] std::uint32_t LoadOf(const core::InstanceId& id,
+                                     core::TimePoint now) const;
   /// @brief Rows believed in, for status pages and peers.
   [[nodiscard]] std::vector<EndpointRow> Rows() const;
   /// @brief Newest weights that any endpoint of a service holds.
--- a/packages/daemon/src/daemon/direct/direct_agent.cpp
+++ b/packages/daemon/src/daemon/direct/direct_agent.cpp
@@ -14,11 +14,13 @@
 
 using std::chrono::milliseconds;
 
-/// Between two reports: a token step takes some 10 ms, a request a second.
-constexpr auto kPollInterval = milliseconds(60);
-/// Counts are told this often at most, since each telling crosses to all
-/// failure domains; a change of weights is told at once.
-constexpr auto kPushInterval = milliseconds(110);
+/// Between two reports while nothing is under way: a request takes a second,
+/// and each telling of its count crosses to all failure domains.
+constexpr auto kPollInterval = milliseconds(110);
+/// The same while weights change: that is told at once.
+constexpr auto kQuickPollInterval = milliseconds(50);
+/// Counts are told this often at most.
+constexpr auto kPushInterval = milliseconds(105);
 /// An unchanged report is told this often, well within the age at which an
 /// entry stops believing it.
 constexpr auto kRepeat = milliseconds(500);
@@ -149,7 +151,8 @@
 void DirectAgent::PollEngine() {
   adapter_.weights_.report_([this](const std::optional<EngineReport>& report) {
     OnReport(report);
-    poll_.Once(kPollInterval, [this] { PollEngine(); });
+    poll_.Once(weights_.settled() ? kPollInterval : kQuickPollInterval,
+               [this] { PollEngine(); });
   });
 }
 
--- a/packages/daemon/src/daemon/direct/direct_entry.cpp
+++ b/packages/daemon/src/daemon/direct/direct_entry.cpp
@@ -27,6 +27,9 @@
 /// Part of the fleet's reserve of retries that is used: not every entry knows
 /// of every other.
 constexpr double kReserveUsed = 0.5;
+/// A count of live entries is used for this long: members come and go by
+/// gossip, which takes longer.
+constexpr auto kEntryCountAge = milliseconds(200);
 /// Old weights are not used for this last part of the time they may be: a
 /// request may be long on a narrowed link, and wait at its endpoint before it
 /// begins. Engines that are known to be behind a full link are passed over
@@ -69,7 +72,10 @@
                process.log(),
                process.metrics(),
                process.tracer(),
-               [this](const std::string& model) { return RuleFor(model); }},
+               [this](const std::string& model) { return RuleFor(model); },
+               [this](const std::string& service) {
+                 return ConnectionShare(service);
+               }},
       reader_(process.loop(), adapter_.store_,
               ReaderSettingsOf(process.settings()), process.log(),
               process.metrics(),
@@ -338,6 +344,7 @@
   routing::ChoiceRequest wanted;
   wanted.service_ = request.service_;
   wanted.prompt_tokens_ = request.caller_.prompt_tokens_;
+  wanted.max_in_flight_ = ConnectionShare(request.service_);
   if (request.engine_) {
     wanted.engine_ = &*request.engine_;
     wanted.versions_ = RuleFor(request.engine_->model_);
@@ -379,12 +386,30 @@
       ->Start();
 }
 
-double DirectEntry::ReserveShare() const {
+std::size_t DirectEntry::Entries() {
+  const auto now = process_.loop().Now();
+  if (now - entries_counted_at_ < kEntryCountAge) {
+    return entries_;
+  }
   const auto live = mesh_.Live();
-  const auto entries =
-      1 + std::ranges::count(live, membership::MemberKind::kEntry,
-                             &membership::Member::kind_);
-  return kReserveUsed * retry_reserve_ / static_cast<double>(entries);
+  const auto others = std::ranges::count(live, membership::MemberKind::kEntry,
+                                         &membership::Member::kind_);
+  entries_ = 1 + static_cast<std::size_t>(others);
+  entries_counted_at_ = now;
+  return entries_;
+}
+
+double DirectEntry::ReserveShare() {
+  return kReserveUsed * retry_reserve_ / static_cast<double>(Entries());
+}
+
+std::uint32_t DirectEntry::ConnectionShare(const std::string& service) {
+  const auto* found = rules_.FindService(service);
+  if (found == nullptr || found->max_connections_ == 0) {
+    return 0;
+  }
+  const auto share = found->max_connections_ / Entries();
+  return std::max(1U, static_cast<std::uint32_t>(share));
 }
 
 void DirectEntry::Refuse(HttpExchange& exchange, const CallerRequest& caller,
@@ -405,6 +430,7 @@
 }
 
 std::string DirectEntry::Status() const {
+  const auto now = process_.loop().Now();
   auto rows = nlohmann::json::array();
   for (const auto& row : endpoints_.Rows()) {
     rows.push_back({{"id", row.id_.value()},
@@ -415,7 +441,7 @@
                     {"leaving", row.leaving_},
                     {"version", row.weights_version_.value_or(0)},
                     {"weights", ""},
-                    {"load", 0}});
+                    {"load", endpoints_.LoadOf(row.id_, now)}});
   }
   const nlohmann::json status{{"id", process_.id().value()},
                               {"domain", process_.domain().value()},
--- a/packages/daemon/src/daemon/direct/direct_entry.hpp
+++ b/packages/daemon/src/daemon/direct/direct_entry.hpp
@@ -54,7 +54,10 @@
   [[nodiscard]] HttpLimits Limits() const;
   [[nodiscard]] std::string NotReady() const;
   [[nodiscard]] routing::VersionRule RuleFor(const std::string& model) const;
-  [[nodiscard]] double ReserveShare() const;
+  [[nodiscard]] double ReserveShare();
+  /// @brief Live entries, this one included; they share what is bounded.
+  [[nodiscard]] std::size_t Entries();
+  [[nodiscard]] std::uint32_t ConnectionShare(const std::string& service);
   void BeginStop();
   [[nodiscard]] std::string Status() const;
 
@@ -79,6 +82,9 @@
   Timer stop_timer_;
   Timer relay_timer_;
   std::size_t in_flight_ = 0;
+  /// Live entries as last counted, and when.
+  std::size_t entries_ = 1;
+  core::TimePoint entries_counted_at_;
   /// From the naming of weights until nothing may begin on older ones.
   core::Duration version_bound_{};
   /// Retries that all entries together may make beyond their share.
--- a/packages/daemon/src/daemon/direct/direct_request.cpp
+++ b/packages/daemon/src/daemon/direct/direct_request.cpp
@@ -9,6 +9,7 @@
 
 using std::chrono::milliseconds;
 
+constexpr std::string_view kTraceparent = "traceparent";
 constexpr int kBadGateway = 502;
 constexpr int kUnavailable = 503;
 constexpr int kGatewayTimeout = 504;
@@ -60,8 +61,7 @@
 void DirectRequest::Start() {
   const auto now = context_.loop_.Now();
   span_ = context_.tracer_.Begin(
-      "entry.request",
-      FindHeader(exchange_->request().headers_, "traceparent"));
+      "entry.request", FindHeader(exchange_->request().headers_, kTraceparent));
   context_.budget_.OnRequest(now);
   exchange_->OnAbort([self = shared_from_this()] { self->OnCallerGone(); });
   deadline_.Once(request_.deadline_ - now,
@@ -92,6 +92,7 @@
   wanted.service_ = request_.service_;
   wanted.prompt_tokens_ = request_.caller_.prompt_tokens_;
   wanted.tried_ = tried_;
+  wanted.max_in_flight_ = context_.max_in_flight_(request_.service_);
   if (request_.engine_) {
     wanted.engine_ = &*request_.engine_;
     wanted.versions_ = context_.versions_(request_.engine_->model_);
@@ -110,6 +111,8 @@
   attempt_.number_ = send.attempt_;
   attempt_.choice_ = *chosen_;
   attempt_.sent_at_ = now;
+  attempt_.span_ =
+      context_.tracer_.Begin("entry.attempt", span_.context_.ToHeader());
   const auto& row = attempt_.choice_.row_;
   tried_.push_back(row.id_);
   AttemptTerms terms;
@@ -133,6 +136,16 @@
     return context_.adapter_.requests_.answers_(headers, request_.caller_.id_);
   };
   const auto number = send.attempt_;
+  auto http = context_.adapter_.requests_.write_attempt_(
+      exchange_->request(), request_.caller_, terms);
+  if (context_.tracer_.exports()) {
+    // The endpoint's span is a child of the attempt's.
+    std::erase_if(http.headers_, [](const HttpHeader& header) {
+      return header.first == kTraceparent;
+    });
+    http.headers_.emplace_back(kTraceparent,
+                               attempt_.span_.context_.ToHeader());
+  }
   const auto self = shared_from_this();
   HttpCallbacks callbacks{
       .on_head_ =
@@ -160,9 +173,7 @@
   context_.endpoints_.OnSent(row.id_, request_.caller_.prompt_tokens_, now);
   attempt_.counted_ = true;
   attempt_.call_ =
-      context_.http_.Send(ParseAddress(row.address_),
-                          context_.adapter_.requests_.write_attempt_(
-                              exchange_->request(), request_.caller_, terms),
+      context_.http_.Send(ParseAddress(row.address_), http,
                           std::move(callbacks), std::move(options));
   ExpectFirstByte();
 }
@@ -324,6 +335,8 @@
     context_.endpoints_.OnEnded(
         attempt_.choice_.row_.id_, request_.caller_.prompt_tokens_,
         attempt_.sent_at_, attempt_.answering_, outcome, context_.loop_.Now());
+    context_.tracer_.End(attempt_.span_,
+                         outcome == routing::EndpointOutcome::kAnswered);
   }
 }
 
--- a/packages/daemon/src/daemon/direct/direct_request.hpp
+++ b/packages/daemon/src/daemon/direct/direct_request.hpp
@@ -30,6 +30,8 @@
   Tracer& tracer_;
   /// Weights that a request of a model may begin on.
   std::function<routing::VersionRule(const std::string& model)> versions_;
+  /// Own requests that one endpoint of a service may have under way; 0 for any.
+  std::function<std::uint32_t(const std::string& service)> max_in_flight_;
 };
 
 /// @brief A request that was admitted.
@@ -63,6 +65,7 @@
     routing::AttemptNumber number_ = 0;
     routing::EndpointChoice choice_;
     core::TimePoint sent_at_;
+    Span span_;
     std::shared_ptr<HttpCall> call_;
     int status_ = 0;
     HttpHeaders headers_;
--- a/packages/daemon/src/daemon/direct/weights_keeper.hpp
+++ b/packages/daemon/src/daemon/direct/weights_keeper.hpp
@@ -37,6 +37,10 @@
   [[nodiscard]] bool NeedsOrigin() const noexcept { return !origin_; }
   [[nodiscard]] const NamedWeights& wanted() const noexcept { return wanted_; }
   [[nodiscard]] std::uint64_t serving() const noexcept { return serving_; }
+  /// @brief Whether the engine serves what is wanted.
+  [[nodiscard]] bool settled() const noexcept {
+    return phase_ == Phase::kSettled;
+  }
   /// @brief Whether the engine is changing its weights or about to.
   [[nodiscard]] bool switching() const noexcept { return switching_; }
   /// @brief How long pieces that arrive wait on the own link.
--- a/packages/daemon/src/daemon/tracer.hpp
+++ b/packages/daemon/src/daemon/tracer.hpp
@@ -49,6 +49,8 @@
   /// @param traceparent header of the caller; may be empty.
   [[nodiscard]] Span Begin(std::string name, std::string_view traceparent);
   void End(const Span& span, bool ok);
+  /// @brief Whether spans go anywhere.
+  [[nodiscard]] bool exports() const noexcept { return collector_.has_value(); }
 
  private:
   struct Finished {
--- a/tests/platform/path_test.cpp
+++ b/tests/platform/path_test.cpp
@@ -56,6 +56,13 @@
   }
 };
 
+/// Limits of callers, as published.
+struct CallerLimits {
+  std::size_t header_bytes_ = 4096;
+  std::size_t body_bytes_ = 1000;
+  int header_ms_ = 3000;
+};
+
 /// A deployment: a store, two endpoints of a service, one of a model.
 class Deployment {
  public:
@@ -110,9 +117,9 @@
                   {"origin", origin_.address()},
                   {"zone", "z1"}}}},
                {"limits",
-                {{"maxHeaderBytes", 4096},
-                 {"maxBodyBytes", 1000},
-                 {"headerTimeoutMs", 3000},
+                {{"maxHeaderBytes", limits_.header_bytes_},
+                 {"maxBodyBytes", limits_.body_bytes_},
+                 {"headerTimeoutMs", limits_.header_ms_},
                  {"idleTimeoutMs", 3000}}},
                {"tenants",
                 {{{"name", "acct"}, {"apiKeys", keys}, {"priority", 2}}}}});
@@ -179,6 +186,7 @@
   EndpointStandin engine_{thread_, "i-engine"};
   OriginStandin origin_{thread_, kPieces};
   std::filesystem::path folder_;
+  CallerLimits limits_;
 };
 
 std::string RequestText(const std::string& path, const std::string& key = "k1",
@@ -194,7 +202,10 @@
   return caller.ReadUntil();
 }
 
-std::string Status(const std::string& answer) { return answer.substr(9, 3); }
+/// Empty when nothing was answered.
+std::string Status(const std::string& answer) {
+  return answer.size() < 12 ? "" : answer.substr(9, 3);
+}
 
 TEST_CASE("requests go where the rules say, with what endpoints must see",
           "[platform]") {
@@ -377,6 +388,82 @@
   CHECK(Status(Ask(second, RequestText("/safe/x", "k1"))) == "200");
 }
 
+TEST_CASE("limits of callers are those of the rules in force", "[platform]") {
+  struct Row {
+    std::string name_;
+    std::string header_;
+    std::size_t body_ = 0;
+    std::string before_;
+    std::string after_;
+  };
+  const auto row =
+      GENERATE(Row{"large headers", std::string(2000, 'h'), 4, "200", "431"},
+               Row{"a large body", "h", 600, "200", "413"},
+               Row{"small ones", "h", 4, "200", "200"});
+  CAPTURE(row.name_);
+  Deployment deployment;
+  const auto entry = deployment.StartEntry("e1", deployment.store_.address());
+  REQUIRE(Eventually([&] { return entry.Ready(); }));
+  const auto text =
+      "POST /open/x HTTP/1.1\r\nhost: h\r\nattempt-id: a1\r\n"
+      "connection: close\r\nx-fill: " +
+      row.header_ + "\r\ncontent-length: " + std::to_string(row.body_) +
+      "\r\n\r\n" + std::string(row.body_, 'b');
+  CHECK(Status(Ask(entry, text)) == row.before_);
+  deployment.limits_ = {
+      .header_bytes_ = 1000, .body_bytes_ = 500, .header_ms_ = 300};
+  deployment.PutRules(2, {"k1"});
+  REQUIRE(Eventually([&] {
+    return Status(Ask(entry, RequestText("/safe/x", "k2"))) == "401";
+  }));
+  CHECK(Status(Ask(entry, text)) == row.after_);
+  // A request that is never whole: its time is up.
+  const RawSocket slow(entry.caller_);
+  slow.Send("POST /open/x HTTP/1.1\r\nhost: h\r\n");
+  CHECK(Status(slow.ReadUntil()) == "408");
+}
+
+TEST_CASE("a reload takes good settings and keeps out faulty ones",
+          "[platform]") {
+  struct Row {
+    std::string added_;
+    std::string told_;
+  };
+  const auto row = GENERATE(Row{"\n[mesh]\ninterval_ms = 900\n", "yes"},
+                            Row{"\n[mesh]\ninterval_ms = soon\n", "no"});
+  Deployment deployment;
+  const auto entry = deployment.StartEntry("e1", deployment.store_.address());
+  REQUIRE(Eventually([&] { return entry.Ready(); }));
+  std::ofstream(deployment.folder_ / "e1.ini", std::ios::app) << row.added_;
+  entry.child_.Signal(SIGHUP);
+  entry.child_.Signal(SIGHUP);
+  CHECK(Eventually([&] {
+    return deployment.Log("e1").find("taken=\"" + row.told_) !=
+           std::string::npos;
+  }));
+  CHECK(Status(Ask(entry, RequestText("/safe/x"))) == "200");
+}
+
+TEST_CASE("an entry that restarts without the store serves by a peer's word",
+          "[platform]") {
+  // Until then it is not ready, and says that nothing ran.
+  Deployment deployment;
+  const auto first = deployment.StartEntry("e1", deployment.store_.address());
+  REQUIRE(Eventually([&] { return first.Ready(); }));
+  StoreStandin away(deployment.thread_);
+  away.SetBusy(true);
+  auto alone = deployment.StartEntry("e2", away.address());
+  REQUIRE(Eventually(
+      [&] { return Status(Ask(alone, RequestText("/safe/x"))) == "503"; }));
+  CHECK_FALSE(alone.Ready());
+  CHECK(Ask(alone, RequestText("/safe/x")).find("retry-after") !=
+        std::string::npos);
+  alone.child_.Kill();
+  const auto again = deployment.StartEntry("e3", away.address(), &first);
+  CHECK(Eventually([&] { return again.Ready(); }));
+  CHECK(Status(Ask(again, RequestText("/safe/x"))) == "200");
+}
+
 TEST_CASE("rules are in force where the watch has gone silent", "[platform]") {
   // The second entry's connections to the store carry reads, but its watch
   // never answers: it hears of the new rules from the first.
--- a/tests/routing/endpoint_table_test.cpp
+++ b/tests/routing/endpoint_table_test.cpp
@@ -121,6 +121,18 @@
              request.weights_version_ = 3;
            },
            "far"},
+      Case{"it has as many own requests as this entry may have there",
+           [](auto& table, auto& request) {
+             table.OnSent(core::InstanceId("a"), 0, kStart);
+             request.max_in_flight_ = 1;
+           },
+           "far"},
+      Case{"it has fewer",
+           [](auto& table, auto& request) {
+             table.OnSent(core::InstanceId("a"), 0, kStart);
+             request.max_in_flight_ = 2;
+           },
+           "a"},
       Case{"another service is asked for",
            [](auto&, auto& request) { request.service_ = "other"; }, ""});
   CAPTURE(row.name_);
@@ -191,6 +203,20 @@
   CHECK(table.Choose(request, kStart + 11ms)->occupied_ == 5);
 }
 
+TEST_CASE("the load of an endpoint is what it reported and what was sent since",
+          "[routing]") {
+  auto table = Table({Row("a")});
+  const core::InstanceId id("a");
+  CHECK(table.LoadOf(core::InstanceId("unknown"), kStart) == 0);
+  LoadReport report;
+  report.active_ = 3;
+  report.queued_ = 2;
+  table.TakeReport("a:1", report, kStart);
+  CHECK(table.LoadOf(id, kStart) == 5);
+  table.OnSent(id, 10, kStart + 1ms);
+  CHECK(table.LoadOf(id, kStart + 1ms) == 6);
+}
+
 TEST_CASE("an older report does not undo a newer one", "[routing]") {
   auto table = Table({Row("a")});
   LoadReport report;
