The next in rank imports when its failure domain stands still

Ruled out: requests (crossing made dearer: no change), reports of loads (told half as often across: no change). Change: the next in rank follows when its domain got nothing new for the silence, or 2.5 s after the piece was known. Test failed first (others arrive, after 600 ms).

--- a/packages/chalkwell/src/chalkwell/swarm/planner.cpp
+++ b/packages/chalkwell/src/chalkwell/swarm/planner.cpp
@@ -21,6 +21,8 @@
   chunks_ = std::move(chunks);
   held_ = held;
   seen_ = held;
+  near_seen_ = held;
+  near_progress_ = now;
   seen_at_.assign(chunks_.size(), now);
   outstanding_.clear();
   origin_outstanding_ = 0;
@@ -54,7 +56,7 @@
   known.chunks_ = chunks;
   for (std::size_t chunk = 0; chunk < chunks.size(); ++chunk) {
     if (chunks.Has(chunk)) {
-      MarkSeen(chunk, now);
+      MarkSeen(chunk, peer.domain_ == self_.domain_, now);
     }
   }
 }
@@ -92,10 +94,13 @@
 void Planner::OnChunk(std::size_t chunk, core::TimePoint now) {
   TakeOutstanding(chunk, true, now);
   held_.Add(chunk);
-  MarkSeen(chunk, now);
+  MarkSeen(chunk, true, now);
 }
 
-void Planner::MarkSeen(std::size_t chunk, core::TimePoint now) {
+void Planner::MarkSeen(std::size_t chunk, bool near, core::TimePoint now) {
+  if (near && chunk < seen_at_.size() && near_seen_.Add(chunk)) {
+    near_progress_ = now;
+  }
   if (chunk < seen_at_.size() && seen_.Add(chunk)) {
     seen_at_[chunk] = now;
     last_progress_ = now;
@@ -183,7 +188,10 @@
     return true;
   }
   const auto ahead = static_cast<int>(Rank(chunk, true));
-  return now - seen_at_[chunk] >= settings_.import_silence_ * ahead;
+  const auto known = now - seen_at_[chunk];
+  const auto silence = std::min(known, now - near_progress_);
+  return silence >= settings_.import_silence_ * ahead ||
+         known >= settings_.import_patience_ * ahead;
 }
 
 std::size_t Planner::Rank(std::size_t chunk, bool near) const {
--- a/packages/chalkwell/src/chalkwell/swarm/planner.hpp
+++ b/packages/chalkwell/src/chalkwell/swarm/planner.hpp
@@ -34,9 +34,12 @@
   /// Peers with this many failures in a row are left out for a while.
   unsigned max_failures_ = 3;
   /// A chunk that only other failure domains hold is asked for there by the
-  /// first in rank of the own domain; the next one follows after this time.
-  /// Zero: anyone may ask at once.
+  /// first in rank of the own domain; the next one follows when the domain got
+  /// nothing new for this time. Zero: anyone may ask at once.
   core::Duration import_silence_{};
+  /// It follows too when the chunk is known for this long: the first in rank
+  /// may be gone while others go on.
+  core::Duration import_patience_ = std::chrono::milliseconds(2500);
   core::Duration failure_rest_ = std::chrono::seconds(2);
 };
 
@@ -135,7 +138,7 @@
                                                  core::TimePoint now) const;
   [[nodiscard]] std::size_t DrawRank(std::size_t chunk) const;
   [[nodiscard]] bool MayImport(std::size_t chunk, core::TimePoint now) const;
-  void MarkSeen(std::size_t chunk, core::TimePoint now);
+  void MarkSeen(std::size_t chunk, bool near, core::TimePoint now);
   [[nodiscard]] HolderCount Holders(std::size_t chunk) const;
   void TakeOutstanding(std::size_t chunk, bool good, core::TimePoint now);
   void Ask(std::size_t chunk, Peer* peer, core::TimePoint now,
@@ -155,6 +158,10 @@
   std::size_t origin_outstanding_ = 0;
   /// Chunks that some peer or this member is known to hold.
   ChunkSet seen_;
+  /// Chunks that some member of the own failure domain is known to hold.
+  ChunkSet near_seen_;
+  /// When one of them came to it.
+  core::TimePoint near_progress_;
   /// When each chunk of `seen_` was seen for the first time.
   std::vector<core::TimePoint> seen_at_;
   /// When a chunk was last seen for the first time.
--- a/tests/swarm/swarm_test.cpp
+++ b/tests/swarm/swarm_test.cpp
@@ -105,6 +105,50 @@
   }
 }
 
+TEST_CASE(
+    "the next in rank imports when its domain stands still, or much later",
+    "[swarm]") {
+  // Seen: the first in rank was busy with other imports; after 500 ms the next
+  // one asked for the same bytes, and a quarter more crossed between regions.
+  struct Row {
+    std::string name_;
+    /// When the last other chunk came to the own failure domain.
+    core::Duration progress_;
+    core::Duration after_;
+    bool asks_;
+  };
+  const auto row =
+      GENERATE(Row{"too early", 0ms, 300ms, false},
+               Row{"nothing new for long", 0ms, 600ms, true},
+               Row{"others arrive", 400ms, 600ms, false},
+               Row{"others arrived", 400ms, 1000ms, true},
+               Row{"others arrive all the time", 2400ms, 2600ms, true});
+  CAPTURE(row.name_);
+  const core::FailureDomainId near("d");
+  const std::vector<SwarmMember> members{{core::InstanceId("a"), near},
+                                         {core::InstanceId("b"), near}};
+  const auto chunks = Chunks(2);
+  const auto first_is_a =
+      core::RendezvousScore(chunks[0].digest_.ToHex(), "a") >
+      core::RendezvousScore(chunks[0].digest_.ToHex(), "b");
+  const auto& self = first_is_a ? members[1] : members[0];
+  const auto& neighbour = first_is_a ? members[0] : members[1];
+  Planner planner(self, {.origin_copies_ = 0, .import_silence_ = 500ms}, 1);
+  planner.SetMembers(members);
+  planner.Start(chunks, ChunkSet(2), kStart);
+  ChunkSet wanted(2);
+  wanted.Add(0);
+  planner.OnAnnounced({core::InstanceId("far"), core::FailureDomainId("e")},
+                      wanted, kStart);
+  ChunkSet other(2);
+  other.Add(1);
+  planner.OnAnnounced(neighbour, other, kStart + row.progress_);
+  const auto orders = planner.Next(kStart + row.after_);
+  const bool asks = std::ranges::any_of(
+      orders, [](const FetchOrder& order) { return order.chunk_ == 0; });
+  CHECK(asks == row.asks_);
+}
+
 TEST_CASE("what no neighbour holds is asked for first", "[swarm]") {
   // Seen: imports waited behind chunks that neighbours held, the next in rank
   // imported them too, and twice the bytes crossed between regions.
