--- a/packages/chalkwell/src/chalkwell/routing/endpoint_table.cpp
+++ b/packages/chalkwell/src/chalkwell/routing/endpoint_table.cpp
@@ -28,10 +28,12 @@
 
 }  // namespace
 
-EndpointListChange ChangeOf(std::uint64_t from,
-                            const std::vector<EndpointRow>& before,
-                            std::uint64_t to,
-                            const std::vector<EndpointRow>& after) {
+std::optional<EndpointListChange> ChangeOf(
+    std::uint64_t from, const std::vector<EndpointRow>& before,
+    std::uint64_t to, const std::vector<EndpointRow>& after, bool complete) {
+  if (!complete) {
+    return std::nullopt;
+  }
   EndpointListChange change{.from_ = from, .to_ = to, .rows_ = {}, .gone_ = {}};
   for (const auto& row : after) {
     if (std::ranges::find(before, row) == before.end()) {
--- a/packages/chalkwell/src/chalkwell/routing/endpoint_table.hpp
+++ b/packages/chalkwell/src/chalkwell/routing/endpoint_table.hpp
@@ -43,9 +43,12 @@
 };
 
 /// @brief The change from one list to another.
-[[nodiscard]] EndpointListChange ChangeOf(
+/// @param complete false when leases may have lapsed while the store was away.
+/// @return none for such a list: rows that it lacks may not be gone, and each
+/// process grants them the grace time itself.
+[[nodiscard]] std::optional<EndpointListChange> ChangeOf(
     std::uint64_t from, const std::vector<EndpointRow>& before,
-    std::uint64_t to, const std::vector<EndpointRow>& after);
+    std::uint64_t to, const std::vector<EndpointRow>& after, bool complete);
 
 /// @brief What an endpoint reported of itself.
 struct LoadReport {
--- a/packages/daemon/src/daemon/direct/endpoint_list.cpp
+++ b/packages/daemon/src/daemon/direct/endpoint_list.cpp
@@ -37,27 +37,27 @@
 void EndpointList::TakeRead(const Published& published, bool from_store) {
   const auto now = loop_.Now();
   const auto before = endpoints_.Rows();
-  const bool lapses = now - hooks_.reachable_since_() < kLapseTime;
-  endpoints_.TakeList(published.endpoints_, published.revision_, !lapses, now);
+  const bool complete = now - hooks_.reachable_since_() >= kLapseTime;
+  endpoints_.TakeList(published.endpoints_, published.revision_, complete, now);
   const auto after = endpoints_.Rows();
   if (before != after) {
     LogChange(from_store ? "store" : "peer");
     TellDeparted(before, after);
   }
   if (from_store) {
-    TellNeighbours(published);
+    TellNeighbours(published, complete);
   }
 }
 
-void EndpointList::TellNeighbours(const Published& published) {
+void EndpointList::TellNeighbours(const Published& published, bool complete) {
   const auto change = routing::ChangeOf(
       read_revision_, std::exchange(read_rows_, published.endpoints_),
-      published.revision_, published.endpoints_);
+      published.revision_, published.endpoints_, complete);
   const bool first = std::exchange(read_revision_, published.revision_) == 0;
-  if (first || !duty_.Elected() || change.rows_.size() > kMaxRows) {
+  if (first || !duty_.Elected() || !change || change->rows_.size() > kMaxRows) {
     return;
   }
-  const auto message = ToMessage(change);
+  const auto message = ToMessage(*change);
   for (const auto& neighbour : Neighbours()) {
     mesh_.PushList(neighbour, message);
   }
--- a/packages/daemon/src/daemon/direct/endpoint_list.hpp
+++ b/packages/daemon/src/daemon/direct/endpoint_list.hpp
@@ -41,7 +41,8 @@
 
  private:
   [[nodiscard]] std::vector<membership::Member> Neighbours() const;
-  void TellNeighbours(const Published& published);
+  /// @param complete whether no lease can have lapsed unseen.
+  void TellNeighbours(const Published& published, bool complete);
   void TellDeparted(const std::vector<routing::EndpointRow>& before,
                     const std::vector<routing::EndpointRow>& after);
   void LogChange(const std::string& source);
