--- a/tests/fleet/scratch.cpp
+++ b/tests/fleet/scratch.cpp
@@ -3,6 +3,7 @@
 
 #include <cstdlib>
 #include <filesystem>
+#include <iostream>
 #include <stdexcept>
 
 namespace chalkwell::fleet {
@@ -16,10 +17,12 @@
 }
 
 Scratch::~Scratch() {
-  if (std::getenv("CHALKWELL_KEEP") == nullptr) {
-    std::error_code ignored;
-    std::filesystem::remove_all(path_, ignored);
+  if (std::getenv("CHALKWELL_KEEP") != nullptr) {
+    std::cout << "kept: " << path_ << "\n";
+    return;
   }
+  std::error_code ignored;
+  std::filesystem::remove_all(path_, ignored);
 }
 
 }  // namespace chalkwell::fleet
--- a/tests/fleet/scratch.hpp
+++ b/tests/fleet/scratch.hpp
@@ -5,8 +5,8 @@
 
 namespace chalkwell::fleet {
 
-/// @brief Temporary folder; kept when the test failed and CHALKWELL_KEEP is
-/// set.
+/// @brief Temporary folder; kept while CHALKWELL_KEEP is set, which test_main
+/// does when a check fails.
 class Scratch {
  public:
   Scratch();
