Old weights are used longer at calm engines; requests no longer wait for one

The margin is there for links full of pieces and for queues. At an engine that reported within 300 ms, whose link carried no piece for a second, with nothing waiting and a quarter of its places free, a request begins when it is expected to: there the margin is 0.6 s. Late requests count as begun after 2.5 s near a bound. A version that an entry finds at its start keeps the long margin, since it was named any time ago; entries tell each other a naming at once, in case a watch is silent. Also: streams no longer wait for engines that take up weights.

--- a/packages/chalkwell/src/chalkwell/rollout/version_bound.cpp
+++ b/packages/chalkwell/src/chalkwell/rollout/version_bound.cpp
@@ -9,11 +9,12 @@
 
 }  // namespace
 
-bool VersionBound::OnNamed(std::uint64_t version, core::TimePoint now) {
+bool VersionBound::OnNamed(std::uint64_t version, core::TimePoint now,
+                           bool live) {
   if (version <= newest()) {
     return false;
   }
-  named_.push_back({version, now});
+  named_.push_back({version, now, live});
   if (named_.size() > kMaxNamed) {
     named_.pop_front();
   }
@@ -42,15 +43,22 @@
 }
 
 routing::VersionRule VersionBound::RuleAt(core::Duration bound,
+                                          core::Duration calm_margin,
+                                          core::Duration margin,
                                           core::TimePoint now) const noexcept {
   routing::VersionRule rule;
-  rule.least_ = Least(bound, now);
   for (const auto& named : named_) {
-    if (named.version_ > rule.least_) {
-      rule.next_ = named.version_;
-      rule.until_ = named.heard_at_ + bound;
-      break;
+    const auto until = named.heard_at_ + bound - margin;
+    const auto calm_until =
+        named.live_ ? named.heard_at_ + bound - calm_margin : until;
+    if (now >= calm_until) {
+      rule.least_ = named.version_;
+      continue;
     }
+    rule.next_ = named.version_;
+    rule.until_ = until;
+    rule.calm_until_ = calm_until;
+    break;
   }
   return rule;
 }
--- a/packages/chalkwell/src/chalkwell/routing/endpoint_table.cpp
+++ b/packages/chalkwell/src/chalkwell/routing/endpoint_table.cpp
@@ -302,10 +302,22 @@
   }
   const bool link_known = endpoint.report_ && now - endpoint.reported_at_ <
                                                   settings_.link_report_age_;
-  const auto begins = link_known
-                          ? first_byte
-                          : std::max(first_byte, settings_.unreported_delay_);
-  return now + begins >= request.versions_.until_;
+  // A late one waits for all that come meanwhile.
+  const bool known = link_known && request.on_time_;
+  const auto begins =
+      known ? first_byte : std::max(first_byte, settings_.unreported_delay_);
+  return now + begins >= (Calm(endpoint, request, now)
+                              ? request.versions_.calm_until_
+                              : request.versions_.until_);
+}
+
+bool EndpointTable::Calm(const Endpoint& endpoint, const ChoiceRequest& request,
+                         core::TimePoint now) const {
+  return request.on_time_ && endpoint.report_ &&
+         now - endpoint.reported_at_ <= settings_.calm_report_age_ &&
+         endpoint.report_->link_idle_ && endpoint.report_->queued_ == 0 &&
+         Occupied(endpoint, now) <=
+             settings_.calm_places_ * request.engine_->slots_;
 }
 
 bool EndpointTable::Usable(const Endpoint& endpoint,
@@ -441,20 +453,6 @@
   return choice;
 }
 
-bool EndpointTable::ExpectsSoon(const std::string& service,
-                                core::TimePoint now) const {
-  return std::ranges::any_of(endpoints_, [&](const auto& entry) {
-    const auto& endpoint = entry.second;
-    if (endpoint.row_.service_ != service || endpoint.row_.leaving_ ||
-        !Reported(endpoint, now) ||
-        !incarnations_.Lives(endpoint.row_.address_, entry.first)) {
-      return false;
-    }
-    const auto& report = *endpoint.report_;
-    return !report.accepting_ || !report.weights_version_;
-  });
-}
-
 std::uint32_t EndpointTable::LoadOf(const core::InstanceId& id,
                                     core::TimePoint now) const {
   const auto found = endpoints_.find(id);
--- a/packages/chalkwell/src/chalkwell/routing/stream_admission.cpp
+++ b/packages/chalkwell/src/chalkwell/routing/stream_admission.cpp
@@ -25,9 +25,6 @@
 /// leaves behind is served within some two seconds. Callers wait for a third of
 /// what they have left at most.
 constexpr auto kLatePause = milliseconds(2000);
-/// A stream that no endpoint can take yet waits until this part of its target
-/// is over: reading its prompt takes the rest.
-constexpr double kWaitTargets = 0.75;
 /// Steps of priority between those on time and the late: platforms have ten,
 /// and routes use the first few.
 constexpr std::uint32_t kLateStep = 5;
@@ -92,10 +89,6 @@
   return occupied < kLatePlaces * engine.slots_;
 }
 
-core::TimePoint WaitsUntil(const StreamRequest& request, core::TimePoint now) {
-  return now + Times(request.target_, kWaitTargets) - request.age_;
-}
-
 std::optional<std::uint32_t> EnginePriority(
     std::optional<std::uint32_t> priority, bool on_time) {
   if (on_time) {
--- a/packages/chalkwell/src/chalkwell/routing/stream_admission.hpp
+++ b/packages/chalkwell/src/chalkwell/routing/stream_admission.hpp
@@ -56,11 +56,6 @@
 [[nodiscard]] bool AdmitsLate(const config::EngineProfile& engine,
                               std::uint32_t occupied);
 
-/// @brief Until when a stream waits that no endpoint can take, if one will in a
-/// moment: then its first event is still in time.
-[[nodiscard]] core::TimePoint WaitsUntil(const StreamRequest& request,
-                                         core::TimePoint now);
-
 /// @brief Priority at the engine; 0 is the most urgent.
 /// @param priority of the route or account; none when not given.
 [[nodiscard]] std::optional<std::uint32_t> EnginePriority(
--- a/packages/daemon/src/daemon/direct/direct_entry.cpp
+++ b/packages/daemon/src/daemon/direct/direct_entry.cpp
@@ -33,15 +33,14 @@
 /// begins. Engines that are known to be behind a full link are passed over
 /// earlier.
 constexpr auto kVersionMargin = milliseconds(1400);
+/// The same where an engine has free places and its link carries no pieces:
+/// requests began there within 0.3 s of what was expected. Without it nothing
+/// could serve for 0.8 s longer where newer weights come late.
+constexpr auto kCalmMargin = milliseconds(600);
 /// An entry that the store does not answer asks another entry this often.
 constexpr auto kRelayInterval = milliseconds(700);
 /// What is believed came from the store itself, as the log names it.
 constexpr std::string_view kStoreSource = "store";
-/// What waits for an endpoint is offered again so often, a small part of a
-/// target.
-constexpr auto kOfferInterval = milliseconds(20);
-/// Requests that wait at once: those of a second.
-constexpr std::size_t kMostWaiting = 64;
 /// Peers ask with a few revisions; answers are not bounded by this.
 constexpr std::size_t kMaxPeerBody = std::size_t{1} << 16;
 /// The platform stops sending new connections after two probes, one a second.
@@ -120,8 +119,7 @@
                TakePublished(section, published, "peer");
              }),
       stop_timer_(process.loop()),
-      relay_timer_(process.loop()),
-      offer_timer_(process.loop()) {}
+      relay_timer_(process.loop()) {}
 
 void DirectEntry::TakeSettings() {
   const auto& settings = process_.settings();
@@ -233,6 +231,9 @@
   for (const auto& weights : published.weights_) {
     TakeWeights(weights);
   }
+  if (section == Section::kWeights && published.end_ == ReadEnd::kRead) {
+    weights_read_ = true;
+  }
   if (section == Section::kEndpoints) {
     list_.TakeRead(published, source == kStoreSource);
   }
@@ -267,13 +268,16 @@
 }
 
 void DirectEntry::TakeWeights(const NamedWeights& weights) {
-  if (!weights_[weights.model_].OnNamed(weights.version_,
-                                        process_.loop().Now())) {
+  if (!weights_[weights.model_].OnNamed(weights.version_, process_.loop().Now(),
+                                        weights_read_)) {
     return;
   }
   process_.log().Write(core::EventNumber::kWeightsNamed,
                        {{"model", weights.model_},
                         {"version", std::to_string(weights.version_)}});
+  // A watch may have gone silent elsewhere: the time of a bound runs from the
+  // naming, not from its being heard.
+  mesh_.PushWeights();
 }
 
 routing::VersionRule DirectEntry::RuleFor(const std::string& model) const {
@@ -281,7 +285,7 @@
   if (found == weights_.end()) {
     return {};
   }
-  return found->second.RuleAt(version_bound_ - kVersionMargin,
+  return found->second.RuleAt(version_bound_, kCalmMargin, kVersionMargin,
                               process_.loop().Now());
 }
 
@@ -408,61 +412,11 @@
                         AdmittedDirect request) {
   const auto now = process_.loop().Now();
   std::string reason;
-  const auto wait = RefusalOf(request, now, reason);
-  if (!wait) {
-    Begin(exchange, std::move(request));
-  } else if (Waits(request, now)) {
-    const routing::StreamRequest stream{request.route_.target_latency_,
-                                        request.age_};
-    waiting_.push_back(
-        {exchange, std::move(request), routing::WaitsUntil(stream, now)});
-    offer_timer_.Once(kOfferInterval, [this] { OfferWaiting(); });
-  } else {
+  if (const auto wait = RefusalOf(request, now, reason)) {
     Refuse(*exchange, request.caller_, kUnavailable,
            core::EventNumber::kRequestRefused, reason, wait);
+    return;
   }
-}
-
-bool DirectEntry::Waits(const AdmittedDirect& request,
-                        core::TimePoint now) const {
-  const routing::StreamRequest stream{request.route_.target_latency_,
-                                      request.age_};
-  return request.engine_ && request.route_.streaming_ &&
-         now < routing::WaitsUntil(stream, now) &&
-         waiting_.size() < kMostWaiting &&
-         endpoints_.ExpectsSoon(request.service_, now);
-}
-
-void DirectEntry::OfferWaiting() {
-  const auto now = process_.loop().Now();
-  for (auto& held : std::exchange(waiting_, {})) {
-    auto& request = held.request_;
-    if (!held.exchange_->open()) {
-      process_.log().Write(
-          core::EventNumber::kCallerGone,
-          {{"request", request.caller_.id_}, {"attempt", "0"}});
-      continue;
-    }
-    request.age_ += now - request.received_at_;
-    std::string reason;
-    const auto wait = RefusalOf(request, now, reason);
-    request.age_ -= now - request.received_at_;
-    if (!wait) {
-      Begin(held.exchange_, std::move(request));
-    } else if (now < held.until_) {
-      waiting_.push_back(std::move(held));
-    } else {
-      Refuse(*held.exchange_, request.caller_, kUnavailable,
-             core::EventNumber::kRequestRefused, reason, wait);
-    }
-  }
-  if (!waiting_.empty()) {
-    offer_timer_.Once(kOfferInterval, [this] { OfferWaiting(); });
-  }
-}
-
-void DirectEntry::Begin(const HttpExchangePtr& exchange,
-                        AdmittedDirect request) {
   ++in_flight_;
   process_.stop().OnWorkTaken();
   budget_.SetReserve(ReserveShare());
--- a/packages/daemon/src/daemon/direct/direct_entry.hpp
+++ b/packages/daemon/src/daemon/direct/direct_entry.hpp
@@ -24,13 +24,6 @@
 
 namespace chalkwell::daemon::direct {
 
-/// @brief A request that no endpoint can take yet.
-struct WaitingRequest {
-  HttpExchangePtr exchange_;
-  AdmittedDirect request_;
-  core::TimePoint until_;
-};
-
 /// @brief One entry instance.
 class DirectEntry {
  public:
@@ -60,12 +53,6 @@
               core::EventNumber event, const std::string& reason,
               std::optional<core::Duration> retry_after);
   void Admit(const HttpExchangePtr& exchange, AdmittedDirect request);
-  void Begin(const HttpExchangePtr& exchange, AdmittedDirect request);
-  /// @brief Whether a request that no endpoint can take now waits for one.
-  [[nodiscard]] bool Waits(const AdmittedDirect& request,
-                           core::TimePoint now) const;
-  /// @brief Offers what waits to endpoints again.
-  void OfferWaiting();
   /// @brief Decides whether a request is taken, and whether before late ones.
   /// @return when to come back, if it is not.
   [[nodiscard]] std::optional<core::Duration> RefusalOf(AdmittedDirect& request,
@@ -89,6 +76,9 @@
   routing::RequestAge ages_;
   /// By model.
   std::map<std::string, rollout::VersionBound> weights_;
+  /// Whether the store told once which versions are named: what comes later was
+  /// named since.
+  bool weights_read_ = false;
   /// By address of the endpoint whose agent reports.
   std::map<std::string, membership::PathDelay> paths_;
   RequestContext context_;
@@ -102,9 +92,6 @@
   std::unique_ptr<HttpServer> admin_;
   Timer stop_timer_;
   Timer relay_timer_;
-  Timer offer_timer_;
-  /// Requests that wait for an endpoint, oldest first.
-  std::vector<WaitingRequest> waiting_;
   std::size_t in_flight_ = 0;
   /// Live entries as last counted, and when.
   std::size_t entries_ = 1;
--- a/packages/daemon/src/daemon/direct/mesh_messages.cpp
+++ b/packages/daemon/src/daemon/direct/mesh_messages.cpp
@@ -80,6 +80,7 @@
   if (message.version_ > 0) {
     report.weights_version_ = message.version_;
   }
+  report.link_idle_ = message.link_idle_;
   report.incarnation_ = core::InstanceId(message.incarnation_);
   report.path_delay_ =
       outbound + std::chrono::milliseconds(message.inbound_ms_);
--- a/packages/daemon/src/daemon/direct/weights_keeper.cpp
+++ b/packages/daemon/src/daemon/direct/weights_keeper.cpp
@@ -447,6 +447,9 @@
   client_.piece_(
       *origin_, model_, wanted_.version_, piece,
       [this, job = job_, piece](const std::optional<std::string>& bytes) {
+        if (bytes) {
+          drawn_at_ = process_.loop().Now();
+        }
         if (Current(job)) {
           OnPiece(piece, bytes, "origin");
         }
--- a/packages/daemon/src/daemon/direct/weights_keeper.hpp
+++ b/packages/daemon/src/daemon/direct/weights_keeper.hpp
@@ -47,6 +47,10 @@
   [[nodiscard]] core::Duration LinkDelay(core::TimePoint now) const {
     return window_.Delay(now);
   }
+  /// @brief Whether no piece was on the own link for a while.
+  [[nodiscard]] bool LinkIdle(core::TimePoint now) const {
+    return peers_.LinkIdle(now) && now - drawn_at_ >= kLinkMemory;
+  }
   [[nodiscard]] const swarm::ChunkSet& held() const noexcept { return held_; }
 
  private:
@@ -130,6 +134,8 @@
   /// Whether the staging of a served version was looked at.
   bool staged_checked_ = false;
   std::size_t spoilt_ = 0;
+  /// When a piece of the source was last under way.
+  core::TimePoint drawn_at_;
   /// When the staging was last read whole, and whether all of it was right.
   core::TimePoint verified_at_;
   bool verified_all_ = false;
