--- a/packages/chalkwell/src/chalkwell/routing/stream_admission.cpp
+++ b/packages/chalkwell/src/chalkwell/routing/stream_admission.cpp
@@ -13,8 +13,8 @@
 /// does not go before others. Smaller parts let more callers be in time under
 /// an overload that lasts: at 1.45 times four fifths of what engines give 0.69
 /// with 0.48, 0.46 with this (emulator, 10 seeds). But they refuse one caller
-/// in seven, and whole deployments served less with them: 0.688 of the worth
-/// against 0.708 (five days with faults, three seeds each).
+/// in seven, and whole deployments were worth less with 0.53: 0.702 against
+/// 0.708 (three seeds of five days, in trees that differed in other parts too).
 constexpr double kOnTimeTargets = 0.9;
 /// Late streams fill this part of an engine's places: more of them hold up the
 /// reading of prompts for those on time. After an outage of 0.8 s 0.95 of those
