Three tests that fail: large rules are taken once, agents take none, sources that refuse are left alone

The tests fail on the code as it is: 3 answers of the store for one change at 3 entries, 1 for an agent that starts, 76 manifests asked in 3 s. The deployment in miniature moves from path_test into files of its own, unchanged but for processes that know each other.

--- a/tests/platform/path_test.cpp
+++ b/tests/platform/path_test.cpp
@@ -2,211 +2,22 @@
 // stand-ins of its store, endpoints and source of weights.
 #include <catch2/catch.hpp>
 #include <csignal>
-#include <filesystem>
 #include <fstream>
+#include <thread>
 
 #include "../daemon/raw_socket.hpp"
-#include "fleet/child.hpp"
-#include "standins.hpp"
+#include "deployment.hpp"
 
-namespace chalkwell {
+namespace chalkwell::platform_tests {
 namespace {
 
 using daemon::RawSocket;
-using fleet::Child;
-using fleet::FreePort;
 using standins::Behaviour;
-using standins::EndpointStandin;
-using standins::LoopThread;
-using standins::OriginStandin;
-using standins::StoreStandin;
 using namespace std::chrono_literals;
 
-constexpr std::size_t kPieces = 5;
-/// Far longer than anything here takes: a wait that fails says so.
+/// Far longer than a planned stop takes.
 constexpr auto kPatience = 20s;
 
-std::string Local(std::uint16_t port) {
-  return "127.0.0.1:" + std::to_string(port);
-}
-
-bool Eventually(const std::function<bool()>& condition) {
-  const auto until = std::chrono::steady_clock::now() + kPatience;
-  while (!condition()) {
-    if (std::chrono::steady_clock::now() > until) {
-      return false;
-    }
-    std::this_thread::sleep_for(5ms);
-  }
-  return true;
-}
-
-/// One process of the system.
-struct Node {
-  std::uint16_t caller_ = FreePort();
-  std::uint16_t ready_ = FreePort();
-  std::uint16_t peer_ = FreePort();
-  std::uint16_t admin_ = FreePort();
-  Child child_;
-
-  [[nodiscard]] bool Ready() const {
-    const RawSocket probe(ready_);
-    probe.Send("GET /readyz HTTP/1.1\r\nhost: a\r\nconnection: close\r\n\r\n");
-    return probe.connected() && probe.ReadUntil().starts_with("HTTP/1.1 200");
-  }
-};
-
-/// Limits of callers, as published.
-struct CallerLimits {
-  std::size_t header_bytes_ = 4096;
-  std::size_t body_bytes_ = 1000;
-  int header_ms_ = 3000;
-};
-
-/// A deployment: a store, two endpoints of a service, one of a model.
-class Deployment {
- public:
-  Deployment()
-      : folder_(std::filesystem::temp_directory_path() /
-                ("chalkwell-path-" + std::to_string(FreePort()))) {
-    std::filesystem::create_directories(folder_);
-    PutRules(1, {"k1", "k2"});
-    PutRows();
-  }
-  ~Deployment() { std::filesystem::remove_all(folder_); }
-
-  void PutRules(std::uint64_t version, const std::vector<std::string>& keys) {
-    PutRules(store_, version, keys);
-  }
-  void PutRules(StoreStandin& store, std::uint64_t version,
-                const std::vector<std::string>& keys) {
-    const auto route = [](const std::string& path, const std::string& kind,
-                          const std::string& service) {
-      return nlohmann::json{{"name", path},
-                            {"host", "h"},
-                            {"pathPrefix", path},
-                            {"kind", kind},
-                            {"timeoutMs", 4000},
-                            {"targetLatencyMs", 300},
-                            {"targetGapMs", 300},
-                            {"priority", 1},
-                            {"service", service},
-                            {"maxAttempts", 2},
-                            {"resumable", kind == "streaming"},
-                            {"public", path == "/open/"}};
-    };
-    store.Put("op/config",
-              {{"version", version},
-               {"routes",
-                {route("/safe/", "idempotent", "plain"),
-                 route("/open/", "idempotent", "plain"),
-                 route("/once/", "non_idempotent", "plain"),
-                 route("/stream/", "streaming", "plain"),
-                 route("/model/", "idempotent", "pool")}},
-               {"services",
-                {{{"name", "plain"}, {"maxConns", 100}},
-                 {{"name", "pool"},
-                  {"maxConns", 100},
-                  {"engine",
-                   {{"slots", 4},
-                    {"chunks", kPieces},
-                    {"step_ms", 1},
-                    {"read_per_s", 20000},
-                    {"models", {{{"name", "m"}}}}}}},
-                 {{"name", "source"},
-                  {"origin", origin_.address()},
-                  {"zone", "z1"}}}},
-               {"limits",
-                {{"maxHeaderBytes", limits_.header_bytes_},
-                 {"maxBodyBytes", limits_.body_bytes_},
-                 {"headerTimeoutMs", limits_.header_ms_},
-                 {"idleTimeoutMs", 3000}}},
-               {"tenants",
-                {{{"name", "acct"}, {"apiKeys", keys}, {"priority", 2}}}}});
-  }
-  void PutRows() { PutRows(store_); }
-  void PutRows(StoreStandin& store) {
-    store.Put("servers/" + first_.id(), first_.Row("plain", "z1"));
-    store.Put("servers/" + second_.id(), second_.Row("plain", "z1"));
-    store.Put("servers/" + engine_.id(), engine_.Row("pool", "z1"));
-  }
-
-  /// @param seed another entry; both then listen for peers on one port, at
-  /// addresses of their own, as on the users' machines.
-  Node StartEntry(const std::string& name, const std::string& store,
-                  const Node* seed = nullptr) {
-    Node node;
-    const auto seeds = seed == nullptr ? "" : Local(seed->peer_);
-    auto peer = Local(node.peer_);
-    if (seed != nullptr) {
-      peer = "127.0.0.2:" + std::to_string(seed->peer_);
-    }
-    const auto path = (folder_ / (name + ".ini")).string();
-    std::ofstream(path)
-        << "[instance]\nid = " << name
-        << "\ndomain = z1\n[listen]\ncaller = " << Local(node.caller_)
-        << "\nready = " << Local(node.ready_) << "\npeer = " << peer
-        << "\nadmin = " << Local(node.admin_)
-        << "\n[platform]\naddress = " << store
-        << "\npoll_ms = 100\nwatch_wait_ms = 60000\n[mesh]\nseeds = " << seeds
-        << "\n[requests]\nretry_share = 0.2\n"
-           "retry_reserve = 100\n[stop]\ndrain_ms = 5000\n";
-    node.child_ = Child({fleet::DaemonPath(), "entry", "--adapter", "platform",
-                         "--config", path},
-                        (folder_ / (name + ".log")).string());
-    return node;
-  }
-  Node StartAgent(const std::string& name) {
-    Node node;
-    const auto path = (folder_ / (name + ".ini")).string();
-    std::ofstream(path) << "[instance]\nid = " << name
-                        << "\ndomain = z1\n[listen]\npeer = "
-                        << Local(node.peer_)
-                        << "\nadmin = " << Local(node.admin_)
-                        << "\n[platform]\naddress = " << store_.address()
-                        << "\n[endpoint]\nbackend = " << engine_.address()
-                        << "\nrole = pool\n[rollout]\nversion_bound_ms = "
-                           "8000\n[stop]\ndrain_ms = 500\n";
-    node.child_ = Child({fleet::DaemonPath(), "agent", "--adapter", "platform",
-                         "--config", path},
-                        (folder_ / (name + ".log")).string());
-    return node;
-  }
-  [[nodiscard]] std::string Log(const std::string& name) const {
-    std::ifstream file(folder_ / (name + ".log"));
-    std::stringstream text;
-    text << file.rdbuf();
-    return text.str();
-  }
-
-  LoopThread thread_;
-  StoreStandin store_{thread_};
-  EndpointStandin first_{thread_, "i-first"};
-  EndpointStandin second_{thread_, "i-second"};
-  EndpointStandin engine_{thread_, "i-engine"};
-  OriginStandin origin_{thread_, kPieces};
-  std::filesystem::path folder_;
-  CallerLimits limits_;
-};
-
-std::string RequestText(const std::string& path, const std::string& key = "k1",
-                        const std::string& extra = "") {
-  return "POST " + path + " HTTP/1.1\r\nhost: h\r\nattempt-id: a1\r\n" +
-         "deadline-ms: 3000\r\ntenant: forged\r\nauthorization: Bearer " + key +
-         "\r\nconnection: close\r\n" + extra + "content-length: 4\r\n\r\nbody";
-}
-
-std::string Ask(const Node& node, const std::string& text) {
-  const RawSocket caller(node.caller_);
-  caller.Send(text);
-  return caller.ReadUntil();
-}
-
-/// Empty when nothing was answered.
-std::string Status(const std::string& answer) {
-  return answer.size() < 12 ? "" : answer.substr(9, 3);
-}
-
 TEST_CASE("requests go where the rules say, with what endpoints must see",
           "[platform]") {
   Deployment deployment;
@@ -601,4 +412,4 @@
 }
 
 }  // namespace
-}  // namespace chalkwell
+}  // namespace chalkwell::platform_tests
--- a/tests/platform/standins.cpp
+++ b/tests/platform/standins.cpp
@@ -128,6 +128,23 @@
   });
 }
 
+int StoreStandin::Told(const std::string& prefix) const {
+  int told = 0;
+  thread_.Do([&] {
+    const auto found = told_.find(prefix);
+    told = found == told_.end() ? 0 : found->second;
+  });
+  return told;
+}
+
+int StoreStandin::Watching(const std::string& prefix) const {
+  std::ptrdiff_t watching = 0;
+  thread_.Do([&] {
+    watching = std::ranges::count(watches_, prefix, &Watch::prefix_);
+  });
+  return static_cast<int>(watching);
+}
+
 void StoreStandin::OnCall(const HttpExchangePtr& exchange) {
   ++calls_;
   const auto& path = exchange->request().path_;
@@ -186,6 +203,7 @@
                      {"value", ToBase64(item.value_)},
                      {"rev", item.revision_}});
   }
+  told_[prefix] += items.empty() ? 0 : 1;
   RespondJson(exchange,
               {{"items", items}, {"morePages", more}, {"asOf", revision_}});
 }
@@ -202,6 +220,7 @@
   if (events.empty()) {
     return false;
   }
+  ++told_[watch.prefix_];
   RespondJson(watch.exchange_, {{"events", events}, {"asOf", revision_}});
   return true;
 }
@@ -391,11 +410,12 @@
 }
 
 void OriginStandin::OnCall(const HttpExchangePtr& exchange) {
+  const auto& path = exchange->request().path_;
+  manifests_ += path.starts_with("/manifest/") ? 1 : 0;
   if (down_) {
     exchange->Respond(503, {}, "");
     return;
   }
-  const auto& path = exchange->request().path_;
   const auto version = NumberOr(Query(path, "version"), 1);
   if (path.starts_with("/manifest/")) {
     auto digests = nlohmann::json::array();
--- a/tests/platform/standins.hpp
+++ b/tests/platform/standins.hpp
@@ -54,6 +54,10 @@
   /// silent.
   void SetWatchesSilent() { watches_silent_ = true; }
   [[nodiscard]] std::uint64_t calls() const { return calls_; }
+  /// @brief Answers that carried a value below a prefix, reads and watches.
+  [[nodiscard]] int Told(const std::string& prefix) const;
+  /// @brief Watches of a prefix that wait for a change.
+  [[nodiscard]] int Watching(const std::string& prefix) const;
 
  private:
   struct Item {
@@ -81,6 +85,8 @@
   std::atomic<bool> forget_{false};
   std::atomic<bool> watches_silent_{false};
   std::atomic<std::uint64_t> calls_{0};
+  /// By prefix that was asked for.
+  std::map<std::string, int> told_;
   std::unique_ptr<daemon::Http1Server> server_;
 };
 
@@ -162,6 +168,8 @@
   [[nodiscard]] static std::string Piece(std::uint64_t version,
                                          std::size_t piece);
   [[nodiscard]] int drawn() const { return drawn_; }
+  /// @brief Times that its manifest was asked for, refused ones included.
+  [[nodiscard]] int manifests() const { return manifests_; }
   /// @brief While true every call gets 503.
   void SetDown(bool down) { down_ = down; }
   /// @brief The next piece arrives spoilt.
@@ -172,6 +180,7 @@
 
   std::size_t pieces_;
   std::atomic<int> drawn_{0};
+  std::atomic<int> manifests_{0};
   std::atomic<bool> spoil_{false};
   std::atomic<bool> down_{false};
   std::unique_ptr<daemon::Http1Server> server_;
