A source that refuses is left alone for a while

After a loss of power of all machines 76 agents opened 1,900 connections a second, each reset, and kept the source in the state in which it resets them; no engine got weights again. Ruled out: agents that do not know the source (their lines show that they ask it). Pieces that the source refused were asked for again in the same way. Change: core/backoff, pauses of 0.2 to 2 s, half by chance, for all that an agent asks of the source; the planner draws nothing meanwhile. Manifests are asked of a different holder by each agent, not of the first by name.

--- a/packages/chalkwell/src/chalkwell/core/fwd.hpp
+++ b/packages/chalkwell/src/chalkwell/core/fwd.hpp
@@ -9,6 +9,8 @@
 template <typename Tag>
 class Identifier;
 class Digest;
+class Backoff;
+struct BackoffSettings;
 class Error;
 enum class Step : std::uint8_t;
 enum class EventNumber : std::uint16_t;
--- a/packages/chalkwell/src/chalkwell/swarm/planner.cpp
+++ b/packages/chalkwell/src/chalkwell/swarm/planner.cpp
@@ -259,7 +259,7 @@
         continue;
       }
     }
-    if (origin_outstanding_ >= settings_.origin_in_flight_) {
+    if (!origin_open_ || origin_outstanding_ >= settings_.origin_in_flight_) {
       continue;
     }
     const auto cause = MayDraw(chunk, now);
--- a/packages/chalkwell/src/chalkwell/swarm/planner.hpp
+++ b/packages/chalkwell/src/chalkwell/swarm/planner.hpp
@@ -89,6 +89,8 @@
   void SetMembers(std::vector<SwarmMember> members);
   /// @brief Changes how many requests may be outstanding at all peers.
   void SetInFlight(std::size_t most) noexcept { settings_.in_flight_ = most; }
+  /// @brief Whether the origin may be asked: not while it refuses.
+  void SetOriginOpen(bool open) noexcept { origin_open_ = open; }
   /// @brief A peer with an open stream announces what it holds.
   void OnAnnounced(const SwarmMember& peer, const ChunkSet& chunks,
                    core::TimePoint now);
@@ -156,6 +158,7 @@
   /// By chunk; at most `in_flight_` plus `origin_in_flight_`.
   std::map<std::size_t, Request> outstanding_;
   std::size_t origin_outstanding_ = 0;
+  bool origin_open_ = true;
   /// Chunks that some peer or this member is known to hold.
   ChunkSet seen_;
   /// Chunks that some member of the own failure domain is known to hold.
--- a/packages/daemon/src/daemon/direct/weights_keeper.cpp
+++ b/packages/daemon/src/daemon/direct/weights_keeper.cpp
@@ -24,6 +24,11 @@
 constexpr auto kManifestStep = milliseconds(50);
 /// A piece that no own neighbour has is imported by the next in rank then.
 constexpr auto kImportSilence = milliseconds(500);
+/// All agents share the source. Asked again at each tick by 76 agents it was
+/// kept refusing by 1,900 connections a second, and no engine got its weights
+/// any more; with these pauses they make some 50.
+constexpr core::BackoffSettings kSourcePause{milliseconds(200),
+                                             milliseconds(2000)};
 constexpr auto kPieceTimeout = milliseconds(2500);
 constexpr auto kDrawSilence = milliseconds(900);
 constexpr std::size_t kPerPeer = 1;
@@ -76,6 +81,7 @@
               .on_missing_ = [this](std::size_t piece) { OnMissing(piece); }}),
       planner_({process.id(), process.domain()}, PlannerSettingsOf(),
                std::random_device{}()),
+      source_(kSourcePause, std::random_device{}()),
       window_(WindowSettingsOf(process.settings())),
       turns_(process.id(), kOutShare, kTurnLease),
       tick_(process.loop()) {
@@ -244,20 +250,35 @@
   if (manifest_asked_) {
     return;
   }
+  if (const auto peer = ManifestHolder()) {
+    AskPeerManifest(*peer);
+    return;
+  }
+  const auto now = process_.loop().Now();
+  const auto waited = now - manifest_since_;
+  if (origin_ && source_.Ready(now) &&
+      waited >= kManifestStep * static_cast<int>(ManifestRank())) {
+    AskOriginManifest();
+  }
+}
+
+std::optional<core::InstanceId> WeightsKeeper::ManifestHolder() const {
+  // Each agent has an order of its own: all would ask the same one else, and
+  // its link carries some 150 manifests a second.
+  std::optional<core::InstanceId> holder;
+  std::uint64_t best = 0;
   for (const auto& [id, peer] : peers_.peers()) {
     const bool has =
         peer.held_.model_ == model_ && peer.held_.pieces_ > 0 &&
         peer.held_.has_manifest_ &&
         (wanted_.version_ == 0 || peer.held_.version_ == wanted_.version_);
-    if (has) {
-      AskPeerManifest(id);
-      return;
+    const auto score = core::RendezvousScore(process_.id().value(), id.value());
+    if (has && (!holder || score > best)) {
+      holder = id;
+      best = score;
     }
   }
-  const auto waited = process_.loop().Now() - manifest_since_;
-  if (origin_ && waited >= kManifestStep * static_cast<int>(ManifestRank())) {
-    AskOriginManifest();
-  }
+  return holder;
 }
 
 void WeightsKeeper::AskPeerManifest(const core::InstanceId& peer) {
@@ -319,19 +340,32 @@
   client_.manifest_(
       *origin_, model_, wanted_.version_,
       [this, job = job_](const std::optional<WeightsManifest>& manifest) {
+        OnSource(manifest.has_value(), "manifest");
         if (!Current(job)) {
           return;
         }
         manifest_asked_ = false;
         if (manifest) {
           TakeManifest(*manifest);
-        } else {
-          process_.log().Write(core::EventNumber::kChunkFailed,
-                               {{"what", "manifest"}, {"source", "origin"}});
         }
       });
 }
 
+void WeightsKeeper::OnSource(bool answered, const std::string& what) {
+  if (answered) {
+    source_.OnSuccess();
+    return;
+  }
+  const auto pause = source_.OnFailure(process_.loop().Now());
+  process_.log().Write(
+      core::EventNumber::kChunkFailed,
+      {{"what", what},
+       {"source", "origin"},
+       {"again_in_ms",
+        std::to_string(
+            std::chrono::duration_cast<milliseconds>(pause).count())}});
+}
+
 void WeightsKeeper::TakeManifest(const WeightsManifest& manifest) {
   if (phase_ != Phase::kManifest || manifest.model_ != model_ ||
       manifest.digests_.empty() ||
@@ -412,6 +446,7 @@
   }
   planner_.SetMembers(Lacking());
   planner_.SetInFlight(window_.size());
+  planner_.SetOriginOpen(source_.Ready(now));
   for (const auto& order : planner_.Next(now)) {
     Fetch(order);
   }
@@ -447,6 +482,7 @@
   client_.piece_(
       *origin_, model_, wanted_.version_, piece,
       [this, job = job_, piece](const std::optional<std::string>& bytes) {
+        OnSource(bytes.has_value(), "piece");
         if (bytes) {
           drawn_at_ = process_.loop().Now();
         }
--- a/packages/daemon/src/daemon/direct/weights_keeper.hpp
+++ b/packages/daemon/src/daemon/direct/weights_keeper.hpp
@@ -6,6 +6,7 @@
 #include <optional>
 #include <string>
 
+#include "chalkwell/core/backoff.hpp"
 #include "chalkwell/rollout/turns.hpp"
 #include "chalkwell/rollout/version_bound.hpp"
 #include "chalkwell/swarm/chunk_set.hpp"
@@ -75,6 +76,8 @@
   void ReadStaged(std::size_t piece);
   void Pump();
   void Fetch(const swarm::FetchOrder& order);
+  /// @brief The source answered, or did not.
+  void OnSource(bool answered, const std::string& what);
   void OnPiece(std::size_t piece, const std::optional<std::string>& bytes,
                const std::string& source);
   void Stage(std::size_t piece, std::string bytes);
@@ -84,6 +87,8 @@
   [[nodiscard]] bool Urgent(core::TimePoint now) const;
   void StartPlanner();
   void CheckStagedAtStart();
+  /// @brief A peer that can give the manifest.
+  [[nodiscard]] std::optional<core::InstanceId> ManifestHolder() const;
   void AskPeerManifest(const core::InstanceId& peer);
   void AskOriginManifest();
   void FetchFromPeer(const swarm::FetchOrder& order);
@@ -125,6 +130,8 @@
   std::size_t staging_ = 0;
   PieceExchange peers_;
   swarm::Planner planner_;
+  /// Pauses between asks of the source while it fails.
+  core::Backoff source_;
   swarm::FetchWindow window_;
   rollout::Turns turns_;
   core::TimePoint announced_at_;
