No connection is held that will not be used again

The same class elsewhere: a connection at rest past the time within which it may be used again was closed only when the next request came to it, if one came; endpoints count it among those that they take.

--- a/packages/daemon/src/daemon/http_client.cpp
+++ b/packages/daemon/src/daemon/http_client.cpp
@@ -63,6 +63,8 @@
 
   ConnectionPtr TakeKept(const Address& address, core::Duration max_rest);
   void Keep(const ConnectionPtr& connection);
+  /// A connection at rest is not to be used any more.
+  void Forget(const ConnectionPtr& connection);
 
   Loop& loop_;
   core::Duration io_timeout_;
@@ -99,6 +101,7 @@
     self_ = shared_from_this();
     callbacks_ = std::move(callbacks);
     options_ = std::move(options);
+    timer_.Cancel();
     bytes_ = Serialize(address_, request, options_.keep_);
     parser_.Next(HttpLimits{});
     if (request.method_ == "HEAD") {
@@ -136,6 +139,14 @@
     }
   }
 
+  /// Rests until it is used again, or no request may use it any more: then it
+  /// is closed, since the server counts it among those that it can take.
+  void Rest(core::Duration longest) {
+    rested_since_ = state_->loop_.Now();
+    timer_.Once(std::min(longest, keep_time_),
+                [this] { state_->Forget(shared_from_this()); });
+  }
+
   void Close() {
     timer_.Cancel();
     if (stream_ != nullptr) {
@@ -271,10 +282,11 @@
     timer_.Cancel();
     const auto self = std::move(self_);
     const auto done = std::move(callbacks_.on_end_);
+    const auto longest = options_.max_rest_;
     callbacks_ = {};
     options_ = {};
     stream_->SetReading(true);
-    rested_since_ = state_->loop_.Now();
+    Rest(longest);
     state_->Keep(self);
     if (done) {
       Guarded([&] { done(HttpEnd::kWhole); });
@@ -344,6 +356,17 @@
   }
 }
 
+void HttpClient::State::Forget(const ConnectionPtr& connection) {
+  const auto found = at_rest_.find(connection->address());
+  if (found != at_rest_.end()) {
+    std::erase(found->second, connection);
+    if (found->second.empty()) {
+      at_rest_.erase(found);
+    }
+  }
+  connection->Close();
+}
+
 HttpClient::HttpClient(Loop& loop, core::Duration io_timeout)
     : state_(std::make_shared<State>(loop, io_timeout)) {}
 
--- a/tests/daemon/http_client_test.cpp
+++ b/tests/daemon/http_client_test.cpp
@@ -20,9 +20,10 @@
  public:
   Fixture() : client_(loop_, 2s) {}
 
-  HttpResponse Ask(const std::string& id = "") {
+  HttpResponse Ask(const std::string& id = "", core::Duration max_rest = 2s) {
     HttpSendOptions options;
     options.keep_ = true;
+    options.max_rest_ = max_rest;
     if (!id.empty()) {
       options.is_ours_ = [id](const HttpHeaders& headers) {
         return FindHeader(headers, "id") == id;
@@ -162,5 +163,24 @@
   CHECK(accepted == (row.again_ ? 1 : 2));
 }
 
+TEST_CASE("a connection that may not be used again is closed", "[daemon]") {
+  // Servers count those at rest among the ones they take.
+  Fixture fixture;
+  std::thread server([&] {
+    auto peer = fixture.listener_.Accept();
+    (void)peer.ReadUntil(kHeadEnd);
+    peer.Send("HTTP/1.1 200 OK\r\ncontent-length: 1\r\n\r\na");
+    // Until the client hangs up.
+    (void)peer.ReadUntil();
+  });
+  CHECK(fixture.Ask("", 50ms).body_ == "a");
+  const Address address{"127.0.0.1", fixture.listener_.port()};
+  CHECK(fixture.client_.ConnectionsTo(address) == 1);
+  while (fixture.client_.ConnectionsTo(address) > 0) {
+    fixture.Settle();
+  }
+  server.join();
+}
+
 }  // namespace
 }  // namespace chalkwell::daemon
