--- a/packages/chalkwell/src/chalkwell/config/fwd.hpp
+++ b/packages/chalkwell/src/chalkwell/config/fwd.hpp
@@ -16,6 +16,10 @@
 struct TrafficService;
 struct TrafficRules;
 class TrafficTable;
+class CatchUp;
+struct CatchUpSettings;
+struct RulesSource;
+struct DeltaPart;
 enum class Verdict : std::uint8_t;
 
 }  // namespace chalkwell::config
--- a/packages/chalkwell/src/chalkwell/core/event.cpp
+++ b/packages/chalkwell/src/chalkwell/core/event.cpp
@@ -50,8 +50,9 @@
     {kWeightsNamed, kInfo, "weights-named",
      "A newer version of a model's weights was published.", "None."},
     {kLearnedFromPeer, kInfo, "learned-from-peer",
-     "What is published was learned from another entry.",
-     "None if the configuration service is away; else look at the network."},
+     "What is published was learned from another process.",
+     "None: large rules are handed on, and so is all while the service is "
+     "away."},
     {kPeerConnected, kInfo, "peer-connected", "A stream to a peer is open.",
      "None."},
     {kPeerLost, kWarning, "peer-lost", "A stream to a peer has ended.",
--- a/packages/chalkwell/src/chalkwell/membership/fwd.hpp
+++ b/packages/chalkwell/src/chalkwell/membership/fwd.hpp
@@ -14,6 +14,8 @@
 class PathDelay;
 class LinkDelay;
 class ReadDuty;
+class WatchDuty;
+struct WatchDutySettings;
 struct Member;
 
 }  // namespace chalkwell::membership
--- /dev/null
+++ b/packages/chalkwell/src/chalkwell/membership/watch_duty.cpp
@@ -0,0 +1,62 @@
+// The first in rendezvous order watch; the silence of all ahead passes the duty
+// on, rank by rank.
+#include "chalkwell/membership/watch_duty.hpp"
+
+#include <algorithm>
+#include <utility>
+
+#include "chalkwell/membership/duties.hpp"
+
+namespace chalkwell::membership {
+namespace {
+
+/// Any fixed text: the duty stays with the same members while they live.
+constexpr std::string_view kDuty = "watch-document";
+
+}  // namespace
+
+WatchDuty::WatchDuty(core::InstanceId self, WatchDutySettings settings)
+    : self_(std::move(self)), settings_(settings), members_{self_} {}
+
+std::vector<core::InstanceId> WatchDuty::FirstInRank(
+    std::span<const core::InstanceId> members, std::size_t count) {
+  return FirstChoices(kDuty, members, count);
+}
+
+void WatchDuty::SetMembers(std::span<const core::InstanceId> members) {
+  members_ = FirstInRank(members, members.size());
+  const auto self = std::ranges::find(members_, self_);
+  rank_ = static_cast<std::size_t>(self - members_.begin());
+}
+
+void WatchDuty::OnTold(const core::InstanceId& member, core::TimePoint now) {
+  const auto found = std::ranges::find(members_, member);
+  const auto rank = static_cast<std::size_t>(found - members_.begin());
+  if (rank < rank_) {
+    told_at_ = now;
+  }
+}
+
+std::size_t WatchDuty::Watchers(core::TimePoint now) const {
+  if (bytes_ > 0) {
+    return std::max<std::size_t>(1, settings_.budget_ / bytes_);
+  }
+  const bool long_read =
+      reading_since_ && now - *reading_since_ >= settings_.small_read_;
+  return long_read ? 1 : members_.size();
+}
+
+bool WatchDuty::Watches(core::TimePoint now) const {
+  const auto watchers = Watchers(now);
+  if (rank_ < watchers || !told_at_) {
+    return true;
+  }
+  const auto behind = static_cast<int>(rank_ - watchers);
+  return now - *told_at_ >= settings_.patience_ + settings_.step_ * behind;
+}
+
+bool WatchDuty::Tells(core::TimePoint now) const {
+  return Watchers(now) < members_.size() && Watches(now);
+}
+
+}  // namespace chalkwell::membership
--- /dev/null
+++ b/packages/chalkwell/src/chalkwell/membership/watch_duty.hpp
@@ -0,0 +1,78 @@
+// Who takes a published document from its publisher itself. Small documents
+// are watched by everyone; large ones by few of each failure domain, who hand
+// them on, since a region's machines share one link to the publisher.
+#pragma once
+
+#include <cstddef>
+#include <optional>
+#include <span>
+#include <vector>
+
+#include "chalkwell/core/fwd.hpp"
+#include "chalkwell/core/identifier.hpp"
+
+namespace chalkwell::membership {
+
+/// @brief Settings of a duty.
+struct WatchDutySettings {
+  /// Bytes that a failure domain's members together may take from the publisher
+  /// for one change: a tenth of a second of a link of 24 Mbit/s.
+  std::size_t budget_ = std::size_t{256} << 10;
+  /// A first read that lasts this long is one of a large document: a small one
+  /// is over after a round trip.
+  core::Duration small_read_ = std::chrono::milliseconds(150);
+  /// Between two tellings of one who watches a large document.
+  core::Duration tell_interval_ = std::chrono::milliseconds(600);
+  /// Without a word of one ahead in rank for this long a member watches too:
+  /// two intervals and a half, since a datagram is lost now and then.
+  core::Duration patience_ = std::chrono::milliseconds(1500);
+  /// What each rank waits beyond the one before it.
+  core::Duration step_ = std::chrono::milliseconds(400);
+};
+
+/// @brief The duty of one member.
+class WatchDuty {
+ public:
+  WatchDuty(core::InstanceId self, WatchDutySettings settings = {});
+
+  /// @brief Members of the own failure domain that need the document, this one
+  /// included.
+  void SetMembers(std::span<const core::InstanceId> members);
+  /// @brief The document was heard whole, from whomever.
+  void OnDocument(std::size_t bytes) noexcept { bytes_ = bytes; }
+  /// @brief The first read of the document begins.
+  void OnFirstRead(core::TimePoint now) noexcept { reading_since_ = now; }
+  /// @brief Another member of the domain said that it watches.
+  void OnTold(const core::InstanceId& member, core::TimePoint now);
+
+  [[nodiscard]] core::Duration tell_interval() const noexcept {
+    return settings_.tell_interval_;
+  }
+  /// @brief The members to whom the duty falls first.
+  [[nodiscard]] static std::vector<core::InstanceId> FirstInRank(
+      std::span<const core::InstanceId> members, std::size_t count);
+
+  /// @brief Whether this member watches, as of now.
+  [[nodiscard]] bool Watches(core::TimePoint now) const;
+  /// @brief Whether others stay away because this member watches: it has to
+  /// tell them.
+  [[nodiscard]] bool Tells(core::TimePoint now) const;
+
+ private:
+  /// @brief Members that watch unless one of them falls silent.
+  [[nodiscard]] std::size_t Watchers(core::TimePoint now) const;
+
+  core::InstanceId self_;
+  WatchDutySettings settings_;
+  /// In rendezvous order.
+  std::vector<core::InstanceId> members_;
+  /// Position of this member in `members_`.
+  std::size_t rank_ = 0;
+  /// 0 until the document was heard.
+  std::size_t bytes_ = 0;
+  std::optional<core::TimePoint> reading_since_;
+  /// Newest word of a member ahead in rank.
+  std::optional<core::TimePoint> told_at_;
+};
+
+}  // namespace chalkwell::membership
--- a/packages/daemon/src/daemon/direct/direct_agent.cpp
+++ b/packages/daemon/src/daemon/direct/direct_agent.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <nlohmann/json.hpp>
+#include <random>
 #include <utility>
 
 #include "daemon/admin.hpp"
@@ -28,8 +29,15 @@
 constexpr auto kIncarnationRetry = milliseconds(500);
 /// Entries are told so often which incarnation reports; they remember it.
 constexpr auto kIncarnationRepeat = milliseconds(1000);
-/// Rules are read again when the source of weights is not known.
-constexpr auto kRulesInterval = milliseconds(1000);
+/// Entries are asked this often what the engine's service is.
+constexpr auto kFactsInterval = milliseconds(100);
+/// Without an answer of any entry for this long the rules are read from the
+/// store: entries have them some 1.5 s after a start of all machines.
+constexpr auto kFactsPatience = milliseconds(4000);
+/// Pauses between such reads: 76 agents that read 1.3 MB each fill the link of
+/// their region for 11 s.
+constexpr core::BackoffSettings kRulesPause{milliseconds(4000),
+                                            milliseconds(30000)};
 
 membership::Member SelfOf(ProcessBase& process) {
   membership::Member self;
@@ -101,8 +109,12 @@
                    return known;
                  }}),
       weights_(process, adapter_.weights_, mesh_),
+      facts_(process.loop(), mesh_, service_,
+             [this](const EngineFacts& facts) { TakeFacts(facts); }),
+      rules_pause_(kRulesPause, std::random_device{}()),
+      started_at_(process.loop().Now()),
       poll_(process.loop()),
-      rules_(process.loop()) {}
+      facts_timer_(process.loop()) {}
 
 void DirectAgent::Run() {
   const auto& settings = process_.settings();
@@ -119,42 +131,46 @@
       [this] { mesh_.SetSeeds(MeshSettingsOf(process_.settings()).seeds_); });
   mesh_.Start();
   reader_.Watch(Section::kWeights);
-  ReadRules();
+  AskFacts();
   PollEngine();
   process_.Run([this] { mesh_.Leave(); });
 }
 
-void DirectAgent::ReadRules() {
+void DirectAgent::AskFacts() {
   if (!model_.empty() && !weights_.NeedsOrigin()) {
     return;
   }
-  reader_.ReadNow(Section::kRules);
-  rules_.Once(kRulesInterval, [this] { ReadRules(); });
+  const auto now = process_.loop().Now();
+  facts_.Ask();
+  if (now - started_at_ >= kFactsPatience && rules_pause_.Ready(now)) {
+    rules_pause_.OnFailure(now);
+    reader_.ReadNow(Section::kRules);
+  }
+  facts_timer_.Once(kFactsInterval, [this] { AskFacts(); });
 }
 
 void DirectAgent::OnPublished(const Published& published) {
   if (published.rules_) {
-    FindModel(*published.rules_);
+    if (const auto facts = FactsOf(*published.rules_, service_)) {
+      TakeFacts(*facts);
+    }
   }
   for (const auto& weights : published.weights_) {
     weights_.OnNamed(weights);
   }
 }
 
-void DirectAgent::FindModel(const config::TrafficRules& rules) {
-  for (const auto& service : rules.services_) {
-    if (service.name_ == service_ && service.engine_) {
-      if (model_.empty()) {
-        // What the engine said so far could not be understood.
-        poll_.Once(core::Duration{}, [this] { PollEngine(); });
-      }
-      model_ = service.engine_->model_;
-      health_path_ = service.health_path_;
-      weights_.SetModel(model_, service.engine_->pieces_);
-    }
-    if (!service.origin_.empty()) {
-      weights_.SetOrigin(ParseAddress(service.origin_), service.domain_);
-    }
+void DirectAgent::TakeFacts(const EngineFacts& facts) {
+  if (model_.empty()) {
+    // What the engine said so far could not be understood.
+    poll_.Once(core::Duration{}, [this] { PollEngine(); });
+  }
+  model_ = facts.model_;
+  health_path_ = facts.health_path_;
+  weights_.SetModel(model_, facts.pieces_);
+  if (!facts.origin_.empty()) {
+    weights_.SetOrigin(ParseAddress(facts.origin_),
+                       core::FailureDomainId(facts.origin_domain_));
   }
 }
 
--- a/packages/daemon/src/daemon/direct/direct_agent.hpp
+++ b/packages/daemon/src/daemon/direct/direct_agent.hpp
@@ -6,6 +6,8 @@
 #include <optional>
 #include <string>
 
+#include "chalkwell/core/backoff.hpp"
+#include "daemon/direct/engine_facts.hpp"
 #include "daemon/direct/hooks.hpp"
 #include "daemon/direct/mesh_node.hpp"
 #include "daemon/direct/published_reader.hpp"
@@ -26,8 +28,9 @@
   void PollEngine();
   void OnReport(const std::optional<EngineReport>& report);
   void OnPublished(const Published& published);
-  void FindModel(const config::TrafficRules& rules);
-  void ReadRules();
+  void TakeFacts(const EngineFacts& facts);
+  /// @brief Asks what the engine's service is until it is known.
+  void AskFacts();
   /// @brief Asks a restarted engine which incarnation it is.
   void AskIncarnation();
   /// @brief Whether the engine is another life than at the last report.
@@ -46,6 +49,10 @@
   PublishedReader reader_;
   MeshNode mesh_;
   WeightsKeeper weights_;
+  FactsAsker facts_;
+  /// Pauses between own reads of the rules.
+  core::Backoff rules_pause_;
+  core::TimePoint started_at_;
   std::unique_ptr<HttpServer> admin_;
   std::optional<LoadMessage> last_pushed_;
   core::TimePoint pushed_at_;
@@ -59,7 +66,7 @@
   std::uint64_t orders_ = 0;
   std::uint64_t version_ = 0;
   Timer poll_;
-  Timer rules_;
+  Timer facts_timer_;
 };
 
 }  // namespace chalkwell::daemon::direct
--- a/packages/daemon/src/daemon/direct/direct_entry.cpp
+++ b/packages/daemon/src/daemon/direct/direct_entry.cpp
@@ -8,6 +8,7 @@
 #include "chalkwell/routing/stream_admission.hpp"
 #include "daemon/admin.hpp"
 #include "daemon/direct/direct_settings.hpp"
+#include "daemon/direct/engine_facts.hpp"
 
 namespace chalkwell::daemon::direct {
 namespace {
@@ -93,7 +94,10 @@
                  [this](const std::string& model, std::uint64_t version) {
                    TakeWeights({model, version});
                  },
-             .on_lost_ = nullptr,
+             .on_lost_ =
+                 [this](const membership::Member& member) {
+                   keeper_.OnLost(member);
+                 },
              .on_departed_ =
                  [this](const DepartedMessage& departed) {
                    list_.OnDeparted(departed);
@@ -101,8 +105,12 @@
              .on_list_ =
                  [this](const ListMessage& list) { list_.OnChange(list); },
              .on_rules_ =
-                 [this](std::uint64_t version) { OnRulesHeard(version); },
-             .rules_version_ = [this] { return rules_.rules().version_; },
+                 [this](const membership::Member& member, std::uint64_t version,
+                        bool watches) {
+                   keeper_.OnHeard(member, version, watches);
+                 },
+             .rules_version_ = [this] { return keeper_.version(); },
+             .watches_rules_ = [this] { return keeper_.watches(); },
              .weights_ =
                  [this] {
                    std::map<std::string, std::uint64_t> known;
@@ -115,6 +123,10 @@
             ReaderSettingsOf(process.settings()).poll_interval_,
             {.read_ = [this] { reader_.ReadNow(Section::kEndpoints); },
              .reachable_since_ = [this] { return reader_.reachable_since(); }}),
+      keeper_(process.loop(), adapter_.store_, reader_, mesh_, process.log(),
+              process.metrics(),
+              [this](const config::TrafficRules& rules,
+                     const std::string& source) { TakeRules(rules, source); }),
       relay_(process.loop(), adapter_.store_, mesh_, process.log(),
              [this](Section section, const Published& published) {
                TakePublished(section, published, "peer");
@@ -159,15 +171,11 @@
                        {{"caller", settings.Text("listen", "caller")}});
   peers_ = std::make_unique<PeerServer>(
       loop, ParseAddress(settings.Text("listen", "peer")), kMaxPeerBody,
-      [this](const PeerCallPtr& call) {
-        if (!relay_.Answer(call)) {
-          call->Respond(kNotFound, "");
-        }
-      });
+      [this](const PeerCallPtr& call) { OnPeer(call); });
   relay_timer_.Every(kRelayInterval, [this] { AskPeersIfCutOff(); });
   process_.OnReload([this] { TakeSettings(); });
   mesh_.Start();
-  reader_.Watch(Section::kRules);
+  keeper_.Start();
   reader_.Watch(Section::kWeights);
   reader_.Poll(Section::kEndpoints, [this] { return list_.Interval(); });
   process_.Run([this] { BeginStop(); });
@@ -213,6 +221,10 @@
 }
 
 void DirectEntry::OnPublished(Section section, const Published& published) {
+  if (section == Section::kRules) {
+    keeper_.OnPublished(published);
+    return;
+  }
   relay_.Keep(section, published);
   TakePublished(section, published, std::string(kStoreSource));
 }
@@ -226,9 +238,6 @@
 
 void DirectEntry::TakePublished(Section section, const Published& published,
                                 const std::string& source) {
-  if (published.rules_) {
-    TakeRules(*published.rules_, source);
-  }
   for (const auto& weights : published.weights_) {
     TakeWeights(weights);
   }
@@ -240,15 +249,11 @@
   }
 }
 
-void DirectEntry::OnRulesHeard(std::uint64_t version) {
-  if (rules_.empty() || version <= rules_.rules().version_) {
-    return;
-  }
-  if (reader_.reachable()) {
-    // The own watch may have gone silent.
-    reader_.ReadNow(Section::kRules);
-  } else {
-    relay_.Ask();
+void DirectEntry::OnPeer(const PeerCallPtr& call) {
+  const bool answered = keeper_.Answer(call) || relay_.Answer(call) ||
+                        AnswerFactsCall(call, rules_.rules());
+  if (!answered) {
+    call->Respond(kNotFound, "");
   }
 }
 
@@ -263,9 +268,6 @@
                         {"source", source}});
   process_.metrics().Set("rules_version", {},
                          static_cast<double>(rules.version_));
-  if (source == kStoreSource) {
-    mesh_.PushRules();
-  }
 }
 
 void DirectEntry::TakeWeights(const NamedWeights& weights) {
--- a/packages/daemon/src/daemon/direct/direct_entry.hpp
+++ b/packages/daemon/src/daemon/direct/direct_entry.hpp
@@ -19,6 +19,7 @@
 #include "daemon/direct/mesh_node.hpp"
 #include "daemon/direct/published_reader.hpp"
 #include "daemon/direct/published_relay.hpp"
+#include "daemon/direct/rules_keeper.hpp"
 #include "daemon/http1_server.hpp"
 #include "daemon/process_base.hpp"
 
@@ -37,11 +38,11 @@
   void TakeSettings();
   void OnPublished(Section section, const Published& published);
   void TakeRules(const config::TrafficRules& rules, const std::string& source);
+  /// @brief Answers a call of another process of the system.
+  void OnPeer(const PeerCallPtr& call);
   void TakeWeights(const NamedWeights& weights);
   void TakePublished(Section section, const Published& published,
                      const std::string& source);
-  /// @brief Another member has these rules in force.
-  void OnRulesHeard(std::uint64_t version);
   void AskPeersIfCutOff();
   void OnLoad(const LoadMessage& message);
   /// @brief An agent told which incarnation its endpoint is.
@@ -85,6 +86,7 @@
   PublishedReader reader_;
   MeshNode mesh_;
   EndpointList list_;
+  RulesKeeper keeper_;
   PublishedRelay relay_;
   std::unique_ptr<PeerServer> peers_;
   std::unique_ptr<Http1Server> callers_;
--- /dev/null
+++ b/packages/daemon/src/daemon/direct/engine_facts.cpp
@@ -0,0 +1,115 @@
+// Each agent has an order of entries of its own, so that those who start
+// together ask different ones.
+#include "daemon/direct/engine_facts.hpp"
+
+#include <algorithm>
+#include <utility>
+#include <vector>
+
+#include "chalkwell/core/digest.hpp"
+#include "daemon/messages.hpp"
+
+namespace chalkwell::daemon::direct {
+namespace {
+
+constexpr std::string_view kFactsPath = "/v1/engine-facts";
+constexpr int kOk = 200;
+constexpr int kNotFound = 404;
+/// An entry that is silent for this long is left for the next: a few hundred
+/// bytes take some 10 ms.
+constexpr auto kAnswerTime = std::chrono::milliseconds(700);
+
+/// Asks for a service's facts.
+struct FactsAsk {
+  std::string service_;
+  MSGPACK_DEFINE(service_)
+};
+
+}  // namespace
+
+std::optional<EngineFacts> FactsOf(const config::TrafficRules& rules,
+                                   const std::string& service) {
+  EngineFacts facts;
+  for (const auto& row : rules.services_) {
+    if (row.name_ == service && row.engine_) {
+      facts.model_ = row.engine_->model_;
+      facts.pieces_ = row.engine_->pieces_;
+      facts.health_path_ = row.health_path_;
+    }
+    if (!row.origin_.empty()) {
+      facts.origin_ = row.origin_;
+      facts.origin_domain_ = row.domain_.value();
+    }
+  }
+  return facts.model_.empty() ? std::nullopt : std::optional(std::move(facts));
+}
+
+bool AnswerFactsCall(const PeerCallPtr& call,
+                     const config::TrafficRules& rules) {
+  if (call->path() != kFactsPath) {
+    return false;
+  }
+  const auto ask = Unpack<FactsAsk>(call->body(), "peer");
+  if (const auto facts = FactsOf(rules, ask.service_)) {
+    call->Respond(kOk, Pack(*facts));
+  } else {
+    call->Respond(kNotFound, "");
+  }
+  return true;
+}
+
+FactsAsker::FactsAsker(Loop& loop, MeshNode& mesh, std::string service,
+                       Done done)
+    : loop_(loop),
+      mesh_(mesh),
+      service_(std::move(service)),
+      done_(std::move(done)) {}
+
+std::optional<membership::Member> FactsAsker::NextEntry() {
+  auto entries = mesh_.Live();
+  std::erase_if(entries, [](const membership::Member& member) {
+    return member.kind_ != membership::MemberKind::kEntry || member.leaving_;
+  });
+  if (entries.empty()) {
+    return std::nullopt;
+  }
+  std::ranges::sort(entries, std::greater{}, [this](const auto& entry) {
+    const auto& self = mesh_.self();
+    return std::pair(
+        entry.domain_ == self.domain_,
+        core::RendezvousScore(self.id_.value(), entry.id_.value()));
+  });
+  return entries[turn_++ % entries.size()];
+}
+
+bool FactsAsker::Ask() {
+  const auto now = loop_.Now();
+  if (call_ != nullptr && now - asked_at_ < kAnswerTime) {
+    return true;
+  }
+  if (call_ != nullptr) {
+    std::exchange(call_, nullptr)->Cancel();
+  }
+  const auto entry = NextEntry();
+  if (!entry) {
+    return false;
+  }
+  auto& connection = connections_[entry->address_];
+  if (connection == nullptr) {
+    connection =
+        std::make_unique<PeerConnection>(loop_, ParseAddress(entry->address_));
+  }
+  asked_at_ = now;
+  call_ =
+      connection->Ask(std::string(kFactsPath), Pack(FactsAsk{service_}),
+                      [this, peer = entry->id_.value()](
+                          PeerEnd end, int status, const std::string& body) {
+                        call_ = nullptr;
+                        if (end == PeerEnd::kWhole && status == kOk) {
+                          done_(Unpack<EngineFacts>(body, peer));
+                        }
+                      });
+  return true;
+}
+
+}  // namespace chalkwell::daemon::direct
--- a/packages/daemon/src/daemon/direct/hooks.hpp
+++ b/packages/daemon/src/daemon/direct/hooks.hpp
@@ -105,10 +105,12 @@
   /// Of the store, at the time of the answer.
   std::uint64_t revision_ = 0;
   std::optional<config::TrafficRules> rules_;
+  /// The rules as published, undecoded; for peers.
+  std::string rules_text_;
   std::vector<NamedWeights> weights_;
   std::vector<routing::EndpointRow> endpoints_;
-  /// What the store said, undecoded, page by page, when it is a whole section;
-  /// for peers.
+  /// What the store said of endpoints or weights, undecoded, page by page, when
+  /// it is the whole section; for peers.
   std::vector<std::string> pages_;
   /// Rows that could not be decoded, for the log.
   std::vector<std::string> faults_;
@@ -116,15 +118,20 @@
 
 using PublishedHandler = std::function<void(Published)>;
 
+/// @brief Ends a call under way; its handler is not called any more.
+using CancelCall = std::function<void()>;
+
 /// @brief Reads of the published store.
 struct StoreClient {
   /// Reads one section whole.
-  std::function<void(Section section, PublishedHandler done)> read_;
+  std::function<CancelCall(Section section, PublishedHandler done)> read_;
   /// Waits for a change of a section after a revision. A change is told as the
   /// changed values alone.
-  std::function<void(Section section, std::uint64_t after, core::Duration wait,
-                     PublishedHandler done)>
+  std::function<CancelCall(Section section, std::uint64_t after,
+                           core::Duration wait, PublishedHandler done)>
       watch_;
+  /// Decodes rules that another process has.
+  std::function<Published(const std::string& text)> decode_rules_;
   /// Decodes what another process heard from the store.
   std::function<Published(Section section,
                           const std::vector<std::string>& pages)>
--- a/packages/daemon/src/daemon/direct/mesh_messages.hpp
+++ b/packages/daemon/src/daemon/direct/mesh_messages.hpp
@@ -114,8 +114,10 @@
   ListMessage list_;
   /// Version of the rules that the sender has in force; 0 for none.
   std::uint64_t rules_version_ = 0;
+  /// The sender takes the rules from the store: its neighbours need not.
+  bool watches_rules_ = false;
   MSGPACK_DEFINE(sender_, rows_, loads_, held_, weights_, asks_, departed_,
-                 sent_ms_, list_, rules_version_)
+                 sent_ms_, list_, rules_version_, watches_rules_)
 };
 
 /// A pace travels in thousandths.
--- a/packages/daemon/src/daemon/direct/mesh_node.cpp
+++ b/packages/daemon/src/daemon/direct/mesh_node.cpp
@@ -104,6 +104,9 @@
   if (hooks_.rules_version_) {
     message.rules_version_ = hooks_.rules_version_();
   }
+  if (hooks_.watches_rules_) {
+    message.watches_rules_ = hooks_.watches_rules_();
+  }
   return message;
 }
 
@@ -177,8 +180,8 @@
   if (hooks_.on_list_ && message.list_.to_ > 0) {
     hooks_.on_list_(message.list_);
   }
-  if (hooks_.on_rules_ && message.rules_version_ > 0) {
-    hooks_.on_rules_(message.rules_version_);
+  if (hooks_.on_rules_ && named) {
+    hooks_.on_rules_(sender, message.rules_version_, message.watches_rules_);
   }
   for (const auto& [model, version] : message.weights_) {
     if (hooks_.on_weights_) {
@@ -207,7 +210,12 @@
   Send(neighbour.address_, message);
 }
 
-void MeshNode::PushRules() { SendToEntries(Envelope()); }
+void MeshNode::PushRules(const std::vector<membership::Member>& members) {
+  const auto message = Envelope();
+  for (const auto& member : members) {
+    Send(member.address_, message);
+  }
+}
 
 void MeshNode::SendToEntries(const MeshMessage& message) {
   for (const auto& member : table_.Live()) {
--- a/packages/daemon/src/daemon/direct/mesh_node.hpp
+++ b/packages/daemon/src/daemon/direct/mesh_node.hpp
@@ -39,10 +39,15 @@
   std::function<void(const membership::Member& member)> on_lost_;
   std::function<void(const DepartedMessage& departed)> on_departed_;
   std::function<void(const ListMessage& list)> on_list_;
-  /// A member has these rules in force.
-  std::function<void(std::uint64_t version)> on_rules_;
+  /// A member told which rules it has in force, 0 for none, and whether it
+  /// takes them from the store.
+  std::function<void(const membership::Member& member, std::uint64_t version,
+                     bool watches)>
+      on_rules_;
   /// Version of the rules in force here; 0 for none.
   std::function<std::uint64_t()> rules_version_;
+  /// Whether this process takes the rules from the store.
+  std::function<bool()> watches_rules_;
   /// Newest weights known here.
   std::function<std::map<std::string, std::uint64_t>()> weights_;
 };
@@ -70,8 +75,8 @@
   void PushDeparted(const DepartedMessage& departed);
   /// @brief Tells a neighbour what was read of the list of endpoints.
   void PushList(const membership::Member& neighbour, const ListMessage& list);
-  /// @brief Tells every live entry which rules are in force here.
-  void PushRules();
+  /// @brief Tells members which rules are in force here.
+  void PushRules(const std::vector<membership::Member>& members);
   /// @brief Sends what this agent holds to the agents of its service.
   void PushHeld(const HeldMessage& held);
   /// @brief Sends news of weights to every live member.
--- a/packages/daemon/src/daemon/direct/published_reader.cpp
+++ b/packages/daemon/src/daemon/direct/published_reader.cpp
@@ -2,14 +2,15 @@
 #include "daemon/direct/published_reader.hpp"
 
 #include <algorithm>
+#include <random>
 #include <utility>
 
 namespace chalkwell::daemon::direct {
 namespace {
 
-/// First wait after a failed call; doubled up to the setting's longest.
-constexpr auto kFirstBackoff = std::chrono::milliseconds(100);
-constexpr unsigned kMaxDoublings = 6;
+/// Pauses after failed calls.
+constexpr core::BackoffSettings kPause{std::chrono::milliseconds(100),
+                                       std::chrono::milliseconds(1000)};
 /// A poll that may become due earlier is looked at this often.
 constexpr auto kPollCheck = std::chrono::milliseconds(200);
 
@@ -25,6 +26,20 @@
   return "";
 }
 
+std::string_view ToString(ReadEnd end) {
+  switch (end) {
+    case ReadEnd::kRead:
+      return "read";
+    case ReadEnd::kNothingNew:
+      return "nothing-new";
+    case ReadEnd::kHistoryGone:
+      return "history-gone";
+    case ReadEnd::kUnreachable:
+      return "unreachable";
+  }
+  return "";
+}
+
 }  // namespace
 
 PublishedReader::PublishedReader(Loop& loop, const StoreClient& store,
@@ -37,10 +52,53 @@
       log_(log),
       metrics_(metrics),
       handler_(std::move(handler)),
-      random_(std::random_device{}()),
       since_(loop.Now()) {}
 
-void PublishedReader::Watch(Section section) { Ask(Start(section, true)); }
+PublishedReader::Task::Task(Loop& loop, Section section, bool watched,
+                            core::Duration wait)
+    : section_(section),
+      watched_(watched),
+      backoff_(kPause, std::random_device{}()),
+      wait_(wait),
+      timer_(loop) {}
+
+void PublishedReader::Watch(Section section) {
+  auto& task = Start(section, true);
+  task.active_ = true;
+  if (!task.asking_) {
+    Ask(task);
+  }
+}
+
+void PublishedReader::SetWait(Section section, core::Duration wait) {
+  Start(section, true).wait_ = wait;
+}
+
+void PublishedReader::Unwatch(Section section) {
+  auto& task = Start(section, true);
+  task.active_ = false;
+  task.timer_.Cancel();
+  EndCall(task);
+}
+
+void PublishedReader::Skip(Section section, std::uint64_t revision) {
+  const auto found = tasks_.find(section);
+  if (found == tasks_.end() || found->second.revision_ >= revision) {
+    return;
+  }
+  auto& task = found->second;
+  task.revision_ = revision;
+  if (task.active_ && task.asking_) {
+    EndCall(task);
+    Ask(task);
+  }
+}
+
+void PublishedReader::EndCall(Task& task) {
+  if (std::exchange(task.asking_, false)) {
+    task.cancel_();
+  }
+}
 
 void PublishedReader::Poll(Section section,
                            std::function<core::Duration()> interval) {
@@ -50,7 +108,9 @@
 }
 
 PublishedReader::Task& PublishedReader::Start(Section section, bool watched) {
-  return tasks_.try_emplace(section, loop_, section, watched).first->second;
+  return tasks_
+      .try_emplace(section, loop_, section, watched, settings_.watch_wait_)
+      .first->second;
 }
 
 void PublishedReader::ReadNow(Section section) {
@@ -68,6 +128,7 @@
   CountCall(section);
   store_.read_(section, [this, section](const Published& published) {
     reading_.erase(section);
+    CountAnswer(section, published);
     if (published.end_ == ReadEnd::kRead) {
       handler_(section, published);
     }
@@ -79,22 +140,61 @@
                  {{"section", std::string(ToString(section))}});
 }
 
+void PublishedReader::CountAnswer(Section section, const Published& published) {
+  metrics_.Count("store_answers_total",
+                 {{"section", std::string(ToString(section))},
+                  {"end", std::string(ToString(published.end_))}});
+  auto bytes = published.rules_text_.size();
+  for (const auto& page : published.pages_) {
+    bytes += page.size();
+  }
+  metrics_.Count("store_document_bytes_total",
+                 {{"section", std::string(ToString(section))}},
+                 static_cast<double>(bytes));
+}
+
 void PublishedReader::Ask(Task& task) {
+  const bool known = task.section_ == Section::kRules && task.revision_ > 0;
+  if (task.failed_ && known) {
+    Probe(task);
+    return;
+  }
   task.asking_ = true;
   task.asked_at_ = loop_.Now();
   CountCall(task.section_);
-  const auto done = [this, &task](const Published& published) {
+  task.cancel_ = Call(task, [this, &task](const Published& published) {
     task.asking_ = false;
     OnAnswer(task, published);
-  };
+  });
+}
+
+CancelCall PublishedReader::Call(Task& task, PublishedHandler done) {
   if (task.watched_ && task.revision_ > 0) {
-    store_.watch_(task.section_, task.revision_, settings_.watch_wait_, done);
-  } else {
-    store_.read_(task.section_, done);
+    return store_.watch_(task.section_, task.revision_, task.wait_,
+                         std::move(done));
   }
+  return store_.read_(task.section_, std::move(done));
+}
+
+// Rules that are known are not read once more after a failure: entries that
+// lost the store together read 1.3 MB each through one link, which made them
+// lose it again. A watch alone would not notice for its whole wait that the
+// store takes calls and answers none, so a small read goes before it.
+void PublishedReader::Probe(Task& task) {
+  task.asking_ = true;
+  CountCall(Section::kWeights);
+  task.cancel_ = store_.read_(
+      Section::kWeights, [this, &task](const Published& published) {
+        task.asking_ = false;
+        CountAnswer(Section::kWeights, published);
+        task.failed_ = published.end_ == ReadEnd::kUnreachable;
+        SetReachable(!task.failed_);
+        Schedule(task, !task.failed_);
+      });
 }
 
 void PublishedReader::OnAnswer(Task& task, const Published& published) {
+  CountAnswer(task.section_, published);
   for (const auto& fault : published.faults_) {
     log_.Write(
         core::EventNumber::kDocumentRefused,
@@ -118,28 +218,31 @@
       break;
     case ReadEnd::kUnreachable:
       SetReachable(false);
-      // Changes may have been missed by a watch that was cut: read anew.
-      task.revision_ = 0;
+      if (task.section_ != Section::kRules) {
+        // Read anew: these are small, and the read shows when the store is
+        // back.
+        task.revision_ = 0;
+      }
       break;
   }
-  Schedule(task, published.end_ != ReadEnd::kUnreachable);
+  task.failed_ = published.end_ == ReadEnd::kUnreachable;
+  Schedule(task, !task.failed_);
 }
 
 void PublishedReader::Schedule(Task& task, bool succeeded) {
   core::Duration wait{};
   if (!succeeded) {
-    task.failures_ = std::min(task.failures_ + 1, kMaxDoublings);
-    wait = std::min<core::Duration>(
-        kFirstBackoff * (1U << (task.failures_ - 1)), settings_.max_backoff_);
-    wait = wait / 2 + wait * (random_() % 512) / 1024;
+    wait = task.backoff_.OnFailure(loop_.Now());
   } else {
-    task.failures_ = 0;
+    task.backoff_.OnSuccess();
     if (!task.watched_) {
       PollWhenDue(task);
       return;
     }
   }
-  task.timer_.Once(wait, [this, &task] { Ask(task); });
+  if (task.active_) {
+    task.timer_.Once(wait, [this, &task] { Ask(task); });
+  }
 }
 
 void PublishedReader::PollWhenDue(Task& task) {
--- a/packages/daemon/src/daemon/direct/published_reader.hpp
+++ b/packages/daemon/src/daemon/direct/published_reader.hpp
@@ -4,9 +4,9 @@
 
 #include <functional>
 #include <map>
-#include <random>
 #include <set>
 
+#include "chalkwell/core/backoff.hpp"
 #include "daemon/direct/hooks.hpp"
 #include "daemon/event_log.hpp"
 #include "daemon/metrics.hpp"
@@ -19,8 +19,6 @@
   core::Duration watch_wait_ = std::chrono::seconds(15);
   /// Between two reads of the endpoint list by who reads it for others.
   core::Duration poll_interval_ = std::chrono::milliseconds(600);
-  /// Longest wait before the store is asked again.
-  core::Duration max_backoff_ = std::chrono::milliseconds(1000);
 };
 
 /// @brief Reader of the sections that a process needs.
@@ -32,8 +30,20 @@
                   PublishedReaderSettings settings, EventLog& log,
                   Metrics& metrics, Handler handler);
 
-  /// @brief Reads a section and watches it from then on.
+  /// @brief Reads a section, unless it was heard before, and watches it from
+  /// then on.
   void Watch(Section section);
+  /// @brief How long the store may hold the next watches of a section open.
+  void SetWait(Section section, core::Duration wait);
+  [[nodiscard]] core::Duration usual_wait() const noexcept {
+    return settings_.watch_wait_;
+  }
+  /// @brief Ends a watch and the call that is under way for it.
+  void Unwatch(Section section);
+  /// @brief A section was heard elsewhere as it was at a revision: what the
+  /// store is asked for begins after it. A call under way that began before it
+  /// is ended, since it may fill the link with what is known.
+  void Skip(Section section, std::uint64_t revision);
   /// @brief Reads a section again and again.
   /// @param interval between two reads, asked for anew all the time.
   void Poll(Section section, std::function<core::Duration()> interval);
@@ -53,14 +63,21 @@
 
  private:
   struct Task {
-    Task(Loop& loop, Section section, bool watched)
-        : section_(section), watched_(watched), timer_(loop) {}
+    Task(Loop& loop, Section section, bool watched, core::Duration wait);
     Section section_;
     bool watched_;
-    /// 0 until the section was read whole.
+    /// False while nobody wants it.
+    bool active_ = true;
+    /// 0 until the section was heard whole.
     std::uint64_t revision_ = 0;
-    unsigned failures_ = 0;
+    core::Backoff backoff_;
+    /// Longest wait of a watch.
+    core::Duration wait_;
+    /// The last call failed.
+    bool failed_ = false;
     bool asking_ = false;
+    /// Ends the call under way.
+    CancelCall cancel_;
     core::TimePoint asked_at_;
     /// Polled sections only.
     std::function<core::Duration()> interval_;
@@ -69,10 +86,14 @@
 
   Task& Start(Section section, bool watched);
   void Ask(Task& task);
+  [[nodiscard]] CancelCall Call(Task& task, PublishedHandler done);
+  void Probe(Task& task);
+  void EndCall(Task& task);
   void PollWhenDue(Task& task);
   void OnAnswer(Task& task, const Published& published);
   void Schedule(Task& task, bool succeeded);
   void CountCall(Section section);
+  void CountAnswer(Section section, const Published& published);
   void SetReachable(bool reachable);
 
   Loop& loop_;
@@ -83,7 +104,6 @@
   Handler handler_;
   std::map<Section, Task> tasks_;
   std::set<Section> reading_;
-  std::mt19937_64 random_;
   bool reachable_ = false;
   core::TimePoint since_;
   core::TimePoint last_read_;
--- a/packages/daemon/src/daemon/direct/published_relay.cpp
+++ b/packages/daemon/src/daemon/direct/published_relay.cpp
@@ -1,9 +1,11 @@
 // What the store said travels as it was said; each process decodes it itself.
 #include "daemon/direct/published_relay.hpp"
 
+#include <optional>
 #include <utility>
 #include <vector>
 
+#include "daemon/deflate.hpp"
 #include "daemon/messages.hpp"
 
 namespace chalkwell::daemon::direct {
@@ -11,6 +13,8 @@
 
 constexpr std::string_view kPublishedPath = "/v1/published";
 constexpr int kOk = 200;
+/// Far more than all sections together.
+constexpr std::size_t kLongest = std::size_t{16} << 20;
 
 }  // namespace
 
@@ -44,7 +48,8 @@
       answer.pages_[number] = kept.pages_;
     }
   }
-  call->Respond(kOk, Pack(answer));
+  const auto packed = Pack(answer);
+  call->Respond(kOk, Pack(DeflatedAnswer{packed.size(), Deflate(packed)}));
   return true;
 }
 
@@ -81,7 +86,15 @@
 
 void PublishedRelay::OnAnswer(const std::string& body,
                               const std::string& peer) {
-  const auto answer = Unpack<PublishedAnswer>(body, peer);
+  const auto deflated = Unpack<DeflatedAnswer>(body, peer);
+  const auto packed = deflated.size_ <= kLongest
+                          ? Inflate(deflated.bytes_, deflated.size_)
+                          : std::nullopt;
+  if (!packed) {
+    throw core::Error(core::Step::kParse, peer,
+                      "published sections do not inflate to their size");
+  }
+  const auto answer = Unpack<PublishedAnswer>(*packed, peer);
   for (const auto& [number, pages] : answer.pages_) {
     const auto section = static_cast<Section>(number);
     auto published = store_.decode_(section, pages);
--- a/packages/daemon/src/daemon/direct/published_relay.hpp
+++ b/packages/daemon/src/daemon/direct/published_relay.hpp
@@ -30,6 +30,14 @@
   MSGPACK_DEFINE(revisions_, pages_)
 };
 
+/// @brief An answer on the wire. Lists deflate to a fifth, and all entries of a
+/// region that lost the store ask for them over one link.
+struct DeflatedAnswer {
+  std::uint64_t size_ = 0;
+  std::string bytes_;
+  MSGPACK_DEFINE(size_, bytes_)
+};
+
 /// @brief Answers others and asks them.
 class PublishedRelay {
  public:
--- /dev/null
+++ b/packages/daemon/src/daemon/direct/rules_keeper.cpp
@@ -0,0 +1,194 @@
+// Duty and catch-up decide; this carries them out.
+#include "daemon/direct/rules_keeper.hpp"
+
+#include <algorithm>
+#include <map>
+#include <utility>
+
+namespace chalkwell::daemon::direct {
+namespace {
+
+/// How often the duty is looked at: a first read of large rules is left to
+/// others within a second tick.
+constexpr auto kTick = std::chrono::milliseconds(100);
+/// Members of each other failure domain that are told of new rules.
+constexpr std::size_t kToldFar = 2;
+/// An overdue document is read from the store this often at most.
+constexpr auto kReadInterval = std::chrono::milliseconds(1000);
+/// Longest wait of a watch that stands for a whole failure domain: its
+/// connection may go silent, which shows when the wait is over. As many calls
+/// as 12 entries make that wait 25 s each.
+constexpr auto kSoleWait = std::chrono::milliseconds(2000);
+constexpr std::string_view kStoreSource = "store";
+constexpr std::string_view kPeerSource = "peer";
+
+}  // namespace
+
+RulesKeeper::RulesKeeper(Loop& loop, const StoreClient& store,
+                         PublishedReader& reader, MeshNode& mesh, EventLog& log,
+                         Metrics& metrics, Handler handler)
+    : loop_(loop),
+      store_(store),
+      reader_(reader),
+      mesh_(mesh),
+      log_(log),
+      handler_(std::move(handler)),
+      duty_(mesh.self().id_),
+      catch_up_(mesh.self().id_),
+      exchange_(loop, metrics),
+      tick_(loop) {}
+
+void RulesKeeper::Start() {
+  duty_.OnFirstRead(loop_.Now());
+  reader_.Watch(Section::kRules);
+  tick_.Every(kTick, [this] { Tick(); });
+}
+
+void RulesKeeper::OnPublished(const Published& published) {
+  if (published.rules_) {
+    Take(*published.rules_,
+         {published.rules_->version_, published.revision_,
+          published.rules_text_},
+         std::string(kStoreSource));
+  }
+}
+
+void RulesKeeper::Take(const config::TrafficRules& rules,
+                       RulesDocument document, const std::string& source) {
+  if (rules.version_ <= version_) {
+    return;
+  }
+  version_ = rules.version_;
+  duty_.OnDocument(document.text_.size());
+  catch_up_.OnHave(version_, loop_.Now());
+  if (source != kStoreSource) {
+    reader_.Skip(Section::kRules, document.revision_);
+  }
+  exchange_.Keep(std::move(document));
+  handler_(rules, source);
+  if (watches_ || source == kStoreSource) {
+    TellVersion();
+  }
+}
+
+void RulesKeeper::OnHeard(const membership::Member& member,
+                          std::uint64_t version, bool watches) {
+  const auto now = loop_.Now();
+  const bool near = member.domain_ == mesh_.self().domain_;
+  if (watches && near) {
+    duty_.OnTold(member.id_, now);
+  }
+  if (version > version_) {
+    catch_up_.OnHeard({member.id_, near}, version, now);
+    CatchUp(now);
+  }
+}
+
+void RulesKeeper::Tick() {
+  const auto now = loop_.Now();
+  FollowDuty(now);
+  CatchUp(now);
+}
+
+void RulesKeeper::FollowDuty(core::TimePoint now) {
+  std::vector<core::InstanceId> members{mesh_.self().id_};
+  const auto neighbours = Neighbours();
+  for (const auto& neighbour : neighbours) {
+    members.push_back(neighbour.id_);
+  }
+  duty_.SetMembers(members);
+  const bool watches = duty_.Watches(now);
+  if (std::exchange(watches_, watches) != watches) {
+    log_.Write(core::EventNumber::kWatchDuty,
+               {{"watches", watches ? "yes" : "no"},
+                {"rules", std::to_string(version_)},
+                {"neighbours", std::to_string(neighbours.size())}});
+    watches ? reader_.Watch(Section::kRules) : reader_.Unwatch(Section::kRules);
+    told_at_ = {};
+  }
+  const bool sole = duty_.Tells(now);
+  reader_.SetWait(Section::kRules, sole ? std::min<core::Duration>(
+                                              kSoleWait, reader_.usual_wait())
+                                        : reader_.usual_wait());
+  if (sole && now - told_at_ >= duty_.tell_interval()) {
+    told_at_ = now;
+    mesh_.PushRules(neighbours);
+  }
+}
+
+void RulesKeeper::CatchUp(core::TimePoint now) {
+  if (const auto peer = catch_up_.Next(watches_, now)) {
+    const auto live = mesh_.Live();
+    const auto found = std::ranges::find(live, *peer, &membership::Member::id_);
+    if (found == live.end()) {
+      catch_up_.OnLost(*peer);
+    } else {
+      AskPeer(*found);
+    }
+  }
+  if (catch_up_.Overdue(now) && now - read_at_ >= kReadInterval) {
+    read_at_ = now;
+    reader_.ReadNow(Section::kRules);
+  }
+}
+
+void RulesKeeper::AskPeer(const membership::Member& peer) {
+  exchange_.Ask(peer.address_,
+                [this, id = peer.id_](std::optional<RulesDocument> document) {
+                  OnAnswer(id, std::move(document));
+                });
+}
+
+void RulesKeeper::OnAnswer(const core::InstanceId& peer,
+                           std::optional<RulesDocument> document) {
+  const auto now = loop_.Now();
+  if (!document) {
+    catch_up_.OnAnswer(peer, false, now);
+    return;
+  }
+  const auto published = store_.decode_rules_(document->text_);
+  const bool helped = published.rules_ && published.rules_->version_ > version_;
+  catch_up_.OnAnswer(peer, helped, now);
+  if (!helped) {
+    return;
+  }
+  log_.Write(core::EventNumber::kLearnedFromPeer,
+             {{"peer", peer.value()},
+              {"section", "rules"},
+              {"revision", std::to_string(document->revision_)}});
+  Take(*published.rules_, std::move(*document), std::string(kPeerSource));
+}
+
+std::vector<membership::Member> RulesKeeper::Neighbours() const {
+  auto members = mesh_.Live();
+  std::erase_if(members, [this](const membership::Member& member) {
+    return member.kind_ != membership::MemberKind::kEntry ||
+           member.domain_ != mesh_.self().domain_ || member.leaving_;
+  });
+  return members;
+}
+
+void RulesKeeper::TellVersion() {
+  std::map<core::FailureDomainId, std::vector<core::InstanceId>> domains;
+  const auto live = mesh_.Live();
+  for (const auto& member : live) {
+    if (member.kind_ == membership::MemberKind::kEntry) {
+      domains[member.domain_].push_back(member.id_);
+    }
+  }
+  std::vector<membership::Member> told;
+  for (const auto& [domain, members] : domains) {
+    const auto first =
+        domain == mesh_.self().domain_
+            ? members
+            : membership::WatchDuty::FirstInRank(members, kToldFar);
+    for (const auto& member : live) {
+      if (std::ranges::find(first, member.id_) != first.end()) {
+        told.push_back(member);
+      }
+    }
+  }
+  mesh_.PushRules(told);
+}
+
+}  // namespace chalkwell::daemon::direct
--- /dev/null
+++ b/packages/daemon/src/daemon/direct/rules_keeper.hpp
@@ -0,0 +1,81 @@
+// Keeps an entry's rules up with what is published: it takes them from the
+// store where that is its duty, and from other entries else.
+#pragma once
+
+#include <functional>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "chalkwell/config/catch_up.hpp"
+#include "chalkwell/membership/watch_duty.hpp"
+#include "daemon/direct/hooks.hpp"
+#include "daemon/direct/mesh_node.hpp"
+#include "daemon/direct/published_reader.hpp"
+#include "daemon/direct/rules_exchange.hpp"
+#include "daemon/event_log.hpp"
+
+namespace chalkwell::daemon::direct {
+
+/// @brief The rules of one entry.
+class RulesKeeper {
+ public:
+  /// @brief Newer rules are to be in force.
+  /// @param source where they were heard, for the log.
+  using Handler = std::function<void(const config::TrafficRules& rules,
+                                     const std::string& source)>;
+
+  RulesKeeper(Loop& loop, const StoreClient& store, PublishedReader& reader,
+              MeshNode& mesh, EventLog& log, Metrics& metrics, Handler handler);
+
+  void Start();
+  /// @brief The reader brought the section of rules.
+  void OnPublished(const Published& published);
+  /// @brief A member told which rules it has.
+  /// @param watches whether it takes them from the store.
+  void OnHeard(const membership::Member& member, std::uint64_t version,
+               bool watches);
+  void OnLost(const membership::Member& member) {
+    catch_up_.OnLost(member.id_);
+  }
+  /// @brief Answers a peer's call.
+  /// @return false when the call is not for rules.
+  bool Answer(const PeerCallPtr& call) { return exchange_.Answer(call); }
+
+  /// @brief Version in force; 0 for none.
+  [[nodiscard]] std::uint64_t version() const noexcept { return version_; }
+  /// @brief Whether this entry takes the rules from the store.
+  [[nodiscard]] bool watches() const noexcept { return watches_; }
+
+ private:
+  /// @param text as published.
+  void Take(const config::TrafficRules& rules, RulesDocument document,
+            const std::string& source);
+  void Tick();
+  void FollowDuty(core::TimePoint now);
+  void CatchUp(core::TimePoint now);
+  void AskPeer(const membership::Member& peer);
+  void OnAnswer(const core::InstanceId& peer,
+                std::optional<RulesDocument> document);
+  /// @brief Tells who has to know at once: all of the own failure domain, and
+  /// the first in rank of the others, who tell theirs.
+  void TellVersion();
+  [[nodiscard]] std::vector<membership::Member> Neighbours() const;
+
+  Loop& loop_;
+  const StoreClient& store_;
+  PublishedReader& reader_;
+  MeshNode& mesh_;
+  EventLog& log_;
+  Handler handler_;
+  membership::WatchDuty duty_;
+  config::CatchUp catch_up_;
+  RulesExchange exchange_;
+  std::uint64_t version_ = 0;
+  bool watches_ = true;
+  core::TimePoint told_at_;
+  core::TimePoint read_at_;
+  Timer tick_;
+};
+
+}  // namespace chalkwell::daemon::direct
--- a/packages/daemon/src/daemon/messages.cpp
+++ b/packages/daemon/src/daemon/messages.cpp
@@ -1,9 +1,10 @@
 // Conversions between messages and the library's types.
 #include "daemon/messages.hpp"
 
-#include <zlib.h>
-
 #include <algorithm>
+#include <utility>
+
+#include "daemon/deflate.hpp"
 
 namespace chalkwell::daemon {
 
@@ -22,37 +23,20 @@
   return core::Digest(bytes);
 }
 
-std::string Deflate(const std::string& body) {
-  auto size = compressBound(body.size());
-  std::string deflated(size, '\0');
-  const int result = compress2(reinterpret_cast<Bytef*>(deflated.data()), &size,
-                               reinterpret_cast<const Bytef*>(body.data()),
-                               body.size(), Z_DEFAULT_COMPRESSION);
-  if (result != Z_OK) {
-    throw core::Error(core::Step::kParse, "", "document cannot be deflated");
-  }
-  deflated.resize(size);
-  return deflated;
-}
-
-std::string Inflate(const DocumentMessage& message, const std::string& peer) {
+std::string InflateDocument(const DocumentMessage& message,
+                            const std::string& peer) {
   if (message.size_ > kMaxDocumentBytes) {
     throw core::Error(core::Step::kParse, peer,
                       "document '" + message.key_ + "' is over " +
                           std::to_string(kMaxDocumentBytes) + " bytes");
   }
-  auto size = static_cast<uLongf>(message.size_);
-  std::string body(size, '\0');
-  const int result =
-      uncompress(reinterpret_cast<Bytef*>(body.data()), &size,
-                 reinterpret_cast<const Bytef*>(message.deflated_.data()),
-                 static_cast<uLong>(message.deflated_.size()));
-  if (result != Z_OK || size != message.size_) {
+  auto body = Inflate(message.deflated_, message.size_);
+  if (!body) {
     throw core::Error(
         core::Step::kParse, peer,
         "document '" + message.key_ + "' does not inflate to its size");
   }
-  return body;
+  return std::move(*body);
 }
 
 }  // namespace
@@ -94,7 +78,7 @@
   documents.reserve(messages.size());
   for (const auto& message : messages) {
     documents.push_back(
-        {message.key_, message.revision_, Inflate(message, peer)});
+        {message.key_, message.revision_, InflateDocument(message, peer)});
   }
   return documents;
 }
--- /dev/null
+++ b/tests/membership/watch_duty_test.cpp
@@ -0,0 +1,118 @@
+// Who takes a published document from its publisher.
+#include "chalkwell/membership/watch_duty.hpp"
+
+#include <algorithm>
+#include <catch2/catch.hpp>
+#include <vector>
+
+namespace chalkwell::membership {
+namespace {
+
+using namespace std::chrono_literals;
+
+const core::TimePoint kStart(1h);
+constexpr std::size_t kSmall = 20'000;
+constexpr std::size_t kLarge = 1'300'000;
+
+std::vector<core::InstanceId> Members(std::size_t count) {
+  std::vector<core::InstanceId> members;
+  for (std::size_t i = 0; i < count; ++i) {
+    members.emplace_back("e" + std::to_string(i));
+  }
+  return WatchDuty::FirstInRank(members, count);
+}
+
+WatchDuty DutyOf(const std::vector<core::InstanceId>& members,
+                 std::size_t rank) {
+  WatchDuty duty(members[rank]);
+  duty.SetMembers(members);
+  return duty;
+}
+
+TEST_CASE("how many of a failure domain watch a document of a size",
+          "[membership]") {
+  struct Row {
+    std::size_t bytes_;
+    std::size_t members_;
+    std::size_t watch_;
+  };
+  const auto row =
+      GENERATE(Row{kSmall, 9, 9}, Row{kSmall, 38, 13}, Row{100'000, 9, 2},
+               Row{kLarge, 9, 1}, Row{kLarge, 1, 1}, Row{kLarge, 38, 1});
+  const auto members = Members(row.members_);
+  std::size_t watch = 0;
+  for (std::size_t rank = 0; rank < members.size(); ++rank) {
+    auto duty = DutyOf(members, rank);
+    duty.OnDocument(row.bytes_);
+    if (rank > 0) {
+      duty.OnTold(members[0], kStart);
+    }
+    watch += duty.Watches(kStart) ? 1 : 0;
+    CHECK(duty.Tells(kStart) ==
+          (duty.Watches(kStart) && row.watch_ < members.size()));
+  }
+  CHECK(watch == row.watch_);
+}
+
+TEST_CASE("a member watches as long as none ahead says that it does",
+          "[membership]") {
+  const auto members = Members(4);
+  auto duty = DutyOf(members, 2);
+  duty.OnDocument(kLarge);
+  CHECK(duty.Watches(kStart));
+  duty.OnTold(members[3], kStart);
+  CHECK(duty.Watches(kStart));
+  duty.OnTold(members[1], kStart);
+  CHECK_FALSE(duty.Watches(kStart));
+}
+
+TEST_CASE("silence passes the duty on one after the other", "[membership]") {
+  const auto members = Members(4);
+  const WatchDutySettings settings;
+  for (std::size_t rank = 1; rank < members.size(); ++rank) {
+    auto duty = DutyOf(members, rank);
+    duty.OnDocument(kLarge);
+    duty.OnTold(members[0], kStart);
+    const auto due = kStart + settings.patience_ +
+                     settings.step_ * (static_cast<int>(rank) - 1);
+    CHECK_FALSE(duty.Watches(due - 1ms));
+    CHECK(duty.Watches(due));
+    // Whoever took it up keeps those behind it from doing so too.
+    if (rank > 1) {
+      duty.OnTold(members[1], due);
+      CHECK_FALSE(duty.Watches(due));
+    }
+  }
+}
+
+TEST_CASE("the next in rank has the duty when the first is gone",
+          "[membership]") {
+  const auto members = Members(4);
+  auto duty = DutyOf(members, 1);
+  duty.OnDocument(kLarge);
+  duty.OnTold(members[0], kStart);
+  CHECK_FALSE(duty.Watches(kStart));
+  const std::vector<core::InstanceId> left(members.begin() + 1, members.end());
+  duty.SetMembers(left);
+  CHECK(duty.Watches(kStart));
+}
+
+TEST_CASE("a long first read is left to the first in rank", "[membership]") {
+  struct Row {
+    std::size_t rank_;
+    core::Duration reading_;
+    bool watches_;
+  };
+  const auto row = GENERATE(Row{0, 1s, true}, Row{1, 140ms, true},
+                            Row{1, 150ms, false}, Row{3, 1s, false});
+  const auto members = Members(4);
+  auto duty = DutyOf(members, row.rank_);
+  duty.OnFirstRead(kStart);
+  if (row.rank_ > 0) {
+    duty.OnTold(members[0], kStart + row.reading_);
+  }
+  CHECK(duty.Watches(kStart + row.reading_) == row.watches_);
+}
+
+}  // namespace
+}  // namespace chalkwell::membership
