--- a/packages/chalkwell/src/chalkwell/config/traffic_rules.cpp
+++ b/packages/chalkwell/src/chalkwell/config/traffic_rules.cpp
@@ -28,8 +28,12 @@
   by_host_.clear();
   by_key_.clear();
   by_service_.clear();
+  named_.clear();
   for (const auto& route : rules_.routes_) {
     by_host_[route.host_].push_back(&route);
+    for (const auto& share : route.services_) {
+      named_.insert(share.service_);
+    }
   }
   for (auto& [host, routes] : by_host_) {
     std::ranges::stable_sort(routes, std::greater{}, [](const auto* route) {
@@ -45,6 +49,7 @@
   }
   for (const auto& service : rules_.services_) {
     by_service_.emplace(service.name_, &service);
+    named_.insert(service.name_);
   }
   return true;
 }
--- a/packages/chalkwell/src/chalkwell/config/traffic_rules.hpp
+++ b/packages/chalkwell/src/chalkwell/config/traffic_rules.hpp
@@ -8,6 +8,7 @@
 #include <string>
 #include <string_view>
 #include <unordered_map>
+#include <unordered_set>
 #include <vector>
 
 #include "chalkwell/config/fwd.hpp"
@@ -141,6 +142,10 @@
                                               std::string_view path) const;
   /// @brief Null when no account holds the key.
   [[nodiscard]] const AccountKeys* FindAccount(const std::string& key) const;
+  /// @brief Whether the rules name a service, as such or in a route.
+  [[nodiscard]] bool Names(const std::string& service) const {
+    return named_.contains(service);
+  }
   [[nodiscard]] const TrafficService* FindService(
       const std::string& name) const;
   /// @brief The service that takes one request of a route: the same for the
@@ -154,6 +159,8 @@
   std::unordered_map<std::string, std::vector<const TrafficRoute*>> by_host_;
   std::unordered_map<std::string, const AccountKeys*> by_key_;
   std::unordered_map<std::string, const TrafficService*> by_service_;
+  /// Services that are listed or that routes send to.
+  std::unordered_set<std::string> named_;
 };
 
 }  // namespace chalkwell::config
--- a/packages/chalkwell/src/chalkwell/core/fwd.hpp
+++ b/packages/chalkwell/src/chalkwell/core/fwd.hpp
@@ -17,6 +17,9 @@
 
 /// @brief Monotonic time; every function that decides takes it as an argument.
 using TimePoint = std::chrono::steady_clock::time_point;
+/// @brief Time of day at which a process started, by its own clock: a name for
+/// one of its lives, never compared with other clocks.
+using StartTime = std::chrono::sys_time<std::chrono::milliseconds>;
 /// @brief Span of monotonic time.
 using Duration = std::chrono::steady_clock::duration;
 
--- a/packages/chalkwell/src/chalkwell/membership/fwd.hpp
+++ b/packages/chalkwell/src/chalkwell/membership/fwd.hpp
@@ -12,6 +12,7 @@
 class PlannedStop;
 class GossipTable;
 class PathDelay;
+class MessageOrder;
 class LinkDelay;
 class ReadDuty;
 class WatchDuty;
--- a/packages/chalkwell/src/chalkwell/routing/endpoint_table.cpp
+++ b/packages/chalkwell/src/chalkwell/routing/endpoint_table.cpp
@@ -22,6 +22,8 @@
 /// Departed incarnations remembered: those of some minutes on a large
 /// deployment.
 constexpr std::size_t kMaxDeparted = 512;
+/// Earlier lives of one id that may still be told of.
+constexpr std::size_t kMaxStarts = 8;
 /// Below this many milliseconds two choices count as equal.
 constexpr double kTieMs = 2;
 
@@ -79,14 +81,47 @@
   DropMissing(complete ? core::Duration{} : settings_.lapse_grace_, now);
 }
 
+bool EndpointTable::Endpoint::WasDead(
+    const std::optional<core::StartTime>& started) const {
+  return started &&
+         std::ranges::find(dead_starts_, *started) != dead_starts_.end();
+}
+
+void EndpointTable::BeginLife(Endpoint& endpoint, EndpointRow row) {
+  Endpoint next;
+  next.dead_starts_ = std::move(endpoint.dead_starts_);
+  if (endpoint.row_.started_) {
+    next.dead_starts_.push_back(*endpoint.row_.started_);
+  }
+  if (next.dead_starts_.size() > kMaxStarts) {
+    next.dead_starts_.pop_front();
+  }
+  if (row.started_) {
+    // A report may correct what a late row said.
+    std::erase(next.dead_starts_, *row.started_);
+  }
+  next.row_ = std::move(row);
+  endpoint = std::move(next);
+}
+
 void EndpointTable::TakeRow(EndpointRow row) {
-  incarnations_.OnRow(row.address_, row.id_, row.created_);
   auto& endpoint = endpoints_[row.id_];
-  // An endpoint that leaves never comes back under the same id.
+  endpoint.missing_since_.reset();
+  if (endpoint.WasDead(row.started_)) {
+    // Its next life was told of before its row was written.
+    return;
+  }
+  incarnations_.OnRow(row.address_, row.life(), row.created_);
+  if (Differ(endpoint.row_.started_, row.started_)) {
+    BeginLife(endpoint, std::move(row));
+    return;
+  }
+  // An endpoint that leaves does not come back within the same life.
   const bool leaving = endpoint.row_.leaving_ || row.leaving_;
+  const auto started = row.started_ ? row.started_ : endpoint.row_.started_;
   endpoint.row_ = std::move(row);
   endpoint.row_.leaving_ = leaving;
-  endpoint.missing_since_.reset();
+  endpoint.row_.started_ = started;
 }
 
 bool EndpointTable::TakeChange(const EndpointListChange& change) {
@@ -120,17 +155,33 @@
 }
 
 void EndpointTable::Erase(const core::InstanceId& id) {
-  endpoints_.erase(id);
-  departed_.push_back(id);
+  const auto found = endpoints_.find(id);
+  if (found == endpoints_.end()) {
+    departed_.push_back({id, std::nullopt});
+  } else {
+    departed_.push_back(found->second.row_.life());
+    endpoints_.erase(found);
+  }
   if (departed_.size() > kMaxDeparted) {
     departed_.pop_front();
   }
 }
 
 void EndpointTable::TakeTold(EndpointRow row, core::TimePoint now) {
-  incarnations_.OnTold(row.address_, row.id_);
-  const bool left = std::ranges::find(departed_, row.id_) != departed_.end();
-  if (left || endpoints_.contains(row.id_)) {
+  const auto life = row.life();
+  auto* known = Find(row.id_);
+  incarnations_.OnTold(row.address_, life);
+  if (known != nullptr) {
+    if (Differ(known->row_.started_, row.started_)) {
+      BeginLife(*known, std::move(row));
+      known->told_until_ = now + settings_.told_grace_;
+    }
+    return;
+  }
+  const bool left = std::ranges::any_of(
+      departed_,
+      [&](const EndpointLife& gone) { return SameLife(gone, life); });
+  if (left) {
     return;
   }
   auto& endpoint = endpoints_[row.id_];
@@ -143,12 +194,22 @@
                                core::TimePoint taken_at) {
   for (auto& [id, endpoint] : endpoints_) {
     if (endpoint.row_.address_ != address ||
-        !incarnations_.Lives(address, id)) {
+        !incarnations_.Lives(address, endpoint.row_.life())) {
       continue;
     }
     if (endpoint.report_ && taken_at < endpoint.reported_at_) {
       return;
     }
+    if (Differ(endpoint.row_.started_, report.started_)) {
+      // Told of before its row was read, or after the row of a life between.
+      auto row = endpoint.row_;
+      row.started_ = report.started_;
+      row.leaving_ = false;
+      row.weights_version_.reset();
+      incarnations_.OnTold(address, row.life());
+      BeginLife(endpoint, std::move(row));
+      endpoint.told_until_ = taken_at + settings_.told_grace_;
+    }
     endpoint.report_ = report;
     endpoint.reported_at_ = taken_at;
     endpoint.told_version_ = report.weights_version_;
@@ -159,18 +220,24 @@
   }
 }
 
-void EndpointTable::MarkLeaving(const core::InstanceId& id) {
-  if (auto* endpoint = Find(id)) {
+void EndpointTable::MarkLeaving(const EndpointLife& life) {
+  auto* endpoint = Find(life.id_);
+  if (endpoint != nullptr && SameLife(endpoint->row_.life(), life)) {
     endpoint->row_.leaving_ = true;
   }
 }
 
-void EndpointTable::MarkGone(const core::InstanceId& id) { Erase(id); }
+void EndpointTable::MarkGone(const EndpointLife& life) {
+  const auto* endpoint = Find(life.id_);
+  if (endpoint == nullptr || SameLife(endpoint->row_.life(), life)) {
+    Erase(life.id_);
+  }
+}
 
 void EndpointTable::MarkReplaced(const core::InstanceId& id,
                                  const core::InstanceId& living) {
   if (const auto* endpoint = Find(id)) {
-    incarnations_.OnTold(endpoint->row_.address_, living);
+    incarnations_.OnTold(endpoint->row_.address_, {living, std::nullopt});
   }
 }
 
@@ -188,7 +255,7 @@
   if (endpoint == nullptr) {
     return;
   }
-  ++endpoint->in_flight_;
+  endpoint->under_way_.push_back(now);
   endpoint->sent_.push_back(now);
   if (on_time) {
     endpoint->reading_ += prompt_tokens;
@@ -217,7 +284,8 @@
                                 double prompt_tokens, core::TimePoint sent_at,
                                 core::Duration predicted, core::TimePoint now) {
   auto* endpoint = Find(id);
-  if (endpoint == nullptr) {
+  if (endpoint == nullptr || std::ranges::find(endpoint->under_way_, sent_at) ==
+                                 endpoint->under_way_.end()) {
     return;
   }
   if (!ForgetUnanswered(*endpoint, prompt_tokens, sent_at)) {
@@ -242,9 +310,12 @@
   if (endpoint == nullptr) {
     return;
   }
-  if (endpoint->in_flight_ > 0) {
-    --endpoint->in_flight_;
+  const auto own = std::ranges::find(endpoint->under_way_, sent_at);
+  if (own == endpoint->under_way_.end()) {
+    // It was sent to an earlier life.
+    return;
   }
+  endpoint->under_way_.erase(own);
   if (!answering) {
     ForgetUnanswered(*endpoint, prompt_tokens, sent_at);
   }
@@ -324,12 +395,12 @@
                            const ChoiceRequest& request) const {
   const auto& row = endpoint.row_;
   if (row.service_ != request.service_ || row.leaving_ ||
-      !incarnations_.Lives(row.address_, row.id_) ||
+      !incarnations_.Lives(row.address_, row.life()) ||
       std::ranges::find(request.tried_, row.id_) != request.tried_.end()) {
     return false;
   }
   const bool full = request.max_in_flight_ > 0 &&
-                    endpoint.in_flight_ >= request.max_in_flight_;
+                    endpoint.in_flight() >= request.max_in_flight_;
   if (full) {
     return false;
   }
@@ -347,11 +418,11 @@
 std::uint32_t EndpointTable::Occupied(const Endpoint& endpoint,
                                       core::TimePoint now) const {
   if (!Reported(endpoint, now)) {
-    return endpoint.in_flight_ * kUnreportedFactor;
+    return endpoint.in_flight() * kUnreportedFactor;
   }
   const auto since = static_cast<std::uint32_t>(endpoint.sent_.size());
-  return std::max(endpoint.in_flight_, endpoint.report_->active_ +
-                                           endpoint.report_->queued_ + since);
+  return std::max(endpoint.in_flight(), endpoint.report_->active_ +
+                                            endpoint.report_->queued_ + since);
 }
 
 double EndpointTable::LateShare() const {
--- a/packages/chalkwell/src/chalkwell/routing/endpoint_table.hpp
+++ b/packages/chalkwell/src/chalkwell/routing/endpoint_table.hpp
@@ -13,6 +13,7 @@
 #include "chalkwell/config/traffic_rules.hpp"
 #include "chalkwell/core/fwd.hpp"
 #include "chalkwell/core/identifier.hpp"
+#include "chalkwell/routing/endpoint_life.hpp"
 #include "chalkwell/routing/fwd.hpp"
 #include "chalkwell/routing/incarnation_table.hpp"
 
@@ -20,8 +21,10 @@
 
 /// @brief One row of the published list of endpoints.
 struct EndpointRow {
-  /// Names one incarnation: a restarted endpoint has another.
+  /// Of the endpoint; it may start again under it.
   core::InstanceId id_;
+  /// Names the life, with the id; none where it is not told.
+  std::optional<core::StartTime> started_;
   std::string service_;
   /// "ip:port".
   std::string address_;
@@ -34,6 +37,7 @@
   /// Revision of the list at which the row came to be; 0 when not known.
   std::uint64_t created_ = 0;
 
+  [[nodiscard]] EndpointLife life() const { return {id_, started_}; }
   friend bool operator==(const EndpointRow&, const EndpointRow&) = default;
 };
 
@@ -69,6 +73,8 @@
   bool link_idle_ = false;
   /// The incarnation that reports; empty when that is not told.
   core::InstanceId incarnation_;
+  /// Start of the life that reports; none when that is not told.
+  std::optional<core::StartTime> started_;
 };
 
 /// @brief Settings of the table.
@@ -172,16 +178,17 @@
   /// @brief Takes what another process saw change in the list.
   /// @return false when the change begins behind a gap: the list must be read.
   bool TakeChange(const EndpointListChange& change);
-  /// @brief An agent told of its endpoint's incarnation, which the list may not
+  /// @brief An agent told which life its endpoint is, which the list may not
   /// show yet.
   /// @param row without weights; a report tells them.
   void TakeTold(EndpointRow row, core::TimePoint now);
-  /// @brief Takes a report of the endpoint that lives at an address.
+  /// @brief Takes a report of the endpoint that lives at an address. Reports
+  /// come in their order: one of another life tells who lives now.
   void TakeReport(const std::string& address, const LoadReport& report,
                   core::TimePoint taken_at);
-  /// @brief The endpoint said itself that it goes away.
-  void MarkLeaving(const core::InstanceId& id);
-  void MarkGone(const core::InstanceId& id);
+  /// @brief The endpoint said in this life that it goes away.
+  void MarkLeaving(const EndpointLife& life);
+  void MarkGone(const EndpointLife& life);
   /// @brief Another incarnation answered at its address.
   void MarkReplaced(const core::InstanceId& id, const core::InstanceId& living);
   /// @brief The endpoint said which weights it holds.
@@ -225,8 +232,9 @@
     /// published row.
     std::optional<std::uint64_t> told_version_;
     bool told_ = false;
-    /// Own requests under way.
-    std::uint32_t in_flight_ = 0;
+    /// When own requests were sent that are under way. Those to an earlier life
+    /// are not among them: their ends change nothing here.
+    std::vector<core::TimePoint> under_way_;
     /// Own requests sent after the report was taken and still under way.
     std::vector<core::TimePoint> sent_;
     /// Prompt tokens of own requests on time that wait for their first byte,
@@ -247,6 +255,15 @@
     std::optional<core::TimePoint> missing_since_;
     /// Until when a told row need not be in the list.
     core::TimePoint told_until_;
+    /// Starts of earlier lives under this id, newest last; at most kMaxStarts.
+    /// Their rows change nothing.
+    std::deque<core::StartTime> dead_starts_;
+
+    [[nodiscard]] std::uint32_t in_flight() const noexcept {
+      return static_cast<std::uint32_t>(under_way_.size());
+    }
+    [[nodiscard]] bool WasDead(
+        const std::optional<core::StartTime>& started) const;
 
     [[nodiscard]] std::optional<std::uint64_t> version() const noexcept {
       return told_ ? told_version_ : row_.weights_version_;
@@ -289,6 +306,9 @@
                           core::TimePoint now) const;
   [[nodiscard]] core::Duration ExtraDelay(const Endpoint& endpoint,
                                           core::TimePoint now) const;
+  /// @brief Forgets all of an endpoint but its earlier lives: another one
+  /// begins.
+  static void BeginLife(Endpoint& endpoint, EndpointRow row);
   void TakeRow(EndpointRow row);
   void DropMissing(core::Duration grace, core::TimePoint now);
   void Erase(const core::InstanceId& id);
@@ -297,9 +317,9 @@
   std::mt19937_64 random_;
   std::map<core::InstanceId, Endpoint> endpoints_;
   IncarnationTable incarnations_;
-  /// Incarnations that left the list, newest last; at most kMaxDeparted. An
-  /// agent that still tells of one does not bring it back.
-  std::deque<core::InstanceId> departed_;
+  /// Lives that left the list, newest last; at most kMaxDeparted. An agent that
+  /// still tells of one does not bring it back.
+  std::deque<EndpointLife> departed_;
   /// Of the published list last taken; never falls.
   std::uint64_t revision_ = 0;
 };
--- a/packages/chalkwell/src/chalkwell/routing/fwd.hpp
+++ b/packages/chalkwell/src/chalkwell/routing/fwd.hpp
@@ -14,6 +14,7 @@
 class EndpointChooser;
 class EndpointTable;
 class IncarnationTable;
+struct EndpointLife;
 class RequestAge;
 struct EngineLoad;
 struct StreamRequest;
--- a/packages/chalkwell/src/chalkwell/routing/incarnation_table.cpp
+++ b/packages/chalkwell/src/chalkwell/routing/incarnation_table.cpp
@@ -6,55 +6,80 @@
 namespace chalkwell::routing {
 namespace {
 
-/// Dead incarnations remembered of one address: their rows end with their
-/// leases, long before as many have followed.
+/// Dead lives remembered of one address: their rows end with their leases, long
+/// before as many have followed.
 constexpr std::size_t kMaxDead = 8;
 
+bool Holds(const std::deque<EndpointLife>& lives, const EndpointLife& life) {
+  return std::ranges::any_of(
+      lives, [&](const EndpointLife& known) { return SameLife(known, life); });
+}
+
+bool HoldsId(const std::deque<EndpointLife>& lives,
+             const core::InstanceId& id) {
+  return std::ranges::find(lives, id, &EndpointLife::id_) != lives.end();
+}
+
 }  // namespace
 
+void IncarnationTable::Follow(Known& known, const EndpointLife& life) {
+  std::erase_if(known.dead_,
+                [&](const EndpointLife& dead) { return SameLife(dead, life); });
+  if (!known.living_.id_.empty()) {
+    known.dead_.push_back(known.living_);
+  }
+  if (known.dead_.size() > kMaxDead) {
+    known.dead_.pop_front();
+  }
+  known.living_ = life;
+  known.created_ = 0;
+}
+
 void IncarnationTable::OnRow(const std::string& address,
-                             const core::InstanceId& id,
-                             std::uint64_t created) {
+                             const EndpointLife& life, std::uint64_t created) {
   auto& known = addresses_[address];
-  if (std::ranges::find(known.dead_, id) != known.dead_.end()) {
+  if (Holds(known.dead_, life)) {
     return;
   }
-  if (known.living_.empty()) {
-    known.living_ = id;
+  auto& living = known.living_;
+  if (living.id_.empty()) {
+    living = life;
   }
-  if (known.living_ == id) {
+  if (SameLife(living, life)) {
     known.created_ = created;
+    if (!living.started_) {
+      living.started_ = life.started_;
+    }
     return;
   }
-  // A told one whose row was not seen yet cannot be compared.
-  if (known.created_ > 0 && created > known.created_) {
-    known.living_ = id;
+  // Lives of one id follow each other in one row: a life that was not there
+  // before is the latest, also where another id came between. Of two ids a told
+  // one whose row was not seen yet cannot be compared.
+  const bool again = living.id_ == life.id_ || HoldsId(known.dead_, life.id_);
+  const bool newer = known.created_ > 0 && created > known.created_;
+  if (again || newer) {
+    Follow(known, life);
     known.created_ = created;
   }
 }
 
 void IncarnationTable::OnTold(const std::string& address,
-                              const core::InstanceId& id) {
+                              const EndpointLife& life) {
   auto& known = addresses_[address];
-  if (known.living_ == id) {
+  if (SameLife(known.living_, life)) {
+    if (!known.living_.started_) {
+      known.living_.started_ = life.started_;
+    }
     return;
   }
-  std::erase(known.dead_, id);
-  if (!known.living_.empty()) {
-    known.dead_.push_back(known.living_);
-  }
-  if (known.dead_.size() > kMaxDead) {
-    known.dead_.pop_front();
-  }
-  known.living_ = id;
-  known.created_ = 0;
+  Follow(known, life);
 }
 
 bool IncarnationTable::Lives(const std::string& address,
-                             const core::InstanceId& id) const {
+                             const EndpointLife& life) const {
   const auto found = addresses_.find(address);
-  return found == addresses_.end() || found->second.living_.empty() ||
-         found->second.living_ == id;
+  return found == addresses_.end() || found->second.living_.id_.empty() ||
+         SameLife(found->second.living_, life);
 }
 
 }  // namespace chalkwell::routing
--- a/packages/daemon/src/daemon/direct/direct_agent.cpp
+++ b/packages/daemon/src/daemon/direct/direct_agent.cpp
@@ -66,6 +66,7 @@
          left.accepting_ == right.accepting_ &&
          left.version_ == right.version_ && left.pace_ == right.pace_ &&
          left.link_idle_ == right.link_idle_ &&
+         left.started_ms_ == right.started_ms_ &&
          Difference(left.inbound_ms_, right.inbound_ms_) < kInboundStepMs;
 }
 
@@ -211,15 +212,18 @@
   load.inbound_ms_ = static_cast<std::uint32_t>(
       std::chrono::duration_cast<milliseconds>(inbound).count());
   load.link_idle_ = weights_.LinkIdle(now);
+  load.started_ms_ = ToMs(report->started_);
   const auto held = report->models_.find(model_);
   if (held != report->models_.end()) {
     load.version_ = held->second;
   }
   orders_ = report->orders_;
+  started_ = report->started_;
   version_ = load.version_;
   const bool same = last_pushed_ && SameLoad(*last_pushed_, load);
   const bool urgent =
       last_pushed_ && (last_pushed_->version_ != load.version_ ||
+                       last_pushed_->started_ms_ != load.started_ms_ ||
                        last_pushed_->accepting_ != load.accepting_);
   const core::Duration least = same ? kRepeat : kPushInterval;
   if (!urgent && now - pushed_at_ < least) {
@@ -236,7 +240,8 @@
 bool DirectAgent::Restarted(const EngineReport& report) const {
   const auto held = report.models_.find(model_);
   const auto version = held == report.models_.end() ? 0 : held->second;
-  return report.orders_ < orders_ || version < version_;
+  return routing::Differ(report.started_, started_) ||
+         report.orders_ < orders_ || version < version_;
 }
 
 void DirectAgent::AskIncarnation() {
--- a/packages/daemon/src/daemon/direct/direct_agent.hpp
+++ b/packages/daemon/src/daemon/direct/direct_agent.hpp
@@ -62,7 +62,8 @@
   core::InstanceId incarnation_;
   core::TimePoint incarnation_asked_at_;
   core::TimePoint incarnation_told_at_;
-  /// Orders and version of the last report.
+  /// Start, orders and version of the last report.
+  std::optional<core::StartTime> started_;
   std::uint64_t orders_ = 0;
   std::uint64_t version_ = 0;
   Timer poll_;
--- a/packages/daemon/src/daemon/direct/direct_entry.cpp
+++ b/packages/daemon/src/daemon/direct/direct_entry.cpp
@@ -122,7 +122,11 @@
       list_(process.loop(), endpoints_, mesh_, process.log(),
             ReaderSettingsOf(process.settings()).poll_interval_,
             {.read_ = [this] { reader_.ReadNow(Section::kEndpoints); },
-             .reachable_since_ = [this] { return reader_.reachable_since(); }}),
+             .reachable_since_ = [this] { return reader_.reachable_since(); },
+             .named_ =
+                 [this](const std::string& service) {
+                   return rules_.empty() || rules_.Names(service);
+                 }}),
       keeper_(process.loop(), adapter_.store_, reader_, mesh_, process.log(),
               process.metrics(),
               [this](const config::TrafficRules& rules,
@@ -294,18 +298,22 @@
 
 void DirectEntry::OnLoad(const LoadMessage& message) {
   const auto now = process_.loop().Now();
+  if (reports_[message.endpoint_].Late(milliseconds(message.sent_ms_))) {
+    process_.metrics().Count("reports_late_total", {});
+    return;
+  }
   const auto outbound =
       paths_[message.endpoint_].OnMessage(milliseconds(message.sent_ms_), now);
   const auto report = ToReport(message, outbound);
   if (!report.incarnation_.empty()) {
-    OnIncarnation(message.endpoint_, report.incarnation_, now);
+    OnLife(message.endpoint_, {report.incarnation_, report.started_}, now);
   }
   endpoints_.TakeReport(message.endpoint_, report, now);
 }
 
-void DirectEntry::OnIncarnation(const std::string& endpoint,
-                                const core::InstanceId& incarnation,
-                                core::TimePoint now) {
+void DirectEntry::OnLife(const std::string& endpoint,
+                         const routing::EndpointLife& life,
+                         core::TimePoint now) {
   const auto machine = ParseAddress(endpoint).ip_;
   for (const auto& member : mesh_.Live()) {
     const bool beside = member.kind_ == membership::MemberKind::kAgent &&
@@ -314,7 +322,8 @@
       continue;
     }
     routing::EndpointRow row;
-    row.id_ = incarnation;
+    row.id_ = life.id_;
+    row.started_ = life.started_;
     row.service_ = member.service_;
     row.address_ = endpoint;
     row.domain_ = member.domain_;
--- a/packages/daemon/src/daemon/direct/direct_entry.hpp
+++ b/packages/daemon/src/daemon/direct/direct_entry.hpp
@@ -8,6 +8,7 @@
 #include <vector>
 
 #include "chalkwell/config/traffic_rules.hpp"
+#include "chalkwell/membership/message_order.hpp"
 #include "chalkwell/membership/path_delay.hpp"
 #include "chalkwell/rollout/version_bound.hpp"
 #include "chalkwell/routing/endpoint_table.hpp"
@@ -45,9 +46,9 @@
                      const std::string& source);
   void AskPeersIfCutOff();
   void OnLoad(const LoadMessage& message);
-  /// @brief An agent told which incarnation its endpoint is.
-  void OnIncarnation(const std::string& endpoint,
-                     const core::InstanceId& incarnation, core::TimePoint now);
+  /// @brief An agent told which life its endpoint is.
+  void OnLife(const std::string& endpoint, const routing::EndpointLife& life,
+              core::TimePoint now);
   void OnCaller(const HttpExchangePtr& exchange);
   void OnReady(const HttpExchangePtr& exchange);
   void Refuse(HttpExchange& exchange, const CallerRequest& caller, int status,
@@ -82,6 +83,7 @@
   bool weights_read_ = false;
   /// By address of the endpoint whose agent reports.
   std::map<std::string, membership::PathDelay> paths_;
+  std::map<std::string, membership::MessageOrder> reports_;
   RequestContext context_;
   PublishedReader reader_;
   MeshNode mesh_;
--- a/packages/daemon/src/daemon/direct/endpoint_list.cpp
+++ b/packages/daemon/src/daemon/direct/endpoint_list.cpp
@@ -34,7 +34,24 @@
       hooks_(std::move(hooks)),
       duty_(mesh.self().id_, DutySettings(often)) {}
 
-void EndpointList::TakeRead(const Published& published, bool from_store) {
+void EndpointList::LeaveOutUnnamed(std::vector<routing::EndpointRow>& rows) {
+  std::set<core::InstanceId> unnamed;
+  std::erase_if(rows, [&](const routing::EndpointRow& row) {
+    const bool known = hooks_.named_(row.service_);
+    if (!known && unnamed.insert(row.id_).second &&
+        !unnamed_.contains(row.id_)) {
+      log_.Write(
+          core::EventNumber::kDocumentRefused,
+          {{"section", "endpoints"},
+           {"reason", row.id_.value() + ": no such service: " + row.service_}});
+    }
+    return !known;
+  });
+  unnamed_ = std::move(unnamed);
+}
+
+void EndpointList::TakeRead(Published published, bool from_store) {
+  LeaveOutUnnamed(published.endpoints_);
   const auto now = loop_.Now();
   const auto before = endpoints_.Rows();
   const bool complete = now - hooks_.reachable_since_() >= kLapseTime;
@@ -95,9 +112,9 @@
     const auto now =
         std::ranges::find(after, row.id_, &routing::EndpointRow::id_);
     if (now == after.end()) {
-      departed.gone_.push_back(row.id_.value());
+      departed.gone_.push_back(ToMessage(row.life()));
     } else if (now->leaving_ && !row.leaving_) {
-      departed.leaving_.push_back(row.id_.value());
+      departed.leaving_.push_back(ToMessage(now->life()));
     }
   }
   if (!departed.leaving_.empty() || !departed.gone_.empty()) {
@@ -106,12 +123,12 @@
 }
 
 void EndpointList::OnDeparted(const DepartedMessage& departed) {
-  for (const auto& id : departed.leaving_) {
-    endpoints_.MarkLeaving(core::InstanceId(id));
+  for (const auto& life : departed.leaving_) {
+    endpoints_.MarkLeaving(ToLife(life));
   }
   // One that came back is in the next list that is read.
-  for (const auto& id : departed.gone_) {
-    endpoints_.MarkGone(core::InstanceId(id));
+  for (const auto& life : departed.gone_) {
+    endpoints_.MarkGone(ToLife(life));
   }
 }
 
--- a/packages/daemon/src/daemon/direct/endpoint_list.hpp
+++ b/packages/daemon/src/daemon/direct/endpoint_list.hpp
@@ -3,6 +3,8 @@
 // are told to all entries.
 #pragma once
 
+#include <functional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -20,6 +22,8 @@
   std::function<void()> read_;
   /// Since when the store answers; rows may have lapsed before.
   std::function<core::TimePoint()> reachable_since_;
+  /// Whether the rules in force name a service.
+  std::function<bool(const std::string& service)> named_;
 };
 
 /// @brief Keeps an entry's table of endpoints up with the list.
@@ -31,7 +35,9 @@
 
   /// @brief The store, or a peer in its place, gave the whole list.
   /// @param from_store whether this process read it itself.
-  void TakeRead(const Published& published, bool from_store);
+  /// Rows of services that nobody named are left out: they may have another
+  /// writer, and one that bears a good endpoint's address would hide it.
+  void TakeRead(Published published, bool from_store);
   /// @brief A neighbour told what it read.
   void OnChange(const ListMessage& message);
   /// @brief Any entry told which endpoints leave.
@@ -46,6 +52,7 @@
   void TellDeparted(const std::vector<routing::EndpointRow>& before,
                     const std::vector<routing::EndpointRow>& after);
   void LogChange(const std::string& source);
+  void LeaveOutUnnamed(std::vector<routing::EndpointRow>& rows);
 
   Loop& loop_;
   routing::EndpointTable& endpoints_;
@@ -56,6 +63,8 @@
   /// The list as this process itself last read it.
   std::vector<routing::EndpointRow> read_rows_;
   std::uint64_t read_revision_ = 0;
+  /// Rows left out of the last read, for the log.
+  std::set<core::InstanceId> unnamed_;
 };
 
 }  // namespace chalkwell::daemon::direct
--- a/packages/daemon/src/daemon/direct/hooks.hpp
+++ b/packages/daemon/src/daemon/direct/hooks.hpp
@@ -147,6 +147,8 @@
   std::uint64_t orders_ = 0;
   /// An order is under way.
   bool ordered_ = false;
+  /// Start of its life; none when it does not say.
+  std::optional<core::StartTime> started_;
 };
 
 /// @brief Answer to an order.
--- a/packages/daemon/src/daemon/direct/mesh_messages.cpp
+++ b/packages/daemon/src/daemon/direct/mesh_messages.cpp
@@ -28,6 +28,24 @@
   return member;
 }
 
+std::int64_t ToMs(const std::optional<core::StartTime>& started) {
+  return started ? started->time_since_epoch().count() : 0;
+}
+
+std::optional<core::StartTime> ToStart(std::int64_t ms) {
+  return ms == 0
+             ? std::nullopt
+             : std::optional(core::StartTime(std::chrono::milliseconds(ms)));
+}
+
+LifeMessage ToMessage(const routing::EndpointLife& life) {
+  return {life.id_.value(), ToMs(life.started_)};
+}
+
+routing::EndpointLife ToLife(const LifeMessage& message) {
+  return {core::InstanceId(message.id_), ToStart(message.started_ms_)};
+}
+
 ListMessage ToMessage(const routing::EndpointListChange& change) {
   ListMessage message{
       .from_ = change.from_, .to_ = change.to_, .rows_ = {}, .gone_ = {}};
@@ -39,7 +57,8 @@
                              .slots_ = row.slots_,
                              .leaving_ = row.leaving_,
                              .version_ = row.weights_version_.value_or(0),
-                             .created_ = row.created_});
+                             .created_ = row.created_,
+                             .started_ms_ = ToMs(row.started_)});
   }
   for (const auto& id : change.gone_) {
     message.gone_.push_back(id.value());
@@ -59,6 +78,7 @@
     row.slots_ = told.slots_;
     row.leaving_ = told.leaving_;
     row.created_ = told.created_;
+    row.started_ = ToStart(told.started_ms_);
     if (told.version_ > 0) {
       row.weights_version_ = told.version_;
     }
@@ -82,6 +102,7 @@
   }
   report.link_idle_ = message.link_idle_;
   report.incarnation_ = core::InstanceId(message.incarnation_);
+  report.started_ = ToStart(message.started_ms_);
   report.path_delay_ =
       outbound + std::chrono::milliseconds(message.inbound_ms_);
   return report;
--- a/packages/daemon/src/daemon/direct/mesh_messages.hpp
+++ b/packages/daemon/src/daemon/direct/mesh_messages.hpp
@@ -46,8 +46,10 @@
   std::string incarnation_;
   /// No piece of weights was on the agent's link for a while.
   bool link_idle_ = false;
+  /// Start of the engine's life; 0 when it is not told.
+  std::int64_t started_ms_ = 0;
   MSGPACK_DEFINE(endpoint_, active_, queued_, accepting_, version_, pace_,
-                 sent_ms_, inbound_ms_, incarnation_, link_idle_)
+                 sent_ms_, inbound_ms_, incarnation_, link_idle_, started_ms_)
 };
 
 /// @brief Which pieces of a version an agent can give.
@@ -77,8 +79,10 @@
   /// 0 for none.
   std::uint64_t version_ = 0;
   std::uint64_t created_ = 0;
+  /// 0 when it is not told.
+  std::int64_t started_ms_ = 0;
   MSGPACK_DEFINE(id_, service_, address_, domain_, slots_, leaving_, version_,
-                 created_)
+                 created_, started_ms_)
 };
 
 /// @brief What a reader of the list saw change between two of its reads.
@@ -91,10 +95,18 @@
   MSGPACK_DEFINE(from_, to_, rows_, gone_)
 };
 
+/// @brief Wire form of one life of an endpoint.
+struct LifeMessage {
+  std::string id_;
+  /// 0 when it is not told.
+  std::int64_t started_ms_ = 0;
+  MSGPACK_DEFINE(id_, started_ms_)
+};
+
 /// @brief Endpoints that are seen to leave or to be gone.
 struct DepartedMessage {
-  std::vector<std::string> leaving_;
-  std::vector<std::string> gone_;
+  std::vector<LifeMessage> leaving_;
+  std::vector<LifeMessage> gone_;
   MSGPACK_DEFINE(leaving_, gone_)
 };
 
@@ -125,6 +137,11 @@
 
 [[nodiscard]] MemberMessage ToMessage(const membership::Member& member);
 [[nodiscard]] membership::Member ToMember(const MemberMessage& message);
+[[nodiscard]] LifeMessage ToMessage(const routing::EndpointLife& life);
+[[nodiscard]] routing::EndpointLife ToLife(const LifeMessage& message);
+/// @brief A start time on the wire; 0 for none.
+[[nodiscard]] std::int64_t ToMs(const std::optional<core::StartTime>& started);
+[[nodiscard]] std::optional<core::StartTime> ToStart(std::int64_t ms);
 [[nodiscard]] ListMessage ToMessage(const routing::EndpointListChange& change);
 [[nodiscard]] routing::EndpointListChange ToChange(const ListMessage& message);
 /// @brief A report as its reader believes it.
--- a/packages/daemon/src/daemon/direct/published_reader.cpp
+++ b/packages/daemon/src/daemon/direct/published_reader.cpp
@@ -11,6 +11,8 @@
 /// Pauses after failed calls.
 constexpr core::BackoffSettings kPause{std::chrono::milliseconds(100),
                                        std::chrono::milliseconds(1000)};
+/// Faults of one answer that are logged; the line says how many there are.
+constexpr std::size_t kMostFaults = 8;
 /// A poll that may become due earlier is looked at this often.
 constexpr auto kPollCheck = std::chrono::milliseconds(200);
 
@@ -195,11 +197,7 @@
 
 void PublishedReader::OnAnswer(Task& task, const Published& published) {
   CountAnswer(task.section_, published);
-  for (const auto& fault : published.faults_) {
-    log_.Write(
-        core::EventNumber::kDocumentRefused,
-        {{"section", std::string(ToString(task.section_))}, {"reason", fault}});
-  }
+  LogFaults(task.section_, published.faults_);
   switch (published.end_) {
     case ReadEnd::kRead:
       SetReachable(true);
@@ -229,6 +227,23 @@
   Schedule(task, !task.failed_);
 }
 
+void PublishedReader::LogFaults(Section section,
+                                const std::vector<std::string>& faults) {
+  auto& known = faults_[section];
+  std::size_t fresh = 0;
+  for (const auto& fault : faults) {
+    if (!known.contains(fault) && ++fresh <= kMostFaults) {
+      log_.Write(core::EventNumber::kDocumentRefused,
+                 {{"section", std::string(ToString(section))},
+                  {"reason", fault},
+                  {"faults", std::to_string(faults.size())}});
+    }
+  }
+  known = {faults.begin(), faults.end()};
+  metrics_.Set("store_faults", {{"section", std::string(ToString(section))}},
+               static_cast<double>(faults.size()));
+}
+
 void PublishedReader::Schedule(Task& task, bool succeeded) {
   core::Duration wait{};
   if (!succeeded) {
--- a/packages/daemon/src/daemon/direct/published_reader.hpp
+++ b/packages/daemon/src/daemon/direct/published_reader.hpp
@@ -93,6 +93,8 @@
   void OnAnswer(Task& task, const Published& published);
   void Schedule(Task& task, bool succeeded);
   void CountCall(Section section);
+  /// @brief Logs values that cannot be decoded, each once until it changes.
+  void LogFaults(Section section, const std::vector<std::string>& faults);
   void CountAnswer(Section section, const Published& published);
   void SetReachable(bool reachable);
 
@@ -104,6 +106,8 @@
   Handler handler_;
   std::map<Section, Task> tasks_;
   std::set<Section> reading_;
+  /// Faults of the last answer, by section.
+  std::map<Section, std::set<std::string>> faults_;
   bool reachable_ = false;
   core::TimePoint since_;
   core::TimePoint last_read_;
--- a/packages/daemon/src/daemon/direct/weights_keeper.cpp
+++ b/packages/daemon/src/daemon/direct/weights_keeper.cpp
@@ -135,10 +135,17 @@
   }
   const auto held = report.models_.find(model_);
   const auto version = held == report.models_.end() ? 0 : held->second;
-  const bool restarted = report.orders_ < orders_seen_;
+  const bool restarted = routing::Differ(report.started_, started_seen_) ||
+                         report.orders_ < orders_seen_;
   orders_seen_ = report.orders_;
+  started_seen_ = report.started_;
   heard_engine_ = true;
-  if (restarted && phase_ != Phase::kSettled) {
+  if (restarted) {
+    // What it held staged may be gone with its life: it is read anew.
+    held_ = {};
+    manifest_.reset();
+    staged_checked_ = false;
+    announce_due_ = true;
     SetPhase(Phase::kSettled);
   }
   if (version != serving_) {
--- a/packages/daemon/src/daemon/direct/weights_keeper.hpp
+++ b/packages/daemon/src/daemon/direct/weights_keeper.hpp
@@ -118,6 +118,7 @@
   /// 0 while the engine serves no whole weights.
   std::uint64_t serving_ = 0;
   std::uint64_t orders_seen_ = 0;
+  std::optional<core::StartTime> started_seen_;
   bool heard_engine_ = false;
   Phase phase_ = Phase::kSettled;
   core::TimePoint phase_since_;
--- /dev/null
+++ b/tests/platform/foreign_rows_test.cpp
@@ -0,0 +1,196 @@
+// Rows of the published list that have another writer: a bad one names no
+// endpoint, hides no good one, holds back no revision and ends nothing.
+#include <catch2/catch.hpp>
+#include <functional>
+#include <nlohmann/json.hpp>
+#include <random>
+#include <string>
+#include <vector>
+
+#include "deployment.hpp"
+#include "platform/adapter.hpp"
+#include "platform/published_json.hpp"
+
+namespace chalkwell::platform_tests {
+namespace {
+
+using daemon::direct::Published;
+using daemon::direct::ReadEnd;
+using daemon::direct::Section;
+using nlohmann::json;
+using namespace std::chrono_literals;
+
+json GoodRow() {
+  return {{"service", "plain"},
+          {"addr", "1.2.3.4:5"},
+          {"zone", "z1"},
+          {"version", "v1"},
+          {"slots", 4},
+          {"state", "ready"},
+          {"coldLeftMs", 0},
+          {"born", 1764720000000},
+          {"models", {{{"name", "m"}, {"version", 3}}}},
+          {"seq", 7}};
+}
+
+std::string Base64(const std::string& bytes) {
+  static const std::string kDigits =
+      "ABCDEFGHIJKLMNOPQRSTUVWXYZabcdefghijklmnopqrstuvwxyz0123456789+/";
+  std::string text;
+  for (std::size_t i = 0; i < bytes.size(); i += 3) {
+    std::uint32_t group = 0;
+    for (std::size_t k = 0; k < 3; ++k) {
+      const auto byte =
+          i + k < bytes.size() ? static_cast<unsigned char>(bytes[i + k]) : 0U;
+      group = group << 8 | byte;
+    }
+    for (std::size_t k = 0; k < 4; ++k) {
+      const bool padding = i + k > bytes.size();
+      text += padding ? '=' : kDigits[group >> (18 - 6 * k) & 63];
+    }
+  }
+  return text;
+}
+
+json Item(const std::string& key, const std::string& value) {
+  return {{"tlsKey", key}, {"value", value}, {"rev", 5}, {"createdAt", 5}};
+}
+
+Published Decode(const json& items) {
+  daemon::Loop loop;
+  daemon::HttpClient http(loop, 1s);
+  const auto store = platform::MakeStoreClient(http, {"127.0.0.1", 1});
+  const json page{{"items", items}, {"morePages", false}, {"asOf", 42}};
+  return store.decode_(Section::kEndpoints, {page.dump()});
+}
+
+TEST_CASE("a row of another writer names no endpoint", "[platform]") {
+  struct Row {
+    std::string name_;
+    std::function<void(json&)> spoil_;
+  };
+  const auto row = GENERATE(
+      Row{"no service", [](json& value) { value.erase("service"); }},
+      Row{"a service that is a number",
+          [](json& value) { value["service"] = 3; }},
+      Row{"no address", [](json& value) { value.erase("addr"); }},
+      Row{"an address without a port",
+          [](json& value) { value["addr"] = "a"; }},
+      Row{"no zone", [](json& value) { value.erase("zone"); }},
+      Row{"no slots", [](json& value) { value.erase("slots"); }},
+      Row{"slots below zero", [](json& value) { value["slots"] = -4; }},
+      Row{"slots that are text", [](json& value) { value["slots"] = "4"; }},
+      Row{"no state", [](json& value) { value.erase("state"); }},
+      Row{"an unknown state", [](json& value) { value["state"] = "warming"; }},
+      Row{"a state that is a list",
+          [](json& value) { value["state"] = {"ready"}; }},
+      Row{"a start that is text", [](json& value) { value["born"] = "now"; }},
+      Row{"a start with a fraction", [](json& value) { value["born"] = 1.5; }},
+      Row{"models that are text", [](json& value) { value["models"] = "m"; }},
+      Row{"a model without a version",
+          [](json& value) { value["models"][0].erase("version"); }},
+      Row{"a version below zero",
+          [](json& value) { value["models"][0]["version"] = -1; }},
+      Row{"no object at all", [](json& value) { value = 7; }});
+  CAPTURE(row.name_);
+  auto spoilt = GoodRow();
+  row.spoil_(spoilt);
+  const auto published =
+      Decode({Item("servers/i-1", Base64(GoodRow().dump())),
+              Item("servers/i-2", Base64(spoilt.dump())),
+              Item("servers/i-3", Base64(GoodRow().dump()))});
+  CHECK(published.end_ == ReadEnd::kRead);
+  CHECK(published.revision_ == 42);
+  CHECK(published.endpoints_.size() == 2);
+  REQUIRE(published.faults_.size() == 1);
+  CHECK(published.faults_[0].starts_with("servers/i-2: "));
+}
+
+TEST_CASE("bytes that cannot be read name no endpoint", "[platform]") {
+  const auto value =
+      GENERATE(std::string("%%%"), Base64("{\"service\":"), Base64("\xff\xfe"),
+               Base64(""), Base64("null"), std::string("e30"));
+  const auto published =
+      Decode({Item("servers/i-1", value),
+              Item("servers/i-2", Base64(GoodRow().dump()))});
+  CHECK(published.end_ == ReadEnd::kRead);
+  CHECK(published.endpoints_.size() == 1);
+  CHECK(published.faults_.size() == 1);
+}
+
+/// Changes one thing of a document, at any depth.
+void Mutate(json& value, std::mt19937& random) {
+  const auto pick = [&](std::size_t count) {
+    return std::uniform_int_distribution<std::size_t>(0, count - 1)(random);
+  };
+  if (value.is_structured() && !value.empty() && pick(4) > 0) {
+    auto child = value.begin();
+    std::advance(child, pick(value.size()));
+    Mutate(*child, random);
+    return;
+  }
+  static const std::vector<json> kValues{nullptr,
+                                         true,
+                                         -1,
+                                         0,
+                                         1e300,
+                                         "",
+                                         "ready",
+                                         "draining",
+                                         "x:1",
+                                         json::array(),
+                                         json::object(),
+                                         std::uint64_t{1} << 63,
+                                         {{"name", "m"}}};
+  if (value.is_object() && !value.empty() && pick(2) == 0) {
+    auto child = value.begin();
+    std::advance(child, pick(value.size()));
+    value.erase(child);
+    return;
+  }
+  value = kValues[pick(kValues.size())];
+}
+
+TEST_CASE("whatever a row holds, the others are read", "[platform]") {
+  for (std::uint32_t seed = 0; seed < 3000; ++seed) {
+    CAPTURE(seed);
+    std::mt19937 random(seed);
+    auto spoilt = GoodRow();
+    for (std::uint32_t change = 0; change <= seed % 4; ++change) {
+      Mutate(spoilt, random);
+    }
+    auto text = spoilt.dump();
+    if (seed % 5 == 0 && !text.empty()) {
+      text[random() % text.size()] = static_cast<char>(random());
+    }
+    const auto published =
+        Decode({Item("servers/i-1", Base64(GoodRow().dump())),
+                Item("servers/i-2", Base64(text)),
+                Item("servers/i-3", Base64(GoodRow().dump()))});
+    REQUIRE(published.end_ == ReadEnd::kRead);
+    REQUIRE(published.revision_ == 42);
+    REQUIRE(published.endpoints_.size() + published.faults_.size() == 3);
+    REQUIRE(published.endpoints_.size() >= 2);
+  }
+}
+
+TEST_CASE("a row of an unknown service hides no endpoint", "[platform]") {
+  // It bears the address of a good one, and came to be after it.
+  Deployment deployment;
+  const auto entry = deployment.StartEntry("e1", deployment.store_.address());
+  REQUIRE(Eventually([&] { return entry.Ready(); }));
+  deployment.store_.Remove("servers/i-second");
+  deployment.store_.Put("servers/i-foreign",
+                        deployment.first_.Row("nobody-knows", "z1"));
+  REQUIRE(Eventually([&] {
+    return deployment.Log("e1").find("no such service") != std::string::npos;
+  }));
+  for (int i = 0; i < 5; ++i) {
+    CHECK(Status(Ask(entry, RequestText("/safe/x"))) == "200");
+  }
+  const auto log = deployment.Log("e1");
+  CHECK(log.find("no such service") == log.rfind("no such service"));
+}
+
+}  // namespace
+}  // namespace chalkwell::platform_tests
--- a/tests/platform/shared_reads_test.cpp
+++ b/tests/platform/shared_reads_test.cpp
@@ -11,8 +11,8 @@
 // fields. All of a region came through one link of 3 MB/s, which stayed full
 // for 16 s; calls on it went silent, the store was taken for lost, watches and
 // lists began anew, and entries asked each other for all documents besides.
-// The source of weights takes 48 connections, and each of 76 agents kept the one
-// that it had last used. Machines that lose power close none, so the source had
+// The source of weights takes 48 connections; each of 76 agents kept the one
+// that it had last used. Machines without power close none, so the source had
 // none left when they were back: every agent that asked for the manifest was
 // reset, and asked again at the next tick of 40 ms, 1,900 times a second.
 //
--- /dev/null
+++ b/tests/routing/endpoint_life_test.cpp
@@ -0,0 +1,250 @@
+// What is remembered of an endpoint belongs to one life: it may start again
+// under its id, and nothing of before holds then.
+#include <rapidcheck/catch.h>
+
+#include <catch2/catch.hpp>
+#include <functional>
+
+#include "chalkwell/membership/message_order.hpp"
+#include "chalkwell/routing/endpoint_table.hpp"
+
+namespace chalkwell::routing {
+namespace {
+
+using namespace std::chrono_literals;
+
+const core::TimePoint kStart(1h);
+const core::InstanceId kId("a");
+const std::string kAddress = "10.0.0.1:80";
+
+core::StartTime At(std::int64_t ms) {
+  return core::StartTime(std::chrono::milliseconds(ms));
+}
+
+EndpointRow RowOf(std::int64_t started, std::uint64_t version = 1) {
+  EndpointRow row;
+  row.id_ = kId;
+  row.service_ = "pool";
+  row.address_ = kAddress;
+  row.slots_ = 4;
+  row.created_ = 3;
+  row.started_ = At(started);
+  if (version > 0) {
+    row.weights_version_ = version;
+  }
+  return row;
+}
+
+LoadReport ReportOf(std::int64_t started, std::uint64_t version = 1) {
+  LoadReport report;
+  report.started_ = At(started);
+  if (version > 0) {
+    report.weights_version_ = version;
+  }
+  return report;
+}
+
+/// A table with one engine in its first life.
+class Engines {
+ public:
+  Engines() : table_({}, 1) { List({RowOf(1000)}, 1); }
+
+  void List(std::vector<EndpointRow> rows, std::uint64_t revision) {
+    table_.TakeList(std::move(rows), revision, true, kStart);
+  }
+  [[nodiscard]] bool Chosen(std::optional<std::uint64_t> version = {}) {
+    ChoiceRequest request;
+    request.service_ = "pool";
+    request.engine_ = &profile_;
+    request.weights_version_ = version;
+    request.versions_.until_ = kStart + 1h;
+    return table_.Choose(request, kStart + 1s).has_value();
+  }
+
+  config::EngineProfile profile_;
+  EndpointTable table_;
+};
+
+TEST_CASE("a new life begins with nothing of the one before", "[routing]") {
+  struct Case {
+    std::string name_;
+    std::function<void(Engines&)> act_;
+    bool chosen_;
+  };
+  const auto row = GENERATE(
+      Case{"it was leaving, and its row shows another life",
+           [](auto& engines) {
+             engines.table_.MarkLeaving({kId, At(1000)});
+             engines.List({RowOf(2000)}, 2);
+           },
+           true},
+      Case{"it was leaving, and its agent reports another life",
+           [](auto& engines) {
+             engines.table_.MarkLeaving({kId, At(1000)});
+             engines.table_.TakeReport(kAddress, ReportOf(2000), kStart);
+           },
+           true},
+      Case{"it was leaving, and the same life is listed as ready",
+           [](auto& engines) {
+             engines.table_.MarkLeaving({kId, At(1000)});
+             engines.List({RowOf(1000)}, 2);
+           },
+           false},
+      Case{"that the earlier life leaves is heard late",
+           [](auto& engines) {
+             engines.List({RowOf(2000)}, 2);
+             engines.table_.MarkLeaving({kId, At(1000)});
+           },
+           true},
+      Case{"that the earlier life is gone is heard late",
+           [](auto& engines) {
+             engines.List({RowOf(2000)}, 2);
+             engines.table_.MarkGone({kId, At(1000)});
+           },
+           true},
+      Case{"it holds no weights before it says so",
+           [](auto& engines) {
+             engines.table_.TakeReport(kAddress, ReportOf(1000), kStart);
+             engines.List({RowOf(2000, 0)}, 2);
+           },
+           false},
+      Case{"the row of a life between is read after the newest one's report",
+           [](auto& engines) {
+             engines.table_.TakeReport(kAddress, ReportOf(3000), kStart);
+             engines.List({RowOf(2000, 0)}, 2);
+             engines.table_.TakeReport(kAddress, ReportOf(3000), kStart + 1ms);
+             engines.List({RowOf(2000, 0)}, 3);
+           },
+           true},
+      Case{"the earlier life's row is read after the new one's report",
+           [](auto& engines) {
+             engines.table_.TakeReport(kAddress, ReportOf(2000, 0), kStart);
+             engines.List({RowOf(1000)}, 2);
+           },
+           false},
+      Case{"it was loading in its earlier life",
+           [](auto& engines) {
+             auto report = ReportOf(1000);
+             report.accepting_ = false;
+             engines.table_.TakeReport(kAddress, report, kStart);
+             engines.List({RowOf(2000)}, 2);
+           },
+           true},
+      Case{"the agent tells of a life after the list lost the one before",
+           [](auto& engines) {
+             engines.List({}, 2);
+             engines.table_.TakeTold(RowOf(2000), kStart);
+           },
+           true},
+      Case{"the agent tells of the life that left the list",
+           [](auto& engines) {
+             engines.List({}, 2);
+             engines.table_.TakeTold(RowOf(1000), kStart);
+           },
+           false});
+  CAPTURE(row.name_);
+  Engines engines;
+  CHECK(engines.Chosen());
+  row.act_(engines);
+  CHECK(engines.Chosen() == row.chosen_);
+}
+
+TEST_CASE("requests of an earlier life end without a trace", "[routing]") {
+  Engines engines;
+  auto& table = engines.table_;
+  table.OnSent(kId, 100, kStart);
+  table.OnSent(kId, 100, kStart + 1ms);
+  engines.List({RowOf(2000)}, 2);
+  table.OnSent(kId, 100, kStart + 2ms);
+  table.OnEnded(kId, 100, kStart, false, EndpointOutcome::kFailed,
+                kStart + 10ms);
+  table.OnFirstByte(kId, 100, kStart + 1ms, 0ms, kStart + 10ms);
+  ChoiceRequest request;
+  request.service_ = "pool";
+  request.max_in_flight_ = 1;
+  CHECK_FALSE(table.Choose(request, kStart + 20ms));
+  table.OnEnded(kId, 100, kStart + 2ms, false, EndpointOutcome::kAnswered,
+                kStart + 30ms);
+  CHECK(table.Choose(request, kStart + 30ms));
+}
+
+/// What happens to one engine, and what is told of it, in any order.
+enum class Step : std::uint8_t {
+  kRestart,
+  kRestartSteppedBack,
+  kLoad,
+  kLeave,
+  kWriteRow,
+  kReadList,
+  kReport,
+};
+
+TEST_CASE("whoever lives is believed once the news are in", "[routing]") {
+  rc::prop("in any order of restarts, rows, reports and late ones", [] {
+    const auto steps = *rc::gen::container<std::vector<Step>>(
+        rc::gen::map(rc::gen::inRange(0, 7),
+                     [](int step) { return static_cast<Step>(step); }));
+    Engines engines;
+    EndpointRow living = RowOf(1000);
+    EndpointRow written = living;
+    // As sent, one after the other; they arrive in any order.
+    std::vector<LoadReport> reports{ReportOf(1000)};
+    membership::MessageOrder order;
+    std::uint64_t revision = 1;
+    std::int64_t newest = 1000;
+    std::int64_t oldest = 1000;
+    auto now = kStart;
+    const auto restart = [&](std::int64_t started) {
+      living = RowOf(started, 0);
+      reports.push_back(ReportOf(started, 0));
+    };
+    for (const auto step : steps) {
+      now += 1ms;
+      switch (step) {
+        case Step::kRestart:
+          restart(newest += 10);
+          break;
+        case Step::kRestartSteppedBack:
+          restart(oldest -= 10);
+          break;
+        case Step::kLoad:
+          living.weights_version_ = 2;
+          reports.push_back(
+              ReportOf(living.started_->time_since_epoch().count(), 2));
+          break;
+        case Step::kLeave:
+          living.leaving_ = true;
+          break;
+        case Step::kWriteRow:
+          written = living;
+          ++revision;
+          break;
+        case Step::kReadList:
+          engines.table_.TakeList({written}, revision, true, now);
+          break;
+        case Step::kReport: {
+          reports.push_back(reports.back());
+          const auto sent = *rc::gen::inRange<std::size_t>(0, reports.size());
+          if (!order.Late(std::chrono::milliseconds(sent))) {
+            engines.table_.TakeReport(kAddress, reports[sent], now);
+          }
+          break;
+        }
+      }
+    }
+    // The news come in: its report, then its row.
+    now += 1ms;
+    const std::chrono::milliseconds sent(reports.size() - 1);
+    RC_ASSERT(!order.Late(sent));
+    engines.table_.TakeReport(kAddress, reports.back(), now);
+    engines.table_.TakeList({living}, ++revision, true, now);
+    const bool serves = living.weights_version_ && !living.leaving_;
+    RC_ASSERT(engines.Chosen() == serves);
+    if (serves) {
+      RC_ASSERT(engines.Chosen(living.weights_version_));
+    }
+  });
+}
+
+}  // namespace
+}  // namespace chalkwell::routing
--- a/tests/routing/endpoint_table_test.cpp
+++ b/tests/routing/endpoint_table_test.cpp
@@ -55,10 +55,14 @@
   const auto row = GENERATE(
       Case{"nothing wrong", [](auto&, auto&) {}, "a"},
       Case{"it leaves",
-           [](auto& table, auto&) { table.MarkLeaving(core::InstanceId("a")); },
+           [](auto& table, auto&) {
+             table.MarkLeaving({core::InstanceId("a"), std::nullopt});
+           },
            "far"},
       Case{"another incarnation has its address",
-           [](auto& table, auto&) { table.MarkGone(core::InstanceId("a")); },
+           [](auto& table, auto&) {
+             table.MarkGone({core::InstanceId("a"), std::nullopt});
+           },
            "far"},
       Case{"it was tried",
            [](auto&, auto& request) {
--- a/tests/routing/incarnation_table_test.cpp
+++ b/tests/routing/incarnation_table_test.cpp
@@ -7,8 +7,21 @@
 namespace chalkwell::routing {
 namespace {
 
-const core::InstanceId kOld("old");
-const core::InstanceId kNew("new");
+using namespace std::chrono_literals;
+
+core::StartTime At(std::chrono::milliseconds time) {
+  return core::StartTime(time);
+}
+
+// Lives that do not tell when they started.
+const EndpointLife kOld{core::InstanceId("old"), std::nullopt};
+const EndpointLife kNew{core::InstanceId("new"), std::nullopt};
+// Lives of one id.
+const EndpointLife kFirst{core::InstanceId("id"), At(1000ms)};
+const EndpointLife kAgain{core::InstanceId("id"), At(9000ms)};
+/// Its clock was stepped back before it started.
+const EndpointLife kStepped{core::InstanceId("id"), At(500ms)};
+const EndpointLife kUntold{core::InstanceId("id"), std::nullopt};
 const std::string kAddress = "10.0.0.1:80";
 
 TEST_CASE("one incarnation answers at an address", "[routing]") {
@@ -72,5 +85,66 @@
   CHECK(table.Lives("10.0.0.2:80", kOld));
 }
 
+TEST_CASE("an endpoint that starts again under its id is another life",
+          "[routing]") {
+  struct Case {
+    std::string name_;
+    std::function<void(IncarnationTable&)> act_;
+    EndpointLife living_;
+    EndpointLife dead_;
+  };
+  const auto row =
+      GENERATE(Case{"its row shows it",
+                    [](auto& table) {
+                      table.OnRow(kAddress, kFirst, 5);
+                      table.OnRow(kAddress, kAgain, 5);
+                    },
+                    kAgain, kFirst},
+               Case{"its agent tells it",
+                    [](auto& table) {
+                      table.OnRow(kAddress, kFirst, 5);
+                      table.OnTold(kAddress, kAgain);
+                    },
+                    kAgain, kFirst},
+               Case{"its agent tells it, and the old row is read once more",
+                    [](auto& table) {
+                      table.OnRow(kAddress, kFirst, 5);
+                      table.OnTold(kAddress, kAgain);
+                      table.OnRow(kAddress, kFirst, 5);
+                    },
+                    kAgain, kFirst},
+               Case{"with an earlier time",
+                    [](auto& table) {
+                      table.OnRow(kAddress, kFirst, 5);
+                      table.OnRow(kAddress, kStepped, 5);
+                    },
+                    kStepped, kFirst},
+               Case{"after another one had its address",
+                    [](auto& table) {
+                      table.OnRow(kAddress, kFirst, 5);
+                      table.OnRow(kAddress, kNew, 9);
+                      table.OnRow(kAddress, kAgain, 5);
+                    },
+                    kAgain, kNew},
+               Case{"after another one had its address, told without a time",
+                    [](auto& table) {
+                      table.OnRow(kAddress, kFirst, 5);
+                      table.OnTold(kAddress, kNew);
+                      table.OnTold(kAddress, kUntold);
+                    },
+                    kAgain, kNew},
+               Case{"a time that is not told tells nothing",
+                    [](auto& table) {
+                      table.OnRow(kAddress, kFirst, 5);
+                      table.OnTold(kAddress, kUntold);
+                    },
+                    kFirst, kAgain});
+  CAPTURE(row.name_);
+  IncarnationTable table;
+  row.act_(table);
+  CHECK(table.Lives(kAddress, row.living_));
+  CHECK_FALSE(table.Lives(kAddress, row.dead_));
+}
+
 }  // namespace
 }  // namespace chalkwell::routing
