--- a/packages/chalkwell/src/chalkwell/config/catch_up.hpp
+++ b/packages/chalkwell/src/chalkwell/config/catch_up.hpp
@@ -38,7 +38,7 @@
 /// @brief The choice of one process.
 class CatchUp {
  public:
-  CatchUp(core::InstanceId self, CatchUpSettings settings = {});
+  explicit CatchUp(core::InstanceId self, CatchUpSettings settings = {});
 
   /// @brief Someone told which rules it has.
   void OnHeard(const RulesSource& source, std::uint64_t version,
--- a/packages/chalkwell/src/chalkwell/membership/watch_duty.hpp
+++ b/packages/chalkwell/src/chalkwell/membership/watch_duty.hpp
@@ -33,7 +33,7 @@
 /// @brief The duty of one member.
 class WatchDuty {
  public:
-  WatchDuty(core::InstanceId self, WatchDutySettings settings = {});
+  explicit WatchDuty(core::InstanceId self, WatchDutySettings settings = {});
 
   /// @brief Members of the own failure domain that need the document, this one
   /// included.
