The calm engines' own margin goes: it had no effect

Old weights could be used longer at engines that seemed calm; the margin was put back to that of all engines because a request broke the bound, and what told calm engines apart was left without effect. It goes from the table, the reports and the agents (an idle link was told for it alone). Two tables of tests go with it: they held a rule that no longer exists; the bound that holds for all has one. No behaviour changes: both margins were the same constant.

--- a/packages/chalkwell/src/chalkwell/rollout/version_bound.cpp
+++ b/packages/chalkwell/src/chalkwell/rollout/version_bound.cpp
@@ -9,12 +9,11 @@
 
 }  // namespace
 
-bool VersionBound::OnNamed(std::uint64_t version, core::TimePoint now,
-                           bool live) {
+bool VersionBound::OnNamed(std::uint64_t version, core::TimePoint now) {
   if (version <= newest()) {
     return false;
   }
-  named_.push_back({version, now, live});
+  named_.push_back({version, now});
   if (named_.size() > kMaxNamed) {
     named_.pop_front();
   }
@@ -43,21 +42,17 @@
 }
 
 routing::VersionRule VersionBound::RuleAt(core::Duration bound,
-                                          core::Duration calm_margin,
                                           core::Duration margin,
                                           core::TimePoint now) const noexcept {
   routing::VersionRule rule;
   for (const auto& named : named_) {
     const auto until = named.heard_at_ + bound - margin;
-    const auto calm_until =
-        named.live_ ? named.heard_at_ + bound - calm_margin : until;
-    if (now >= calm_until) {
+    if (now >= until) {
       rule.least_ = named.version_;
       continue;
     }
     rule.next_ = named.version_;
     rule.until_ = until;
-    rule.calm_until_ = calm_until;
     break;
   }
   return rule;
--- a/packages/chalkwell/src/chalkwell/rollout/version_bound.hpp
+++ b/packages/chalkwell/src/chalkwell/rollout/version_bound.hpp
@@ -14,10 +14,8 @@
 /// @brief Versions of one model's weights with the times they were heard of.
 class VersionBound {
  public:
-  /// @param live whether it was heard of as it was named: a process that has
-  /// just started finds a version that was named any time ago.
   /// @return false when the version is no newer than the newest known.
-  bool OnNamed(std::uint64_t version, core::TimePoint now, bool live = true);
+  bool OnNamed(std::uint64_t version, core::TimePoint now);
   /// @brief Newest version heard of; 0 for none.
   [[nodiscard]] std::uint64_t newest() const noexcept {
     return named_.empty() ? 0 : named_.back().version_;
@@ -30,12 +28,9 @@
   [[nodiscard]] std::optional<core::TimePoint> EndOf(
       std::uint64_t version, core::Duration bound) const noexcept;
   /// @brief The least version and the bound that comes next.
-  /// @param calm_margin time before the bound from which an older version is
-  /// used nowhere. It counts only for versions that were heard of as they were
-  /// named.
-  /// @param margin the same where a request may begin later than expected.
+  /// @param margin time before the bound from which an older version is used
+  /// nowhere.
   [[nodiscard]] routing::VersionRule RuleAt(core::Duration bound,
-                                            core::Duration calm_margin,
                                             core::Duration margin,
                                             core::TimePoint now) const noexcept;
 
@@ -43,7 +38,6 @@
   struct Named {
     std::uint64_t version_ = 0;
     core::TimePoint heard_at_;
-    bool live_ = true;
   };
 
   /// Rising by version; at most kMaxNamed.
--- a/packages/chalkwell/src/chalkwell/routing/endpoint_table.cpp
+++ b/packages/chalkwell/src/chalkwell/routing/endpoint_table.cpp
@@ -377,18 +377,7 @@
   const bool known = link_known && request.on_time_;
   const auto begins =
       known ? first_byte : std::max(first_byte, settings_.unreported_delay_);
-  return now + begins >= (Calm(endpoint, request, now)
-                              ? request.versions_.calm_until_
-                              : request.versions_.until_);
-}
-
-bool EndpointTable::Calm(const Endpoint& endpoint, const ChoiceRequest& request,
-                         core::TimePoint now) const {
-  return request.on_time_ && endpoint.report_ &&
-         now - endpoint.reported_at_ <= settings_.calm_report_age_ &&
-         endpoint.report_->link_idle_ && endpoint.report_->queued_ == 0 &&
-         Occupied(endpoint, now) <=
-             settings_.calm_places_ * request.engine_->slots_;
+  return now + begins >= request.versions_.until_;
 }
 
 bool EndpointTable::Usable(const Endpoint& endpoint,
--- a/packages/chalkwell/src/chalkwell/routing/endpoint_table.hpp
+++ b/packages/chalkwell/src/chalkwell/routing/endpoint_table.hpp
@@ -69,8 +69,6 @@
   double pace_ = 1;
   /// How long its link holds messages back, both ways together.
   core::Duration path_delay_{};
-  /// No piece of weights was on its link of late: requests are quick there.
-  bool link_idle_ = false;
   /// The incarnation that reports; empty when that is not told.
   core::InstanceId incarnation_;
   /// Start of the life that reports; none when that is not told.
@@ -92,11 +90,6 @@
   /// Older than this, a report says nothing of the link any more: agents report
   /// every 500 ms at least, and a full link loses their datagrams.
   core::Duration link_report_age_ = std::chrono::milliseconds(700);
-  /// Older than this, a report does not show an engine as calm.
-  core::Duration calm_report_age_ = std::chrono::milliseconds(300);
-  /// Part of its places that a calm engine has taken at most: none waits there,
-  /// and a prompt is read within two passes.
-  double calm_places_ = 0.75;
   /// What sending to another failure domain must gain to be worth its bytes.
   core::Duration foreign_cost_ = std::chrono::milliseconds(40);
   /// A row that leaves the published list is kept this long, in case its lease
@@ -129,11 +122,9 @@
 struct VersionRule {
   /// Older ones are passed over; 0 for none.
   std::uint64_t least_ = 0;
-  /// Versions below this one may be used until `until_` only, and until
-  /// `calm_until_` where a request begins for certain when it is expected to.
+  /// Versions below this one may be used until `until_` only.
   std::uint64_t next_ = 0;
   core::TimePoint until_;
-  core::TimePoint calm_until_;
 };
 
 /// @brief Which endpoints a request may go to.
@@ -299,11 +290,6 @@
                             const ChoiceRequest& request,
                             core::Duration first_byte,
                             core::TimePoint now) const;
-  /// @brief Whether nothing can hold up a request there: reported of a moment
-  /// ago, an idle link, free places.
-  [[nodiscard]] bool Calm(const Endpoint& endpoint,
-                          const ChoiceRequest& request,
-                          core::TimePoint now) const;
   [[nodiscard]] core::Duration ExtraDelay(const Endpoint& endpoint,
                                           core::TimePoint now) const;
   /// @brief Forgets all of an endpoint but its earlier lives: another one
--- a/packages/daemon/src/daemon/direct/direct_agent.cpp
+++ b/packages/daemon/src/daemon/direct/direct_agent.cpp
@@ -65,7 +65,6 @@
   return left.active_ == right.active_ && left.queued_ == right.queued_ &&
          left.accepting_ == right.accepting_ &&
          left.version_ == right.version_ && left.pace_ == right.pace_ &&
-         left.link_idle_ == right.link_idle_ &&
          left.started_ms_ == right.started_ms_ &&
          Difference(left.inbound_ms_, right.inbound_ms_) < kInboundStepMs;
 }
@@ -211,7 +210,6 @@
   const auto inbound = InboundDelay(now);
   load.inbound_ms_ = static_cast<std::uint32_t>(
       std::chrono::duration_cast<milliseconds>(inbound).count());
-  load.link_idle_ = weights_.LinkIdle(now);
   load.started_ms_ = ToMs(report->started_);
   const auto held = report->models_.find(model_);
   if (held != report->models_.end()) {
--- a/packages/daemon/src/daemon/direct/direct_entry.cpp
+++ b/packages/daemon/src/daemon/direct/direct_entry.cpp
@@ -31,14 +31,10 @@
 constexpr auto kEntryCountAge = milliseconds(200);
 /// Old weights are not used for this last part of the time they may be: a
 /// request may be long on a narrowed link, and wait at its endpoint before it
-/// begins. Engines that are known to be behind a full link are passed over
-/// earlier.
+/// begins: with 600 ms one began 1.08 s after it was sent, when all entries
+/// chose the last engines with old weights at once. Engines that are known to
+/// be behind a full link are passed over earlier.
 constexpr auto kVersionMargin = milliseconds(1400);
-/// The same where an engine has free places and its link carries no pieces. As
-/// long as elsewhere: with 600 ms a request began 1.08 s after it was sent,
-/// when all entries chose the last engines with old weights at once, each by
-/// reports from before the others' requests.
-constexpr auto kCalmMargin = kVersionMargin;
 /// An entry that the store does not answer asks another entry this often.
 constexpr auto kRelayInterval = milliseconds(700);
 /// What is believed came from the store itself, as the log names it.
@@ -245,9 +241,6 @@
   for (const auto& weights : published.weights_) {
     TakeWeights(weights);
   }
-  if (section == Section::kWeights && published.end_ == ReadEnd::kRead) {
-    weights_read_ = true;
-  }
   if (section == Section::kEndpoints) {
     list_.TakeRead(published, source == kStoreSource);
   }
@@ -275,8 +268,8 @@
 }
 
 void DirectEntry::TakeWeights(const NamedWeights& weights) {
-  if (!weights_[weights.model_].OnNamed(weights.version_, process_.loop().Now(),
-                                        weights_read_)) {
+  if (!weights_[weights.model_].OnNamed(weights.version_,
+                                        process_.loop().Now())) {
     return;
   }
   process_.log().Write(core::EventNumber::kWeightsNamed,
@@ -292,7 +285,7 @@
   if (found == weights_.end()) {
     return {};
   }
-  return found->second.RuleAt(version_bound_, kCalmMargin, kVersionMargin,
+  return found->second.RuleAt(version_bound_, kVersionMargin,
                               process_.loop().Now());
 }
 
--- a/packages/daemon/src/daemon/direct/direct_entry.hpp
+++ b/packages/daemon/src/daemon/direct/direct_entry.hpp
@@ -78,9 +78,6 @@
   routing::RequestAge ages_;
   /// By model.
   std::map<std::string, rollout::VersionBound> weights_;
-  /// Whether the store told once which versions are named: what comes later was
-  /// named since.
-  bool weights_read_ = false;
   /// By address of the endpoint whose agent reports.
   std::map<std::string, membership::PathDelay> paths_;
   std::map<std::string, membership::MessageOrder> reports_;
--- a/packages/daemon/src/daemon/direct/mesh_messages.cpp
+++ b/packages/daemon/src/daemon/direct/mesh_messages.cpp
@@ -100,7 +100,6 @@
   if (message.version_ > 0) {
     report.weights_version_ = message.version_;
   }
-  report.link_idle_ = message.link_idle_;
   report.incarnation_ = core::InstanceId(message.incarnation_);
   report.started_ = ToStart(message.started_ms_);
   report.path_delay_ =
--- a/packages/daemon/src/daemon/direct/mesh_messages.hpp
+++ b/packages/daemon/src/daemon/direct/mesh_messages.hpp
@@ -44,12 +44,10 @@
   std::uint32_t inbound_ms_ = 0;
   /// Of the engine; empty when it is not known, and in most reports.
   std::string incarnation_;
-  /// No piece of weights was on the agent's link for a while.
-  bool link_idle_ = false;
   /// Start of the engine's life; 0 when it is not told.
   std::int64_t started_ms_ = 0;
   MSGPACK_DEFINE(endpoint_, active_, queued_, accepting_, version_, pace_,
-                 sent_ms_, inbound_ms_, incarnation_, link_idle_, started_ms_)
+                 sent_ms_, inbound_ms_, incarnation_, started_ms_)
 };
 
 /// @brief Which pieces of a version an agent can give.
--- a/packages/daemon/src/daemon/direct/piece_exchange.cpp
+++ b/packages/daemon/src/daemon/direct/piece_exchange.cpp
@@ -111,7 +111,6 @@
       [this, peer, piece, since, done = std::move(done)](
           PeerEnd end, int status, const std::string& body) {
         asked_.erase(piece);
-        moved_at_ = process_.loop().Now();
         if (end != PeerEnd::kWhole || status != kOk) {
           done(std::nullopt);
           return;
@@ -126,14 +125,12 @@
 void PieceExchange::CancelPiece(std::size_t piece) {
   const auto call = asked_.extract(piece);
   if (!call.empty()) {
-    moved_at_ = process_.loop().Now();
     call.mapped()->Cancel();
   }
 }
 
 void PieceExchange::CancelPieces() {
   for (const auto& [piece, call] : std::exchange(asked_, {})) {
-    moved_at_ = process_.loop().Now();
     call->Cancel();
   }
 }
@@ -215,8 +212,6 @@
             std::chrono::duration_cast<std::chrono::milliseconds>(wait)
                 .count());
         answer.bytes_ = std::move(*bytes);
-        // It is on the link from when it is sent on.
-        moved_at_ = process_.loop().Now() + wait;
         process_.loop().After(wait, [call, answer = std::move(answer)] {
           call->Respond(kOk, Pack(answer));
         });
--- a/packages/daemon/src/daemon/direct/piece_exchange.hpp
+++ b/packages/daemon/src/daemon/direct/piece_exchange.hpp
@@ -68,10 +68,6 @@
   HeldMessage held_;
 };
 
-/// A piece on the link fills it for some 30 ms; those before it and the end of
-/// a queue behind them are over after this.
-constexpr auto kLinkMemory = std::chrono::milliseconds(1000);
-
 /// @brief The agent among its neighbours.
 class PieceExchange {
  public:
@@ -98,10 +94,6 @@
   void CancelPiece(std::size_t piece);
   /// @brief Gives up all that were asked for.
   void CancelPieces();
-  /// @brief Whether no piece came from a peer or went to one for a while.
-  [[nodiscard]] bool LinkIdle(core::TimePoint now) const {
-    return asked_.empty() && now - moved_at_ >= kLinkMemory;
-  }
   /// @brief Asks a peer for a manifest. One that has none is not asked again
   /// before it announces one.
   void AskManifest(const core::InstanceId& peer, const PieceMessage& ask,
@@ -126,8 +118,6 @@
   std::map<std::string, std::shared_ptr<PeerConnection>> connections_;
   /// By piece.
   std::map<std::size_t, OutgoingCallPtr> asked_;
-  /// When a piece last came or went.
-  core::TimePoint moved_at_;
   std::unique_ptr<PeerServer> server_;
 };
 
--- a/packages/daemon/src/daemon/direct/weights_keeper.cpp
+++ b/packages/daemon/src/daemon/direct/weights_keeper.cpp
@@ -490,9 +490,6 @@
       *origin_, model_, wanted_.version_, piece,
       [this, job = job_, piece](const std::optional<std::string>& bytes) {
         OnSource(bytes.has_value(), "piece");
-        if (bytes) {
-          drawn_at_ = process_.loop().Now();
-        }
         if (Current(job)) {
           OnPiece(piece, bytes, "origin");
         }
--- a/packages/daemon/src/daemon/direct/weights_keeper.hpp
+++ b/packages/daemon/src/daemon/direct/weights_keeper.hpp
@@ -48,10 +48,6 @@
   [[nodiscard]] core::Duration LinkDelay(core::TimePoint now) const {
     return window_.Delay(now);
   }
-  /// @brief Whether no piece was on the own link for a while.
-  [[nodiscard]] bool LinkIdle(core::TimePoint now) const {
-    return peers_.LinkIdle(now) && now - drawn_at_ >= kLinkMemory;
-  }
   [[nodiscard]] const swarm::ChunkSet& held() const noexcept { return held_; }
 
  private:
@@ -144,8 +140,6 @@
   /// Whether all of the staging was right when it was last read.
   bool verified_all_ = false;
   std::size_t spoilt_ = 0;
-  /// When a piece of the source was last under way.
-  core::TimePoint drawn_at_;
   /// When the staging was last read whole.
   core::TimePoint verified_at_;
   Timer tick_;
--- a/tests/rollout/version_bound_test.cpp
+++ b/tests/rollout/version_bound_test.cpp
@@ -43,29 +43,27 @@
   CHECK(bound.EndOf(row.version_, 8s) == row.end_);
 }
 
-TEST_CASE("a version that was found at the start has no calm margin",
+TEST_CASE("an older version may be used until a margin before its bound",
           "[rollout]") {
   struct Row {
-    bool live_;
     core::Duration after_;
     std::uint64_t least_;
     std::uint64_t next_;
     core::Duration until_;
-    core::Duration calm_until_;
   };
-  const auto row = GENERATE(Row{true, 1s, 0, 2, 6600ms, 7400ms},
-                            Row{true, 7s, 0, 2, 6600ms, 7400ms},
-                            Row{true, 7400ms, 2, 3, 11600ms, 12400ms},
-                            Row{false, 1s, 0, 2, 6600ms, 6600ms},
-                            Row{false, 6600ms, 2, 3, 11600ms, 12400ms});
+  const auto row =
+      GENERATE(Row{1s, 0, 2, 6600ms}, Row{6599ms, 0, 2, 6600ms},
+               Row{6600ms, 2, 3, 11600ms}, Row{7400ms, 2, 3, 11600ms},
+               Row{11600ms, 3, 0, 0ms});
   VersionBound bound;
-  bound.OnNamed(2, kStart, row.live_);
+  bound.OnNamed(2, kStart);
   bound.OnNamed(3, kStart + 5s);
-  const auto rule = bound.RuleAt(8s, 600ms, 1400ms, kStart + row.after_);
+  const auto rule = bound.RuleAt(8s, 1400ms, kStart + row.after_);
   CHECK(rule.least_ == row.least_);
   CHECK(rule.next_ == row.next_);
-  CHECK(rule.until_ == kStart + row.until_);
-  CHECK(rule.calm_until_ == kStart + row.calm_until_);
+  if (row.next_ > 0) {
+    CHECK(rule.until_ == kStart + row.until_);
+  }
 }
 
 TEST_CASE("many versions keep the bounds of those that still count",
--- a/tests/routing/endpoint_table_test.cpp
+++ b/tests/routing/endpoint_table_test.cpp
@@ -95,13 +95,13 @@
              report.path_delay_ = 800ms;
              table.TakeReport("a:1", report, kStart);
              table.MarkVersion(core::InstanceId("far"), 2);
-             request.versions_ = {0, 2, kStart + 700ms, kStart + 1500ms};
+             request.versions_ = {0, 2, kStart + 700ms};
            },
            "far"},
       Case{"its old weights may begin too late, and nothing is heard of it",
            [](auto& table, auto& request) {
              table.MarkVersion(core::InstanceId("far"), 2);
-             request.versions_ = {0, 2, kStart + 2s, kStart + 2800ms};
+             request.versions_ = {0, 2, kStart + 2s};
            },
            "far"},
       Case{"another one reports",
@@ -165,7 +165,7 @@
   const auto engine = Engine();
   const auto now = kStart + row.age_;
   ChoiceRequest request{.service_ = "pool", .engine_ = &engine};
-  request.versions_ = {0, 2, now + 2s, now + 2s};
+  request.versions_ = {0, 2, now + 2s};
   CHECK(Chosen(table, request, now) == row.chosen_);
 }
 
@@ -373,50 +373,6 @@
   CHECK(before > 500ms);
 }
 
-TEST_CASE("old weights are used longer where nothing holds a request up",
-          "[routing]") {
-  struct Case {
-    std::string name_;
-    std::function<void(LoadReport&, ChoiceRequest&)> change_;
-    core::Duration report_age_;
-    bool chosen_;
-  };
-  const auto row = GENERATE(
-      Case{"calm", [](auto&, auto&) {}, 100ms, true},
-      Case{"its last report is older", [](auto&, auto&) {}, 400ms, false},
-      Case{"pieces are on its link",
-           [](auto& report, auto&) { report.link_idle_ = false; }, 100ms,
-           false},
-      Case{"requests wait there",
-           [](auto& report, auto&) { report.queued_ = 1; }, 100ms, false},
-      Case{"few places are free",
-           [](auto& report, auto&) { report.active_ = 13; }, 100ms, false},
-      Case{"its path holds messages back",
-           [](auto& report, auto&) { report.path_delay_ = 900ms; }, 100ms,
-           false},
-      Case{"the request is late",
-           [](auto&, auto& request) { request.on_time_ = false; }, 100ms,
-           false},
-      Case{"the end for calm ones is near, too",
-           [](auto&, auto& request) {
-             request.versions_.calm_until_ = kStart + 150ms;
-           },
-           100ms, false});
-  CAPTURE(row.name_);
-  auto table = Table({Row("a")});
-  const auto engine = Engine();
-  const auto now = kStart + row.report_age_;
-  ChoiceRequest request{.service_ = "pool", .engine_ = &engine};
-  request.versions_ = {0, 2, kStart, now + 800ms};
-  LoadReport report;
-  report.weights_version_ = 1;
-  report.active_ = 8;
-  report.link_idle_ = true;
-  row.change_(report, request);
-  table.TakeReport("a:1", report, kStart);
-  CHECK(table.Choose(request, now).has_value() == row.chosen_);
-}
-
 EndpointRow RowAt(const std::string& id, std::uint64_t created) {
   auto row = Row(id);
   row.address_ = "shared:1";
