One place says who the neighbours are

The list of endpoints and the keeper of rules asked the mesh for the same members in the same words; it answers itself now. No behaviour changes.

--- a/packages/daemon/src/daemon/direct/endpoint_list.cpp
+++ b/packages/daemon/src/daemon/direct/endpoint_list.cpp
@@ -75,7 +75,7 @@
     return;
   }
   const auto message = ToMessage(*change);
-  for (const auto& neighbour : Neighbours()) {
+  for (const auto& neighbour : mesh_.Neighbours()) {
     mesh_.PushList(neighbour, message);
   }
 }
@@ -132,18 +132,9 @@
   }
 }
 
-std::vector<membership::Member> EndpointList::Neighbours() const {
-  auto members = mesh_.Live();
-  std::erase_if(members, [this](const membership::Member& member) {
-    return member.kind_ != membership::MemberKind::kEntry ||
-           member.domain_ != mesh_.self().domain_ || member.leaving_;
-  });
-  return members;
-}
-
 core::Duration EndpointList::Interval() {
   std::vector<core::InstanceId> readers{mesh_.self().id_};
-  for (const auto& neighbour : Neighbours()) {
+  for (const auto& neighbour : mesh_.Neighbours()) {
     readers.push_back(neighbour.id_);
   }
   duty_.SetMembers(readers);
--- a/packages/daemon/src/daemon/direct/endpoint_list.hpp
+++ b/packages/daemon/src/daemon/direct/endpoint_list.hpp
@@ -46,7 +46,6 @@
   [[nodiscard]] core::Duration Interval();
 
  private:
-  [[nodiscard]] std::vector<membership::Member> Neighbours() const;
   /// @param complete whether no lease can have lapsed unseen.
   void TellNeighbours(const Published& published, bool complete);
   void TellDeparted(const std::vector<routing::EndpointRow>& before,
--- a/packages/daemon/src/daemon/direct/mesh_node.cpp
+++ b/packages/daemon/src/daemon/direct/mesh_node.cpp
@@ -82,6 +82,15 @@
               [this, greets] { greets ? Greet() : Tick(); });
 }
 
+std::vector<membership::Member> MeshNode::Neighbours() const {
+  auto members = table_.Live();
+  std::erase_if(members, [this](const membership::Member& member) {
+    return member.kind_ != membership::MemberKind::kEntry ||
+           member.domain_ != self().domain_ || member.leaving_;
+  });
+  return members;
+}
+
 void MeshNode::Leave() {
   table_.Leave();
   table_.Beat();
--- a/packages/daemon/src/daemon/direct/mesh_node.hpp
+++ b/packages/daemon/src/daemon/direct/mesh_node.hpp
@@ -65,6 +65,8 @@
   [[nodiscard]] std::vector<membership::Member> Live() const {
     return table_.Live();
   }
+  /// @brief Live entries of the own failure domain that do not leave.
+  [[nodiscard]] std::vector<membership::Member> Neighbours() const;
   [[nodiscard]] const membership::Member& self() const noexcept {
     return table_.self();
   }
--- a/packages/daemon/src/daemon/direct/rules_keeper.cpp
+++ b/packages/daemon/src/daemon/direct/rules_keeper.cpp
@@ -92,7 +92,7 @@
 
 void RulesKeeper::FollowDuty(core::TimePoint now) {
   std::vector<core::InstanceId> members{mesh_.self().id_};
-  const auto neighbours = Neighbours();
+  const auto neighbours = mesh_.Neighbours();
   for (const auto& neighbour : neighbours) {
     members.push_back(neighbour.id_);
   }
@@ -159,15 +159,6 @@
   Take(*published.rules_, std::move(*document), std::string(kPeerSource));
 }
 
-std::vector<membership::Member> RulesKeeper::Neighbours() const {
-  auto members = mesh_.Live();
-  std::erase_if(members, [this](const membership::Member& member) {
-    return member.kind_ != membership::MemberKind::kEntry ||
-           member.domain_ != mesh_.self().domain_ || member.leaving_;
-  });
-  return members;
-}
-
 void RulesKeeper::TellVersion() {
   std::map<core::FailureDomainId, std::vector<core::InstanceId>> domains;
   const auto live = mesh_.Live();
--- a/packages/daemon/src/daemon/direct/rules_keeper.hpp
+++ b/packages/daemon/src/daemon/direct/rules_keeper.hpp
@@ -48,7 +48,7 @@
   [[nodiscard]] bool watches() const noexcept { return watches_; }
 
  private:
-  /// @param text as published.
+  /// @param document the same rules, undecoded.
   void Take(const config::TrafficRules& rules, RulesDocument document,
             const std::string& source);
   void Tick();
@@ -60,7 +60,6 @@
   /// @brief Tells who has to know at once: all of the own failure domain, and
   /// the first in rank of the others, who tell theirs.
   void TellVersion();
-  [[nodiscard]] std::vector<membership::Member> Neighbours() const;
 
   Loop& loop_;
   const StoreClient& store_;
