--- a/packages/chalkwell/src/chalkwell/swarm/planner.hpp
+++ b/packages/chalkwell/src/chalkwell/swarm/planner.hpp
@@ -78,6 +78,8 @@
   [[nodiscard]] std::size_t outstanding() const noexcept {
     return outstanding_.size();
   }
+  /// @brief Chunks that some member is known to hold.
+  [[nodiscard]] std::size_t seen() const noexcept { return seen_.count(); }
   /// @brief Draws from the origin so far, by cause.
   [[nodiscard]] std::uint64_t draws(DrawCause cause) const noexcept;
 
--- a/packages/daemon/src/daemon/direct/direct_agent.cpp
+++ b/packages/daemon/src/daemon/direct/direct_agent.cpp
@@ -31,6 +31,9 @@
 constexpr auto kIncarnationRepeat = milliseconds(1000);
 /// Entries are asked this often what the engine's service is.
 constexpr auto kFactsInterval = milliseconds(100);
+/// A read of small rules is over after a round trip; one that lasts longer is
+/// of large rules, which are left to the entries.
+constexpr auto kSmallRead = milliseconds(150);
 /// Without an answer of any entry for this long the rules are read from the
 /// store: entries have them some 1.5 s after a start of all machines.
 constexpr auto kFactsPatience = milliseconds(4000);
@@ -141,8 +144,16 @@
     return;
   }
   const auto now = process_.loop().Now();
-  facts_.Ask();
-  if (now - started_at_ >= kFactsPatience && rules_pause_.Ready(now)) {
+  const bool asked = facts_.Ask();
+  const auto waited = now - started_at_;
+  const auto wait =
+      process_.settings().Milliseconds("endpoint", "facts_wait_ms");
+  if (!asked && waited >= wait && !std::exchange(read_small_, true)) {
+    // Entries may start after their agents: on a day on which all machines lost
+    // power they were heard 0.4 s later, and engines served as much later.
+    reader_.ReadNow(Section::kRules, kSmallRead);
+  }
+  if (waited >= kFactsPatience && rules_pause_.Ready(now)) {
     rules_pause_.OnFailure(now);
     reader_.ReadNow(Section::kRules);
   }
--- a/packages/daemon/src/daemon/direct/direct_agent.hpp
+++ b/packages/daemon/src/daemon/direct/direct_agent.hpp
@@ -53,6 +53,8 @@
   /// Pauses between own reads of the rules.
   core::Backoff rules_pause_;
   core::TimePoint started_at_;
+  /// Whether the rules were read once in case they are small.
+  bool read_small_ = false;
   std::unique_ptr<HttpServer> admin_;
   std::optional<LoadMessage> last_pushed_;
   core::TimePoint pushed_at_;
--- a/packages/daemon/src/daemon/direct/published_reader.cpp
+++ b/packages/daemon/src/daemon/direct/published_reader.cpp
@@ -115,7 +115,8 @@
       .first->second;
 }
 
-void PublishedReader::ReadNow(Section section) {
+void PublishedReader::ReadNow(Section section,
+                              std::optional<core::Duration> longest) {
   const auto found = tasks_.find(section);
   const bool polled = found != tasks_.end() && !found->second.watched_;
   if (polled) {
@@ -124,15 +125,27 @@
     }
     return;
   }
-  if (!reading_.insert(section).second) {
+  const auto number = ++reads_;
+  if (!reading_.emplace(section, number).second) {
     return;
   }
   CountCall(section);
-  store_.read_(section, [this, section](const Published& published) {
-    reading_.erase(section);
-    CountAnswer(section, published);
-    if (published.end_ == ReadEnd::kRead) {
-      handler_(section, published);
+  const auto cancel =
+      store_.read_(section, [this, section](const Published& published) {
+        reading_.erase(section);
+        CountAnswer(section, published);
+        if (published.end_ == ReadEnd::kRead) {
+          handler_(section, published);
+        }
+      });
+  if (!longest) {
+    return;
+  }
+  loop_.After(*longest, [this, section, number, cancel] {
+    const auto found = reading_.find(section);
+    if (found != reading_.end() && found->second == number) {
+      reading_.erase(found);
+      cancel();
     }
   });
 }
--- a/packages/daemon/src/daemon/direct/published_reader.hpp
+++ b/packages/daemon/src/daemon/direct/published_reader.hpp
@@ -4,6 +4,7 @@
 
 #include <functional>
 #include <map>
+#include <optional>
 #include <set>
 
 #include "chalkwell/core/backoff.hpp"
@@ -49,7 +50,10 @@
   void Poll(Section section, std::function<core::Duration()> interval);
   /// @brief Reads a section once, now: also one that is watched, since a watch
   /// may have gone silent. One such read at a time.
-  void ReadNow(Section section);
+  /// @param longest the read is given up after this; none for as long as bytes
+  /// arrive.
+  void ReadNow(Section section,
+               std::optional<core::Duration> longest = std::nullopt);
 
   /// @brief Whether the last answer of the store was one.
   [[nodiscard]] bool reachable() const noexcept { return reachable_; }
@@ -105,7 +109,9 @@
   Metrics& metrics_;
   Handler handler_;
   std::map<Section, Task> tasks_;
-  std::set<Section> reading_;
+  /// Reads under way, by section, with their numbers.
+  std::map<Section, std::uint64_t> reading_;
+  std::uint64_t reads_ = 0;
   /// Faults of the last answer, by section.
   std::map<Section, std::set<std::string>> faults_;
   bool reachable_ = false;
--- a/packages/daemon/src/daemon/direct/weights_keeper.cpp
+++ b/packages/daemon/src/daemon/direct/weights_keeper.cpp
@@ -26,9 +26,10 @@
 constexpr auto kImportSilence = milliseconds(500);
 /// All agents share the source. Asked again at each tick by 76 agents it was
 /// kept refusing by 1,900 connections a second, and no engine got its weights
-/// any more; with these pauses they make some 50.
-constexpr core::BackoffSettings kSourcePause{milliseconds(200),
-                                             milliseconds(2000)};
+/// any more; with these pauses they make some 170. Longer ones, up to 2 s, left
+/// the source idle when it was back: weights were whole 1.3 s later.
+constexpr core::BackoffSettings kSourcePause{milliseconds(100),
+                                             milliseconds(600)};
 constexpr auto kPieceTimeout = milliseconds(2500);
 constexpr auto kDrawSilence = milliseconds(900);
 constexpr std::size_t kPerPeer = 1;
@@ -330,9 +331,14 @@
                       held.model_ == model_ &&
                       held.version_ == wanted_.version_;
   if (wanted) {
+    const auto seen = planner_.seen();
     planner_.OnAnnounced({sender.id_, sender.domain_},
                          swarm::ChunkSet::FromBytes(held.bits_, held_.size()),
                          process_.loop().Now());
+    if (planner_.seen() > seen) {
+      // Someone drew what nobody had: the source answers again.
+      source_.OnSuccess();
+    }
   }
 }
 
--- a/packages/daemon/src/daemon/settings_table.cpp
+++ b/packages/daemon/src/daemon/settings_table.cpp
@@ -114,6 +114,10 @@
      "engine|service", "choice", "What the back end is."},
     {kAgents, "endpoint", "role", kText, "", false, kAny, kAny, "", "name",
      "Role of the endpoint; bundles name roles."},
+    {kDirectAgent, "endpoint", "facts_wait_ms", kNumber, "120", false, 0, kDay,
+     "", "ms",
+     "How long an agent that starts waits to hear of an entry before it reads "
+     "the rules itself, once and briefly."},
     {kAgent, "endpoint", "capacity", kNumber, "32", false, 1, 100000, "",
      "requests", "Requests the back end runs at once; more are refused."},
     {kAgent, "endpoint", "max_body_bytes", kNumber, "4194304", false, 1,
--- a/tests/platform/deployment.cpp
+++ b/tests/platform/deployment.cpp
@@ -43,6 +43,12 @@
   return beside.seed_ == nullptr ? "" : Local(beside.seed_->peer_);
 }
 
+/// An agent that knows an entry from the start waits for it, however slow the
+/// machine is.
+std::string FactsWait(const Beside& beside) {
+  return beside.seed_ == nullptr ? "" : "\nfacts_wait_ms = 10000";
+}
+
 }  // namespace
 
 std::string Local(std::uint16_t port) {
@@ -159,6 +165,7 @@
                       << "\n[platform]\naddress = " << store_.address()
                       << "\n[mesh]\nseeds = " << Seeds(beside)
                       << "\n[endpoint]\nbackend = " << engine_.address()
+                      << FactsWait(beside)
                       << "\nrole = pool\n[rollout]\nversion_bound_ms = "
                          "8000\n[stop]\ndrain_ms = 500\n";
   node.child_ = Child(
