--- a/packages/daemon/src/daemon/direct/direct_agent.cpp
+++ b/packages/daemon/src/daemon/direct/direct_agent.cpp
@@ -149,8 +149,8 @@
   const auto wait =
       process_.settings().Milliseconds("endpoint", "facts_wait_ms");
   if (!asked && waited >= wait && !std::exchange(read_small_, true)) {
-    // Entries may start after their agents: on a day on which all machines lost
-    // power they were heard 0.4 s later, and engines served as much later.
+    // Entries may start after their agents: after a loss of power of all
+    // machines they were heard 0.4 s later, and engines served as much later.
     reader_.ReadNow(Section::kRules, kSmallRead);
   }
   if (waited >= kFactsPatience && rules_pause_.Ready(now)) {
