Stand-ins are destroyed on the loop that they serve

By reading: a stand-in was destroyed by the test's thread while its loop noticed that a killed process hung up; since the store forgets such watches, both change the same list. Not reproduced before the change; what the loop touches is destroyed on the loop now, for all three stand-ins.

--- a/tests/platform/standins.cpp
+++ b/tests/platform/standins.cpp
@@ -112,6 +112,16 @@
         OnCall(exchange);
       })) {}
 
+// Callers may hang up just now, which the loop notices: what it touches is
+// destroyed on it.
+StoreStandin::~StoreStandin() {
+  thread_.Do([this] {
+    server_.reset();
+    watches_.clear();
+    silent_.clear();
+  });
+}
+
 std::string StoreStandin::address() const { return AddressOf(*server_); }
 
 void StoreStandin::Put(const std::string& key, const nlohmann::json& value) {
@@ -243,6 +253,13 @@
         OnCall(exchange);
       })) {}
 
+EndpointStandin::~EndpointStandin() {
+  thread_.Do([this] {
+    server_.reset();
+    held_.clear();
+  });
+}
+
 std::string EndpointStandin::address() const { return AddressOf(*server_); }
 
 void EndpointStandin::SetId(const std::string& id) {
@@ -410,6 +427,10 @@
         OnCall(exchange);
       })) {}
 
+OriginStandin::~OriginStandin() {
+  thread_.Do([this] { server_.reset(); });
+}
+
 std::string OriginStandin::address() const { return AddressOf(*server_); }
 
 std::size_t OriginStandin::connections() {
--- a/tests/platform/standins.hpp
+++ b/tests/platform/standins.hpp
@@ -42,6 +42,7 @@
 class StoreStandin {
  public:
   explicit StoreStandin(LoopThread& thread);
+  ~StoreStandin();
 
   [[nodiscard]] std::string address() const;
   void Put(const std::string& key, const nlohmann::json& value);
@@ -113,6 +114,7 @@
 class EndpointStandin {
  public:
   EndpointStandin(LoopThread& thread, std::string id);
+  ~EndpointStandin();
 
   [[nodiscard]] const std::string& id() const { return id_; }
   [[nodiscard]] std::string address() const;
@@ -163,6 +165,7 @@
 class OriginStandin {
  public:
   OriginStandin(LoopThread& thread, std::size_t pieces);
+  ~OriginStandin();
 
   [[nodiscard]] std::string address() const;
   [[nodiscard]] static std::string Piece(std::uint64_t version,
