Quantities that a platform computes may have a fraction

Also read as whole: every span of time. Now any number is read, with the ranges widened to what a platform may set: a share of retries over 1, a reserve of any size, a version bound of 0, which means none. Ruled out: rounding in the template, which each setting would need anew.

--- a/packages/daemon/src/daemon/agent.cpp
+++ b/packages/daemon/src/daemon/agent.cpp
@@ -49,7 +49,7 @@
       activation_({.lease_ = process.settings().Milliseconds("rollout",
                                                              "pause_lease_ms"),
                    .tie_ = std::random_device{}() & kTieMask}),
-      turns_(process.id(), process.settings().Share("rollout", "max_out_share"),
+      turns_(process.id(), process.settings().Real("rollout", "max_out_share"),
              process.settings().Milliseconds("rollout", "turn_lease_ms")),
       pause_(process.settings().Milliseconds("rollout", "pause_lease_ms")),
       last_entry_heard_(process.loop().Now()),
--- a/packages/daemon/src/daemon/direct/direct_entry.cpp
+++ b/packages/daemon/src/daemon/direct/direct_entry.cpp
@@ -136,9 +136,8 @@
 
 void DirectEntry::TakeSettings() {
   const auto& settings = process_.settings();
-  version_bound_ = settings.Milliseconds("rollout", "version_bound_ms");
-  retry_reserve_ =
-      static_cast<double>(settings.Number("requests", "retry_reserve"));
+  version_bound_ = VersionBoundOf(settings);
+  retry_reserve_ = settings.Real("requests", "retry_reserve");
   mesh_.SetSeeds(MeshSettingsOf(settings).seeds_);
 }
 
--- a/packages/daemon/src/daemon/direct/direct_settings.cpp
+++ b/packages/daemon/src/daemon/direct/direct_settings.cpp
@@ -5,19 +5,25 @@
 namespace {
 
 constexpr double kBytesPerMegabit = 125'000;
+/// Longer than a process lives where no bound is set.
+constexpr core::Duration kNoBound = std::chrono::hours(10'000);
 
 }  // namespace
 
 std::uint64_t LinkRate(const Settings& settings) {
-  return static_cast<std::uint64_t>(settings.Share("weights", "link_mbps") *
+  return static_cast<std::uint64_t>(settings.Real("weights", "link_mbps") *
                                     kBytesPerMegabit);
 }
 
+core::Duration VersionBoundOf(const Settings& settings) {
+  const auto bound = settings.Milliseconds("rollout", "version_bound_ms");
+  return bound == core::Duration{} ? kNoBound : bound;
+}
+
 routing::RetryBudgetSettings RetryBudgetOf(const Settings& settings) {
   routing::RetryBudgetSettings budget;
-  budget.share_ = settings.Share("requests", "retry_share");
-  budget.reserve_ =
-      static_cast<double>(settings.Number("requests", "retry_reserve"));
+  budget.share_ = settings.Real("requests", "retry_share");
+  budget.reserve_ = settings.Real("requests", "retry_reserve");
   return budget;
 }
 
--- a/packages/daemon/src/daemon/direct/direct_settings.hpp
+++ b/packages/daemon/src/daemon/direct/direct_settings.hpp
@@ -1,6 +1,7 @@
 // Parts of the settings as the direct processes use them.
 #pragma once
 
+#include "chalkwell/core/fwd.hpp"
 #include "chalkwell/routing/retry_budget.hpp"
 #include "daemon/direct/mesh_node.hpp"
 #include "daemon/direct/published_reader.hpp"
@@ -8,6 +9,8 @@
 
 namespace chalkwell::daemon::direct {
 
+/// @brief From the naming of weights until nothing may begin on older ones.
+[[nodiscard]] core::Duration VersionBoundOf(const Settings& settings);
 [[nodiscard]] routing::RetryBudgetSettings RetryBudgetOf(
     const Settings& settings);
 [[nodiscard]] PublishedReaderSettings ReaderSettingsOf(
--- a/packages/daemon/src/daemon/direct/weights_keeper.cpp
+++ b/packages/daemon/src/daemon/direct/weights_keeper.cpp
@@ -558,9 +558,8 @@
 }
 
 bool WeightsKeeper::Urgent(core::TimePoint now) const {
-  const auto bound =
-      process_.settings().Milliseconds("rollout", "version_bound_ms");
-  const auto end = named_.EndOf(serving_, bound);
+  const auto end =
+      named_.EndOf(serving_, VersionBoundOf(process_.settings()));
   return end && now >= *end - kSwitchTime;
 }
 
--- a/packages/daemon/src/daemon/settings.cpp
+++ b/packages/daemon/src/daemon/settings.cpp
@@ -139,10 +139,10 @@
     case SettingType::kAddress:
       return IsAddress(value);
     case SettingType::kNumber:
-    case SettingType::kShare: {
+    case SettingType::kReal: {
       const auto number = ParseNumber(value);
       const bool whole =
-          setting.type_ == SettingType::kShare ||
+          setting.type_ == SettingType::kReal ||
           value.find_first_not_of("0123456789") == std::string::npos;
       return number && whole && *number >= setting.least_ &&
              *number <= setting.greatest_;
@@ -252,7 +252,7 @@
     case SettingType::kNumber:
       return "a whole number from " + number(setting.least_) + " to " +
              number(setting.greatest_);
-    case SettingType::kShare:
+    case SettingType::kReal:
       return "a number from " + number(setting.least_) + " to " +
              number(setting.greatest_);
     case SettingType::kChoice:
@@ -326,14 +326,15 @@
   return std::stoull(Text(section, key));
 }
 
-double Settings::Share(const std::string& section,
-                       const std::string& key) const {
+double Settings::Real(const std::string& section,
+                      const std::string& key) const {
   return *ParseNumber(Text(section, key));
 }
 
 core::Duration Settings::Milliseconds(const std::string& section,
                                       const std::string& key) const {
-  return std::chrono::milliseconds(Number(section, key));
+  return std::chrono::duration_cast<core::Duration>(
+      std::chrono::duration<double, std::milli>(Real(section, key)));
 }
 
 std::vector<std::string> Settings::List(const std::string& section,
--- a/packages/daemon/src/daemon/settings.hpp
+++ b/packages/daemon/src/daemon/settings.hpp
@@ -41,7 +41,9 @@
   kText,
   kAddress,
   kNumber,
-  kShare,
+  /// Quantities and spans of time: a deployment may compute them, so they
+  /// may have a fraction.
+  kReal,
   kChoice,
   kKeys,
   /// Any number of addresses, separated by commas; none is allowed.
@@ -57,7 +59,7 @@
   /// Empty: the setting must be given, unless `optional_`.
   std::string_view default_;
   bool optional_;
-  /// Numbers and shares: least and greatest.
+  /// Numbers: least and greatest.
   double least_;
   double greatest_;
   /// Choices, separated by '|'.
@@ -92,8 +94,8 @@
                                         const std::string& key) const;
   [[nodiscard]] std::uint64_t Number(const std::string& section,
                                      const std::string& key) const;
-  [[nodiscard]] double Share(const std::string& section,
-                             const std::string& key) const;
+  [[nodiscard]] double Real(const std::string& section,
+                            const std::string& key) const;
   /// @brief A setting whose key ends in `_ms`.
   [[nodiscard]] core::Duration Milliseconds(const std::string& section,
                                             const std::string& key) const;
--- a/packages/daemon/src/daemon/settings_table.cpp
+++ b/packages/daemon/src/daemon/settings_table.cpp
@@ -30,7 +30,7 @@
      "ip:port", "Listener for callers, behind the platform's balancer."},
     {kDirectEntry, "listen", "ready", kAddress, "", false, kAny, kAny, "",
      "ip:port", "Listener that the balancer probes."},
-    {kDirect, "platform", "poll_ms", kNumber, "600", false, 50, kDay, "", "ms",
+    {kDirect, "platform", "poll_ms", kReal, "600", false, 50, kDay, "", "ms",
      "Between two reads of the endpoint list by the entry that reads it for "
      "its "
      "failure domain; it must stay well under the time in which a leaving "
@@ -38,16 +38,16 @@
     {kDirect, "mesh", "seeds", kAddresses, "", true, kAny, kAny, "",
      "addresses",
      "Processes that may be known at the start; only their IP numbers count."},
-    {kDirect, "mesh", "interval_ms", kNumber, "1000", false, 50, kDay, "", "ms",
+    {kDirect, "mesh", "interval_ms", kReal, "1000", false, 50, kDay, "", "ms",
      "Between two rounds of telling others who lives."},
-    {kDirect, "rollout", "version_bound_ms", kNumber, "8000", false, 100, kDay,
+    {kDirect, "rollout", "version_bound_ms", kReal, "8000", false, 0, kDay,
      "", "ms",
      "From the naming of new weights until no request may begin on older "
-     "ones; set by the platform."},
+     "ones; set by the platform. 0: they may for any time."},
     {kBoth, "peer", "tls", kChoice, "off", false, kAny, kAny, "off", "choice",
      "Streams between processes are plain HTTP/2 today; the key is kept for "
      "TLS."},
-    {kBoth, "peer", "silence_ms", kNumber, "3000", false, 100, kDay, "", "ms",
+    {kBoth, "peer", "silence_ms", kReal, "3000", false, 100, kDay, "", "ms",
      "A peer that sends no byte for this long is taken for dead; pings go out "
      "three times as often."},
     {kAll, "platform", "address", kAddress, "", false, kAny, kAny, "",
@@ -56,9 +56,9 @@
      "processes",
      "Entries of a failure domain that hold a watch; the rest learn from "
      "them."},
-    {kAll, "platform", "watch_wait_ms", kNumber, "10000", false, 100, 600000,
+    {kAll, "platform", "watch_wait_ms", kReal, "10000", false, 100, 600000,
      "", "ms", "How long the service may hold a watch open."},
-    {kBoth, "platform", "silence_ms", kNumber, "5000", false, 100, kDay, "",
+    {kBoth, "platform", "silence_ms", kReal, "5000", false, 100, kDay, "",
      "ms",
      "Without a word from any peer for this long a process reads the service "
      "itself, with jitter."},
@@ -72,14 +72,14 @@
      "debug|info|warning|error", "choice", "Least severity that is logged."},
     {kAll, "trace", "collector", kAddress, "", true, kAny, kAny, "", "ip:port",
      "Where spans are posted as OTLP/JSON; none when left out."},
-    {kAll, "stop", "drain_ms", kNumber, "120000", false, 0, kDay, "", "ms",
+    {kAll, "stop", "drain_ms", kReal, "120000", false, 0, kDay, "", "ms",
      "Longest time a planned stop waits for work to finish; at least the "
      "longest deadline."},
     {kEntry, "requests", "max_body_bytes", kNumber, "1048576", false, 1,
      1 << 30, "", "bytes", "Larger bodies are refused with 413."},
-    {kEntry, "requests", "default_deadline_ms", kNumber, "60000", false, 1,
+    {kEntry, "requests", "default_deadline_ms", kReal, "60000", false, 1,
      kDay, "", "ms", "Deadline of a request that names none."},
-    {kEntry, "requests", "max_deadline_ms", kNumber, "120000", false, 1, kDay,
+    {kEntry, "requests", "max_deadline_ms", kReal, "120000", false, 1, kDay,
      "", "ms", "Longer deadlines are cut to this."},
     {kEntry, "requests", "max_in_flight", kNumber, "256", false, 1, 100000, "",
      "requests", "Requests this entry has at endpoints at once."},
@@ -87,14 +87,14 @@
      "requests", "Requests of one account that may wait here."},
     {kEntry, "requests", "max_attempts", kNumber, "4", false, 1, 20, "",
      "attempts", "Endpoints tried for one request at most."},
-    {kEntries, "requests", "retry_share", kShare, "0.1", false, 0, 1, "",
+    {kEntries, "requests", "retry_share", kReal, "0.1", false, 0, 100, "",
      "share",
      "Retries as a share of requests, so that failures do not multiply load."},
-    {kEntries, "requests", "retry_reserve", kNumber, "20", false, 0, 100000, "",
+    {kEntries, "requests", "retry_reserve", kReal, "20", false, 0, 1e9, "",
      "retries",
      "Retries that this entry may make in 10 s beyond that share; half are "
      "kept for answers under way."},
-    {kEntry, "requests", "retry_after_ms", kNumber, "1000", false, 1, kDay, "",
+    {kEntry, "requests", "retry_after_ms", kReal, "1000", false, 1, kDay, "",
      "ms", "What Retry-After says when nothing better is known."},
     {kEntry, "routing", "affinity_bound", kNumber, "125", false, 100, 1000, "",
      "percent",
@@ -114,7 +114,7 @@
      "engine|service", "choice", "What the back end is."},
     {kAgents, "endpoint", "role", kText, "", false, kAny, kAny, "", "name",
      "Role of the endpoint; bundles name roles."},
-    {kDirectAgent, "endpoint", "facts_wait_ms", kNumber, "120", false, 0, kDay,
+    {kDirectAgent, "endpoint", "facts_wait_ms", kReal, "120", false, 0, kDay,
      "", "ms",
      "How long an agent that starts waits to hear of an entry before it reads "
      "the rules itself, once and briefly."},
@@ -130,7 +130,7 @@
      "", "bytes/s",
      "Rate of this machine's link that weights and live answers share; 0 for "
      "no limit."},
-    {kDirectAgent, "weights", "link_mbps", kShare, "0", false, 0, 1e6, "",
+    {kDirectAgent, "weights", "link_mbps", kReal, "0", false, 0, 1e6, "",
      "Mbit/s",
      "This machine's link; pieces take a part of it; 0 for no limit."},
     {kAgent, "weights", "memory_bytes", kNumber, "268435456", false, 1 << 20,
@@ -139,11 +139,11 @@
      "copies",
      "How many members may draw each chunk from the origin: 1 weighs origin "
      "bytes, 3 time to live."},
-    {kAgent, "weights", "draw_silence_ms", kNumber, "2000", false, 10, kDay, "",
+    {kAgent, "weights", "draw_silence_ms", kReal, "2000", false, 10, kDay, "",
      "ms",
      "Next in rank draws from the origin when no new chunk was seen for this "
      "long."},
-    {kAgent, "weights", "chunk_timeout_ms", kNumber, "5000", false, 10, kDay,
+    {kAgent, "weights", "chunk_timeout_ms", kReal, "5000", false, 10, kDay,
      "", "ms", "A chunk request is given up after this."},
     {kAgent, "weights", "in_flight", kNumber, "8", false, 1, 1000, "",
      "requests", "Chunk requests outstanding at all peers."},
@@ -153,13 +153,13 @@
      "Peers of its own domain an agent exchanges chunks with."},
     {kAgent, "weights", "neighbours_foreign", kNumber, "4", false, 0, 1000, "",
      "peers", "Peers of other domains an agent exchanges chunks with."},
-    {kAgent, "rollout", "max_out_share", kShare, "0.34", false, 0, 1, "",
+    {kAgent, "rollout", "max_out_share", kReal, "0.34", false, 0, 1, "",
      "share",
      "Part of a role's endpoints in a failure domain that may switch at "
      "once."},
-    {kAgent, "rollout", "turn_lease_ms", kNumber, "10000", false, 10, kDay, "",
+    {kAgent, "rollout", "turn_lease_ms", kReal, "10000", false, 10, kDay, "",
      "ms", "Those ahead that make no progress for this long are passed."},
-    {kAgent, "rollout", "pause_lease_ms", kNumber, "1500", false, 500, kDay, "",
+    {kAgent, "rollout", "pause_lease_ms", kReal, "1500", false, 500, kDay, "",
      "ms",
      "How long what the engine said is relied on; a process that did not run "
      "for this long re-reads the world before it acts."},
