Silent endpoints get no work; old weights are left in time; a subset of endpoints for each entry

Ruled out: how an attempt is closed. Now an endpoint that was heard no more for 0.7 s while others are is expected to stand still as long again, an attempt there is left after 0.5 s, and any part of an answer counts as a sign of life.

The choice has a file of its own.

--- /dev/null
+++ b/packages/chalkwell/src/chalkwell/routing/attempt_patience.cpp
@@ -0,0 +1,50 @@
+// Weights that end set a bound of their own.
+#include "chalkwell/routing/attempt_patience.hpp"
+
+#include <algorithm>
+#include <chrono>
+
+namespace chalkwell::routing {
+namespace {
+
+using std::chrono::milliseconds;
+
+/// A first byte is overdue after this many times the target, and not before
+/// the time below: an endpoint that is merely busy is not left.
+constexpr int kTargets = 3;
+constexpr auto kLeast = milliseconds(1200);
+/// The same, in times of what was expected.
+constexpr int kPredictions = 2;
+/// A late one waits for those on time; its caller leaves before this.
+constexpr auto kLate = milliseconds(2500);
+/// An endpoint that fell silent is left after this: its machine stands still or
+/// is cut off. Its callers leave after some two seconds, and with 1.2 s of them
+/// gone a second endpoint under load seldom answers in time.
+constexpr auto kSilent = milliseconds(500);
+/// An attempt on old weights that has no first byte so long after the time from
+/// which they are chosen no more is given up. That time is 1.4 s before the
+/// bound; an endpoint may go on reading a prompt for some 200 ms after its
+/// connection was closed, and begin: one that was given up 150 ms before the
+/// bound began 20 ms behind it.
+constexpr auto kOldWeights = milliseconds(800);
+
+}  // namespace
+
+core::TimePoint GiveUpAt(const AwaitedAttempt& attempt) {
+  core::Duration wait =
+      std::max<core::Duration>({attempt.target_ * kTargets, kLeast,
+                                attempt.predicted_ * kPredictions});
+  if (!attempt.on_time_) {
+    wait = std::max<core::Duration>(wait, kLate);
+  }
+  if (attempt.silent_) {
+    wait = std::min<core::Duration>(wait, kSilent);
+  }
+  const auto overdue = attempt.sent_at_ + wait;
+  const bool ends = attempt.weights_version_ &&
+                    *attempt.weights_version_ < attempt.versions_.next_;
+  return ends ? std::min(overdue, attempt.versions_.until_ + kOldWeights)
+              : overdue;
+}
+
+}  // namespace chalkwell::routing
--- a/packages/chalkwell/src/chalkwell/routing/endpoint_table.cpp
+++ b/packages/chalkwell/src/chalkwell/routing/endpoint_table.cpp
@@ -2,36 +2,22 @@
 #include "chalkwell/routing/endpoint_table.hpp"
 
 #include <algorithm>
-#include <cmath>
 #include <utility>
 
-#include "chalkwell/routing/engine_model.hpp"
+#include "chalkwell/core/milliseconds.hpp"
 
 namespace chalkwell::routing {
 namespace {
 
-using Milliseconds = std::chrono::duration<double, std::milli>;
-
 /// Weight of a new sample in the mean wait of a plain service.
 constexpr double kWaitWeight = 0.2;
 /// Weight of a new sample in the share of failures.
 constexpr double kFailureWeight = 0.3;
-/// Requests under way that one of our own stands for while no report is fresh:
-/// other entries send too.
-constexpr std::uint32_t kUnreportedFactor = 3;
 /// Departed incarnations remembered: those of some minutes on a large
 /// deployment.
 constexpr std::size_t kMaxDeparted = 512;
 /// Earlier lives of one id that may still be told of.
 constexpr std::size_t kMaxStarts = 8;
-/// Below this many milliseconds two choices count as equal.
-constexpr double kTieMs = 2;
-
-core::Duration Span(double milliseconds) {
-  return std::chrono::duration_cast<core::Duration>(Milliseconds(milliseconds));
-}
-
-double Ms(core::Duration span) { return Milliseconds(span).count(); }
 
 }  // namespace
 
@@ -89,6 +75,8 @@
 
 void EndpointTable::BeginLife(Endpoint& endpoint, EndpointRow row) {
   Endpoint next;
+  next.selected_ = endpoint.selected_;
+  next.rank_ = endpoint.rank_;
   next.dead_starts_ = std::move(endpoint.dead_starts_);
   if (endpoint.row_.started_) {
     next.dead_starts_.push_back(*endpoint.row_.started_);
@@ -105,6 +93,7 @@
 }
 
 void EndpointTable::TakeRow(EndpointRow row) {
+  subset_due_ = true;
   auto& endpoint = endpoints_[row.id_];
   endpoint.missing_since_.reset();
   if (endpoint.WasDead(row.started_)) {
@@ -155,6 +144,7 @@
 }
 
 void EndpointTable::Erase(const core::InstanceId& id) {
+  subset_due_ = true;
   const auto found = endpoints_.find(id);
   if (found == endpoints_.end()) {
     departed_.push_back({id, std::nullopt});
@@ -168,6 +158,7 @@
 }
 
 void EndpointTable::TakeTold(EndpointRow row, core::TimePoint now) {
+  subset_due_ = true;
   const auto life = row.life();
   auto* known = Find(row.id_);
   incarnations_.OnTold(row.address_, life);
@@ -189,6 +180,23 @@
   endpoint.told_until_ = now + settings_.told_grace_;
 }
 
+void EndpointTable::TakeLife(const std::string& address,
+                             const EndpointLife& life, core::TimePoint now) {
+  for (const auto& [id, endpoint] : endpoints_) {
+    if (endpoint.row_.address_ != address) {
+      continue;
+    }
+    auto row = endpoint.row_;
+    row.id_ = life.id_;
+    row.started_ = life.started_;
+    row.leaving_ = false;
+    row.created_ = 0;
+    row.weights_version_.reset();
+    TakeTold(std::move(row), now);
+    return;
+  }
+}
+
 void EndpointTable::TakeReport(const std::string& address,
                                const LoadReport& report,
                                core::TimePoint taken_at) {
@@ -208,10 +216,15 @@
       row.weights_version_.reset();
       incarnations_.OnTold(address, row.life());
       BeginLife(endpoint, std::move(row));
+      subset_due_ = true;
       endpoint.told_until_ = taken_at + settings_.told_grace_;
     }
+    subset_due_ = subset_due_ || endpoint.version().has_value() !=
+                                     report.weights_version_.has_value();
     endpoint.report_ = report;
     endpoint.reported_at_ = taken_at;
+    endpoint.heard_at_ = std::max(endpoint.heard_at_, taken_at);
+    latest_report_ = std::max(latest_report_, taken_at);
     endpoint.told_version_ = report.weights_version_;
     endpoint.told_ = true;
     std::erase_if(endpoint.sent_,
@@ -224,6 +237,7 @@
   auto* endpoint = Find(life.id_);
   if (endpoint != nullptr && SameLife(endpoint->row_.life(), life)) {
     endpoint->row_.leaving_ = true;
+    subset_due_ = true;
   }
 }
 
@@ -246,6 +260,7 @@
   if (auto* endpoint = Find(id)) {
     endpoint->told_version_ = version;
     endpoint->told_ = true;
+    subset_due_ = true;
   }
 }
 
@@ -280,6 +295,13 @@
   return true;
 }
 
+void EndpointTable::OnProgress(const core::InstanceId& id,
+                               core::TimePoint now) {
+  if (auto* endpoint = Find(id)) {
+    endpoint->heard_at_ = now;
+  }
+}
+
 void EndpointTable::OnFirstByte(const core::InstanceId& id,
                                 double prompt_tokens, core::TimePoint sent_at,
                                 core::Duration predicted, core::TimePoint now) {
@@ -295,11 +317,11 @@
   const auto waited = now - sent_at;
   endpoint->waited_ = endpoint->waited_ == core::Duration{}
                           ? waited
-                          : Span(Ms(endpoint->waited_) * (1 - kWaitWeight) +
-                                 Ms(waited) * kWaitWeight);
+                          : core::FromMs(core::ToMs(endpoint->waited_) * (1 - kWaitWeight) +
+                                 core::ToMs(waited) * kWaitWeight);
   const auto late = std::max<core::Duration>(waited - predicted, {});
-  endpoint->late_ = Span(Ms(LateAt(*endpoint, now)) * (1 - kWaitWeight) +
-                         Ms(late) * kWaitWeight);
+  endpoint->late_ = core::FromMs(core::ToMs(LateAt(*endpoint, now)) * (1 - kWaitWeight) +
+                         core::ToMs(late) * kWaitWeight);
   endpoint->late_at_ = now;
 }
 
@@ -332,187 +354,6 @@
   endpoint->failed_at_ = now;
 }
 
-core::Duration EndpointTable::LateAt(const Endpoint& endpoint,
-                                     core::TimePoint now) const {
-  const auto halves =
-      Ms(now - endpoint.late_at_) / Ms(settings_.failure_half_life_);
-  auto late = Span(Ms(endpoint.late_) * std::exp2(-halves));
-  for (const auto sent_at : endpoint.unanswered_) {
-    late = std::max(late, now - sent_at - settings_.overdue_after_);
-  }
-  return late;
-}
-
-double EndpointTable::FailingAt(const Endpoint& endpoint,
-                                core::TimePoint now) const {
-  const auto halves =
-      Ms(now - endpoint.failed_at_) / Ms(settings_.failure_half_life_);
-  return endpoint.failing_ * std::exp2(-halves);
-}
-
-core::Duration EndpointTable::ExtraDelay(const Endpoint& endpoint,
-                                         core::TimePoint now) const {
-  const auto late = LateAt(endpoint, now);
-  return Reported(endpoint, now) ? std::max(late, endpoint.report_->path_delay_)
-                                 : late;
-}
-
-bool EndpointTable::Reported(const Endpoint& endpoint,
-                             core::TimePoint now) const {
-  return endpoint.report_ &&
-         now - endpoint.reported_at_ < settings_.report_age_;
-}
-
-bool EndpointTable::TooOld(const Endpoint& endpoint,
-                           const ChoiceRequest& request,
-                           core::Duration first_byte,
-                           core::TimePoint now) const {
-  if (request.engine_ == nullptr ||
-      endpoint.version() >= request.versions_.next_) {
-    return false;
-  }
-  const bool link_known = endpoint.report_ && now - endpoint.reported_at_ <
-                                                  settings_.link_report_age_;
-  // A late one waits for all that come meanwhile.
-  const bool known = link_known && request.on_time_;
-  const auto begins =
-      known ? first_byte : std::max(first_byte, settings_.unreported_delay_);
-  return now + begins >= request.versions_.until_;
-}
-
-bool EndpointTable::Usable(const Endpoint& endpoint,
-                           const ChoiceRequest& request) const {
-  const auto& row = endpoint.row_;
-  if (row.service_ != request.service_ || row.leaving_ ||
-      !incarnations_.Lives(row.address_, row.life()) ||
-      std::ranges::find(request.tried_, row.id_) != request.tried_.end()) {
-    return false;
-  }
-  const bool full = request.max_in_flight_ > 0 &&
-                    endpoint.in_flight() >= request.max_in_flight_;
-  if (full) {
-    return false;
-  }
-  if (request.engine_ == nullptr) {
-    return true;
-  }
-  if (endpoint.report_ && !endpoint.report_->accepting_) {
-    return false;
-  }
-  const auto version = endpoint.version();
-  return version && *version >= request.versions_.least_ &&
-         (!request.weights_version_ || version == request.weights_version_);
-}
-
-std::uint32_t EndpointTable::Occupied(const Endpoint& endpoint,
-                                      core::TimePoint now) const {
-  if (!Reported(endpoint, now)) {
-    return endpoint.in_flight() * kUnreportedFactor;
-  }
-  const auto since = static_cast<std::uint32_t>(endpoint.sent_.size());
-  return std::max(endpoint.in_flight(), endpoint.report_->active_ +
-                                            endpoint.report_->queued_ + since);
-}
-
-double EndpointTable::LateShare() const {
-  std::size_t late = 0;
-  std::size_t on_time = 0;
-  for (const auto& [id, endpoint] : endpoints_) {
-    late += endpoint.late_unanswered_.size();
-    on_time += endpoint.unanswered_.size();
-  }
-  return late == 0
-             ? 0
-             : static_cast<double>(late) / static_cast<double>(late + on_time);
-}
-
-std::uint32_t EndpointTable::Ahead(const Endpoint& endpoint, double late_share,
-                                   core::TimePoint now) const {
-  const auto occupied = Occupied(endpoint, now);
-  if (!Reported(endpoint, now)) {
-    return occupied;
-  }
-  const auto late = static_cast<std::uint32_t>(
-      std::lround(endpoint.report_->queued_ * late_share));
-  return occupied - std::min(occupied, late);
-}
-
-core::Duration EndpointTable::FirstByte(const Endpoint& endpoint,
-                                        const ChoiceRequest& request,
-                                        std::uint32_t ahead) const {
-  if (request.engine_ == nullptr) {
-    const double waves =
-        static_cast<double>(ahead) / std::max(1U, endpoint.row_.slots_);
-    return Span(Ms(endpoint.waited_) * (1 + waves));
-  }
-  const auto slots = std::max(1U, request.engine_->slots_);
-  EngineLoad load;
-  load.running_ = std::min(ahead, slots);
-  load.queued_ = ahead - load.running_;
-  load.unread_tokens_ = endpoint.reading_;
-  load.pace_ = endpoint.report_ ? endpoint.report_->pace_ : 1;
-  return FirstEventAfter(*request.engine_, load, request.prompt_tokens_);
-}
-
-std::optional<EndpointChoice> EndpointTable::Choose(
-    const ChoiceRequest& request, core::TimePoint now) {
-  struct Ranked {
-    double cost_ = 0;
-    std::uint64_t tie_ = 0;
-    const Endpoint* endpoint_ = nullptr;
-    std::uint32_t occupied_ = 0;
-    core::Duration first_byte_{};
-  };
-  std::optional<Ranked> best;
-  const double late_share = request.on_time_ ? LateShare() : 0;
-  for (const auto& [id, endpoint] : endpoints_) {
-    if (!Usable(endpoint, request)) {
-      continue;
-    }
-    Ranked ranked;
-    ranked.endpoint_ = &endpoint;
-    ranked.occupied_ = Ahead(endpoint, late_share, now);
-    const auto extra = ExtraDelay(endpoint, now);
-    ranked.first_byte_ = FirstByte(endpoint, request, ranked.occupied_) + extra;
-    if (TooOld(endpoint, request, ranked.first_byte_, now)) {
-      continue;
-    }
-    ranked.tie_ = random_();
-    ranked.cost_ = Ms(ranked.first_byte_) +
-                   FailingAt(endpoint, now) * Ms(settings_.failure_cost_);
-    if (request.engine_ != nullptr) {
-      // Each request that runs slows all others: even when places are free, the
-      // emptier endpoint is the better one.
-      ranked.cost_ += ranked.occupied_ * Ms(request.engine_->step_) / 2;
-      if (!Reported(endpoint, now)) {
-        ranked.cost_ += Ms(settings_.unreported_cost_);
-      }
-    }
-    if (endpoint.row_.domain_ != settings_.domain_) {
-      ranked.cost_ += Ms(settings_.foreign_cost_);
-    }
-    const bool better =
-        !best || ranked.cost_ < best->cost_ - kTieMs ||
-        (ranked.cost_ < best->cost_ + kTieMs && ranked.tie_ < best->tie_);
-    if (better) {
-      best = ranked;
-    }
-  }
-  if (!best) {
-    return std::nullopt;
-  }
-  EndpointChoice choice;
-  choice.row_ = best->endpoint_->row_;
-  choice.row_.weights_version_ = best->endpoint_->version();
-  choice.first_byte_ = best->first_byte_;
-  choice.occupied_ = best->occupied_;
-  choice.reported_ = best->endpoint_->report_.has_value();
-  if (choice.reported_) {
-    choice.report_age_ = now - best->endpoint_->reported_at_;
-  }
-  return choice;
-}
-
 std::uint32_t EndpointTable::LoadOf(const core::InstanceId& id,
                                     core::TimePoint now) const {
   const auto found = endpoints_.find(id);
--- a/packages/chalkwell/src/chalkwell/routing/endpoint_table.hpp
+++ b/packages/chalkwell/src/chalkwell/routing/endpoint_table.hpp
@@ -79,11 +79,18 @@
 struct EndpointTableSettings {
   /// Failure domain of this entry.
   core::FailureDomainId domain_;
+  /// Of this entry, which uses a subset of its own; empty: all endpoints.
+  core::InstanceId entry_;
   /// A report older than this no longer counts.
   core::Duration report_age_ = std::chrono::milliseconds(1500);
   /// An engine whose agent is not heard may be dead, frozen or behind a full
   /// link: others are better by this much.
   core::Duration unreported_cost_ = std::chrono::milliseconds(200);
+  /// An endpoint that was heard no more for this long, while others were,
+  /// stands still or is cut off: it is expected to do so as long again. Agents
+  /// report every 500 ms at least. Before, an engine on a frozen machine seemed
+  /// to become empty, and got requests for the four seconds that it stood.
+  core::Duration silent_after_ = std::chrono::milliseconds(700);
   /// How late a request may begin at an engine that is not heard: its link may
   /// hold it back by more than a second.
   core::Duration unreported_delay_ = std::chrono::milliseconds(2500);
@@ -173,6 +180,10 @@
   /// show yet.
   /// @param row without weights; a report tells them.
   void TakeTold(EndpointRow row, core::TimePoint now);
+  /// @brief An agent told which life the endpoint at an address is in; of the
+  /// same service and failure domain as the one known there, if any is.
+  void TakeLife(const std::string& address, const EndpointLife& life,
+                core::TimePoint now);
   /// @brief Takes a report of the endpoint that lives at an address. Reports
   /// come in their order: one of another life tells who lives now.
   void TakeReport(const std::string& address, const LoadReport& report,
@@ -189,6 +200,8 @@
   /// @param on_time as it was chosen for.
   void OnSent(const core::InstanceId& id, double prompt_tokens,
               core::TimePoint now, bool on_time = true);
+  /// @brief Some part of an answer came: the endpoint does not stand still.
+  void OnProgress(const core::InstanceId& id, core::TimePoint now);
   /// @param sent_at when the request was sent, as told to OnSent.
   /// @param predicted first byte as the choice gave it.
   void OnFirstByte(const core::InstanceId& id, double prompt_tokens,
@@ -203,6 +216,14 @@
   [[nodiscard]] std::optional<EndpointChoice> Choose(
       const ChoiceRequest& request, core::TimePoint now);
 
+  /// @brief Endpoints of the subset that this entry uses: their agents are
+  /// asked for reports.
+  [[nodiscard]] std::vector<EndpointRow> Subset();
+
+  /// @brief Whether nothing is heard of an endpoint any more, while others are
+  /// heard.
+  [[nodiscard]] bool IsSilent(const core::InstanceId& id) const;
+
   [[nodiscard]] std::size_t size() const noexcept { return endpoints_.size(); }
   [[nodiscard]] std::uint64_t revision() const noexcept { return revision_; }
   [[nodiscard]] bool heard() const noexcept { return revision_ > 0; }
@@ -217,8 +238,14 @@
  private:
   struct Endpoint {
     EndpointRow row_;
+    /// Of the subset that this entry uses.
+    bool selected_ = false;
+    /// In the order of that subset; 0 until it is needed.
+    std::uint64_t rank_ = 0;
     std::optional<LoadReport> report_;
     core::TimePoint reported_at_;
+    /// When it was last heard: by a report, or by a part of an answer.
+    core::TimePoint heard_at_;
     /// Weights as the endpoint itself told them, if it did: newer than the
     /// published row.
     std::optional<std::uint64_t> told_version_;
@@ -261,6 +288,12 @@
     }
   };
 
+  /// @brief What a request is to expect of an endpoint.
+  struct Expected {
+    core::Duration first_byte_{};
+    std::uint32_t occupied_ = 0;
+  };
+
   [[nodiscard]] Endpoint* Find(const core::InstanceId& id);
   [[nodiscard]] bool Usable(const Endpoint& endpoint,
                             const ChoiceRequest& request) const;
@@ -292,6 +325,20 @@
                             core::TimePoint now) const;
   [[nodiscard]] core::Duration ExtraDelay(const Endpoint& endpoint,
                                           core::TimePoint now) const;
+  /// @brief For how long it was heard no more though others were; zero below
+  /// the time after which that counts.
+  [[nodiscard]] core::Duration Silence(const Endpoint& endpoint) const;
+  /// @brief What a request at an endpoint costs, in milliseconds.
+  [[nodiscard]] double CostOf(const Endpoint& endpoint,
+                              const ChoiceRequest& request,
+                              const Expected& expected,
+                              core::TimePoint now) const;
+  /// @param selected whether to choose of the subset or of the others.
+  [[nodiscard]] std::optional<EndpointChoice> ChooseOf(
+      const ChoiceRequest& request, bool selected, core::TimePoint now);
+  void UpdateSubset();
+  [[nodiscard]] std::vector<core::InstanceId> SubsetOf(
+      const std::string& service);
   /// @brief Forgets all of an endpoint but its earlier lives: another one
   /// begins.
   static void BeginLife(Endpoint& endpoint, EndpointRow row);
@@ -308,6 +355,10 @@
   std::deque<EndpointLife> departed_;
   /// Of the published list last taken; never falls.
   std::uint64_t revision_ = 0;
+  /// The newest report of any endpoint.
+  core::TimePoint latest_report_;
+  /// What the subset depends on has changed.
+  bool subset_due_ = false;
 };
 
 }  // namespace chalkwell::routing
--- a/packages/chalkwell/src/chalkwell/routing/engine_model.cpp
+++ b/packages/chalkwell/src/chalkwell/routing/engine_model.cpp
@@ -4,31 +4,21 @@
 
 #include <algorithm>
 
-namespace chalkwell::routing {
-namespace {
-
-using Milliseconds = std::chrono::duration<double, std::milli>;
-
-double Ms(core::Duration span) { return Milliseconds(span).count(); }
-
-core::Duration Span(double milliseconds) {
-  return std::chrono::duration_cast<core::Duration>(Milliseconds(milliseconds));
-}
-
-}  // namespace
+#include "chalkwell/core/milliseconds.hpp"
 
+namespace chalkwell::routing {
 core::Duration StepTime(const config::EngineProfile& engine,
                         std::uint32_t running) {
   const double context = (engine.usual_prompt_ + engine.usual_answer_) / 1000;
   const double added =
-      Ms(engine.step_per_request_) + Ms(engine.step_per_kilotoken_) * context;
-  return Span(Ms(engine.step_) + added * running);
+      core::ToMs(engine.step_per_request_) + core::ToMs(engine.step_per_kilotoken_) * context;
+  return core::FromMs(core::ToMs(engine.step_) + added * running);
 }
 
 core::Duration FirstEventAfter(const config::EngineProfile& engine,
                                const EngineLoad& load, double prompt_tokens) {
   const auto slots = std::max(1U, engine.slots_);
-  const double step = Ms(StepTime(engine, load.running_));
+  const double step = core::ToMs(StepTime(engine, load.running_));
   const double read_ms = 1000 / engine.read_per_second_;
   // Time of a request that goes into its steps, and into reading its prompt
   // while the others wait.
@@ -41,7 +31,7 @@
   if (load.running_ >= slots) {
     wait += writing * stretch / slots * (load.queued_ + 1);
   }
-  return Span(wait * load.pace_);
+  return core::FromMs(wait * load.pace_);
 }
 
 }  // namespace chalkwell::routing
--- a/packages/chalkwell/src/chalkwell/routing/fwd.hpp
+++ b/packages/chalkwell/src/chalkwell/routing/fwd.hpp
@@ -13,6 +13,8 @@
 class SlotQueue;
 class EndpointChooser;
 class EndpointTable;
+struct EndpointSubsetSettings;
+struct AwaitedAttempt;
 class IncarnationTable;
 struct EndpointLife;
 class RequestAge;
--- a/packages/daemon/src/daemon/direct/direct_request.cpp
+++ b/packages/daemon/src/daemon/direct/direct_request.cpp
@@ -4,6 +4,7 @@
 #include <algorithm>
 #include <utility>
 
+#include "chalkwell/routing/attempt_patience.hpp"
 #include "chalkwell/routing/stream_admission.hpp"
 
 namespace chalkwell::daemon::direct {
@@ -26,13 +27,10 @@
 /// survive a connection that has just been closed, the others can't.
 constexpr auto kMaxRest = milliseconds(2500);
 constexpr auto kMaxRestOnce = milliseconds(400);
-/// A first byte is overdue after this many times the target, and not before
-/// this time: an endpoint that is merely busy is not left.
-constexpr int kFirstByteFactor = 3;
-constexpr auto kLeastFirstByte = milliseconds(1200);
-/// A late one waits for those on time; its caller leaves before this.
-constexpr auto kLateSilence = milliseconds(2500);
-/// The same for the pause between events of a stream.
+/// An endpoint that is awaited is looked at this often.
+constexpr auto kSilenceCheck = milliseconds(100);
+/// A pause between the events of a stream is too long after this many times the
+/// pause that is in time, and not before the time below.
 constexpr int kGapFactor = 2;
 constexpr auto kLeastGap = milliseconds(800);
 /// Left for the answer to travel back when the endpoint uses all its time.
@@ -100,7 +98,8 @@
   wanted.max_in_flight_ = context_.max_in_flight_(request_.service_);
   if (request_.engine_) {
     wanted.engine_ = &*request_.engine_;
-    wanted.versions_ = context_.versions_(request_.engine_->model_);
+    versions_ = context_.versions_(request_.engine_->model_);
+    wanted.versions_ = versions_;
     if (choose.same_weights_) {
       wanted.weights_version_ = stream_version_;
     }
@@ -116,6 +115,7 @@
   attempt_.number_ = send.attempt_;
   attempt_.choice_ = *chosen_;
   attempt_.sent_at_ = now;
+  attempt_.versions_ = versions_;
   attempt_.span_ =
       context_.tracer_.Begin("entry.attempt", span_.context_.ToHeader());
   const auto& row = attempt_.choice_.row_;
@@ -189,15 +189,28 @@
 }
 
 void DirectRequest::ExpectFirstByte() {
-  if (!request_.route_.repeatable()) {
+  if (!request_.route_.repeatable() || ended_ || attempt_.call_ == nullptr) {
     return;
   }
-  const core::Duration wait = std::max<core::Duration>(
-      {request_.route_.target_latency_ * kFirstByteFactor, kLeastFirstByte,
-       attempt_.choice_.first_byte_ * 2});
-  silence_.Once(
-      request_.on_time_ ? wait : std::max<core::Duration>(wait, kLateSilence),
-      [self = shared_from_this()] { self->OnSilence(); });
+  routing::AwaitedAttempt awaited;
+  awaited.target_ = request_.route_.target_latency_;
+  awaited.predicted_ = attempt_.choice_.first_byte_;
+  awaited.on_time_ = request_.on_time_;
+  awaited.sent_at_ = attempt_.sent_at_;
+  awaited.silent_ =
+      context_.endpoints_.IsSilent(attempt_.choice_.row_.id_);
+  if (request_.engine_) {
+    awaited.weights_version_ = attempt_.choice_.row_.weights_version_;
+    awaited.versions_ = attempt_.versions_;
+  }
+  const auto now = context_.loop_.Now();
+  const auto left = routing::GiveUpAt(awaited) - now;
+  if (left <= core::Duration{}) {
+    OnSilence();
+    return;
+  }
+  silence_.Once(std::min<core::Duration>(left, kSilenceCheck),
+                [self = shared_from_this()] { self->ExpectFirstByte(); });
 }
 
 void DirectRequest::ExpectEvent() {
@@ -239,6 +252,8 @@
   if (!current(number)) {
     return;
   }
+  context_.endpoints_.OnProgress(attempt_.choice_.row_.id_,
+                                 context_.loop_.Now());
   if (!attempt_.streams_) {
     OnPlainData(bytes);
     return;
--- a/packages/daemon/src/daemon/direct/direct_request.hpp
+++ b/packages/daemon/src/daemon/direct/direct_request.hpp
@@ -69,6 +69,8 @@
     routing::AttemptNumber number_ = 0;
     routing::EndpointChoice choice_;
     core::TimePoint sent_at_;
+    /// Weights that it could begin on, as it was chosen.
+    routing::VersionRule versions_;
     Span span_;
     std::shared_ptr<HttpCall> call_;
     int status_ = 0;
@@ -115,6 +117,8 @@
   routing::RequestTracker tracker_;
   Attempt attempt_;
   std::optional<routing::EndpointChoice> chosen_;
+  /// Weights that were allowed as it was chosen.
+  routing::VersionRule versions_;
   std::vector<core::InstanceId> tried_;
   /// Weights of the stream that the caller is being sent.
   std::optional<std::uint64_t> stream_version_;
