--- a/packages/chalkwell/src/chalkwell/core/event.cpp
+++ b/packages/chalkwell/src/chalkwell/core/event.cpp
@@ -53,6 +53,10 @@
      "What is published was learned from another process.",
      "None: large rules are handed on, and so is all while the service is "
      "away."},
+    {kControlTraffic, kInfo, "control-traffic",
+     "What this process sent to others of the system in the last seconds, in "
+     "bytes by kind; far_bytes left the failure domain.",
+     "None; docs/OPERATIONS.md says what is usual."},
     {kPeerConnected, kInfo, "peer-connected", "A stream to a peer is open.",
      "None."},
     {kPeerLost, kWarning, "peer-lost", "A stream to a peer has ended.",
--- a/packages/chalkwell/src/chalkwell/core/event.hpp
+++ b/packages/chalkwell/src/chalkwell/core/event.hpp
@@ -27,6 +27,7 @@
   kEndpointsChanged = 207,
   kWeightsNamed = 208,
   kLearnedFromPeer = 209,
+  kControlTraffic = 210,
   kPeerConnected = 300,
   kPeerLost = 301,
   kPeerProtocol = 302,
--- a/packages/chalkwell/src/chalkwell/membership/fwd.hpp
+++ b/packages/chalkwell/src/chalkwell/membership/fwd.hpp
@@ -15,6 +15,8 @@
 class MessageOrder;
 class LinkDelay;
 class ReadDuty;
+class ReportAudience;
+class SpreadPlan;
 class WatchDuty;
 struct WatchDutySettings;
 struct Member;
--- a/packages/chalkwell/src/chalkwell/membership/gossip_table.cpp
+++ b/packages/chalkwell/src/chalkwell/membership/gossip_table.cpp
@@ -2,14 +2,57 @@
 #include "chalkwell/membership/gossip_table.hpp"
 
 #include <algorithm>
+#include <set>
+#include <tuple>
 #include <utility>
 
+#include "chalkwell/core/digest.hpp"
+#include "chalkwell/membership/duties.hpp"
+
 namespace chalkwell::membership {
+namespace {
+
+std::uint64_t Rank(const Member& member) {
+  return core::RendezvousScore(kWatchDutyName, member.id_.value());
+}
+
+}  // namespace
 
 GossipTable::GossipTable(Member self, GossipSettings settings,
                          std::uint64_t seed)
     : self_(std::move(self)), settings_(settings), random_(seed) {}
 
+void GossipTable::Beat() {
+  ++self_.beat_;
+  self_.near_ = static_cast<std::uint32_t>(Near().size() + 1);
+}
+
+bool GossipTable::MakePlace(const Member& member) {
+  if (member.domain_ == self_.domain_) {
+    return true;
+  }
+  auto last = rows_.end();
+  std::size_t live = 0;
+  for (auto row = rows_.begin(); row != rows_.end(); ++row) {
+    if (row->second.lost_ || row->second.member_.domain_ != member.domain_) {
+      continue;
+    }
+    ++live;
+    if (last == rows_.end() ||
+        Rank(row->second.member_) < Rank(last->second.member_)) {
+      last = row;
+    }
+  }
+  if (live < settings_.far_rows_) {
+    return true;
+  }
+  if (Rank(member) <= Rank(last->second.member_)) {
+    return false;
+  }
+  rows_.erase(last);
+  return true;
+}
+
 MergeEnd GossipTable::Merge(const Member& member, core::TimePoint now) {
   if (member.id_ == self_.id_) {
     return MergeEnd::kKnown;
@@ -17,7 +60,7 @@
   const Key key{member.id_, member.incarnation_};
   const auto found = rows_.find(key);
   if (found == rows_.end()) {
-    if (member.leaving_) {
+    if (member.leaving_ || !MakePlace(member)) {
       return MergeEnd::kKnown;
     }
     rows_.emplace(key, Row{member, now});
@@ -46,11 +89,19 @@
   return lost;
 }
 
-std::vector<Member> GossipTable::Silent(core::TimePoint now) const {
-  std::vector<Member> silent;
+std::vector<Member> GossipTable::Silent(std::size_t most,
+                                        core::TimePoint now) const {
+  std::vector<const Row*> rows;
   for (const auto& [key, row] : rows_) {
     if (!row.lost_ && now - row.heard_ >= settings_.lease_ / 2) {
-      silent.push_back(row.member_);
+      rows.push_back(&row);
+    }
+  }
+  std::ranges::sort(rows, {}, &Row::heard_);
+  std::vector<Member> silent;
+  for (const auto* row : rows) {
+    if (silent.size() < most) {
+      silent.push_back(row->member_);
     }
   }
   return silent;
@@ -75,24 +126,72 @@
   return live;
 }
 
+std::vector<Member> GossipTable::Near() const {
+  auto members = Live();
+  std::erase_if(members, [this](const Member& member) {
+    return member.domain_ != self_.domain_;
+  });
+  return members;
+}
+
+std::size_t GossipTable::Count() const {
+  std::map<core::FailureDomainId, std::size_t> told;
+  std::map<core::FailureDomainId, std::size_t> known;
+  std::size_t count = 1;
+  for (const auto& member : Live()) {
+    if (member.domain_ == self_.domain_) {
+      ++count;
+      continue;
+    }
+    auto& most = told[member.domain_];
+    most = std::max<std::size_t>(most, member.near_);
+    ++known[member.domain_];
+  }
+  for (const auto& [domain, most] : told) {
+    count += std::max(most, known[domain]);
+  }
+  return count;
+}
+
+bool GossipTable::Delegate() const {
+  const auto own = Rank(self_);
+  const auto ahead = std::ranges::count_if(
+      Near(), [&](const Member& member) { return Rank(member) > own; });
+  return static_cast<std::size_t>(ahead) < settings_.delegates_;
+}
+
 void GossipTable::Shuffle(std::vector<Member>& members) {
   std::ranges::shuffle(members, random_);
 }
 
-std::vector<Member> GossipTable::Sample(std::size_t most) {
+std::vector<Member> GossipTable::Sample(std::size_t most,
+                                        const core::FailureDomainId& domain) {
   struct Ranked {
+    bool foreign_;
     unsigned told_;
     std::uint64_t tie_;
     Row* row_;
   };
+  // Whoever is of another domain keeps few rows of this one.
+  std::vector<std::uint64_t> ranks;
+  for (const auto& member : Near()) {
+    ranks.push_back(Rank(member));
+  }
+  std::ranges::sort(ranks, std::ranges::greater{});
+  const bool far = domain != self_.domain_;
+  const auto least = far && ranks.size() > settings_.far_rows_
+                         ? ranks[settings_.far_rows_ - 1]
+                         : 0;
   std::vector<Ranked> ranked;
   for (auto& [key, row] : rows_) {
-    if (!row.lost_) {
-      ranked.push_back({row.told_, random_(), &row});
+    const bool own = row.member_.domain_ == self_.domain_;
+    if (!row.lost_ && (!own || Rank(row.member_) >= least)) {
+      const bool foreign = far && row.member_.domain_ != domain;
+      ranked.push_back({foreign, row.told_, random_(), &row});
     }
   }
   std::ranges::sort(ranked, {}, [](const Ranked& entry) {
-    return std::pair(entry.told_, entry.tie_);
+    return std::tuple(entry.foreign_, entry.told_, entry.tie_);
   });
   ranked.resize(std::min(ranked.size(), most));
   std::vector<Member> members{self_};
@@ -104,14 +203,25 @@
 }
 
 std::vector<Member> GossipTable::Targets(std::size_t most) {
-  auto members = Live();
-  Shuffle(members);
-  const auto near = std::ranges::find(members, self_.domain_, &Member::domain_);
-  if (near != members.end()) {
-    std::iter_swap(members.begin(), near);
+  auto live = Live();
+  Shuffle(live);
+  std::vector<Member> targets;
+  for (const auto& member : live) {
+    if (member.domain_ == self_.domain_ && targets.size() < most) {
+      targets.push_back(member);
+    }
   }
-  members.resize(std::min(members.size(), most));
-  return members;
+  // Alone in its domain, a member is its delegate.
+  if (!Delegate()) {
+    return targets;
+  }
+  std::set<core::FailureDomainId> told{self_.domain_};
+  for (const auto& member : live) {
+    if (told.insert(member.domain_).second) {
+      targets.push_back(member);
+    }
+  }
+  return targets;
 }
 
 }  // namespace chalkwell::membership
--- a/packages/chalkwell/src/chalkwell/membership/gossip_table.hpp
+++ b/packages/chalkwell/src/chalkwell/membership/gossip_table.hpp
@@ -1,5 +1,8 @@
 // Who is there, without a published list: rows with a beat that only their
 // owner raises, passed on by chance; a row that stays behind its lease is lost.
+// All members of the own failure domain are kept, and few of each other one:
+// what a process keeps and tells does not grow with the number of domains'
+// members.
 #pragma once
 
 #include <cstdint>
@@ -26,12 +29,13 @@
   core::FailureDomainId domain_;
   /// Where it hears others, "ip:port".
   std::string address_;
-  /// Service of the endpoint beside it; agents only.
-  std::string service_;
   /// Raised by the member itself; orders its rows.
   std::uint64_t beat_ = 0;
   /// It is about to end and should be forgotten.
   bool leaving_ = false;
+  /// Live members that it knows in its own failure domain, itself included; 0
+  /// when it does not say.
+  std::uint32_t near_ = 0;
 };
 
 /// @brief Settings of the table.
@@ -43,6 +47,13 @@
   /// How long a lost row is remembered, so that a late copy does not bring it
   /// back.
   core::Duration memory_ = std::chrono::seconds(60);
+  /// Rows kept of each other failure domain, the first in rank of those heard
+  /// of. The first two are the ones who pass news on there; the others stand by
+  /// for when these are lost, which takes a lease to notice.
+  std::size_t far_rows_ = 3;
+  /// Members of each failure domain who pass news on between domains: one may
+  /// be lost unnoticed.
+  std::size_t delegates_ = 2;
 };
 
 /// @brief What a merge changed.
@@ -55,7 +66,7 @@
 
   [[nodiscard]] const Member& self() const noexcept { return self_; }
   /// @brief Raises the own beat.
-  void Beat() noexcept { ++self_.beat_; }
+  void Beat();
   void Leave() noexcept { self_.leaving_ = true; }
   /// @brief Takes a row heard from anyone.
   MergeEnd Merge(const Member& member, core::TimePoint now);
@@ -63,14 +74,28 @@
   /// @return those lost since the last call.
   std::vector<Member> Expire(core::TimePoint now);
 
-  /// @brief Members of whom nothing was heard for half their lease.
-  [[nodiscard]] std::vector<Member> Silent(core::TimePoint now) const;
+  /// @brief Members of whom nothing was heard for half their lease, the longest
+  /// silent first.
+  /// @param most each is asked directly, which is to cost little.
+  [[nodiscard]] std::vector<Member> Silent(std::size_t most,
+                                           core::TimePoint now) const;
   /// @brief Live members, this one left out; one row an address.
   [[nodiscard]] std::vector<Member> Live() const;
-  /// @brief The own row and some others, those told least first.
-  [[nodiscard]] std::vector<Member> Sample(std::size_t most);
-  /// @brief Members to tell next: one of the own failure domain first, the
-  /// others by chance.
+  /// @brief Live members of the own failure domain, this one left out.
+  [[nodiscard]] std::vector<Member> Near() const;
+  /// @brief Live members of the whole deployment, this one included: those of
+  /// other failure domains as these tell it.
+  [[nodiscard]] std::size_t Count() const;
+  /// @brief Whether this member is one of those who pass news on between
+  /// failure domains.
+  [[nodiscard]] bool Delegate() const;
+  /// @brief The own row and some others, those told least first; for a member
+  /// of another failure domain those of its domain before all others, and of
+  /// the own domain only the first in rank.
+  [[nodiscard]] std::vector<Member> Sample(std::size_t most,
+                                           const core::FailureDomainId& domain);
+  /// @brief Members to tell next: some of the own failure domain by chance, and
+  /// by delegates one of each other domain.
   [[nodiscard]] std::vector<Member> Targets(std::size_t most);
 
  private:
@@ -89,6 +114,9 @@
     unsigned told_ = 0;
   };
 
+  /// @brief Whether a row of another failure domain has a place; one that ranks
+  /// behind it gives way.
+  bool MakePlace(const Member& member);
   void Shuffle(std::vector<Member>& members);
 
   Member self_;
--- a/packages/chalkwell/src/chalkwell/membership/read_duty.cpp
+++ b/packages/chalkwell/src/chalkwell/membership/read_duty.cpp
@@ -1,6 +1,7 @@
 // The first in rendezvous order has the duty; silence gives it to everyone.
 #include "chalkwell/membership/read_duty.hpp"
 
+#include <algorithm>
 #include <utility>
 
 #include "chalkwell/membership/duties.hpp"
@@ -17,12 +18,36 @@
     : self_(std::move(self)), settings_(settings) {}
 
 void ReadDuty::SetMembers(std::span<const core::InstanceId> members) {
-  elected_ = members.empty() || RankOf(self_, kDuty, members) == 0;
+  rank_ = members.empty() ? 0 : RankOf(self_, kDuty, members);
+}
+
+void ReadDuty::OnRead(core::TimePoint now) noexcept {
+  read_at_ = now;
+  if (!told_at_) {
+    // All members start with a read: the first in rank tells the next ones.
+    told_at_ = now;
+  }
+}
+
+bool ReadDuty::Reads(core::TimePoint now) const noexcept {
+  if (rank_ == 0 || !told_at_) {
+    return true;
+  }
+  const auto behind = static_cast<int>(rank_ - 1);
+  return now - *told_at_ >= settings_.patience_ + settings_.step_ * behind;
 }
 
 core::Duration ReadDuty::Interval(core::TimePoint now) const noexcept {
-  const bool told = told_at_ && now - *told_at_ < settings_.patience_;
-  return elected_ || !told ? settings_.often_ : settings_.seldom_;
+  if (!Reads(now)) {
+    return settings_.seldom_;
+  }
+  if (!told_at_ || !read_at_ || *told_at_ <= *read_at_) {
+    return settings_.often_;
+  }
+  // Told by another domain's reader: that read counts as well.
+  const auto wait =
+      settings_.often_ + settings_.step_ * static_cast<int>(domains_ahead_);
+  return std::min(*told_at_ - *read_at_ + wait, settings_.seldom_);
 }
 
 }  // namespace chalkwell::membership
--- a/packages/chalkwell/src/chalkwell/membership/watch_duty.cpp
+++ b/packages/chalkwell/src/chalkwell/membership/watch_duty.cpp
@@ -8,19 +8,12 @@
 #include "chalkwell/membership/duties.hpp"
 
 namespace chalkwell::membership {
-namespace {
-
-/// Any fixed text: the duty stays with the same members while they live.
-constexpr std::string_view kDuty = "watch-document";
-
-}  // namespace
-
 WatchDuty::WatchDuty(core::InstanceId self, WatchDutySettings settings)
     : self_(std::move(self)), settings_(settings), members_{self_} {}
 
 std::vector<core::InstanceId> WatchDuty::FirstInRank(
     std::span<const core::InstanceId> members, std::size_t count) {
-  return FirstChoices(kDuty, members, count);
+  return FirstChoices(kWatchDutyName, members, count);
 }
 
 void WatchDuty::SetMembers(std::span<const core::InstanceId> members) {
@@ -39,11 +32,12 @@
 
 std::size_t WatchDuty::Watchers(core::TimePoint now) const {
   if (bytes_ > 0) {
-    return std::max<std::size_t>(1, settings_.budget_ / bytes_);
+    return std::clamp<std::size_t>(settings_.budget_ / bytes_, 1,
+                                   settings_.most_);
   }
   const bool long_read =
       reading_since_ && now - *reading_since_ >= settings_.small_read_;
-  return long_read ? 1 : members_.size();
+  return long_read ? 1 : settings_.most_;
 }
 
 bool WatchDuty::Watches(core::TimePoint now) const {
--- a/packages/chalkwell/src/chalkwell/membership/watch_duty.hpp
+++ b/packages/chalkwell/src/chalkwell/membership/watch_duty.hpp
@@ -1,6 +1,7 @@
-// Who takes a published document from its publisher itself. Small documents
-// are watched by everyone; large ones by few of each failure domain, who hand
-// them on, since a region's machines share one link to the publisher.
+// Who takes a published document from its publisher itself: two of each
+// failure domain, who hand it on, and one of them while it is large, since a
+// region's machines share one link to the publisher. What this costs the
+// publisher grows with the number of domains, not of members.
 #pragma once
 
 #include <cstddef>
@@ -18,13 +19,16 @@
   /// Bytes that a failure domain's members together may take from the publisher
   /// for one change: a tenth of a second of a link of 24 Mbit/s.
   std::size_t budget_ = std::size_t{256} << 10;
+  /// Members of a failure domain that watch: one may die, freeze or be turned
+  /// away unnoticed for the time of the patience below.
+  std::size_t most_ = 2;
   /// A first read that lasts this long is one of a large document: a small one
   /// is over after a round trip.
   core::Duration small_read_ = std::chrono::milliseconds(150);
   /// Between two tellings of one who watches a large document.
-  core::Duration tell_interval_ = std::chrono::milliseconds(600);
+  core::Duration tell_interval_ = std::chrono::milliseconds(700);
   /// Without a word of one ahead in rank for this long a member watches too:
-  /// two intervals and a half, since a datagram is lost now and then.
+  /// two intervals, since a datagram is lost now and then.
   core::Duration patience_ = std::chrono::milliseconds(1500);
   /// What each rank waits beyond the one before it.
   core::Duration step_ = std::chrono::milliseconds(400);
@@ -54,13 +58,13 @@
 
   /// @brief Whether this member watches, as of now.
   [[nodiscard]] bool Watches(core::TimePoint now) const;
+  /// @brief Members that watch unless one of them falls silent.
+  [[nodiscard]] std::size_t Watchers(core::TimePoint now) const;
   /// @brief Whether others stay away because this member watches: it has to
   /// tell them.
   [[nodiscard]] bool Tells(core::TimePoint now) const;
 
  private:
-  /// @brief Members that watch unless one of them falls silent.
-  [[nodiscard]] std::size_t Watchers(core::TimePoint now) const;
 
   core::InstanceId self_;
   WatchDutySettings settings_;
--- a/packages/chalkwell/src/chalkwell/swarm/planner.cpp
+++ b/packages/chalkwell/src/chalkwell/swarm/planner.cpp
@@ -30,13 +30,21 @@
     peer.chunks_ = ChunkSet(chunks_.size());
     peer.outstanding_ = 0;
   }
-  ranks_.assign(chunks_.size(), std::nullopt);
+  ForgetRanks();
   last_progress_ = now;
 }
 
+void Planner::ForgetRanks() {
+  ranks_.assign(chunks_.size(), std::nullopt);
+  near_ranks_.assign(chunks_.size(), std::nullopt);
+}
+
 void Planner::SetMembers(std::vector<SwarmMember> members) {
+  if (members == members_) {
+    return;
+  }
   members_ = std::move(members);
-  ranks_.assign(chunks_.size(), std::nullopt);
+  ForgetRanks();
   for (const auto& member : members_) {
     if (member.id_ == self_.id_) {
       self_.slow_ = member.slow_;
@@ -187,7 +195,7 @@
   if (settings_.import_silence_ == core::Duration{}) {
     return true;
   }
-  const auto ahead = static_cast<int>(Rank(chunk, true));
+  const auto ahead = static_cast<int>(ImportRank(chunk));
   const auto known = now - seen_at_[chunk];
   const auto silence = std::min(known, now - near_progress_);
   return silence >= settings_.import_silence_ * ahead ||
@@ -215,6 +223,14 @@
   return *rank;
 }
 
+std::size_t Planner::ImportRank(std::size_t chunk) const {
+  auto& rank = near_ranks_[chunk];
+  if (!rank) {
+    rank = Rank(chunk, true);
+  }
+  return *rank;
+}
+
 std::optional<DrawCause> Planner::MayDraw(std::size_t chunk,
                                           core::TimePoint now) const {
   const auto rank = DrawRank(chunk);
--- a/packages/chalkwell/src/chalkwell/swarm/planner.hpp
+++ b/packages/chalkwell/src/chalkwell/swarm/planner.hpp
@@ -51,6 +51,8 @@
   /// hold is drawn by others. Chunks would fill its link for good, live answers
   /// wait behind them, and all others wait for what it draws.
   bool slow_ = false;
+
+  friend bool operator==(const SwarmMember&, const SwarmMember&) = default;
 };
 
 /// @brief One chunk to fetch now.
@@ -141,6 +143,8 @@
   [[nodiscard]] std::optional<DrawCause> MayDraw(std::size_t chunk,
                                                  core::TimePoint now) const;
   [[nodiscard]] std::size_t DrawRank(std::size_t chunk) const;
+  [[nodiscard]] std::size_t ImportRank(std::size_t chunk) const;
+  void ForgetRanks();
   [[nodiscard]] bool MayImport(std::size_t chunk, core::TimePoint now) const;
   void MarkSeen(std::size_t chunk, bool near, core::TimePoint now);
   [[nodiscard]] HolderCount Holders(std::size_t chunk) const;
@@ -156,6 +160,8 @@
   std::vector<SwarmMember> members_;
   /// Ranks of this member by chunk; emptied when members or chunks change.
   mutable std::vector<std::optional<std::size_t>> ranks_;
+  /// The same among members of the own failure domain.
+  mutable std::vector<std::optional<std::size_t>> near_ranks_;
   std::map<core::InstanceId, Peer> peers_;
   /// By chunk; at most `in_flight_` plus `origin_in_flight_`.
   std::map<std::size_t, Request> outstanding_;
--- a/packages/daemon/src/daemon/direct/direct_agent.cpp
+++ b/packages/daemon/src/daemon/direct/direct_agent.cpp
@@ -20,17 +20,18 @@
 constexpr auto kPollInterval = milliseconds(110);
 /// The same while weights change: that is told at once.
 constexpr auto kQuickPollInterval = milliseconds(50);
-/// Counts are told this often at most.
-constexpr auto kPushInterval = milliseconds(105);
-/// An unchanged report is told this often, well within the age at which an
-/// entry stops believing it.
-constexpr auto kRepeat = milliseconds(500);
 /// An engine that did not say which incarnation it is is asked again.
 constexpr auto kIncarnationRetry = milliseconds(500);
-/// Entries are told so often which incarnation reports; they remember it.
-constexpr auto kIncarnationRepeat = milliseconds(1000);
-/// Entries are asked this often what the engine's service is.
+/// Entries are asked this often what the engine's service is, until it is
+/// known; later so often which other agents there are, while weights change and
+/// while they do not.
 constexpr auto kFactsInterval = milliseconds(100);
+constexpr auto kAgentsInterval = milliseconds(1000);
+constexpr auto kSettledInterval = milliseconds(5000);
+/// Without a word of any entry for this long, which weights are wanted and which
+/// other agents there are is read from the store: entries ask for reports each
+/// second, and some 1.5 s after a start of all machines.
+constexpr auto kEntryPatience = milliseconds(2000);
 /// A read of small rules is over after a round trip; one that lasts longer is
 /// of large rules, which are left to the entries.
 constexpr auto kSmallRead = milliseconds(150);
@@ -48,7 +49,6 @@
   self.kind_ = membership::MemberKind::kAgent;
   self.domain_ = process.domain();
   self.address_ = process.settings().Text("listen", "peer");
-  self.service_ = process.settings().Text("endpoint", "role");
   return self;
 }
 
@@ -93,14 +93,16 @@
                         const HeldMessage& held) {
                    weights_.OnHeld(sender, held);
                  },
+             .on_subscribe_ =
+                 [this](const membership::Member& entry) {
+                   OnSubscribe(entry);
+                 },
+             .on_agent_ = nullptr,
              .on_weights_ =
                  [this](const std::string& model, std::uint64_t version) {
                    weights_.OnNamed({model, version});
                  },
-             .on_lost_ =
-                 [this](const membership::Member& member) {
-                   weights_.OnLost(member);
-                 },
+             .on_lost_ = nullptr,
              .on_departed_ = nullptr,
              .weights_ =
                  [this] {
@@ -115,6 +117,7 @@
       facts_(process.loop(), mesh_, service_,
              [this](const EngineFacts& facts) { TakeFacts(facts); }),
       rules_pause_(kRulesPause, std::random_device{}()),
+      alone_pause_(kRulesPause, std::random_device{}()),
       started_at_(process.loop().Now()),
       poll_(process.loop()),
       facts_timer_(process.loop()) {}
@@ -133,18 +136,20 @@
   process_.OnReload(
       [this] { mesh_.SetSeeds(MeshSettingsOf(process_.settings()).seeds_); });
   mesh_.Start();
-  reader_.Watch(Section::kWeights);
   AskFacts();
   PollEngine();
   process_.Run([this] { mesh_.Leave(); });
 }
 
 void DirectAgent::AskFacts() {
+  const auto now = process_.loop().Now();
+  ReadIfAlone(now);
+  const bool asked = facts_.Ask();
   if (!model_.empty() && !weights_.NeedsOrigin()) {
+    facts_timer_.Once(weights_.settled() ? kSettledInterval : kAgentsInterval,
+                      [this] { AskFacts(); });
     return;
   }
-  const auto now = process_.loop().Now();
-  const bool asked = facts_.Ask();
   const auto waited = now - started_at_;
   const auto wait =
       process_.settings().Milliseconds("endpoint", "facts_wait_ms");
@@ -160,12 +165,45 @@
   facts_timer_.Once(kFactsInterval, [this] { AskFacts(); });
 }
 
+void DirectAgent::ReadIfAlone(core::TimePoint now) {
+  const auto heard = std::max(audience_.last_heard(), started_at_);
+  if (now - heard < kEntryPatience || !alone_pause_.Ready(now)) {
+    return;
+  }
+  alone_pause_.OnFailure(now);
+  reader_.ReadNow(Section::kWeights);
+  if (!weights_.KnowsAgents()) {
+    reader_.ReadNow(Section::kEndpoints);
+  }
+}
+
+void DirectAgent::OnSubscribe(const membership::Member& entry) {
+  const auto now = process_.loop().Now();
+  const bool near = entry.domain_ == process_.domain();
+  if (audience_.OnSubscribe(entry.address_, near, now) && last_load_) {
+    Tell(*last_load_, false, false, now);
+  }
+}
+
+void DirectAgent::Tell(LoadMessage load, bool changed, bool urgent,
+                       core::TimePoint now) {
+  load.sent_ms_ = static_cast<std::uint64_t>(
+      std::chrono::duration_cast<milliseconds>(now.time_since_epoch()).count());
+  for (const auto& entry : audience_.Due(changed, urgent, now)) {
+    load.incarnation_ = entry.full_ ? incarnation_.value() : "";
+    mesh_.SendReport(entry, load);
+  }
+}
+
 void DirectAgent::OnPublished(const Published& published) {
   if (published.rules_) {
     if (const auto facts = FactsOf(*published.rules_, service_)) {
       TakeFacts(*facts);
     }
   }
+  if (!published.endpoints_.empty()) {
+    weights_.SetAgents(AgentsOf(published.endpoints_, service_, mesh_));
+  }
   for (const auto& weights : published.weights_) {
     weights_.OnNamed(weights);
   }
@@ -179,6 +217,9 @@
   model_ = facts.model_;
   health_path_ = facts.health_path_;
   weights_.SetModel(model_, facts.pieces_);
+  if (!facts.agents_.empty()) {
+    weights_.SetAgents(facts.agents_);
+  }
   if (!facts.origin_.empty()) {
     weights_.SetOrigin(ParseAddress(facts.origin_),
                        core::FailureDomainId(facts.origin_domain_));
@@ -229,21 +270,15 @@
   orders_ = report->orders_;
   started_ = report->started_;
   version_ = load.version_;
-  const bool same = last_pushed_ && SameLoad(*last_pushed_, load);
+  const bool changed = !last_load_ || !SameLoad(*last_load_, load);
   const bool urgent =
-      last_pushed_ && (last_pushed_->version_ != load.version_ ||
-                       last_pushed_->started_ms_ != load.started_ms_ ||
-                       last_pushed_->accepting_ != load.accepting_);
-  const core::Duration least = same ? kRepeat : kPushInterval;
-  if (!urgent && now - pushed_at_ < least) {
-    return;
+      last_load_ && (last_load_->version_ != load.version_ ||
+                     last_load_->started_ms_ != load.started_ms_ ||
+                     last_load_->accepting_ != load.accepting_);
+  if (changed) {
+    last_load_ = load;
   }
-  load.sent_ms_ = static_cast<std::uint64_t>(
-      std::chrono::duration_cast<milliseconds>(now.time_since_epoch()).count());
-  last_pushed_ = load;
-  pushed_at_ = now;
-  load.incarnation_ = IncarnationToTell(now);
-  mesh_.PushLoad(load);
+  Tell(load, changed, urgent, now);
 }
 
 bool DirectAgent::Restarted(const EngineReport& report) const {
@@ -263,18 +298,10 @@
   adapter_.weights_.incarnation_(health_path_,
                                  [this](const core::InstanceId& incarnation) {
                                    incarnation_ = incarnation;
-                                   incarnation_told_at_ = {};
+                                   audience_.TellFull();
                                  });
 }
 
-std::string DirectAgent::IncarnationToTell(core::TimePoint now) {
-  if (incarnation_.empty() || now - incarnation_told_at_ < kIncarnationRepeat) {
-    return "";
-  }
-  incarnation_told_at_ = now;
-  return incarnation_.value();
-}
-
 core::Duration DirectAgent::InboundDelay(core::TimePoint now) const {
   // A narrowed link drops datagrams: those that arrive may have been quick.
   const auto pieces = weights_.LinkDelay(now);
--- a/packages/daemon/src/daemon/direct/direct_agent.hpp
+++ b/packages/daemon/src/daemon/direct/direct_agent.hpp
@@ -7,6 +7,7 @@
 #include <string>
 
 #include "chalkwell/core/backoff.hpp"
+#include "chalkwell/membership/report_audience.hpp"
 #include "daemon/direct/engine_facts.hpp"
 #include "daemon/direct/hooks.hpp"
 #include "daemon/direct/mesh_node.hpp"
@@ -29,14 +30,18 @@
   void OnReport(const std::optional<EngineReport>& report);
   void OnPublished(const Published& published);
   void TakeFacts(const EngineFacts& facts);
-  /// @brief Asks what the engine's service is until it is known.
+  /// @brief Asks what the engine's service is, and which other agents there
+  /// are, from time to time.
   void AskFacts();
+  /// @brief Reads from the store what entries say else, while none says it.
+  void ReadIfAlone(core::TimePoint now);
+  void OnSubscribe(const membership::Member& entry);
+  /// @brief Tells a report to the entries that are due.
+  void Tell(LoadMessage load, bool changed, bool urgent, core::TimePoint now);
   /// @brief Asks a restarted engine which incarnation it is.
   void AskIncarnation();
   /// @brief Whether the engine is another life than at the last report.
   [[nodiscard]] bool Restarted(const EngineReport& report) const;
-  /// @brief Its incarnation, when the next report is to tell it.
-  [[nodiscard]] std::string IncarnationToTell(core::TimePoint now);
   /// @brief How long the own link holds back what comes in.
   [[nodiscard]] core::Duration InboundDelay(core::TimePoint now) const;
   [[nodiscard]] std::string Status() const;
@@ -52,18 +57,21 @@
   FactsAsker facts_;
   /// Pauses between own reads of the rules.
   core::Backoff rules_pause_;
+  /// Pauses between own reads of weights wanted and agents.
+  core::Backoff alone_pause_;
   core::TimePoint started_at_;
   /// Whether the rules were read once in case they are small.
   bool read_small_ = false;
   std::unique_ptr<HttpServer> admin_;
-  std::optional<LoadMessage> last_pushed_;
-  core::TimePoint pushed_at_;
+  /// Entries that use the engine.
+  membership::ReportAudience audience_;
+  /// The last report that differed from the one before it.
+  std::optional<LoadMessage> last_load_;
   bool engine_answers_ = false;
   std::string health_path_;
   /// Of the engine; empty while it is not known.
   core::InstanceId incarnation_;
   core::TimePoint incarnation_asked_at_;
-  core::TimePoint incarnation_told_at_;
   /// Start, orders and version of the last report.
   std::optional<core::StartTime> started_;
   std::uint64_t orders_ = 0;
--- a/packages/daemon/src/daemon/direct/direct_entry.cpp
+++ b/packages/daemon/src/daemon/direct/direct_entry.cpp
@@ -26,9 +26,6 @@
 /// Part of the fleet's reserve of retries that is used: not every entry knows
 /// of every other.
 constexpr double kReserveUsed = 0.5;
-/// A count of live entries is used for this long: members come and go by
-/// gossip, which takes longer.
-constexpr auto kEntryCountAge = milliseconds(200);
 /// Old weights are not used for this last part of the time they may be: a
 /// request may be long on a narrowed link, and wait at its endpoint before it
 /// begins: with 600 ms one began 1.08 s after it was sent, when all entries
@@ -37,6 +34,14 @@
 constexpr auto kVersionMargin = milliseconds(1400);
 /// An entry that the store does not answer asks another entry this often.
 constexpr auto kRelayInterval = milliseconds(700);
+/// An agent is asked for its reports this often; it gives them for some seconds
+/// and has forgotten the ask when it starts anew. What an entry has heard of new
+/// weights goes with it. Those of other failure domains are asked less often:
+/// each crosses the link of a region.
+constexpr auto kSubscribeInterval = milliseconds(1000);
+constexpr auto kFarSubscribeInterval = milliseconds(2500);
+/// How soon an endpoint that came to be used is asked.
+constexpr auto kSubscribeTick = milliseconds(100);
 /// What is believed came from the store itself, as the log names it.
 constexpr std::string_view kStoreSource = "store";
 /// Peers ask with a few revisions; answers are not bounded by this.
@@ -62,7 +67,8 @@
 DirectEntry::DirectEntry(ProcessBase& process, Adapter adapter)
     : process_(process),
       adapter_(std::move(adapter)),
-      endpoints_({.domain_ = process.domain()}, std::random_device{}()),
+      endpoints_({.domain_ = process.domain(), .entry_ = process.id()},
+                 std::random_device{}()),
       budget_(RetryBudgetOf(process.settings())),
       context_{process.loop(),
                process.http(),
@@ -86,9 +92,16 @@
             process.log(), process.metrics(),
             {.on_load_ = [this](const LoadMessage& load) { OnLoad(load); },
              .on_held_ = nullptr,
+             .on_subscribe_ = nullptr,
+             .on_agent_ =
+                 [this](const std::string& agent) {
+                   // It has no subscribers yet.
+                   subscribed_.erase(agent);
+                   Subscribe();
+                 },
              .on_weights_ =
                  [this](const std::string& model, std::uint64_t version) {
-                   TakeWeights({model, version});
+                   TakeWeights({model, version}, false);
                  },
              .on_lost_ =
                  [this](const membership::Member& member) {
@@ -132,7 +145,8 @@
                TakePublished(section, published, "peer");
              }),
       stop_timer_(process.loop()),
-      relay_timer_(process.loop()) {}
+      relay_timer_(process.loop()),
+      subscribe_timer_(process.loop()) {}
 
 void DirectEntry::TakeSettings() {
   const auto& settings = process_.settings();
@@ -175,7 +189,7 @@
   process_.OnReload([this] { TakeSettings(); });
   mesh_.Start();
   keeper_.Start();
-  reader_.Watch(Section::kWeights);
+  subscribe_timer_.Every(kSubscribeTick, [this] { Subscribe(); });
   reader_.Poll(Section::kEndpoints, [this] { return list_.Interval(); });
   process_.Run([this] { BeginStop(); });
 }
@@ -238,7 +252,7 @@
 void DirectEntry::TakePublished(Section section, const Published& published,
                                 const std::string& source) {
   for (const auto& weights : published.weights_) {
-    TakeWeights(weights);
+    TakeWeights(weights, source == kStoreSource);
   }
   if (section == Section::kEndpoints) {
     list_.TakeRead(published, source == kStoreSource);
@@ -247,7 +261,8 @@
 
 void DirectEntry::OnPeer(const PeerCallPtr& call) {
   const bool answered = keeper_.Answer(call) || relay_.Answer(call) ||
-                        AnswerFactsCall(call, rules_.rules());
+                        AnswerFactsCall(call, rules_.rules(),
+                                        endpoints_.Rows(), mesh_);
   if (!answered) {
     call->Respond(kNotFound, "");
   }
@@ -266,7 +281,7 @@
                          static_cast<double>(rules.version_));
 }
 
-void DirectEntry::TakeWeights(const NamedWeights& weights) {
+void DirectEntry::TakeWeights(const NamedWeights& weights, bool from_store) {
   if (!weights_[weights.model_].OnNamed(weights.version_,
                                         process_.loop().Now())) {
     return;
@@ -274,9 +289,34 @@
   process_.log().Write(core::EventNumber::kWeightsNamed,
                        {{"model", weights.model_},
                         {"version", std::to_string(weights.version_)}});
-  // A watch may have gone silent elsewhere: the time of a bound runs from the
-  // naming, not from its being heard.
-  mesh_.PushWeights();
+  // The time of a bound runs from the naming, not from its being heard.
+  if (from_store || keeper_.watches()) {
+    mesh_.TellNews();
+  }
+  subscribed_.clear();
+  Subscribe();
+}
+
+void DirectEntry::Subscribe() {
+  const auto now = process_.loop().Now();
+  std::map<std::string, core::TimePoint> subscribed;
+  for (const auto& row : endpoints_.Subset()) {
+    const auto* service = rules_.FindService(row.service_);
+    if (service == nullptr || !service->engine_) {
+      continue;
+    }
+    const auto agent = mesh_.AddressBeside(row.address_);
+    const auto known = subscribed_.find(agent);
+    const bool near = row.domain_ == process_.domain();
+    const auto interval = near ? kSubscribeInterval : kFarSubscribeInterval;
+    const bool due =
+        known == subscribed_.end() || now - known->second >= interval;
+    if (due) {
+      mesh_.Subscribe(agent, row.domain_);
+    }
+    subscribed[agent] = due ? now : known->second;
+  }
+  subscribed_ = std::move(subscribed);
 }
 
 routing::VersionRule DirectEntry::RuleFor(const std::string& model) const {
@@ -298,32 +338,12 @@
       paths_[message.endpoint_].OnMessage(milliseconds(message.sent_ms_), now);
   const auto report = ToReport(message, outbound);
   if (!report.incarnation_.empty()) {
-    OnLife(message.endpoint_, {report.incarnation_, report.started_}, now);
+    endpoints_.TakeLife(message.endpoint_,
+                        {report.incarnation_, report.started_}, now);
   }
   endpoints_.TakeReport(message.endpoint_, report, now);
 }
 
-void DirectEntry::OnLife(const std::string& endpoint,
-                         const routing::EndpointLife& life,
-                         core::TimePoint now) {
-  const auto machine = ParseAddress(endpoint).ip_;
-  for (const auto& member : mesh_.Live()) {
-    const bool beside = member.kind_ == membership::MemberKind::kAgent &&
-                        ParseAddress(member.address_).ip_ == machine;
-    if (!beside) {
-      continue;
-    }
-    routing::EndpointRow row;
-    row.id_ = life.id_;
-    row.started_ = life.started_;
-    row.service_ = member.service_;
-    row.address_ = endpoint;
-    row.domain_ = member.domain_;
-    endpoints_.TakeTold(std::move(row), now);
-    return;
-  }
-}
-
 void DirectEntry::OnCaller(const HttpExchangePtr& exchange) {
   const auto now = process_.loop().Now();
   const auto& http = exchange->request();
@@ -432,21 +452,8 @@
       ->Start();
 }
 
-std::size_t DirectEntry::Entries() {
-  const auto now = process_.loop().Now();
-  if (now - entries_counted_at_ < kEntryCountAge) {
-    return entries_;
-  }
-  const auto live = mesh_.Live();
-  const auto others = std::ranges::count(live, membership::MemberKind::kEntry,
-                                         &membership::Member::kind_);
-  entries_ = 1 + static_cast<std::size_t>(others);
-  entries_counted_at_ = now;
-  return entries_;
-}
-
 double DirectEntry::ReserveShare() {
-  return kReserveUsed * retry_reserve_ / static_cast<double>(Entries());
+  return kReserveUsed * retry_reserve_ / static_cast<double>(mesh_.EntryCount());
 }
 
 std::uint32_t DirectEntry::ConnectionShare(const std::string& service) {
@@ -454,7 +461,7 @@
   if (found == nullptr || found->max_connections_ == 0) {
     return 0;
   }
-  const auto share = found->max_connections_ / Entries();
+  const auto share = found->max_connections_ / mesh_.EntryCount();
   return std::max(1U, static_cast<std::uint32_t>(share));
 }
 
--- a/packages/daemon/src/daemon/direct/direct_entry.hpp
+++ b/packages/daemon/src/daemon/direct/direct_entry.hpp
@@ -41,14 +41,15 @@
   void TakeRules(const config::TrafficRules& rules, const std::string& source);
   /// @brief Answers a call of another process of the system.
   void OnPeer(const PeerCallPtr& call);
-  void TakeWeights(const NamedWeights& weights);
+  /// @param from_store whether this process heard it from the store itself.
+  void TakeWeights(const NamedWeights& weights, bool from_store);
+  /// @brief Asks the agents of the endpoints in use for their reports, those
+  /// that are due.
+  void Subscribe();
   void TakePublished(Section section, const Published& published,
                      const std::string& source);
   void AskPeersIfCutOff();
   void OnLoad(const LoadMessage& message);
-  /// @brief An agent told which life its endpoint is.
-  void OnLife(const std::string& endpoint, const routing::EndpointLife& life,
-              core::TimePoint now);
   void OnCaller(const HttpExchangePtr& exchange);
   void OnReady(const HttpExchangePtr& exchange);
   void Refuse(HttpExchange& exchange, const CallerRequest& caller, int status,
@@ -64,8 +65,6 @@
   [[nodiscard]] std::string NotReady() const;
   [[nodiscard]] routing::VersionRule RuleFor(const std::string& model) const;
   [[nodiscard]] double ReserveShare();
-  /// @brief Live entries, this one included; they share what is bounded.
-  [[nodiscard]] std::size_t Entries();
   [[nodiscard]] std::uint32_t ConnectionShare(const std::string& service);
   void BeginStop();
   [[nodiscard]] std::string Status() const;
@@ -93,10 +92,10 @@
   std::unique_ptr<HttpServer> admin_;
   Timer stop_timer_;
   Timer relay_timer_;
+  Timer subscribe_timer_;
+  /// When agents were last asked for reports, by address.
+  std::map<std::string, core::TimePoint> subscribed_;
   std::size_t in_flight_ = 0;
-  /// Live entries as last counted, and when.
-  std::size_t entries_ = 1;
-  core::TimePoint entries_counted_at_;
   /// From the naming of weights until nothing may begin on older ones.
   core::Duration version_bound_{};
   /// Retries that all entries together may make beyond their share.
--- a/packages/daemon/src/daemon/direct/endpoint_list.cpp
+++ b/packages/daemon/src/daemon/direct/endpoint_list.cpp
@@ -5,6 +5,8 @@
 #include <algorithm>
 #include <utility>
 
+#include "chalkwell/core/digest.hpp"
+
 namespace chalkwell::daemon::direct {
 namespace {
 
@@ -12,12 +14,18 @@
 /// seconds of its return.
 constexpr auto kLapseTime = std::chrono::milliseconds(2500);
 /// Changed rows that one datagram carries; more are read by everyone.
-constexpr std::size_t kMaxRows = 12;
+constexpr std::size_t kMaxRows = 64;
+/// What is told spans the reads before: whoever lost a datagram or two learns
+/// from the next one, and need not read itself.
+constexpr std::size_t kKeptReads = 4;
+/// The order of failure domains in reading; any fixed text.
+constexpr std::string_view kReadOrder = "read-list";
 
 membership::ReadDutySettings DutySettings(core::Duration often) {
   membership::ReadDutySettings settings;
   settings.often_ = often;
   settings.patience_ = often + often / 2;
+  settings.step_ = often / 4;
   settings.seldom_ = std::max(settings.seldom_, often);
   return settings;
 }
@@ -62,21 +70,25 @@
     TellDeparted(before, after);
   }
   if (from_store) {
-    TellNeighbours(published, complete);
+    duty_.OnRead(now);
+    TellOthers(published, complete);
   }
 }
 
-void EndpointList::TellNeighbours(const Published& published, bool complete) {
-  const auto change = routing::ChangeOf(
-      read_revision_, std::exchange(read_rows_, published.endpoints_),
-      published.revision_, published.endpoints_, complete);
-  const bool first = std::exchange(read_revision_, published.revision_) == 0;
-  if (first || !duty_.Elected() || !change || change->rows_.size() > kMaxRows) {
+void EndpointList::TellOthers(const Published& published, bool complete) {
+  reads_.push_back({published.revision_, published.endpoints_});
+  if (reads_.size() > kKeptReads) {
+    reads_.pop_front();
+  }
+  if (reads_.size() < 2 || !duty_.Reads(loop_.Now())) {
     return;
   }
-  const auto message = ToMessage(*change);
-  for (const auto& neighbour : mesh_.Neighbours()) {
-    mesh_.PushList(neighbour, message);
+  const auto& before = reads_.front();
+  const auto change =
+      routing::ChangeOf(before.revision_, before.rows_, published.revision_,
+                        published.endpoints_, complete);
+  if (change && change->rows_.size() <= kMaxRows) {
+    mesh_.TellList(ToMessage(*change));
   }
 }
 
@@ -118,7 +130,7 @@
     }
   }
   if (!departed.leaving_.empty() || !departed.gone_.empty()) {
-    mesh_.PushDeparted(departed);
+    mesh_.TellDeparted(departed);
   }
 }
 
@@ -132,12 +144,27 @@
   }
 }
 
+std::size_t EndpointList::DomainsAhead() const {
+  const auto rank = [](const core::FailureDomainId& domain) {
+    return core::RendezvousScore(kReadOrder, domain.value());
+  };
+  const auto own = rank(mesh_.self().domain_);
+  std::set<core::FailureDomainId> ahead;
+  for (const auto& member : mesh_.Live()) {
+    if (rank(member.domain_) > own) {
+      ahead.insert(member.domain_);
+    }
+  }
+  return ahead.size();
+}
+
 core::Duration EndpointList::Interval() {
   std::vector<core::InstanceId> readers{mesh_.self().id_};
   for (const auto& neighbour : mesh_.Neighbours()) {
     readers.push_back(neighbour.id_);
   }
   duty_.SetMembers(readers);
+  duty_.SetDomainsAhead(DomainsAhead());
   return duty_.Interval(loop_.Now());
 }
 
--- a/packages/daemon/src/daemon/direct/endpoint_list.hpp
+++ b/packages/daemon/src/daemon/direct/endpoint_list.hpp
@@ -1,8 +1,9 @@
-// The published list of endpoints at an entry: one entry of a failure domain
-// reads it often and tells its neighbours what changed; endpoints that leave
-// are told to all entries.
+// The published list of endpoints at an entry: one entry of the deployment reads
+// it often and tells the others what changed; endpoints that leave are told at
+// once.
 #pragma once
 
+#include <deque>
 #include <functional>
 #include <set>
 #include <string>
@@ -46,10 +47,18 @@
   [[nodiscard]] core::Duration Interval();
 
  private:
+  /// One read of the list.
+  struct ReadList {
+    std::uint64_t revision_ = 0;
+    std::vector<routing::EndpointRow> rows_;
+  };
+
   /// @param complete whether no lease can have lapsed unseen.
-  void TellNeighbours(const Published& published, bool complete);
+  void TellOthers(const Published& published, bool complete);
   void TellDeparted(const std::vector<routing::EndpointRow>& before,
                     const std::vector<routing::EndpointRow>& after);
+  /// @brief Other failure domains that come before the own one in reading.
+  [[nodiscard]] std::size_t DomainsAhead() const;
   void LogChange(const std::string& source);
   void LeaveOutUnnamed(std::vector<routing::EndpointRow>& rows);
 
@@ -59,9 +68,8 @@
   EventLog& log_;
   EndpointListHooks hooks_;
   membership::ReadDuty duty_;
-  /// The list as this process itself last read it.
-  std::vector<routing::EndpointRow> read_rows_;
-  std::uint64_t read_revision_ = 0;
+  /// The list as this process itself read it, newest last; at most kKeptReads.
+  std::deque<ReadList> reads_;
   /// Rows left out of the last read, for the log.
   std::set<core::InstanceId> unnamed_;
 };
--- a/packages/daemon/src/daemon/direct/engine_facts.cpp
+++ b/packages/daemon/src/daemon/direct/engine_facts.cpp
@@ -22,9 +22,15 @@
 /// Asks for a service's facts.
 struct FactsAsk {
   std::string service_;
-  MSGPACK_DEFINE(service_)
+  /// Of the agents that the asker knows; 0 for none.
+  std::uint64_t agents_digest_ = 0;
+  MSGPACK_DEFINE(service_, agents_digest_)
 };
 
+std::uint64_t DigestOf(const AgentAddresses& agents) {
+  return agents.empty() ? 0 : core::RendezvousScore(Pack(agents), "");
+}
+
 }  // namespace
 
 std::optional<EngineFacts> FactsOf(const config::TrafficRules& rules,
@@ -44,13 +50,35 @@
   return facts.model_.empty() ? std::nullopt : std::optional(std::move(facts));
 }
 
-bool AnswerFactsCall(const PeerCallPtr& call,
-                     const config::TrafficRules& rules) {
+AgentAddresses AgentsOf(const std::vector<routing::EndpointRow>& rows,
+                        const std::string& service, const MeshNode& mesh) {
+  AgentAddresses agents;
+  for (const auto& row : rows) {
+    if (row.service_ == service && !row.leaving_) {
+      agents[row.domain_.value()].push_back(mesh.AddressBeside(row.address_));
+    }
+  }
+  for (auto& [domain, addresses] : agents) {
+    std::ranges::sort(addresses);
+    const auto [first, last] = std::ranges::unique(addresses);
+    addresses.erase(first, last);
+  }
+  return agents;
+}
+
+bool AnswerFactsCall(const PeerCallPtr& call, const config::TrafficRules& rules,
+                     const std::vector<routing::EndpointRow>& rows,
+                     const MeshNode& mesh) {
   if (call->path() != kFactsPath) {
     return false;
   }
   const auto ask = Unpack<FactsAsk>(call->body(), "peer");
-  if (const auto facts = FactsOf(rules, ask.service_)) {
+  if (auto facts = FactsOf(rules, ask.service_)) {
+    auto agents = AgentsOf(rows, ask.service_, mesh);
+    facts->agents_digest_ = DigestOf(agents);
+    if (facts->agents_digest_ != ask.agents_digest_) {
+      facts->agents_ = std::move(agents);
+    }
     call->Respond(kOk, Pack(*facts));
   } else {
     call->Respond(kNotFound, "");
@@ -101,12 +129,14 @@
   }
   asked_at_ = now;
   call_ =
-      connection->Ask(std::string(kFactsPath), Pack(FactsAsk{service_}),
+      connection->Ask(std::string(kFactsPath), Pack(FactsAsk{service_, agents_digest_}),
                       [this, peer = entry->id_.value()](
                           PeerEnd end, int status, const std::string& body) {
                         call_ = nullptr;
                         if (end == PeerEnd::kWhole && status == kOk) {
-                          done_(Unpack<EngineFacts>(body, peer));
+                          const auto facts = Unpack<EngineFacts>(body, peer);
+                          agents_digest_ = facts.agents_digest_;
+                          done_(facts);
                         }
                       });
   return true;
--- a/packages/daemon/src/daemon/direct/engine_facts.hpp
+++ b/packages/daemon/src/daemon/direct/engine_facts.hpp
@@ -1,6 +1,6 @@
-// What an agent needs to know of its engine's service. It asks an entry for it:
-// the rules that hold it may be a megabyte, and a hundred agents may start at
-// once.
+// What an agent needs to know of its engine's service, and of the other agents
+// of it. It asks an entry for both: the rules may be a megabyte, and a hundred
+// agents may start at once.
 #pragma once
 
 #include <functional>
@@ -9,6 +9,7 @@
 #include <msgpack.hpp>
 #include <optional>
 #include <string>
+#include <vector>
 
 #include "chalkwell/config/traffic_rules.hpp"
 #include "chalkwell/core/backoff.hpp"
@@ -18,6 +19,9 @@
 
 namespace chalkwell::daemon::direct {
 
+/// @brief Agents of one service by failure domain, as addresses.
+using AgentAddresses = std::map<std::string, std::vector<std::string>>;
+
 /// @brief Facts of one service's engines and their weights.
 struct EngineFacts {
   std::string model_;
@@ -28,7 +32,12 @@
   /// Source of the weights, "ip:port".
   std::string origin_;
   std::string origin_domain_;
-  MSGPACK_DEFINE(model_, pieces_, health_path_, origin_, origin_domain_)
+  /// Empty when the asker has them, or when they are not known.
+  AgentAddresses agents_;
+  /// Names what the agents are; 0 when they are not known.
+  std::uint64_t agents_digest_ = 0;
+  MSGPACK_DEFINE(model_, pieces_, health_path_, origin_, origin_domain_,
+                 agents_, agents_digest_)
 };
 
 /// @brief Finds the facts of a service.
@@ -37,10 +46,17 @@
 [[nodiscard]] std::optional<EngineFacts> FactsOf(
     const config::TrafficRules& rules, const std::string& service);
 
+/// @brief Agents beside the endpoints of a service.
+[[nodiscard]] AgentAddresses AgentsOf(
+    const std::vector<routing::EndpointRow>& rows, const std::string& service,
+    const MeshNode& mesh);
+
 /// @brief Answers an agent's call.
+/// @param rows endpoints of all services.
 /// @return false when the call is not for facts.
-bool AnswerFactsCall(const PeerCallPtr& call,
-                     const config::TrafficRules& rules);
+bool AnswerFactsCall(const PeerCallPtr& call, const config::TrafficRules& rules,
+                     const std::vector<routing::EndpointRow>& rows,
+                     const MeshNode& mesh);
 
 /// @brief Asks entries until one knows, the own failure domain's first.
 class FactsAsker {
@@ -63,6 +79,8 @@
   /// By address.
   std::map<std::string, std::unique_ptr<PeerConnection>> connections_;
   OutgoingCallPtr call_;
+  /// Of the agents that were told last.
+  std::uint64_t agents_digest_ = 0;
   core::TimePoint asked_at_;
   /// Entries asked so far: each ask goes to the next.
   std::size_t turn_ = 0;
--- a/packages/daemon/src/daemon/direct/mesh_messages.cpp
+++ b/packages/daemon/src/daemon/direct/mesh_messages.cpp
@@ -9,9 +9,9 @@
           .kind_ = static_cast<std::uint8_t>(member.kind_),
           .domain_ = member.domain_.value(),
           .address_ = member.address_,
-          .service_ = member.service_,
           .beat_ = member.beat_,
-          .leaving_ = member.leaving_};
+          .leaving_ = member.leaving_,
+          .near_ = member.near_};
 }
 
 membership::Member ToMember(const MemberMessage& message) {
@@ -22,9 +22,9 @@
                                     : membership::MemberKind::kAgent;
   member.domain_ = core::FailureDomainId(message.domain_);
   member.address_ = message.address_;
-  member.service_ = message.service_;
   member.beat_ = message.beat_;
   member.leaving_ = message.leaving_;
+  member.near_ = message.near_;
   return member;
 }
 
--- a/packages/daemon/src/daemon/direct/mesh_messages.hpp
+++ b/packages/daemon/src/daemon/direct/mesh_messages.hpp
@@ -1,5 +1,5 @@
 // What the processes of the system say to each other in datagrams. All of them
-// are arrays, to spare the names of fields.
+// are arrays, to spare the names of fields; the first byte names the kind.
 #pragma once
 
 #include <cstdint>
@@ -13,6 +13,14 @@
 
 namespace chalkwell::daemon::direct {
 
+/// @brief Kinds of datagrams, by their first byte.
+enum class DatagramKind : char {
+  /// A MeshMessage.
+  kMesh = 'M',
+  /// A LoadMessage alone, the most frequent of all.
+  kReport = 'R',
+};
+
 /// @brief Wire form of a member.
 struct MemberMessage {
   std::string id_;
@@ -20,11 +28,11 @@
   std::uint8_t kind_ = 0;
   std::string domain_;
   std::string address_;
-  std::string service_;
   std::uint64_t beat_ = 0;
   bool leaving_ = false;
-  MSGPACK_DEFINE(id_, incarnation_, kind_, domain_, address_, service_, beat_,
-                 leaving_)
+  std::uint32_t near_ = 0;
+  MSGPACK_DEFINE(id_, incarnation_, kind_, domain_, address_, beat_, leaving_,
+                 near_)
 };
 
 /// @brief What an agent's engine reported.
@@ -112,12 +120,14 @@
 struct MeshMessage {
   MemberMessage sender_;
   std::vector<MemberMessage> rows_;
-  std::vector<LoadMessage> loads_;
   std::vector<HeldMessage> held_;
   /// Newest weights the sender has heard of, by model.
   std::map<std::string, std::uint64_t> weights_;
   /// Whether the sender wants an answer, to know that the other lives.
   bool asks_ = false;
+  /// The sender wants the reports of the endpoint beside this agent for some
+  /// seconds.
+  bool subscribes_ = false;
   DepartedMessage departed_;
   /// By the sender's steady clock.
   std::uint64_t sent_ms_ = 0;
@@ -126,7 +136,7 @@
   std::uint64_t rules_version_ = 0;
   /// The sender takes the rules from the store: its neighbours need not.
   bool watches_rules_ = false;
-  MSGPACK_DEFINE(sender_, rows_, loads_, held_, weights_, asks_, departed_,
+  MSGPACK_DEFINE(sender_, rows_, held_, weights_, asks_, subscribes_, departed_,
                  sent_ms_, list_, rules_version_, watches_rules_)
 };
 
--- a/packages/daemon/src/daemon/direct/mesh_node.cpp
+++ b/packages/daemon/src/daemon/direct/mesh_node.cpp
@@ -1,4 +1,4 @@
-// Rumours of members, and pushes of reports.
+// Rumours of members, and news for those whom the plan of spreading names.
 #include "daemon/direct/mesh_node.hpp"
 
 #include <random>
@@ -10,12 +10,20 @@
 namespace {
 
 /// Members told at each interval, and rows told to each: at 1 s and some 60
-/// bytes a row this is about 1 KB a second for each process.
+/// bytes a row this is 2 KB a second for each process.
 constexpr std::size_t kTargets = 2;
-constexpr std::size_t kRows = 12;
+constexpr std::size_t kRows = 18;
+/// Silent members asked at each interval: between half of their lease and its
+/// end there are three intervals.
+constexpr std::size_t kAsked = 8;
+/// Rows of an answer to one who asks: a newcomer knows nobody.
+constexpr std::size_t kAnswerRows = 24;
 /// Seeds are greeted this often at the start, whether or not they answer.
-constexpr unsigned kGreetings = 5;
+constexpr unsigned kGreetings = 6;
 constexpr auto kGreetingInterval = std::chrono::milliseconds(150);
+/// A delegate asks a seed after so many rounds, so that parts of a deployment
+/// that lost each other for longer than a lease find each other again.
+constexpr unsigned kSeedRounds = 5;
 
 membership::Member WithIncarnation(membership::Member member) {
   member.incarnation_ = std::random_device{}();
@@ -32,7 +40,9 @@
       log_(log),
       metrics_(metrics),
       hooks_(std::move(hooks)),
-      timer_(loop) {}
+      traffic_(log, metrics),
+      timer_(loop),
+      seed_(std::random_device{}()) {}
 
 void MeshNode::Start() {
   socket_ = std::make_unique<UdpSocket>(
@@ -45,13 +55,26 @@
   settings_.seeds_ = std::move(seeds);
 }
 
-void MeshNode::Greet() {
-  table_.Beat();
+std::string MeshNode::AddressBeside(const std::string& endpoint) const {
+  return Address{ParseAddress(endpoint).ip_, settings_.listen_.port_}
+      .ToString();
+}
+
+void MeshNode::GreetSeed() {
+  if (settings_.seeds_.empty()) {
+    return;
+  }
+  const auto& seed = settings_.seeds_[seed_++ % settings_.seeds_.size()];
   auto message = Envelope();
   message.asks_ = true;
-  for (const auto& seed : settings_.seeds_) {
-    Send(Address{seed.ip_, settings_.listen_.port_}.ToString(), message);
-  }
+  Send(TrafficKind::kGossip,
+       Address{seed.ip_, settings_.listen_.port_}.ToString(), self().domain_,
+       message);
+}
+
+void MeshNode::Greet() {
+  table_.Beat();
+  GreetSeed();
   Tick();
 }
 
@@ -64,40 +87,43 @@
       hooks_.on_lost_(lost);
     }
   }
-  for (const auto& silent : table_.Silent(loop_.Now())) {
-    auto message = Envelope();
-    message.asks_ = true;
-    Send(silent.address_, message);
-  }
-  for (const auto& target : table_.Targets(kTargets)) {
-    auto message = Envelope();
-    for (const auto& row : table_.Sample(kRows)) {
-      message.rows_.push_back(ToMessage(row));
+  if (IsEntry()) {
+    for (const auto& silent : table_.Silent(kAsked, loop_.Now())) {
+      auto message = Envelope();
+      message.asks_ = true;
+      SendTo(TrafficKind::kGossip, {silent}, message);
+    }
+    for (const auto& target : table_.Targets(kTargets)) {
+      auto message = Envelope();
+      for (const auto& row : table_.Sample(kRows, target.domain_)) {
+        message.rows_.push_back(ToMessage(row));
+      }
+      SendTo(TrafficKind::kGossip, {target}, message);
+    }
+    if (++rounds_ % kSeedRounds == 0 && table_.Delegate()) {
+      GreetSeed();
     }
-    Send(target.address_, message);
   }
   metrics_.Set("members", {}, static_cast<double>(table_.Live().size()));
-  const bool greets = ++greetings_ < kGreetings || table_.Live().empty();
+  traffic_.Tell(loop_.Now());
+  const bool greets =
+      (IsEntry() && ++greetings_ < kGreetings) || table_.Live().empty();
   timer_.Once(greets ? core::Duration(kGreetingInterval) : settings_.interval_,
               [this, greets] { greets ? Greet() : Tick(); });
 }
 
 std::vector<membership::Member> MeshNode::Neighbours() const {
-  auto members = table_.Live();
-  std::erase_if(members, [this](const membership::Member& member) {
-    return member.kind_ != membership::MemberKind::kEntry ||
-           member.domain_ != self().domain_ || member.leaving_;
-  });
-  return members;
+  return Plan().near();
+}
+
+membership::SpreadPlan MeshNode::Plan() const {
+  return {table_.self(), table_.Live()};
 }
 
 void MeshNode::Leave() {
   table_.Leave();
   table_.Beat();
-  const auto message = Envelope();
-  for (const auto& member : table_.Live()) {
-    Send(member.address_, message);
-  }
+  SendTo(TrafficKind::kGossip, table_.Live(), Envelope());
 }
 
 MeshMessage MeshNode::Envelope() const {
@@ -119,68 +145,121 @@
   return message;
 }
 
-void MeshNode::Send(const std::string& address, const MeshMessage& message) {
-  if (socket_ != nullptr &&
-      !socket_->Send(ParseAddress(address), Pack(message))) {
-    metrics_.Count("datagrams_not_sent_total", {});
+void MeshNode::Send(TrafficKind kind, const std::string& address,
+                    const core::FailureDomainId& domain,
+                    const MeshMessage& message) {
+  membership::Member target;
+  target.domain_ = domain;
+  target.address_ = address;
+  SendTo(kind, {target}, message);
+}
+
+void MeshNode::SendTo(TrafficKind kind,
+                      const std::vector<membership::Member>& members,
+                      const MeshMessage& message) {
+  if (socket_ == nullptr) {
+    return;
+  }
+  const auto bytes =
+      static_cast<char>(DatagramKind::kMesh) + Pack(message);
+  for (const auto& member : members) {
+    if (!socket_->Send(ParseAddress(member.address_), bytes)) {
+      metrics_.Count("datagrams_not_sent_total", {});
+      continue;
+    }
+    traffic_.OnSent(kind, member.domain_ != self().domain_, bytes.size());
   }
 }
 
 void MeshNode::OnDatagram(std::string_view bytes) {
-  const auto message = Unpack<MeshMessage>(std::string(bytes), "datagram");
-  const auto now = loop_.Now();
-  const auto sender = ToMember(message.sender_);
-  const auto merge = [&](const membership::Member& member) {
-    const auto end = table_.Merge(member, now);
-    if (end == membership::MergeEnd::kJoined) {
-      log_.Write(
-          core::EventNumber::kMemberJoined,
-          {{"member", member.id_.value()}, {"address", member.address_}});
-    }
-    return end;
-  };
-  // An agent reports to the entries that it knows: one that hears of it makes
-  // itself known. By rumours alone an entry that started with all others had no
-  // report of 8 of 20 engines after 1.5 s.
-  const auto introduce = [&](const membership::Member& member) {
-    const bool to_agent = member.kind_ == membership::MemberKind::kAgent &&
-                          table_.self().kind_ == membership::MemberKind::kEntry;
-    if (to_agent) {
-      Send(member.address_, Envelope());
-    }
-  };
-  const bool named = !message.sender_.id_.empty();
-  if (named) {
-    auto& path = paths_[{sender.address_, sender.incarnation_}];
-    const std::chrono::milliseconds sent(message.sent_ms_);
-    inbound_.OnMessage(path.OnMessage(sent, now), now);
-  }
-  const bool joined = named && merge(sender) == membership::MergeEnd::kJoined;
-  if (joined || (named && message.asks_)) {
-    // Newcomers ask their seeds some times: each time these know more.
-    table_.Beat();
-    auto answer = Envelope();
-    for (const auto& row : table_.Sample(2 * kRows)) {
-      answer.rows_.push_back(ToMessage(row));
-    }
-    Send(sender.address_, answer);
+  if (bytes.empty()) {
+    return;
   }
-  for (const auto& row : message.rows_) {
-    const auto member = ToMember(row);
-    if (merge(member) == membership::MergeEnd::kJoined) {
-      introduce(member);
-    }
+  traffic_.OnReceived(bytes.size());
+  const std::string body(bytes.substr(1));
+  switch (static_cast<DatagramKind>(bytes.front())) {
+    case DatagramKind::kMesh:
+      OnMessage(Unpack<MeshMessage>(body, "datagram"));
+      return;
+    case DatagramKind::kReport:
+      if (hooks_.on_load_) {
+        hooks_.on_load_(Unpack<LoadMessage>(body, "report"));
+      }
+      return;
   }
-  for (const auto& load : message.loads_) {
-    if (hooks_.on_load_) {
-      hooks_.on_load_(load);
+  // Whatever else comes is not of this system.
+  metrics_.Count("datagrams_unknown_total", {});
+}
+
+membership::MergeEnd MeshNode::Merge(const membership::Member& member) {
+  const auto end = table_.Merge(member, loop_.Now());
+  if (end == membership::MergeEnd::kJoined) {
+    log_.Write(core::EventNumber::kMemberJoined,
+               {{"member", member.id_.value()}, {"address", member.address_}});
+  }
+  return end;
+}
+
+void MeshNode::Answer(const membership::Member& asker) {
+  table_.Beat();
+  auto answer = Envelope();
+  if (IsEntry()) {
+    for (const auto& row : table_.Sample(kAnswerRows, asker.domain_)) {
+      answer.rows_.push_back(ToMessage(row));
     }
   }
+  SendTo(TrafficKind::kAnswer, {asker}, answer);
+}
+
+void MeshNode::OnMessage(const MeshMessage& message) {
+  const auto now = loop_.Now();
+  const auto sender = ToMember(message.sender_);
+  auto& path = paths_[{sender.address_, sender.incarnation_}];
+  const std::chrono::milliseconds sent(message.sent_ms_);
+  inbound_.OnMessage(path.OnMessage(sent, now), now);
+  TakeMembers(message, sender);
+  if (message.subscribes_ && hooks_.on_subscribe_) {
+    hooks_.on_subscribe_(sender);
+  }
   for (const auto& held : message.held_) {
     if (hooks_.on_held_) {
       hooks_.on_held_(sender, held);
     }
   }
+  TakeNews(message, sender);
+  PassOn(message, sender);
+}
+
+void MeshNode::TakeMembers(const MeshMessage& message,
+                           const membership::Member& sender) {
+  const bool agent = sender.kind_ == membership::MemberKind::kAgent;
+  if (agent) {
+    if (message.asks_ && IsEntry()) {
+      Answer(sender);
+      if (hooks_.on_agent_) {
+        hooks_.on_agent_(sender.address_);
+      }
+    }
+    return;
+  }
+  // Newcomers ask some times: each time the one asked knows more.
+  const bool joined = Merge(sender) == membership::MergeEnd::kJoined;
+  if (IsEntry() && (joined || message.asks_)) {
+    Answer(sender);
+  }
+  for (const auto& row : message.rows_) {
+    const auto member = ToMember(row);
+    const bool near = member.domain_ == self().domain_;
+    if (Merge(member) == membership::MergeEnd::kJoined && IsEntry() && near) {
+      // It may not know this process yet: by rumour alone members that started
+      // together knew each other only after several rounds.
+      SendTo(TrafficKind::kGossip, {member}, Envelope());
+    }
+  }
+}
+
+void MeshNode::TakeNews(const MeshMessage& message,
+                        const membership::Member& sender) {
   const auto& departed = message.departed_;
   if (hooks_.on_departed_ &&
       !(departed.leaving_.empty() && departed.gone_.empty())) {
@@ -189,7 +268,7 @@
   if (hooks_.on_list_ && message.list_.to_ > 0) {
     hooks_.on_list_(message.list_);
   }
-  if (hooks_.on_rules_ && named) {
+  if (hooks_.on_rules_) {
     hooks_.on_rules_(sender, message.rules_version_, message.watches_rules_);
   }
   for (const auto& [model, version] : message.weights_) {
@@ -199,57 +278,71 @@
   }
 }
 
-void MeshNode::PushLoad(const LoadMessage& load) {
-  // The most frequent datagram of all: it carries nothing else.
-  MeshMessage message;
-  message.loads_.push_back(load);
-  SendToEntries(message);
+void MeshNode::PassOn(const MeshMessage& message,
+                      const membership::Member& sender) {
+  const auto& departed = message.departed_;
+  const bool departs = !(departed.leaving_.empty() && departed.gone_.empty());
+  const bool lists = message.list_.to_ > 0;
+  if (!IsEntry() || sender.domain_ == self().domain_ || !(departs || lists)) {
+    return;
+  }
+  auto onward = Envelope();
+  onward.departed_ = departed;
+  onward.list_ = message.list_;
+  const auto targets = Plan().PassOn(sender.domain_);
+  if (!targets.empty()) {
+    told_domain_at_ = loop_.Now();
+    SendTo(lists ? TrafficKind::kList : TrafficKind::kDeparted, targets,
+           onward);
+  }
 }
 
-void MeshNode::PushDeparted(const DepartedMessage& departed) {
-  MeshMessage message;
+void MeshNode::Subscribe(const std::string& agent,
+                         const core::FailureDomainId& domain) {
+  auto message = Envelope();
+  message.subscribes_ = true;
+  Send(TrafficKind::kSubscription, agent, domain, message);
+}
+
+void MeshNode::SendReport(const membership::ReportTarget& entry,
+                          const LoadMessage& load) {
+  const auto bytes = static_cast<char>(DatagramKind::kReport) + Pack(load);
+  if (socket_ != nullptr &&
+      socket_->Send(ParseAddress(entry.address_), bytes)) {
+    traffic_.OnSent(TrafficKind::kReport, !entry.near_, bytes.size());
+  }
+}
+
+void MeshNode::TellDeparted(const DepartedMessage& departed) {
+  auto message = Envelope();
   message.departed_ = departed;
-  SendToEntries(message);
+  SendTo(TrafficKind::kDeparted, Plan().Tell(membership::Reach::kSure),
+         message);
 }
 
-void MeshNode::PushList(const membership::Member& neighbour,
-                        const ListMessage& list) {
-  MeshMessage message;
+void MeshNode::TellList(const ListMessage& list) {
+  auto message = Envelope();
   message.list_ = list;
-  Send(neighbour.address_, message);
+  told_domain_at_ = loop_.Now();
+  SendTo(TrafficKind::kList, Plan().Tell(membership::Reach::kRepeated),
+         message);
 }
 
-void MeshNode::PushRules(const std::vector<membership::Member>& members) {
-  const auto message = Envelope();
-  for (const auto& member : members) {
-    Send(member.address_, message);
-  }
+void MeshNode::TellNews(const std::vector<membership::Member>& members) {
+  SendTo(TrafficKind::kNews, members, Envelope());
 }
 
-void MeshNode::SendToEntries(const MeshMessage& message) {
-  for (const auto& member : table_.Live()) {
-    if (member.kind_ == membership::MemberKind::kEntry) {
-      Send(member.address_, message);
-    }
-  }
+void MeshNode::TellNews() {
+  told_domain_at_ = loop_.Now();
+  TellNews(Plan().Tell(membership::Reach::kSure));
 }
 
-void MeshNode::PushHeld(const HeldMessage& held) {
+void MeshNode::SendHeld(const std::string& agent,
+                        const core::FailureDomainId& domain,
+                        const HeldMessage& held) {
   auto message = Envelope();
   message.held_.push_back(held);
-  for (const auto& member : table_.Live()) {
-    if (member.kind_ == membership::MemberKind::kAgent &&
-        member.service_ == table_.self().service_) {
-      Send(member.address_, message);
-    }
-  }
-}
-
-void MeshNode::PushWeights() {
-  const auto message = Envelope();
-  for (const auto& member : table_.Live()) {
-    Send(member.address_, message);
-  }
+  Send(TrafficKind::kHeld, agent, domain, message);
 }
 
 }  // namespace chalkwell::daemon::direct
--- a/packages/daemon/src/daemon/direct/mesh_node.hpp
+++ b/packages/daemon/src/daemon/direct/mesh_node.hpp
@@ -1,6 +1,7 @@
 // The processes of the system among themselves: who lives, what endpoints
 // report, and which pieces of weights agents hold. All of it is sent as
-// datagrams; a lost one is made up for by the next.
+// datagrams; a lost one is made up for by the next. Entries are members, who
+// know each other; agents know the entries that use their endpoints.
 #pragma once
 
 #include <cstdint>
@@ -13,7 +14,10 @@
 
 #include "chalkwell/membership/gossip_table.hpp"
 #include "chalkwell/membership/path_delay.hpp"
+#include "chalkwell/membership/report_audience.hpp"
+#include "chalkwell/membership/spread_plan.hpp"
 #include "daemon/direct/mesh_messages.hpp"
+#include "daemon/direct/traffic_count.hpp"
 #include "daemon/event_log.hpp"
 #include "daemon/metrics.hpp"
 #include "daemon/udp_socket.hpp"
@@ -34,6 +38,10 @@
   std::function<void(const LoadMessage& load)> on_load_;
   std::function<void(const membership::Member& sender, const HeldMessage& held)>
       on_held_;
+  /// An entry wants this agent's reports.
+  std::function<void(const membership::Member& entry)> on_subscribe_;
+  /// An agent that has just started, or that no entry uses, greets.
+  std::function<void(const std::string& address)> on_agent_;
   std::function<void(const std::string& model, std::uint64_t version)>
       on_weights_;
   std::function<void(const membership::Member& member)> on_lost_;
@@ -60,42 +68,78 @@
 
   /// @brief Begins to tell and to listen.
   void Start();
-  /// @brief Tells the others that this process ends.
+  /// @brief Tells the members known that this process ends.
   void Leave();
+  /// @brief Entries known: all of the own failure domain, few of each other.
   [[nodiscard]] std::vector<membership::Member> Live() const {
     return table_.Live();
   }
   /// @brief Live entries of the own failure domain that do not leave.
   [[nodiscard]] std::vector<membership::Member> Neighbours() const;
+  /// @brief Live entries of the whole deployment, this one included.
+  [[nodiscard]] std::size_t EntryCount() const { return table_.Count(); }
   [[nodiscard]] const membership::Member& self() const noexcept {
     return table_.self();
   }
-  /// @brief Sends a report to every live entry.
-  void PushLoad(const LoadMessage& load);
-  /// @brief Tells every live entry which endpoints leave: the one that reads
+  /// @brief Where another process of the deployment hears datagrams.
+  /// @param endpoint address of the endpoint beside it, "ip:port".
+  [[nodiscard]] std::string AddressBeside(const std::string& endpoint) const;
+
+  /// @brief Asks the agent at an address for reports, for some seconds.
+  /// @param domain failure domain of the agent.
+  void Subscribe(const std::string& agent,
+                 const core::FailureDomainId& domain);
+  /// @brief Sends a report to one subscriber.
+  void SendReport(const membership::ReportTarget& entry,
+                  const LoadMessage& load);
+  /// @brief Tells whoever must know which endpoints leave: the one that reads
   /// the list first spares the others the wait for their own reading.
-  void PushDeparted(const DepartedMessage& departed);
-  /// @brief Tells a neighbour what was read of the list of endpoints.
-  void PushList(const membership::Member& neighbour, const ListMessage& list);
-  /// @brief Tells members which rules are in force here.
-  void PushRules(const std::vector<membership::Member>& members);
-  /// @brief Sends what this agent holds to the agents of its service.
-  void PushHeld(const HeldMessage& held);
-  /// @brief Sends news of weights to every live member.
-  void PushWeights();
+  void TellDeparted(const DepartedMessage& departed);
+  /// @brief Tells whoever must know what was read of the list of endpoints.
+  void TellList(const ListMessage& list);
+  /// @brief Tells members which rules and weights are known here.
+  void TellNews(const std::vector<membership::Member>& members);
+  /// @brief Tells whoever must know which rules and weights are known here.
+  void TellNews();
+  /// @brief When the whole failure domain was told anything: each datagram says
+  /// which rules and weights are known here.
+  [[nodiscard]] core::TimePoint told_domain_at() const noexcept {
+    return told_domain_at_;
+  }
+  /// @brief Tells one agent what this one holds.
+  void SendHeld(const std::string& agent, const core::FailureDomainId& domain,
+                const HeldMessage& held);
   void SetSeeds(std::vector<Address> seeds);
   /// @brief How long this machine's link holds back what comes in.
   [[nodiscard]] core::Duration InboundDelay() const {
     return inbound_.At(loop_.Now());
   }
+  /// @brief Asks a seed who is there, as at the start.
+  void GreetSeed();
 
  private:
   void Tick();
   void OnDatagram(std::string_view bytes);
-  void Send(const std::string& address, const MeshMessage& message);
+  void OnMessage(const MeshMessage& message);
+  /// @brief Takes the sender and the rows that it told.
+  void TakeMembers(const MeshMessage& message,
+                   const membership::Member& sender);
+  /// @brief Takes what the sender knows of rules, weights and endpoints.
+  void TakeNews(const MeshMessage& message, const membership::Member& sender);
+  /// @brief A delegate hands on what came from another failure domain.
+  void PassOn(const MeshMessage& message, const membership::Member& sender);
+  membership::MergeEnd Merge(const membership::Member& member);
+  void Answer(const membership::Member& asker);
+  void Send(TrafficKind kind, const std::string& address,
+            const core::FailureDomainId& domain, const MeshMessage& message);
+  void SendTo(TrafficKind kind, const std::vector<membership::Member>& members,
+              const MeshMessage& message);
   [[nodiscard]] MeshMessage Envelope() const;
+  [[nodiscard]] membership::SpreadPlan Plan() const;
+  [[nodiscard]] bool IsEntry() const noexcept {
+    return self().kind_ == membership::MemberKind::kEntry;
+  }
   void Greet();
-  void SendToEntries(const MeshMessage& message);
 
   Loop& loop_;
   MeshSettings settings_;
@@ -103,12 +147,18 @@
   EventLog& log_;
   Metrics& metrics_;
   MeshHooks hooks_;
+  TrafficCount traffic_;
   /// By address and incarnation of the sender.
   std::map<std::pair<std::string, std::uint64_t>, membership::PathDelay> paths_;
   membership::LinkDelay inbound_;
   std::unique_ptr<UdpSocket> socket_;
   Timer timer_;
   unsigned greetings_ = 0;
+  /// Seeds are greeted in turn.
+  std::size_t seed_ = 0;
+  core::TimePoint told_domain_at_;
+  /// Rounds since a seed was asked.
+  unsigned rounds_ = 0;
 };
 
 }  // namespace chalkwell::daemon::direct
--- a/packages/daemon/src/daemon/direct/piece_exchange.cpp
+++ b/packages/daemon/src/daemon/direct/piece_exchange.cpp
@@ -19,6 +19,12 @@
 /// Part of the link that pieces may take: answers share it, and an event that
 /// waits behind several pieces is late.
 constexpr double kUploadShare = 0.85;
+/// A peer that announced nothing for this long is gone, or has another
+/// neighbour in this one's place: three repeats while nothing is to be fetched.
+constexpr auto kPeerSilence = std::chrono::milliseconds(9500);
+/// A peer that lacks what is held here is answered this often at most, as often
+/// as changes are told.
+constexpr auto kAnswerInterval = std::chrono::milliseconds(120);
 
 std::uint64_t UploadRate(const Settings& settings) {
   return static_cast<std::uint64_t>(static_cast<double>(LinkRate(settings)) *
@@ -55,36 +61,74 @@
       client_(client),
       mesh_(mesh),
       source_(std::move(source)),
+      self_(mesh.self().address_),
       upload_(UploadRate(process.settings()), {}),
       server_(std::make_unique<PeerServer>(
           process.loop(),
           ParseAddress(process.settings().Text("listen", "peer")), kMaxPeerBody,
           [this](const PeerCallPtr& call) { OnCall(call); })) {}
 
-void PieceExchange::OnHeld(const membership::Member& sender,
-                           const HeldMessage& held) {
-  peers_[sender.id_] = {sender, held};
+void PieceExchange::SetAgents(const AgentAddresses& agents) {
+  agents_.clear();
+  for (const auto& [domain, addresses] : agents) {
+    for (const auto& address : addresses) {
+      agents_.push_back(
+          {core::InstanceId(address), core::FailureDomainId(domain)});
+    }
+  }
+}
+
+core::InstanceId PieceExchange::OnHeld(const membership::Member& sender,
+                                       const HeldMessage& held,
+                                       core::TimePoint now) {
+  core::InstanceId id(sender.address_);
+  peers_[id] = {sender, held, now};
+  return id;
+}
+
+std::vector<core::InstanceId> PieceExchange::TakeSilent(core::TimePoint now) {
+  std::vector<core::InstanceId> silent;
+  for (const auto& [id, peer] : peers_) {
+    if (now - peer.heard_at_ >= kPeerSilence) {
+      silent.push_back(id);
+    }
+  }
+  for (const auto& id : silent) {
+    peers_.erase(id);
+  }
+  return silent;
+}
+
+bool PieceExchange::MayTell(const core::InstanceId& agent,
+                            core::TimePoint now) const {
+  const auto told = told_at_.find(agent);
+  return told == told_at_.end() || now - told->second >= kAnswerInterval;
 }
 
-void PieceExchange::OnLost(const membership::Member& member) {
-  peers_.erase(member.id_);
+void PieceExchange::Tell(const core::InstanceId& agent,
+                         const HeldMessage& held) {
+  const auto known =
+      std::ranges::find(agents_, agent, &swarm::SwarmMember::id_);
+  const auto domain =
+      known == agents_.end() ? process_.domain() : known->domain_;
+  told_at_[agent] = process_.loop().Now();
+  mesh_.SendHeld(agent.value(), domain, held);
 }
 
 std::vector<swarm::SwarmMember> PieceExchange::Lacking(
     std::uint64_t version, bool self_narrowed) const {
   std::vector<swarm::SwarmMember> members{
-      {process_.id(), process_.domain(), self_narrowed}};
-  for (const auto& member : mesh_.Live()) {
-    if (member.kind_ != membership::MemberKind::kAgent ||
-        member.service_ != mesh_.self().service_) {
+      {self_, process_.domain(), self_narrowed}};
+  const auto least = std::max<std::uint64_t>(version, 1);
+  for (const auto& agent : agents_) {
+    if (agent.id_ == self_) {
       continue;
     }
-    const auto peer = peers_.find(member.id_);
+    const auto peer = peers_.find(agent.id_);
     const bool heard = peer != peers_.end();
-    const auto least = std::max<std::uint64_t>(version, 1);
     if (!heard || peer->second.held_.serving_ < least) {
       const bool narrowed = heard && peer->second.held_.narrowed_;
-      members.push_back({member.id_, member.domain_, narrowed});
+      members.push_back({agent.id_, agent.domain_, narrowed});
     }
   }
   return members;
--- a/packages/daemon/src/daemon/direct/piece_exchange.hpp
+++ b/packages/daemon/src/daemon/direct/piece_exchange.hpp
@@ -13,6 +13,7 @@
 
 #include "chalkwell/swarm/pacer.hpp"
 #include "chalkwell/swarm/planner.hpp"
+#include "daemon/direct/engine_facts.hpp"
 #include "daemon/direct/hooks.hpp"
 #include "daemon/direct/mesh_node.hpp"
 #include "daemon/peer_connection.hpp"
@@ -66,6 +67,7 @@
 struct PiecePeer {
   membership::Member member_;
   HeldMessage held_;
+  core::TimePoint heard_at_;
 };
 
 /// @brief The agent among its neighbours.
@@ -74,13 +76,34 @@
   PieceExchange(ProcessBase& process, const WeightsClient& client,
                 MeshNode& mesh, PieceSource source);
 
-  void OnHeld(const membership::Member& sender, const HeldMessage& held);
-  void OnLost(const membership::Member& member);
+  /// @brief Agents are named by where they listen: lists of endpoints tell no
+  /// more of them.
+  [[nodiscard]] const core::InstanceId& self() const noexcept { return self_; }
+  /// @brief The agents of the service, this one included.
+  void SetAgents(const AgentAddresses& agents);
+  [[nodiscard]] const std::vector<swarm::SwarmMember>& agents() const noexcept {
+    return agents_;
+  }
+  /// @brief Whether the agents were told: this one may not be the only one.
+  [[nodiscard]] bool knows_agents() const noexcept { return !agents_.empty(); }
+
+  /// @return name of the sender among the agents.
+  core::InstanceId OnHeld(const membership::Member& sender,
+                          const HeldMessage& held, core::TimePoint now);
+  /// @brief Peers that announced nothing for long; they are forgotten.
+  std::vector<core::InstanceId> TakeSilent(core::TimePoint now);
+  /// @brief Whether a peer that announced itself may be answered: not each time
+  /// that it does.
+  [[nodiscard]] bool MayTell(const core::InstanceId& agent,
+                             core::TimePoint now) const;
+  /// @brief Tells an agent what is held here.
+  void Tell(const core::InstanceId& agent, const HeldMessage& held);
   [[nodiscard]] const std::map<core::InstanceId, PiecePeer>& peers()
       const noexcept {
     return peers_;
   }
-  /// @brief Live agents that do not serve a version yet, this one included.
+  /// @brief Agents that do not serve a version yet as far as is known, this one
+  /// included: of most others nothing is heard.
   /// @param version 0 for any: then those that serve none.
   /// @param self_narrowed whether the own link is narrowed.
   [[nodiscard]] std::vector<swarm::SwarmMember> Lacking(
@@ -112,6 +135,10 @@
   const WeightsClient& client_;
   MeshNode& mesh_;
   PieceSource source_;
+  core::InstanceId self_;
+  std::vector<swarm::SwarmMember> agents_;
+  /// When agents were told what is held here.
+  std::map<core::InstanceId, core::TimePoint> told_at_;
   swarm::Pacer upload_;
   std::map<core::InstanceId, PiecePeer> peers_;
   /// By address; kept, since a call may be under way on it.
--- a/packages/daemon/src/daemon/direct/rules_keeper.cpp
+++ b/packages/daemon/src/daemon/direct/rules_keeper.cpp
@@ -2,7 +2,6 @@
 #include "daemon/direct/rules_keeper.hpp"
 
 #include <algorithm>
-#include <map>
 #include <utility>
 
 namespace chalkwell::daemon::direct {
@@ -11,14 +10,15 @@
 /// How often the duty is looked at: a first read of large rules is left to
 /// others within a second tick.
 constexpr auto kTick = std::chrono::milliseconds(100);
-/// Members of each other failure domain that are told of new rules.
-constexpr std::size_t kToldFar = 2;
 /// An overdue document is read from the store this often at most.
 constexpr auto kReadInterval = std::chrono::milliseconds(1000);
 /// Longest wait of a watch that stands for a whole failure domain: its
-/// connection may go silent, which shows when the wait is over. As many calls
-/// as 12 entries make that wait 25 s each.
+/// connection may go silent, which shows when the wait is over. With a second
+/// watcher it is longer: both go silent at once only when all connections do.
 constexpr auto kSoleWait = std::chrono::milliseconds(2000);
+constexpr auto kSharedWait = std::chrono::milliseconds(4000);
+/// What the duty is about.
+constexpr Section kWatched[] = {Section::kRules, Section::kWeights};
 constexpr std::string_view kStoreSource = "store";
 constexpr std::string_view kPeerSource = "peer";
 
@@ -40,7 +40,9 @@
 
 void RulesKeeper::Start() {
   duty_.OnFirstRead(loop_.Now());
-  reader_.Watch(Section::kRules);
+  for (const auto section : kWatched) {
+    reader_.Watch(section);
+  }
   tick_.Every(kTick, [this] { Tick(); });
 }
 
@@ -67,7 +69,7 @@
   exchange_.Keep(std::move(document));
   handler_(rules, source);
   if (watches_ || source == kStoreSource) {
-    TellVersion();
+    mesh_.TellNews();
   }
 }
 
@@ -103,16 +105,22 @@
                {{"watches", watches ? "yes" : "no"},
                 {"rules", std::to_string(version_)},
                 {"neighbours", std::to_string(neighbours.size())}});
-    watches ? reader_.Watch(Section::kRules) : reader_.Unwatch(Section::kRules);
+    for (const auto section : kWatched) {
+      watches ? reader_.Watch(section) : reader_.Unwatch(section);
+    }
     told_at_ = {};
   }
-  const bool sole = duty_.Tells(now);
-  reader_.SetWait(Section::kRules, sole ? std::min<core::Duration>(
-                                              kSoleWait, reader_.usual_wait())
-                                        : reader_.usual_wait());
-  if (sole && now - told_at_ >= duty_.tell_interval()) {
+  const bool tells = duty_.Tells(now);
+  const core::Duration longest =
+      duty_.Watchers(now) == 1 ? kSoleWait : kSharedWait;
+  for (const auto section : kWatched) {
+    reader_.SetWait(section, tells ? std::min(longest, reader_.usual_wait())
+                                   : reader_.usual_wait());
+  }
+  const auto told = std::max(told_at_, mesh_.told_domain_at());
+  if (tells && now - told >= duty_.tell_interval()) {
     told_at_ = now;
-    mesh_.PushRules(neighbours);
+    mesh_.TellNews(neighbours);
   }
 }
 
@@ -159,27 +167,4 @@
   Take(*published.rules_, std::move(*document), std::string(kPeerSource));
 }
 
-void RulesKeeper::TellVersion() {
-  std::map<core::FailureDomainId, std::vector<core::InstanceId>> domains;
-  const auto live = mesh_.Live();
-  for (const auto& member : live) {
-    if (member.kind_ == membership::MemberKind::kEntry) {
-      domains[member.domain_].push_back(member.id_);
-    }
-  }
-  std::vector<membership::Member> told;
-  for (const auto& [domain, members] : domains) {
-    const auto first =
-        domain == mesh_.self().domain_
-            ? members
-            : membership::WatchDuty::FirstInRank(members, kToldFar);
-    for (const auto& member : live) {
-      if (std::ranges::find(first, member.id_) != first.end()) {
-        told.push_back(member);
-      }
-    }
-  }
-  mesh_.PushRules(told);
-}
-
 }  // namespace chalkwell::daemon::direct
--- a/packages/daemon/src/daemon/direct/rules_keeper.hpp
+++ b/packages/daemon/src/daemon/direct/rules_keeper.hpp
@@ -1,5 +1,6 @@
 // Keeps an entry's rules up with what is published: it takes them from the
-// store where that is its duty, and from other entries else.
+// store where that is its duty, and from other entries else. The same duty
+// decides who watches the naming of weights.
 #pragma once
 
 #include <functional>
@@ -57,9 +58,6 @@
   void AskPeer(const membership::Member& peer);
   void OnAnswer(const core::InstanceId& peer,
                 std::optional<RulesDocument> document);
-  /// @brief Tells who has to know at once: all of the own failure domain, and
-  /// the first in rank of the others, who tell theirs.
-  void TellVersion();
 
   Loop& loop_;
   const StoreClient& store_;
--- a/packages/daemon/src/daemon/direct/weights_keeper.cpp
+++ b/packages/daemon/src/daemon/direct/weights_keeper.cpp
@@ -5,6 +5,7 @@
 #include <random>
 #include <utility>
 
+#include "chalkwell/swarm/neighbours.hpp"
 #include "daemon/direct/direct_settings.hpp"
 
 namespace chalkwell::daemon::direct {
@@ -16,8 +17,10 @@
 /// Changes of what is held are told this often at most: a piece takes some 30
 /// ms on a link of 7 Mbit/s.
 constexpr auto kAnnounceInterval = milliseconds(120);
-/// Unchanged news is repeated, since datagrams are lost.
+/// Unchanged news is repeated, since datagrams are lost; less often where
+/// nothing is to be fetched, since newcomers are answered.
 constexpr auto kRepeat = milliseconds(1000);
+constexpr auto kSettledRepeat = milliseconds(3000);
 /// The next in rank asks the source for the manifest after this: it weighs a
 /// sixth of a piece, and nothing can be fetched before it. With 300 ms the
 /// first pieces of eight new engines were asked for after 0.54 s.
@@ -80,11 +83,11 @@
                   },
               .manifest_ = [this] { return manifest_ ? &*manifest_ : nullptr; },
               .on_missing_ = [this](std::size_t piece) { OnMissing(piece); }}),
-      planner_({process.id(), process.domain()}, PlannerSettingsOf(),
+      planner_({peers_.self(), process.domain()}, PlannerSettingsOf(),
                std::random_device{}()),
       source_(kSourcePause, std::random_device{}()),
       window_(WindowSettingsOf(process.settings())),
-      turns_(process.id(), kOutShare, kTurnLease),
+      turns_(peers_.self(), kOutShare, kTurnLease),
       tick_(process.loop()) {
   tick_.Every(kTick, [this] { Tick(); });
 }
@@ -155,7 +158,7 @@
   const bool needless = version > 0 && version >= wanted_.version_;
   if (needless && phase_ != Phase::kSettled && !report.ordered_) {
     SetPhase(Phase::kSettled);
-    turns_.OnServing(process_.id(), version, process_.loop().Now());
+    turns_.OnServing(peers_.self(), version, process_.loop().Now());
   }
 }
 
@@ -171,6 +174,7 @@
 
 void WeightsKeeper::Tick() {
   const auto now = process_.loop().Now();
+  ForgetSilentPeers(now);
   if (model_.empty() || !heard_engine_) {
     return;
   }
@@ -200,7 +204,8 @@
       break;
   }
   const bool due = announce_due_ && now - announced_at_ >= kAnnounceInterval;
-  if (due || now - announced_at_ >= kRepeat) {
+  const core::Duration repeat = settled() ? kSettledRepeat : kRepeat;
+  if (due || now - announced_at_ >= repeat) {
     Announce(!due);
   }
 }
@@ -227,6 +232,7 @@
   ++job_;
   manifest_.reset();
   held_ = {};
+  drawn_.clear();
   staging_ = 0;
   verified_all_ = false;
   manifest_asked_ = false;
@@ -246,11 +252,13 @@
 
 std::size_t WeightsKeeper::ManifestRank() const {
   const auto item = model_ + ":" + std::to_string(wanted_.version_);
-  const auto own = core::RendezvousScore(item, process_.id().value());
+  const auto own = core::RendezvousScore(item, peers_.self().value());
   const auto members = Lacking();
+  // One of each failure domain asks at once: only neighbours hear who has it.
   return static_cast<std::size_t>(
       std::ranges::count_if(members, [&](const swarm::SwarmMember& member) {
-        return core::RendezvousScore(item, member.id_.value()) > own;
+        return member.domain_ == process_.domain() &&
+               core::RendezvousScore(item, member.id_.value()) > own;
       }));
 }
 
@@ -264,7 +272,7 @@
   }
   const auto now = process_.loop().Now();
   const auto waited = now - manifest_since_;
-  if (origin_ && source_.Ready(now) &&
+  if (origin_ && peers_.knows_agents() && source_.Ready(now) &&
       waited >= kManifestStep * static_cast<int>(ManifestRank())) {
     AskOriginManifest();
   }
@@ -280,7 +288,8 @@
         peer.held_.model_ == model_ && peer.held_.pieces_ > 0 &&
         peer.held_.has_manifest_ &&
         (wanted_.version_ == 0 || peer.held_.version_ == wanted_.version_);
-    const auto score = core::RendezvousScore(process_.id().value(), id.value());
+    const auto score =
+        core::RendezvousScore(peers_.self().value(), id.value());
     if (has && (!holder || score > best)) {
       holder = id;
       best = score;
@@ -326,13 +335,18 @@
 
 void WeightsKeeper::OnHeld(const membership::Member& sender,
                            const HeldMessage& held) {
-  peers_.OnHeld(sender, held);
+  const auto id = peers_.OnHeld(sender, held, process_.loop().Now());
+  // It lacks what is held here, and may not be among those told.
+  const bool lacks = held.serving_ < serving_ && held_.count() > 0;
+  if (lacks && peers_.MayTell(id, process_.loop().Now())) {
+    peers_.Tell(id, Held(process_.loop().Now()));
+  }
   const bool wanted = phase_ == Phase::kFetching && manifest_ &&
                       held.model_ == model_ &&
                       held.version_ == wanted_.version_;
   if (wanted) {
     const auto seen = planner_.seen();
-    planner_.OnAnnounced({sender.id_, sender.domain_},
+    planner_.OnAnnounced({id, sender.domain_},
                          swarm::ChunkSet::FromBytes(held.bits_, held_.size()),
                          process_.loop().Now());
     if (planner_.seen() > seen) {
@@ -342,9 +356,14 @@
   }
 }
 
-void WeightsKeeper::OnLost(const membership::Member& member) {
-  peers_.OnLost(member);
-  planner_.OnPeerLost(member.id_);
+void WeightsKeeper::SetAgents(const AgentAddresses& agents) {
+  peers_.SetAgents(agents);
+}
+
+void WeightsKeeper::ForgetSilentPeers(core::TimePoint now) {
+  for (const auto& lost : peers_.TakeSilent(now)) {
+    planner_.OnPeerLost(lost);
+  }
 }
 
 void WeightsKeeper::AskOriginManifest() {
@@ -459,7 +478,8 @@
   }
   planner_.SetMembers(Lacking());
   planner_.SetInFlight(window_.size());
-  planner_.SetOriginOpen(source_.Ready(now));
+  // Not knowing the others, each would draw everything.
+  planner_.SetOriginOpen(source_.Ready(now) && peers_.knows_agents());
   for (const auto& order : planner_.Next(now)) {
     Fetch(order);
   }
@@ -497,6 +517,7 @@
       [this, job = job_, piece](const std::optional<std::string>& bytes) {
         OnSource(bytes.has_value(), "piece");
         if (Current(job)) {
+          drawn_.insert(piece);
           OnPiece(piece, bytes, "origin");
         }
       });
@@ -565,7 +586,7 @@
 
 void WeightsKeeper::TakeTurn() {
   const auto now = process_.loop().Now();
-  std::set<core::InstanceId> near{process_.id()};
+  std::set<core::InstanceId> near{peers_.self()};
   for (const auto& [id, peer] : peers_.peers()) {
     if (peer.member_.domain_ != process_.domain()) {
       continue;
@@ -646,11 +667,7 @@
   });
 }
 
-void WeightsKeeper::Announce(bool repeat) {
-  announced_at_ = process_.loop().Now();
-  if (!repeat) {
-    announce_due_ = false;
-  }
+HeldMessage WeightsKeeper::Held(core::TimePoint now) const {
   HeldMessage held;
   held.model_ = model_;
   held.version_ = manifest_ ? manifest_->version_ : serving_;
@@ -658,8 +675,33 @@
   held.bits_ = held_.ToBytes();
   held.serving_ = serving_;
   held.has_manifest_ = manifest_.has_value();
-  held.narrowed_ = window_.Narrowed(announced_at_);
-  mesh_.PushHeld(held);
+  held.narrowed_ = window_.Narrowed(now);
+  return held;
+}
+
+std::set<core::InstanceId> WeightsKeeper::Audience() const {
+  const swarm::SwarmMember self{peers_.self(), process_.domain()};
+  const auto& agents = peers_.agents();
+  const auto near = swarm::NeighboursOf(self, agents);
+  std::set<core::InstanceId> audience(near.begin(), near.end());
+  for (const auto piece : drawn_) {
+    if (manifest_ && held_.Has(piece)) {
+      audience.merge(swarm::ImportersOf(manifest_->digests_[piece].ToHex(),
+                                        self, agents));
+    }
+  }
+  return audience;
+}
+
+void WeightsKeeper::Announce(bool repeat) {
+  announced_at_ = process_.loop().Now();
+  if (!repeat) {
+    announce_due_ = false;
+  }
+  const auto held = Held(announced_at_);
+  for (const auto& agent : Audience()) {
+    peers_.Tell(agent, held);
+  }
 }
 
 }  // namespace chalkwell::daemon::direct
--- a/packages/daemon/src/daemon/direct/weights_keeper.hpp
+++ b/packages/daemon/src/daemon/direct/weights_keeper.hpp
@@ -4,6 +4,7 @@
 
 #include <cstdint>
 #include <optional>
+#include <set>
 #include <string>
 
 #include "chalkwell/core/backoff.hpp"
@@ -30,8 +31,12 @@
   void SetOrigin(const Address& origin, const core::FailureDomainId& domain);
   /// @brief A version was published or heard of.
   void OnNamed(const NamedWeights& weights);
+  /// @brief The agents of the service, this one included.
+  void SetAgents(const AgentAddresses& agents);
+  [[nodiscard]] bool KnowsAgents() const noexcept {
+    return peers_.knows_agents();
+  }
   void OnHeld(const membership::Member& sender, const HeldMessage& held);
-  void OnLost(const membership::Member& member);
   void OnReport(const EngineReport& report);
   void OnEngineLost();
 
@@ -93,7 +98,13 @@
   void VerifyNext(std::size_t piece);
   void Order();
   void SetPhase(Phase phase);
+  /// @brief Tells whoever may want pieces what is held here.
   void Announce(bool repeat);
+  [[nodiscard]] HeldMessage Held(core::TimePoint now) const;
+  /// @brief Agents to tell: neighbours, and the importers of pieces that were
+  /// drawn here.
+  [[nodiscard]] std::set<core::InstanceId> Audience() const;
+  void ForgetSilentPeers(core::TimePoint now);
   /// @brief Members that want the version too, this one included.
   [[nodiscard]] std::vector<swarm::SwarmMember> Lacking() const;
   [[nodiscard]] std::size_t ManifestRank() const;
@@ -127,6 +138,8 @@
   std::size_t staging_ = 0;
   PieceExchange peers_;
   swarm::Planner planner_;
+  /// Pieces that this agent drew from the source in this fetch.
+  std::set<std::size_t> drawn_;
   /// Pauses between asks of the source while it fails.
   core::Backoff source_;
   swarm::FetchWindow window_;
