--- a/packages/chalkwell/src/chalkwell/membership/duties.hpp
+++ b/packages/chalkwell/src/chalkwell/membership/duties.hpp
@@ -11,8 +11,8 @@
 namespace chalkwell::membership {
 
 /// Duty of watching what is published, and of passing news on between failure
-/// domains: who hears of a change first tells it. Any fixed text: the duty stays
-/// with the same members while they live.
+/// domains: who hears of a change first tells it. Any fixed text: the duty
+/// stays with the same members while they live.
 inline constexpr std::string_view kWatchDutyName = "watch-document";
 
 /// @brief Position of a member in the order for an item; 0 is the first choice.
--- a/packages/chalkwell/src/chalkwell/membership/report_audience.cpp
+++ b/packages/chalkwell/src/chalkwell/membership/report_audience.cpp
@@ -23,10 +23,9 @@
 }
 
 core::Duration ReportAudience::IntervalOf(bool near) const {
-  const auto near_count = static_cast<double>(
-      std::ranges::count_if(subscribers_, [](const auto& subscriber) {
-        return subscriber.second.near_;
-      }));
+  const auto near_count = static_cast<double>(std::ranges::count_if(
+      subscribers_,
+      [](const auto& subscriber) { return subscriber.second.near_; }));
   const auto far_count = static_cast<double>(subscribers_.size()) - near_count;
   const Seconds least(settings_.interval_);
   const auto near_rate =
@@ -58,8 +57,7 @@
     const auto interval = subscriber.near_ ? near : far;
     const auto least = current ? settings_.repeat_ : interval;
     const bool first = subscriber.told_ == 0;
-    if (!first && !(urgent && !current) &&
-        now - subscriber.told_at_ < least) {
+    if (!first && !(urgent && !current) && now - subscriber.told_at_ < least) {
       continue;
     }
     subscriber.told_ = report_;
--- a/packages/chalkwell/src/chalkwell/membership/watch_duty.hpp
+++ b/packages/chalkwell/src/chalkwell/membership/watch_duty.hpp
@@ -65,7 +65,6 @@
   [[nodiscard]] bool Tells(core::TimePoint now) const;
 
  private:
-
   core::InstanceId self_;
   WatchDutySettings settings_;
   /// In rendezvous order.
--- a/packages/chalkwell/src/chalkwell/routing/attempt_patience.cpp
+++ b/packages/chalkwell/src/chalkwell/routing/attempt_patience.cpp
@@ -31,9 +31,8 @@
 }  // namespace
 
 core::TimePoint GiveUpAt(const AwaitedAttempt& attempt) {
-  core::Duration wait =
-      std::max<core::Duration>({attempt.target_ * kTargets, kLeast,
-                                attempt.predicted_ * kPredictions});
+  core::Duration wait = std::max<core::Duration>(
+      {attempt.target_ * kTargets, kLeast, attempt.predicted_ * kPredictions});
   if (!attempt.on_time_) {
     wait = std::max<core::Duration>(wait, kLate);
   }
--- a/packages/chalkwell/src/chalkwell/routing/endpoint_choice.cpp
+++ b/packages/chalkwell/src/chalkwell/routing/endpoint_choice.cpp
@@ -22,8 +22,8 @@
 
 core::Duration EndpointTable::LateAt(const Endpoint& endpoint,
                                      core::TimePoint now) const {
-  const auto halves =
-      core::ToMs(now - endpoint.late_at_) / core::ToMs(settings_.failure_half_life_);
+  const auto halves = core::ToMs(now - endpoint.late_at_) /
+                      core::ToMs(settings_.failure_half_life_);
   auto late = core::FromMs(core::ToMs(endpoint.late_) * std::exp2(-halves));
   for (const auto sent_at : endpoint.unanswered_) {
     late = std::max(late, now - sent_at - settings_.overdue_after_);
@@ -33,8 +33,8 @@
 
 double EndpointTable::FailingAt(const Endpoint& endpoint,
                                 core::TimePoint now) const {
-  const auto halves =
-      core::ToMs(now - endpoint.failed_at_) / core::ToMs(settings_.failure_half_life_);
+  const auto halves = core::ToMs(now - endpoint.failed_at_) /
+                      core::ToMs(settings_.failure_half_life_);
   return endpoint.failing_ * std::exp2(-halves);
 }
 
@@ -57,8 +57,7 @@
 
 bool EndpointTable::IsSilent(const core::InstanceId& id) const {
   const auto found = endpoints_.find(id);
-  return found != endpoints_.end() &&
-         Silence(found->second) > core::Duration{};
+  return found != endpoints_.end() && Silence(found->second) > core::Duration{};
 }
 
 bool EndpointTable::Reported(const Endpoint& endpoint,
@@ -165,9 +164,8 @@
                              const ChoiceRequest& request,
                              const Expected& expected,
                              core::TimePoint now) const {
-  double cost =
-      core::ToMs(expected.first_byte_) +
-      FailingAt(endpoint, now) * core::ToMs(settings_.failure_cost_);
+  double cost = core::ToMs(expected.first_byte_) +
+                FailingAt(endpoint, now) * core::ToMs(settings_.failure_cost_);
   if (request.engine_ != nullptr) {
     // Each request that runs slows all others: even when places are free, the
     // emptier endpoint is the better one.
--- a/packages/chalkwell/src/chalkwell/routing/endpoint_subset.cpp
+++ b/packages/chalkwell/src/chalkwell/routing/endpoint_subset.cpp
@@ -62,7 +62,8 @@
   far = InTurn(far);
   far_warming = InTurn(far_warming);
   std::vector<core::InstanceId> subset;
-  const auto far_least = settings.all_ - std::min(settings.near_, settings.all_);
+  const auto far_least =
+      settings.all_ - std::min(settings.near_, settings.all_);
   const auto far_taken = std::min(far.size(), far_least);
   const auto near_taken = std::min(near.size(), settings.all_ - far_taken);
   Append(near, near_taken, subset);
--- a/packages/chalkwell/src/chalkwell/routing/endpoint_table.cpp
+++ b/packages/chalkwell/src/chalkwell/routing/endpoint_table.cpp
@@ -315,13 +315,15 @@
     return;
   }
   const auto waited = now - sent_at;
-  endpoint->waited_ = endpoint->waited_ == core::Duration{}
-                          ? waited
-                          : core::FromMs(core::ToMs(endpoint->waited_) * (1 - kWaitWeight) +
-                                 core::ToMs(waited) * kWaitWeight);
+  endpoint->waited_ =
+      endpoint->waited_ == core::Duration{}
+          ? waited
+          : core::FromMs(core::ToMs(endpoint->waited_) * (1 - kWaitWeight) +
+                         core::ToMs(waited) * kWaitWeight);
   const auto late = std::max<core::Duration>(waited - predicted, {});
-  endpoint->late_ = core::FromMs(core::ToMs(LateAt(*endpoint, now)) * (1 - kWaitWeight) +
-                         core::ToMs(late) * kWaitWeight);
+  endpoint->late_ =
+      core::FromMs(core::ToMs(LateAt(*endpoint, now)) * (1 - kWaitWeight) +
+                   core::ToMs(late) * kWaitWeight);
   endpoint->late_at_ = now;
 }
 
--- a/packages/chalkwell/src/chalkwell/routing/engine_model.cpp
+++ b/packages/chalkwell/src/chalkwell/routing/engine_model.cpp
@@ -10,8 +10,8 @@
 core::Duration StepTime(const config::EngineProfile& engine,
                         std::uint32_t running) {
   const double context = (engine.usual_prompt_ + engine.usual_answer_) / 1000;
-  const double added =
-      core::ToMs(engine.step_per_request_) + core::ToMs(engine.step_per_kilotoken_) * context;
+  const double added = core::ToMs(engine.step_per_request_) +
+                       core::ToMs(engine.step_per_kilotoken_) * context;
   return core::FromMs(core::ToMs(engine.step_) + added * running);
 }
 
--- a/packages/chalkwell/src/chalkwell/swarm/neighbours.cpp
+++ b/packages/chalkwell/src/chalkwell/swarm/neighbours.cpp
@@ -21,12 +21,11 @@
       order.push_back(member);
     }
   }
-  std::ranges::sort(order, std::ranges::greater{},
-                    [&](const SwarmMember& member) {
-                      return std::pair(!member.slow_,
-                                       core::RendezvousScore(
-                                           item, member.id_.value()));
-                    });
+  std::ranges::sort(
+      order, std::ranges::greater{}, [&](const SwarmMember& member) {
+        return std::pair(!member.slow_,
+                         core::RendezvousScore(item, member.id_.value()));
+      });
   std::map<core::FailureDomainId, std::size_t> taken;
   std::vector<core::InstanceId> first;
   for (const auto& member : order) {
@@ -53,12 +52,10 @@
                                        const SwarmMember& self,
                                        std::span<const SwarmMember> members,
                                        const NeighbourSettings& settings) {
-  const auto first =
-      FirstOfDomains(chunk, self, members,
-                     [&](const core::FailureDomainId& domain) {
-                       return domain == self.domain_ ? std::size_t{0}
-                                                     : settings.importers_;
-                     });
+  const auto first = FirstOfDomains(
+      chunk, self, members, [&](const core::FailureDomainId& domain) {
+        return domain == self.domain_ ? std::size_t{0} : settings.importers_;
+      });
   return {first.begin(), first.end()};
 }
 
--- a/packages/daemon/src/daemon/direct/direct_agent.cpp
+++ b/packages/daemon/src/daemon/direct/direct_agent.cpp
@@ -28,9 +28,9 @@
 constexpr auto kFactsInterval = milliseconds(100);
 constexpr auto kAgentsInterval = milliseconds(1000);
 constexpr auto kSettledInterval = milliseconds(5000);
-/// Without a word of any entry for this long, which weights are wanted and which
-/// other agents there are is read from the store: entries ask for reports each
-/// second, and some 1.5 s after a start of all machines.
+/// Without a word of any entry for this long, which weights are wanted and
+/// which other agents there are is read from the store: entries ask for reports
+/// each second, and some 1.5 s after a start of all machines.
 constexpr auto kEntryPatience = milliseconds(2000);
 /// A read of small rules is over after a round trip; one that lasts longer is
 /// of large rules, which are left to the entries.
@@ -85,34 +85,32 @@
               [this](Section, const Published& published) {
                 OnPublished(published);
               }),
-      mesh_(process.loop(), SelfOf(process), MeshSettingsOf(process.settings()),
-            process.log(), process.metrics(),
-            {.on_load_ = nullptr,
-             .on_held_ =
-                 [this](const membership::Member& sender,
-                        const HeldMessage& held) {
-                   weights_.OnHeld(sender, held);
-                 },
-             .on_subscribe_ =
-                 [this](const membership::Member& entry) {
-                   OnSubscribe(entry);
-                 },
-             .on_agent_ = nullptr,
-             .on_weights_ =
-                 [this](const std::string& model, std::uint64_t version) {
-                   weights_.OnNamed({model, version});
-                 },
-             .on_lost_ = nullptr,
-             .on_departed_ = nullptr,
-             .weights_ =
-                 [this] {
-                   std::map<std::string, std::uint64_t> known;
-                   if (weights_.wanted().version_ > 0) {
-                     known[weights_.wanted().model_] =
-                         weights_.wanted().version_;
-                   }
-                   return known;
-                 }}),
+      mesh_(
+          process.loop(), SelfOf(process), MeshSettingsOf(process.settings()),
+          process.log(), process.metrics(),
+          {.on_load_ = nullptr,
+           .on_held_ =
+               [this](const membership::Member& sender,
+                      const HeldMessage& held) {
+                 weights_.OnHeld(sender, held);
+               },
+           .on_subscribe_ =
+               [this](const membership::Member& entry) { OnSubscribe(entry); },
+           .on_agent_ = nullptr,
+           .on_weights_ =
+               [this](const std::string& model, std::uint64_t version) {
+                 weights_.OnNamed({model, version});
+               },
+           .on_lost_ = nullptr,
+           .on_departed_ = nullptr,
+           .weights_ =
+               [this] {
+                 std::map<std::string, std::uint64_t> known;
+                 if (weights_.wanted().version_ > 0) {
+                   known[weights_.wanted().model_] = weights_.wanted().version_;
+                 }
+                 return known;
+               }}),
       weights_(process, adapter_.weights_, mesh_),
       facts_(process.loop(), mesh_, service_,
              [this](const EngineFacts& facts) { TakeFacts(facts); }),
--- a/packages/daemon/src/daemon/direct/direct_entry.cpp
+++ b/packages/daemon/src/daemon/direct/direct_entry.cpp
@@ -35,9 +35,9 @@
 /// An entry that the store does not answer asks another entry this often.
 constexpr auto kRelayInterval = milliseconds(700);
 /// An agent is asked for its reports this often; it gives them for some seconds
-/// and has forgotten the ask when it starts anew. What an entry has heard of new
-/// weights goes with it. Those of other failure domains are asked less often:
-/// each crosses the link of a region.
+/// and has forgotten the ask when it starts anew. What an entry has heard of
+/// new weights goes with it. Those of other failure domains are asked less
+/// often: each crosses the link of a region.
 constexpr auto kSubscribeInterval = milliseconds(1000);
 constexpr auto kFarSubscribeInterval = milliseconds(2500);
 /// How soon an endpoint that came to be used is asked.
@@ -260,9 +260,9 @@
 }
 
 void DirectEntry::OnPeer(const PeerCallPtr& call) {
-  const bool answered = keeper_.Answer(call) || relay_.Answer(call) ||
-                        AnswerFactsCall(call, rules_.rules(),
-                                        endpoints_.Rows(), mesh_);
+  const bool answered =
+      keeper_.Answer(call) || relay_.Answer(call) ||
+      AnswerFactsCall(call, rules_.rules(), endpoints_.Rows(), mesh_);
   if (!answered) {
     call->Respond(kNotFound, "");
   }
@@ -453,7 +453,8 @@
 }
 
 double DirectEntry::ReserveShare() {
-  return kReserveUsed * retry_reserve_ / static_cast<double>(mesh_.EntryCount());
+  return kReserveUsed * retry_reserve_ /
+         static_cast<double>(mesh_.EntryCount());
 }
 
 std::uint32_t DirectEntry::ConnectionShare(const std::string& service) {
--- a/packages/daemon/src/daemon/direct/direct_request.cpp
+++ b/packages/daemon/src/daemon/direct/direct_request.cpp
@@ -197,8 +197,7 @@
   awaited.predicted_ = attempt_.choice_.first_byte_;
   awaited.on_time_ = request_.on_time_;
   awaited.sent_at_ = attempt_.sent_at_;
-  awaited.silent_ =
-      context_.endpoints_.IsSilent(attempt_.choice_.row_.id_);
+  awaited.silent_ = context_.endpoints_.IsSilent(attempt_.choice_.row_.id_);
   if (request_.engine_) {
     awaited.weights_version_ = attempt_.choice_.row_.weights_version_;
     awaited.versions_ = attempt_.versions_;
--- a/packages/daemon/src/daemon/direct/endpoint_list.hpp
+++ b/packages/daemon/src/daemon/direct/endpoint_list.hpp
@@ -1,6 +1,6 @@
-// The published list of endpoints at an entry: one entry of the deployment reads
-// it often and tells the others what changed; endpoints that leave are told at
-// once.
+// The published list of endpoints at an entry: one entry of the deployment
+// reads it often and tells the others what changed; endpoints that leave are
+// told at once.
 #pragma once
 
 #include <deque>
--- a/packages/daemon/src/daemon/direct/engine_facts.cpp
+++ b/packages/daemon/src/daemon/direct/engine_facts.cpp
@@ -128,17 +128,17 @@
         std::make_unique<PeerConnection>(loop_, ParseAddress(entry->address_));
   }
   asked_at_ = now;
-  call_ =
-      connection->Ask(std::string(kFactsPath), Pack(FactsAsk{service_, agents_digest_}),
-                      [this, peer = entry->id_.value()](
-                          PeerEnd end, int status, const std::string& body) {
-                        call_ = nullptr;
-                        if (end == PeerEnd::kWhole && status == kOk) {
-                          const auto facts = Unpack<EngineFacts>(body, peer);
-                          agents_digest_ = facts.agents_digest_;
-                          done_(facts);
-                        }
-                      });
+  call_ = connection->Ask(
+      std::string(kFactsPath), Pack(FactsAsk{service_, agents_digest_}),
+      [this, peer = entry->id_.value()](PeerEnd end, int status,
+                                        const std::string& body) {
+        call_ = nullptr;
+        if (end == PeerEnd::kWhole && status == kOk) {
+          const auto facts = Unpack<EngineFacts>(body, peer);
+          agents_digest_ = facts.agents_digest_;
+          done_(facts);
+        }
+      });
   return true;
 }
 
--- a/packages/daemon/src/daemon/direct/mesh_node.cpp
+++ b/packages/daemon/src/daemon/direct/mesh_node.cpp
@@ -160,8 +160,7 @@
   if (socket_ == nullptr) {
     return;
   }
-  const auto bytes =
-      static_cast<char>(DatagramKind::kMesh) + Pack(message);
+  const auto bytes = static_cast<char>(DatagramKind::kMesh) + Pack(message);
   for (const auto& member : members) {
     if (!socket_->Send(ParseAddress(member.address_), bytes)) {
       metrics_.Count("datagrams_not_sent_total", {});
--- a/packages/daemon/src/daemon/direct/mesh_node.hpp
+++ b/packages/daemon/src/daemon/direct/mesh_node.hpp
@@ -87,8 +87,7 @@
 
   /// @brief Asks the agent at an address for reports, for some seconds.
   /// @param domain failure domain of the agent.
-  void Subscribe(const std::string& agent,
-                 const core::FailureDomainId& domain);
+  void Subscribe(const std::string& agent, const core::FailureDomainId& domain);
   /// @brief Sends a report to one subscriber.
   void SendReport(const membership::ReportTarget& entry,
                   const LoadMessage& load);
--- a/packages/daemon/src/daemon/direct/traffic_count.cpp
+++ b/packages/daemon/src/daemon/direct/traffic_count.cpp
@@ -82,8 +82,8 @@
   const auto bytes = [this](TrafficKind kind) {
     return std::to_string(sent_bytes_.at(static_cast<std::size_t>(kind)));
   };
-  const auto all = std::accumulate(sent_bytes_.begin(), sent_bytes_.end(),
-                                   std::uint64_t{0});
+  const auto all =
+      std::accumulate(sent_bytes_.begin(), sent_bytes_.end(), std::uint64_t{0});
   log_.Write(core::EventNumber::kControlTraffic,
              {{"sent_bytes", std::to_string(all)},
               {"far_bytes", std::to_string(far_bytes_)},
--- a/packages/daemon/src/daemon/direct/weights_keeper.cpp
+++ b/packages/daemon/src/daemon/direct/weights_keeper.cpp
@@ -288,8 +288,7 @@
         peer.held_.model_ == model_ && peer.held_.pieces_ > 0 &&
         peer.held_.has_manifest_ &&
         (wanted_.version_ == 0 || peer.held_.version_ == wanted_.version_);
-    const auto score =
-        core::RendezvousScore(peers_.self().value(), id.value());
+    const auto score = core::RendezvousScore(peers_.self().value(), id.value());
     if (has && (!holder || score > best)) {
       holder = id;
       best = score;
@@ -579,8 +578,7 @@
 }
 
 bool WeightsKeeper::Urgent(core::TimePoint now) const {
-  const auto end =
-      named_.EndOf(serving_, VersionBoundOf(process_.settings()));
+  const auto end = named_.EndOf(serving_, VersionBoundOf(process_.settings()));
   return end && now >= *end - kSwitchTime;
 }
 
@@ -686,8 +684,8 @@
   std::set<core::InstanceId> audience(near.begin(), near.end());
   for (const auto piece : drawn_) {
     if (manifest_ && held_.Has(piece)) {
-      audience.merge(swarm::ImportersOf(manifest_->digests_[piece].ToHex(),
-                                        self, agents));
+      audience.merge(
+          swarm::ImportersOf(manifest_->digests_[piece].ToHex(), self, agents));
     }
   }
   return audience;
--- a/packages/daemon/src/daemon/entry.cpp
+++ b/packages/daemon/src/daemon/entry.cpp
@@ -44,8 +44,9 @@
                                   "routing", "affinity_bound")) /
                               100.0},
           std::random_device{}()),
-      budget_({.share_ = process.settings().Real("requests", "retry_share"),
-               .reserve_ = process.settings().Real("requests", "retry_reserve")}),
+      budget_(
+          {.share_ = process.settings().Real("requests", "retry_share"),
+           .reserve_ = process.settings().Real("requests", "retry_reserve")}),
       queue_limits_({.max_in_flight_ =
                          process.settings().Number("requests", "max_in_flight"),
                      .max_waiting_ =
--- a/tests/daemon/mesh_node_test.cpp
+++ b/tests/daemon/mesh_node_test.cpp
@@ -102,8 +102,8 @@
   node.Start();
   loop.After(10ms, [&] {
     MeshMessage greeting;
-    greeting.sender_ = ToMessage(
-        Member("agent", membership::MemberKind::kAgent, address));
+    greeting.sender_ =
+        ToMessage(Member("agent", membership::MemberKind::kAgent, address));
     greeting.asks_ = true;
     agent.Send(settings.listen_,
                static_cast<char>(DatagramKind::kMesh) + Pack(greeting));
--- a/tests/daemon/settings_test.cpp
+++ b/tests/daemon/settings_test.cpp
@@ -76,25 +76,25 @@
     std::string value_;
     double expected_;
   };
-  const auto row = GENERATE(
-      Row{"requests", "retry_reserve", "34.421052631578945", 34.421052631578945},
-      Row{"requests", "retry_reserve", "0", 0},
-      Row{"requests", "retry_reserve", "1e9", 1e9},
-      Row{"requests", "retry_share", "0.33333333", 0.33333333},
-      Row{"requests", "retry_share", "0", 0},
-      Row{"requests", "retry_share", "100", 100},
-      Row{"rollout", "version_bound_ms", "7999.25", 7999.25},
-      Row{"rollout", "version_bound_ms", "0", 0},
-      Row{"rollout", "version_bound_ms", "86400000", 86400000},
-      Row{"stop", "drain_ms", "7500.5", 7500.5});
-  const auto settings =
-      Settings::Parse("[instance]\nid = a\ndomain = d\n[listen]\n"
-                      "admin = 127.0.0.1:1\npeer = 127.0.0.1:2\n"
-                      "caller = 127.0.0.1:3\nready = 127.0.0.1:5\n"
-                      "[platform]\naddress = 127.0.0.1:4\n[" +
-                          row.section_ + "]\n" + row.key_ + " = " +
-                          row.value_ + "\n",
-                      "f", UsedBy::kDirectEntry);
+  const auto row =
+      GENERATE(Row{"requests", "retry_reserve", "34.421052631578945",
+                   34.421052631578945},
+               Row{"requests", "retry_reserve", "0", 0},
+               Row{"requests", "retry_reserve", "1e9", 1e9},
+               Row{"requests", "retry_share", "0.33333333", 0.33333333},
+               Row{"requests", "retry_share", "0", 0},
+               Row{"requests", "retry_share", "100", 100},
+               Row{"rollout", "version_bound_ms", "7999.25", 7999.25},
+               Row{"rollout", "version_bound_ms", "0", 0},
+               Row{"rollout", "version_bound_ms", "86400000", 86400000},
+               Row{"stop", "drain_ms", "7500.5", 7500.5});
+  const auto settings = Settings::Parse(
+      "[instance]\nid = a\ndomain = d\n[listen]\n"
+      "admin = 127.0.0.1:1\npeer = 127.0.0.1:2\n"
+      "caller = 127.0.0.1:3\nready = 127.0.0.1:5\n"
+      "[platform]\naddress = 127.0.0.1:4\n[" +
+          row.section_ + "]\n" + row.key_ + " = " + row.value_ + "\n",
+      "f", UsedBy::kDirectEntry);
   CHECK(settings.Real(row.section_, row.key_) == Approx(row.expected_));
   if (row.key_.ends_with("_ms")) {
     const std::chrono::duration<double, std::milli> span =
--- a/tests/membership/dissemination_test.cpp
+++ b/tests/membership/dissemination_test.cpp
@@ -63,8 +63,8 @@
     process.alive_ = true;
     process.version_ = 0;
     process.self_.incarnation_ = random_();
-    process.table_ = std::make_unique<GossipTable>(
-        process.self_, GossipSettings{}, random_());
+    process.table_ = std::make_unique<GossipTable>(process.self_,
+                                                   GossipSettings{}, random_());
     process.seed_ = random_();
     for (unsigned greeting = 0; greeting < kGreetings; ++greeting) {
       greetings_.push_back(i);
@@ -72,8 +72,8 @@
   }
 
   void Cut(std::optional<std::size_t> domain) {
-    cut_ = domain ? std::optional(core::FailureDomainId(
-                        "d" + std::to_string(*domain)))
+    cut_ = domain ? std::optional(
+                        core::FailureDomainId("d" + std::to_string(*domain)))
                   : std::nullopt;
   }
 
@@ -122,12 +122,10 @@
       }
       const auto near =
           std::ranges::count_if(processes_, [&](const Process& other) {
-            return other.alive_ &&
-                   other.self_.domain_ == process.self_.domain_;
+            return other.alive_ && other.self_.domain_ == process.self_.domain_;
           });
-      return domains.size() == domains_ &&
-             process.table_->Near().size() + 1 ==
-                 static_cast<std::size_t>(near);
+      return domains.size() == domains_ && process.table_->Near().size() + 1 ==
+                                               static_cast<std::size_t>(near);
     });
   }
 
@@ -188,8 +186,7 @@
       return;
     }
     const auto row = sender.table_->self();
-    const bool joined =
-        receiver.table_->Merge(row, now_) == MergeEnd::kJoined;
+    const bool joined = receiver.table_->Merge(row, now_) == MergeEnd::kJoined;
     if (joined || asks) {
       receiver.table_->Beat();
       Send(to, from, receiver.table_->Sample(kAnswerRows, row.domain_), false);
--- a/tests/membership/gossip_table_test.cpp
+++ b/tests/membership/gossip_table_test.cpp
@@ -114,8 +114,7 @@
   CHECK(table.Count() == 21);
   // One that is lost makes place for the next in rank.
   table.Expire(kStart + 6s);
-  CHECK(table.Merge(Row("far3", 2, 1, "d2"), kStart + 7s) ==
-        MergeEnd::kJoined);
+  CHECK(table.Merge(Row("far3", 2, 1, "d2"), kStart + 7s) == MergeEnd::kJoined);
 }
 
 TEST_CASE("members of a deployment find each other and are not lost by chance",
--- a/tests/membership/read_duty_test.cpp
+++ b/tests/membership/read_duty_test.cpp
@@ -37,12 +37,11 @@
     std::optional<core::Duration> told_before_;
     core::Duration interval_;
   };
-  const auto row =
-      GENERATE(Row{0, std::nullopt, 600ms}, Row{1, 100ms, 20s},
-               Row{1, 800ms, 20s}, Row{1, 900ms, 600ms},
-               Row{1, std::nullopt, 600ms},
-               // Those behind leave it to those ahead for longer.
-               Row{2, 900ms, 20s}, Row{2, 1050ms, 600ms}, Row{3, 1050ms, 20s});
+  const auto row = GENERATE(
+      Row{0, std::nullopt, 600ms}, Row{1, 100ms, 20s}, Row{1, 800ms, 20s},
+      Row{1, 900ms, 600ms}, Row{1, std::nullopt, 600ms},
+      // Those behind leave it to those ahead for longer.
+      Row{2, 900ms, 20s}, Row{2, 1050ms, 600ms}, Row{3, 1050ms, 20s});
   const std::vector<core::InstanceId> members{
       core::InstanceId("a"), core::InstanceId("b"), core::InstanceId("c"),
       core::InstanceId("d")};
--- a/tests/membership/report_audience_test.cpp
+++ b/tests/membership/report_audience_test.cpp
@@ -55,20 +55,19 @@
     bool urgent_;
     bool told_;
   };
-  const auto row = GENERATE(
-      Row{"a change soon after the last", 50ms, true, false, false},
-      Row{"a change", 105ms, true, false, true},
-      Row{"an urgent change", 1ms, true, true, true},
-      Row{"nothing new", 400ms, false, false, false},
-      Row{"nothing new for long", 500ms, false, false, true},
-      Row{"its subscription ended", 8000ms, true, true, false});
+  const auto row =
+      GENERATE(Row{"a change soon after the last", 50ms, true, false, false},
+               Row{"a change", 105ms, true, false, true},
+               Row{"an urgent change", 1ms, true, true, true},
+               Row{"nothing new", 400ms, false, false, false},
+               Row{"nothing new for long", 500ms, false, false, true},
+               Row{"its subscription ended", 8000ms, true, true, false});
   CAPTURE(row.name_);
   ReportAudience audience;
   CHECK(audience.OnSubscribe("e", true, kStart));
   CHECK_FALSE(audience.OnSubscribe("e", true, kStart));
   REQUIRE(audience.Due(false, false, kStart).size() == 1);
-  const auto due =
-      audience.Due(row.changed_, row.urgent_, kStart + row.after_);
+  const auto due = audience.Due(row.changed_, row.urgent_, kStart + row.after_);
   CHECK((due.size() == 1) == row.told_);
 }
 
--- a/tests/membership/watch_duty_test.cpp
+++ b/tests/membership/watch_duty_test.cpp
@@ -38,7 +38,8 @@
   };
   const auto row =
       GENERATE(Row{kSmall, 2, 2}, Row{kSmall, 9, 2}, Row{kSmall, 38, 2},
-               Row{100'000, 9, 2}, Row{kLarge, 9, 1}, Row{kLarge, 1, 1}, Row{kLarge, 38, 1});
+               Row{100'000, 9, 2}, Row{kLarge, 9, 1}, Row{kLarge, 1, 1},
+               Row{kLarge, 38, 1});
   const auto members = Members(row.members_);
   std::size_t watch = 0;
   for (std::size_t rank = 0; rank < members.size(); ++rank) {
@@ -104,9 +105,9 @@
     core::Duration reading_;
     bool watches_;
   };
-  const auto row = GENERATE(Row{0, 1s, true}, Row{1, 140ms, true},
-                            Row{1, 150ms, false}, Row{2, 10ms, false},
-                            Row{3, 1s, false});
+  const auto row =
+      GENERATE(Row{0, 1s, true}, Row{1, 140ms, true}, Row{1, 150ms, false},
+               Row{2, 10ms, false}, Row{3, 1s, false});
   const auto members = Members(4);
   auto duty = DutyOf(members, row.rank_);
   duty.OnFirstRead(kStart);
--- a/tests/routing/endpoint_silence_test.cpp
+++ b/tests/routing/endpoint_silence_test.cpp
@@ -93,9 +93,9 @@
 
 TEST_CASE("an entry uses its subset, and others when that can take nothing",
           "[routing]") {
-  EndpointTable table({.domain_ = core::FailureDomainId("d"),
-                       .entry_ = core::InstanceId("e")},
-                      1);
+  EndpointTable table(
+      {.domain_ = core::FailureDomainId("d"), .entry_ = core::InstanceId("e")},
+      1);
   std::vector<EndpointRow> rows;
   for (int i = 0; i < 40; ++i) {
     rows.push_back(Row("i" + std::to_string(i), i < 30 ? "d" : "far"));
@@ -122,9 +122,9 @@
 }
 
 TEST_CASE("an endpoint that leaves is replaced in the subset", "[routing]") {
-  EndpointTable table({.domain_ = core::FailureDomainId("d"),
-                       .entry_ = core::InstanceId("e")},
-                      1);
+  EndpointTable table(
+      {.domain_ = core::FailureDomainId("d"), .entry_ = core::InstanceId("e")},
+      1);
   std::vector<EndpointRow> rows;
   for (int i = 0; i < 40; ++i) {
     rows.push_back(Row("i" + std::to_string(i), "d"));
--- a/tests/swarm/neighbours_test.cpp
+++ b/tests/swarm/neighbours_test.cpp
@@ -12,10 +12,9 @@
   std::vector<SwarmMember> members;
   for (int domain = 0; domain < domains; ++domain) {
     for (int i = 0; i < each; ++i) {
-      members.push_back(
-          {core::InstanceId("a" + std::to_string(domain) + "-" +
-                            std::to_string(i)),
-           core::FailureDomainId("d" + std::to_string(domain))});
+      members.push_back({core::InstanceId("a" + std::to_string(domain) + "-" +
+                                          std::to_string(i)),
+                         core::FailureDomainId("d" + std::to_string(domain))});
     }
   }
   return members;
@@ -32,8 +31,7 @@
   const auto members = Members(row.domains_, row.each_);
   const auto neighbours = NeighboursOf(members.front(), members);
   CHECK(neighbours.size() == row.told_);
-  CHECK(std::ranges::find(neighbours, members.front().id_) ==
-        neighbours.end());
+  CHECK(std::ranges::find(neighbours, members.front().id_) == neighbours.end());
 }
 
 TEST_CASE("news of a piece reaches every agent of a failure domain",
