--- a/packages/chalkwell/src/chalkwell/membership/duties.cpp
+++ b/packages/chalkwell/src/chalkwell/membership/duties.cpp
@@ -7,6 +7,10 @@
 
 namespace chalkwell::membership {
 
+std::uint64_t WatchRank(const core::InstanceId& member) {
+  return core::RendezvousScore(kWatchDutyName, member.value());
+}
+
 std::size_t RankOf(const core::InstanceId& self, std::string_view item,
                    std::span<const core::InstanceId> members) {
   if (std::ranges::find(members, self) == members.end()) {
--- a/packages/chalkwell/src/chalkwell/membership/duties.hpp
+++ b/packages/chalkwell/src/chalkwell/membership/duties.hpp
@@ -2,6 +2,7 @@
 #pragma once
 
 #include <cstddef>
+#include <cstdint>
 #include <span>
 #include <string_view>
 #include <vector>
@@ -15,6 +16,13 @@
 /// stays with the same members while they live.
 inline constexpr std::string_view kWatchDutyName = "watch-document";
 
+/// Members of each failure domain that have this duty: one may be lost
+/// unnoticed.
+inline constexpr std::size_t kWatchers = 2;
+
+/// @brief Rank of a member for the duty of watching; the higher, the earlier.
+[[nodiscard]] std::uint64_t WatchRank(const core::InstanceId& member);
+
 /// @brief Position of a member in the order for an item; 0 is the first choice.
 /// @return `members.size()` when `self` is not among them.
 [[nodiscard]] std::size_t RankOf(const core::InstanceId& self,
--- a/packages/chalkwell/src/chalkwell/membership/gossip_table.cpp
+++ b/packages/chalkwell/src/chalkwell/membership/gossip_table.cpp
@@ -6,15 +6,12 @@
 #include <tuple>
 #include <utility>
 
-#include "chalkwell/core/digest.hpp"
 #include "chalkwell/membership/duties.hpp"
 
 namespace chalkwell::membership {
 namespace {
 
-std::uint64_t Rank(const Member& member) {
-  return core::RendezvousScore(kWatchDutyName, member.id_.value());
-}
+std::uint64_t Rank(const Member& member) { return WatchRank(member.id_); }
 
 }  // namespace
 
@@ -157,7 +154,7 @@
   const auto own = Rank(self_);
   const auto ahead = std::ranges::count_if(
       Near(), [&](const Member& member) { return Rank(member) > own; });
-  return static_cast<std::size_t>(ahead) < settings_.delegates_;
+  return static_cast<std::size_t>(ahead) < kWatchers;
 }
 
 void GossipTable::Shuffle(std::vector<Member>& members) {
--- a/packages/chalkwell/src/chalkwell/membership/gossip_table.hpp
+++ b/packages/chalkwell/src/chalkwell/membership/gossip_table.hpp
@@ -51,9 +51,6 @@
   /// of. The first two are the ones who pass news on there; the others stand by
   /// for when these are lost, which takes a lease to notice.
   std::size_t far_rows_ = 3;
-  /// Members of each failure domain who pass news on between domains: one may
-  /// be lost unnoticed.
-  std::size_t delegates_ = 2;
 };
 
 /// @brief What a merge changed.
--- a/packages/chalkwell/src/chalkwell/membership/spread_plan.cpp
+++ b/packages/chalkwell/src/chalkwell/membership/spread_plan.cpp
@@ -5,18 +5,12 @@
 #include <map>
 #include <utility>
 
-#include "chalkwell/core/digest.hpp"
 #include "chalkwell/membership/duties.hpp"
 
 namespace chalkwell::membership {
 namespace {
 
-/// Delegates of each failure domain: one may be lost unnoticed.
-constexpr std::size_t kDelegates = 2;
-
-std::uint64_t Rank(const Member& member) {
-  return core::RendezvousScore(kWatchDutyName, member.id_.value());
-}
+std::uint64_t Rank(const Member& member) { return WatchRank(member.id_); }
 
 }  // namespace
 
@@ -40,7 +34,7 @@
 }
 
 std::vector<Member> SpreadPlan::Tell(Reach reach) const {
-  auto targets = Delegates(reach == Reach::kSure ? kDelegates : 1);
+  auto targets = Delegates(reach == Reach::kSure ? kWatchers : 1);
   targets.insert(targets.end(), near_.begin(), near_.end());
   return targets;
 }
@@ -53,8 +47,8 @@
   const auto own = Rank(self_);
   const auto ahead = std::ranges::count_if(
       near_, [&](const Member& member) { return Rank(member) > own; });
-  return static_cast<std::size_t>(ahead) < kDelegates ? near_
-                                                      : std::vector<Member>{};
+  return static_cast<std::size_t>(ahead) < kWatchers ? near_
+                                                     : std::vector<Member>{};
 }
 
 }  // namespace chalkwell::membership
--- a/packages/chalkwell/src/chalkwell/membership/spread_plan.hpp
+++ b/packages/chalkwell/src/chalkwell/membership/spread_plan.hpp
@@ -5,6 +5,7 @@
 // domain's news crosses to another one twice, however many members both have.
 #pragma once
 
+#include <cstdint>
 #include <vector>
 
 #include "chalkwell/core/identifier.hpp"
--- a/packages/chalkwell/src/chalkwell/membership/watch_duty.hpp
+++ b/packages/chalkwell/src/chalkwell/membership/watch_duty.hpp
@@ -11,6 +11,7 @@
 
 #include "chalkwell/core/fwd.hpp"
 #include "chalkwell/core/identifier.hpp"
+#include "chalkwell/membership/duties.hpp"
 
 namespace chalkwell::membership {
 
@@ -21,7 +22,7 @@
   std::size_t budget_ = std::size_t{256} << 10;
   /// Members of a failure domain that watch: one may die, freeze or be turned
   /// away unnoticed for the time of the patience below.
-  std::size_t most_ = 2;
+  std::size_t most_ = kWatchers;
   /// A first read that lasts this long is one of a large document: a small one
   /// is over after a round trip.
   core::Duration small_read_ = std::chrono::milliseconds(150);
--- a/packages/daemon/src/daemon/direct/mesh_node.cpp
+++ b/packages/daemon/src/daemon/direct/mesh_node.cpp
@@ -13,8 +13,8 @@
 /// bytes a row this is 2 KB a second for each process.
 constexpr std::size_t kTargets = 2;
 constexpr std::size_t kRows = 18;
-/// Silent members asked at each interval: between half of their lease and its
-/// end there are three intervals.
+/// Silent members asked at each interval at most: rows that came together fall
+/// silent together, and there are three intervals before they are lost.
 constexpr std::size_t kAsked = 8;
 /// Rows of an answer to one who asks: a newcomer knows nobody.
 constexpr std::size_t kAnswerRows = 24;
