--- a/packages/daemon/src/daemon/direct/engine_facts.cpp
+++ b/packages/daemon/src/daemon/direct/engine_facts.cpp
@@ -60,8 +60,8 @@
   }
   for (auto& [domain, addresses] : agents) {
     std::ranges::sort(addresses);
-    const auto [first, last] = std::ranges::unique(addresses);
-    addresses.erase(first, last);
+    addresses.erase(std::unique(addresses.begin(), addresses.end()),
+                    addresses.end());
   }
   return agents;
 }
