--- a/tests/membership/dissemination_test.cpp
+++ b/tests/membership/dissemination_test.cpp
@@ -148,7 +148,7 @@
            std::uniform_real_distribution<>(0, 1)(random_) >= loss_;
   }
 
-  std::size_t Index(const Member& member) const {
+  [[nodiscard]] std::size_t Index(const Member& member) const {
     return std::stoul(member.address_);
   }
 
