--- a/tests/membership/read_duty_test.cpp
+++ b/tests/membership/read_duty_test.cpp
@@ -56,6 +56,7 @@
 
 TEST_CASE("after a start of all members one goes on reading", "[membership]") {
   std::vector<core::InstanceId> members;
+  members.reserve(30);
   for (int i = 0; i < 30; ++i) {
     members.emplace_back(std::to_string(i));
   }
--- a/tests/routing/endpoint_silence_test.cpp
+++ b/tests/routing/endpoint_silence_test.cpp
@@ -97,6 +97,7 @@
       {.domain_ = core::FailureDomainId("d"), .entry_ = core::InstanceId("e")},
       1);
   std::vector<EndpointRow> rows;
+  rows.reserve(40);
   for (int i = 0; i < 40; ++i) {
     rows.push_back(Row("i" + std::to_string(i), i < 30 ? "d" : "far"));
   }
@@ -126,6 +127,7 @@
       {.domain_ = core::FailureDomainId("d"), .entry_ = core::InstanceId("e")},
       1);
   std::vector<EndpointRow> rows;
+  rows.reserve(40);
   for (int i = 0; i < 40; ++i) {
     rows.push_back(Row("i" + std::to_string(i), "d"));
   }
