--- a/tests/membership/dissemination_test.cpp
+++ b/tests/membership/dissemination_test.cpp
@@ -277,7 +277,8 @@
     std::mt19937 random(seed);
     const auto domains = 2 + random() % 4;
     const auto each = 1 + random() % 14;
-    Deployment deployment(domains, each, 0.05 * (random() % 4), seed);
+    const auto loss = 0.05 * static_cast<double>(random() % 4);
+    Deployment deployment(domains, each, loss, seed);
     for (int i = 0; i < 14; ++i) {
       deployment.Round();
     }
