--- a/packages/chalkwell/src/chalkwell/swarm/planner.cpp
+++ b/packages/chalkwell/src/chalkwell/swarm/planner.cpp
@@ -84,6 +84,7 @@
   }
   if (!request->second.peer_) {
     --origin_outstanding_;
+    last_progress_ = good ? last_progress_ : now;
   } else if (const auto peer = peers_.find(*request->second.peer_);
              peer != peers_.end()) {
     --peer->second.outstanding_;
--- a/packages/daemon/src/daemon/direct/direct_agent.cpp
+++ b/packages/daemon/src/daemon/direct/direct_agent.cpp
@@ -219,8 +219,7 @@
     weights_.SetAgents(facts.agents_);
   }
   if (!facts.origin_.empty()) {
-    weights_.SetOrigin(ParseAddress(facts.origin_),
-                       core::FailureDomainId(facts.origin_domain_));
+    weights_.SetOrigin(ParseAddress(facts.origin_));
   }
 }
 
--- a/packages/daemon/src/daemon/direct/engine_facts.cpp
+++ b/packages/daemon/src/daemon/direct/engine_facts.cpp
@@ -44,7 +44,6 @@
     }
     if (!row.origin_.empty()) {
       facts.origin_ = row.origin_;
-      facts.origin_domain_ = row.domain_.value();
     }
   }
   return facts.model_.empty() ? std::nullopt : std::optional(std::move(facts));
--- a/packages/daemon/src/daemon/direct/engine_facts.hpp
+++ b/packages/daemon/src/daemon/direct/engine_facts.hpp
@@ -31,13 +31,12 @@
   std::string health_path_;
   /// Source of the weights, "ip:port".
   std::string origin_;
-  std::string origin_domain_;
   /// Empty when the asker has them, or when they are not known.
   AgentAddresses agents_;
   /// Names what the agents are; 0 when they are not known.
   std::uint64_t agents_digest_ = 0;
-  MSGPACK_DEFINE(model_, pieces_, health_path_, origin_, origin_domain_,
-                 agents_, agents_digest_)
+  MSGPACK_DEFINE(model_, pieces_, health_path_, origin_, agents_,
+                 agents_digest_)
 };
 
 /// @brief Finds the facts of a service.
--- a/packages/daemon/src/daemon/direct/piece_exchange.cpp
+++ b/packages/daemon/src/daemon/direct/piece_exchange.cpp
@@ -5,6 +5,7 @@
 #include <algorithm>
 #include <utility>
 
+#include "chalkwell/swarm/neighbours.hpp"
 #include "daemon/direct/direct_settings.hpp"
 #include "daemon/messages.hpp"
 
@@ -76,6 +77,7 @@
           {core::InstanceId(address), core::FailureDomainId(domain)});
     }
   }
+  neighbours_ = swarm::NeighboursOf({self_, process_.domain()}, agents_);
 }
 
 core::InstanceId PieceExchange::OnHeld(const membership::Member& sender,
--- a/packages/daemon/src/daemon/direct/piece_exchange.hpp
+++ b/packages/daemon/src/daemon/direct/piece_exchange.hpp
@@ -84,6 +84,11 @@
   [[nodiscard]] const std::vector<swarm::SwarmMember>& agents() const noexcept {
     return agents_;
   }
+  /// @brief Agents that are told whatever is held here.
+  [[nodiscard]] const std::vector<core::InstanceId>& neighbours()
+      const noexcept {
+    return neighbours_;
+  }
   /// @brief Whether the agents were told: this one may not be the only one.
   [[nodiscard]] bool knows_agents() const noexcept { return !agents_.empty(); }
 
@@ -137,6 +142,7 @@
   PieceSource source_;
   core::InstanceId self_;
   std::vector<swarm::SwarmMember> agents_;
+  std::vector<core::InstanceId> neighbours_;
   /// When agents were told what is held here.
   std::map<core::InstanceId, core::TimePoint> told_at_;
   swarm::Pacer upload_;
--- a/packages/daemon/src/daemon/direct/weights_keeper.cpp
+++ b/packages/daemon/src/daemon/direct/weights_keeper.cpp
@@ -21,10 +21,6 @@
 /// nothing is to be fetched, since newcomers are answered.
 constexpr auto kRepeat = milliseconds(1000);
 constexpr auto kSettledRepeat = milliseconds(3000);
-/// The next in rank asks the source for the manifest after this: it weighs a
-/// sixth of a piece, and nothing can be fetched before it. With 300 ms the
-/// first pieces of eight new engines were asked for after 0.54 s.
-constexpr auto kManifestStep = milliseconds(50);
 /// A piece that no own neighbour has is imported by the next in rank then.
 constexpr auto kImportSilence = milliseconds(500);
 /// All agents share the source. Asked again at each tick by 76 agents it was
@@ -83,6 +79,7 @@
                   },
               .manifest_ = [this] { return manifest_ ? &*manifest_ : nullptr; },
               .on_missing_ = [this](std::size_t piece) { OnMissing(piece); }}),
+      search_({peers_.self(), process.domain()}),
       planner_({peers_.self(), process.domain()}, PlannerSettingsOf(),
                std::random_device{}()),
       source_(kSourcePause, std::random_device{}()),
@@ -97,12 +94,6 @@
   usual_pieces_ = pieces;
 }
 
-void WeightsKeeper::SetOrigin(const Address& origin,
-                              const core::FailureDomainId& domain) {
-  origin_ = origin;
-  origin_domain_ = domain;
-}
-
 void WeightsKeeper::OnNamed(const NamedWeights& weights) {
   if (weights.version_ <= wanted_.version_ ||
       (!model_.empty() && weights.model_ != model_)) {
@@ -235,8 +226,7 @@
   drawn_.clear();
   staging_ = 0;
   verified_all_ = false;
-  manifest_asked_ = false;
-  manifest_since_ = process_.loop().Now();
+  search_.Start(process_.loop().Now());
   SetPhase(Phase::kManifest);
   process_.log().Write(core::EventNumber::kFetchStarted,
                        {{"model", model_},
@@ -262,52 +252,43 @@
       }));
 }
 
-void WeightsKeeper::AskManifest() {
-  if (manifest_asked_) {
-    return;
-  }
-  if (const auto peer = ManifestHolder()) {
-    AskPeerManifest(*peer);
-    return;
-  }
-  const auto now = process_.loop().Now();
-  const auto waited = now - manifest_since_;
-  if (origin_ && peers_.knows_agents() && source_.Ready(now) &&
-      waited >= kManifestStep * static_cast<int>(ManifestRank())) {
-    AskOriginManifest();
-  }
-}
-
-std::optional<core::InstanceId> WeightsKeeper::ManifestHolder() const {
-  // Each agent has an order of its own: all would ask the same one else, and
-  // its link carries some 150 manifests a second.
-  std::optional<core::InstanceId> holder;
-  std::uint64_t best = 0;
+std::vector<swarm::SwarmMember> WeightsKeeper::ManifestHolders() const {
+  std::vector<swarm::SwarmMember> holders;
   for (const auto& [id, peer] : peers_.peers()) {
     const bool has =
         peer.held_.model_ == model_ && peer.held_.pieces_ > 0 &&
         peer.held_.has_manifest_ &&
         (wanted_.version_ == 0 || peer.held_.version_ == wanted_.version_);
-    const auto score = core::RendezvousScore(peers_.self().value(), id.value());
-    if (has && (!holder || score > best)) {
-      holder = id;
-      best = score;
+    if (has) {
+      holders.push_back({id, peer.member_.domain_});
     }
   }
-  return holder;
+  return holders;
+}
+
+void WeightsKeeper::AskManifest() {
+  const auto now = process_.loop().Now();
+  std::optional<std::size_t> rank;
+  if (origin_ && peers_.knows_agents() && source_.Ready(now)) {
+    rank = ManifestRank();
+  }
+  const auto source = search_.Next(ManifestHolders(), rank, now);
+  if (!source) {
+    return;
+  }
+  if (source->peer_) {
+    AskPeerManifest(*source->peer_);
+  } else {
+    AskOriginManifest();
+  }
 }
 
 void WeightsKeeper::AskPeerManifest(const core::InstanceId& peer) {
-  manifest_asked_ = true;
   peers_.AskManifest(
       peer, {model_, wanted_.version_, 0},
       [this, job = job_](const std::optional<WeightsManifest>& manifest) {
-        if (!Current(job)) {
-          return;
-        }
-        manifest_asked_ = false;
-        if (manifest) {
-          TakeManifest(*manifest);
+        if (Current(job)) {
+          OnManifest(manifest);
         }
       });
 }
@@ -366,18 +347,13 @@
 }
 
 void WeightsKeeper::AskOriginManifest() {
-  manifest_asked_ = true;
   process_.metrics().Count("origin_manifests_total", {});
   client_.manifest_(
       *origin_, model_, wanted_.version_,
       [this, job = job_](const std::optional<WeightsManifest>& manifest) {
         OnSource(manifest.has_value(), "manifest");
-        if (!Current(job)) {
-          return;
-        }
-        manifest_asked_ = false;
-        if (manifest) {
-          TakeManifest(*manifest);
+        if (Current(job)) {
+          OnManifest(manifest);
         }
       });
 }
@@ -397,6 +373,14 @@
             std::chrono::duration_cast<milliseconds>(pause).count())}});
 }
 
+void WeightsKeeper::OnManifest(const std::optional<WeightsManifest>& manifest) {
+  if (manifest) {
+    TakeManifest(*manifest);
+  } else {
+    search_.OnFailed();
+  }
+}
+
 void WeightsKeeper::TakeManifest(const WeightsManifest& manifest) {
   if (phase_ != Phase::kManifest || manifest.model_ != model_ ||
       manifest.digests_.empty() ||
@@ -679,13 +663,12 @@
 
 std::set<core::InstanceId> WeightsKeeper::Audience() const {
   const swarm::SwarmMember self{peers_.self(), process_.domain()};
-  const auto& agents = peers_.agents();
-  const auto near = swarm::NeighboursOf(self, agents);
+  const auto& near = peers_.neighbours();
   std::set<core::InstanceId> audience(near.begin(), near.end());
   for (const auto piece : drawn_) {
     if (manifest_ && held_.Has(piece)) {
-      audience.merge(
-          swarm::ImportersOf(manifest_->digests_[piece].ToHex(), self, agents));
+      audience.merge(swarm::ImportersOf(manifest_->digests_[piece].ToHex(),
+                                        self, peers_.agents()));
     }
   }
   return audience;
--- a/packages/daemon/src/daemon/direct/weights_keeper.hpp
+++ b/packages/daemon/src/daemon/direct/weights_keeper.hpp
@@ -6,12 +6,14 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <vector>
 
 #include "chalkwell/core/backoff.hpp"
 #include "chalkwell/rollout/turns.hpp"
 #include "chalkwell/rollout/version_bound.hpp"
 #include "chalkwell/swarm/chunk_set.hpp"
 #include "chalkwell/swarm/fetch_window.hpp"
+#include "chalkwell/swarm/manifest_search.hpp"
 #include "chalkwell/swarm/planner.hpp"
 #include "daemon/direct/hooks.hpp"
 #include "daemon/direct/mesh_node.hpp"
@@ -28,7 +30,7 @@
 
   /// @param pieces of its weights, as published; 0 when not known.
   void SetModel(const std::string& model, std::size_t pieces);
-  void SetOrigin(const Address& origin, const core::FailureDomainId& domain);
+  void SetOrigin(const Address& origin) { origin_ = origin; }
   /// @brief A version was published or heard of.
   void OnNamed(const NamedWeights& weights);
   /// @brief The agents of the service, this one included.
@@ -73,6 +75,7 @@
   void OnServing(std::uint64_t version, bool restarted);
   void Begin();
   void AskManifest();
+  void OnManifest(const std::optional<WeightsManifest>& manifest);
   void TakeManifest(const WeightsManifest& manifest);
   void ReadStaged(std::size_t piece);
   void Pump();
@@ -88,8 +91,8 @@
   [[nodiscard]] bool Urgent(core::TimePoint now) const;
   void StartPlanner();
   void CheckStagedAtStart();
-  /// @brief A peer that can give the manifest.
-  [[nodiscard]] std::optional<core::InstanceId> ManifestHolder() const;
+  /// @brief Peers that can give the manifest.
+  [[nodiscard]] std::vector<swarm::SwarmMember> ManifestHolders() const;
   void AskPeerManifest(const core::InstanceId& peer);
   void AskOriginManifest();
   void FetchFromPeer(const swarm::FetchOrder& order);
@@ -118,7 +121,6 @@
   std::string model_;
   std::size_t usual_pieces_ = 0;
   std::optional<Address> origin_;
-  core::FailureDomainId origin_domain_;
   NamedWeights wanted_;
   /// Versions heard of, with their times.
   rollout::VersionBound named_;
@@ -137,6 +139,7 @@
   swarm::ChunkSet held_;
   std::size_t staging_ = 0;
   PieceExchange peers_;
+  swarm::ManifestSearch search_;
   swarm::Planner planner_;
   /// Pieces that this agent drew from the source in this fetch.
   std::set<std::size_t> drawn_;
@@ -146,8 +149,6 @@
   rollout::Turns turns_;
   core::TimePoint announced_at_;
   bool announce_due_ = false;
-  bool manifest_asked_ = false;
-  core::TimePoint manifest_since_;
   /// Whether the staging of a served version was looked at.
   bool staged_checked_ = false;
   /// Whether all of the staging was right when it was last read.
