--- a/packages/chalkwell/src/chalkwell/swarm/neighbours.hpp
+++ b/packages/chalkwell/src/chalkwell/swarm/neighbours.hpp
@@ -17,10 +17,10 @@
 /// @brief Settings of the neighbours.
 struct NeighbourSettings {
   /// Of the own failure domain, at most. Each is told by as many as it tells:
-  /// chosen one by one, some were told by two or three, and of 204 members, half
-  /// of which were whole 4.0 s after a naming, the last was after 5.6 s; now
-  /// after 4.1 s, in simulated time. A piece reaches 40 members by two hops, 350
-  /// by three.
+  /// chosen one by one, some were told by two or three, and of 204 members,
+  /// half of which were whole 4.0 s after a naming, the last was after 5.6 s;
+  /// now after 4.1 s, in simulated time. A piece reaches 40 members by two
+  /// hops, 350 by three.
   std::size_t near_ = 8;
   /// Of each other failure domain: what a domain lacks is found in another one
   /// although its importer is gone.
--- a/packages/chalkwell/src/chalkwell/swarm/planner.hpp
+++ b/packages/chalkwell/src/chalkwell/swarm/planner.hpp
@@ -176,8 +176,8 @@
   /// When each chunk of `seen_` was seen for the first time.
   std::vector<core::TimePoint> seen_at_;
   /// When a chunk was last seen for the first time, or the origin last failed:
-  /// while it gives nothing to anyone, silence says nothing of those ahead. When
-  /// it is back after 4 s it sends 1.08 copies in all; without this 1.11.
+  /// while it gives nothing to anyone, silence says nothing of those ahead.
+  /// When it is back after 4 s it sends 1.08 copies in all; without this 1.11.
   core::TimePoint last_progress_;
   std::uint64_t elected_draws_ = 0;
   std::uint64_t silence_draws_ = 0;
--- a/tests/swarm/neighbours_test.cpp
+++ b/tests/swarm/neighbours_test.cpp
@@ -39,8 +39,7 @@
 TEST_CASE("a newcomer that is not listed yet has neighbours", "[swarm]") {
   // Without them 84 new engines got their weights after 6 s, not 3.
   const auto members = Members(5, 24);
-  const SwarmMember self{core::InstanceId("new"),
-                         core::FailureDomainId("d0")};
+  const SwarmMember self{core::InstanceId("new"), core::FailureDomainId("d0")};
   CHECK(NeighboursOf(self, members).size() >= 10);
 }
 
