A list told whole replaces what its receivers have; one who reads again after a pause tells it whole

Change: such a list is marked whole and taken as one that was read. Tests: a whole list removes what its teller never knew of; who reads again after a while tells the whole list; the property test begins with a receiver that another reader told.

--- a/packages/chalkwell/src/chalkwell/routing/endpoint_table.cpp
+++ b/packages/chalkwell/src/chalkwell/routing/endpoint_table.cpp
@@ -93,10 +93,15 @@
   endpoint.row_.started_ = started;
 }
 
-bool EndpointTable::TakeChange(const EndpointListChange& change) {
+bool EndpointTable::TakeChange(const EndpointListChange& change,
+                               core::TimePoint now) {
   if (change.to_ <= revision_) {
     return true;
   }
+  if (change.whole_) {
+    TakeList(change.rows_, change.to_, change.complete_, now);
+    return true;
+  }
   if (change.from_ > revision_) {
     return false;
   }
--- a/packages/chalkwell/src/chalkwell/routing/endpoint_table.hpp
+++ b/packages/chalkwell/src/chalkwell/routing/endpoint_table.hpp
@@ -48,6 +48,12 @@
   /// Rows that are new or differ.
   std::vector<EndpointRow> rows_;
   std::vector<core::InstanceId> gone_;
+  /// The rows are the whole list: what it lacks is gone, also what the teller
+  /// never knew of.
+  bool whole_ = false;
+  /// Whole lists only: false when leases may have lapsed while the store was
+  /// away.
+  bool complete_ = true;
 };
 
 /// @brief What an endpoint reported of itself.
@@ -167,7 +173,7 @@
                 bool complete, core::TimePoint now);
   /// @brief Takes what another process saw change in the list.
   /// @return false when the change begins behind a gap: the list must be read.
-  bool TakeChange(const EndpointListChange& change);
+  bool TakeChange(const EndpointListChange& change, core::TimePoint now);
   /// @brief An agent told which life its endpoint is, which the list may not
   /// show yet.
   /// @param row without weights; a report tells them.
--- a/packages/chalkwell/src/chalkwell/routing/list_history.cpp
+++ b/packages/chalkwell/src/chalkwell/routing/list_history.cpp
@@ -1,7 +1,6 @@
 // While lists may be incomplete the span reaches back to the ones before, since
-// none that is gone was told meanwhile. What was
-// otherwise in any of its reads is told: one of them may be the last that a
-// receiver heard of.
+// none that is gone was told meanwhile. What was otherwise in any of its reads
+// is told: one of them may be the last that a receiver heard of.
 #include "chalkwell/routing/list_history.hpp"
 
 #include <map>
@@ -18,11 +17,19 @@
 /// those dropped listed is forgotten by its receivers at their next own read.
 constexpr std::size_t kMostReads = 40;
 
+/// Reads are 0.6 s apart; after this another process has read for the others.
+constexpr auto kPause = std::chrono::milliseconds(1500);
+
 }  // namespace
 
 EndpointListChange ListHistory::OnRead(std::uint64_t revision,
                                        std::vector<EndpointRow> rows,
-                                       bool complete) {
+                                       bool complete, core::TimePoint now) {
+  if (now - read_at_ > kPause) {
+    reads_.assign(1, Read{});
+    complete_in_row_ = 0;
+  }
+  read_at_ = now;
   reads_.push_back({revision, std::move(rows)});
   complete_in_row_ = complete ? complete_in_row_ + 1 : 0;
   if (complete_in_row_ > kSpan) {
@@ -55,6 +62,8 @@
   EndpointListChange change;
   change.from_ = reads_.front().revision_;
   change.to_ = now.revision_;
+  change.whole_ = change.from_ == 0;
+  change.complete_ = complete;
   for (const auto& row : now.rows_) {
     if (unchanged[row.id_] < reads_.size()) {
       change.rows_.push_back(row);
--- a/packages/chalkwell/src/chalkwell/routing/list_history.hpp
+++ b/packages/chalkwell/src/chalkwell/routing/list_history.hpp
@@ -21,9 +21,12 @@
   /// complete list lacks them too. Before this was told in such times everyone
   /// read the list itself: 2.5 s after each start and each outage, 600 calls of
   /// 149 members.
-  /// @return the change to tell others.
+  /// @return the change to tell others: the whole list when this process has
+  /// read none for a while, since others may have told rows meanwhile that it
+  /// never saw.
   EndpointListChange OnRead(std::uint64_t revision,
-                            std::vector<EndpointRow> rows, bool complete);
+                            std::vector<EndpointRow> rows, bool complete,
+                            core::TimePoint now);
 
  private:
   struct Read {
@@ -37,6 +40,7 @@
   /// known.
   std::deque<Read> reads_{Read{}};
   std::ptrdiff_t complete_in_row_ = 0;
+  core::TimePoint read_at_;
 };
 
 }  // namespace chalkwell::routing
--- a/packages/daemon/src/daemon/direct/endpoint_list.cpp
+++ b/packages/daemon/src/daemon/direct/endpoint_list.cpp
@@ -75,8 +75,8 @@
 }
 
 void EndpointList::TellOthers(const Published& published, bool complete) {
-  const auto change =
-      history_.OnRead(published.revision_, published.endpoints_, complete);
+  const auto change = history_.OnRead(published.revision_, published.endpoints_,
+                                      complete, loop_.Now());
   if (duty_.Reads(loop_.Now()) && change.rows_.size() <= kMaxRows) {
     mesh_.TellList(ToMessage(change));
   }
@@ -97,7 +97,7 @@
     return;
   }
   const auto before = endpoints_.Rows();
-  if (!endpoints_.TakeChange(ToChange(message))) {
+  if (!endpoints_.TakeChange(ToChange(message), loop_.Now())) {
     // What was told before was lost.
     hooks_.read_();
     return;
--- a/packages/daemon/src/daemon/direct/mesh_messages.cpp
+++ b/packages/daemon/src/daemon/direct/mesh_messages.cpp
@@ -47,8 +47,11 @@
 }
 
 ListMessage ToMessage(const routing::EndpointListChange& change) {
-  ListMessage message{
-      .from_ = change.from_, .to_ = change.to_, .rows_ = {}, .gone_ = {}};
+  ListMessage message;
+  message.from_ = change.from_;
+  message.to_ = change.to_;
+  message.whole_ = change.whole_;
+  message.complete_ = change.complete_;
   for (const auto& row : change.rows_) {
     message.rows_.push_back({.id_ = row.id_.value(),
                              .service_ = row.service_,
@@ -67,8 +70,11 @@
 }
 
 routing::EndpointListChange ToChange(const ListMessage& message) {
-  routing::EndpointListChange change{
-      .from_ = message.from_, .to_ = message.to_, .rows_ = {}, .gone_ = {}};
+  routing::EndpointListChange change;
+  change.from_ = message.from_;
+  change.to_ = message.to_;
+  change.whole_ = message.whole_;
+  change.complete_ = message.complete_;
   for (const auto& told : message.rows_) {
     routing::EndpointRow row;
     row.id_ = core::InstanceId(told.id_);
--- a/packages/daemon/src/daemon/direct/mesh_messages.hpp
+++ b/packages/daemon/src/daemon/direct/mesh_messages.hpp
@@ -98,9 +98,13 @@
   std::uint64_t to_ = 0;
   std::vector<EndpointRowMessage> rows_;
   std::vector<std::string> gone_;
+  /// The rows are the whole list.
+  bool whole_ = false;
+  /// Whole lists only: false when rows may be missing that are not gone.
+  bool complete_ = true;
   /// Nothing but that a read was tried in vain.
   bool tried_ = false;
-  MSGPACK_DEFINE(from_, to_, rows_, gone_, tried_)
+  MSGPACK_DEFINE(from_, to_, rows_, gone_, whole_, complete_, tried_)
 };
 
 /// @brief Wire form of one life of an endpoint.
--- a/tests/routing/endpoint_table_test.cpp
+++ b/tests/routing/endpoint_table_test.cpp
@@ -294,11 +294,12 @@
   table.TakeList({Row("a"), Row("b")}, 5, true, kStart);
   auto leaving = Row("b");
   leaving.leaving_ = true;
-  const EndpointListChange change{.from_ = row.from_,
-                                  .to_ = row.to_,
-                                  .rows_ = {leaving, Row("c")},
-                                  .gone_ = {core::InstanceId("a")}};
-  CHECK(table.TakeChange(change) == row.taken_);
+  EndpointListChange change;
+  change.from_ = row.from_;
+  change.to_ = row.to_;
+  change.rows_ = {leaving, Row("c")};
+  change.gone_ = {core::InstanceId("a")};
+  CHECK(table.TakeChange(change, kStart) == row.taken_);
   std::vector<std::string> ids;
   for (const auto& known : table.Rows()) {
     ids.push_back(known.id_.value());
@@ -309,6 +310,24 @@
   CHECK(table.revision() == row.revision_);
 }
 
+TEST_CASE("a whole list removes what its teller never knew of", "[routing]") {
+  // One who has just started reads for the others: rows that went before its
+  // first read are in none of its reads.
+  const bool complete = GENERATE(true, false);
+  EndpointTable table({.domain_ = core::FailureDomainId("near")}, 1);
+  table.TakeList({Row("a"), Row("b")}, 5, true, kStart);
+  EndpointListChange change;
+  change.to_ = 9;
+  change.rows_ = {Row("b")};
+  change.whole_ = true;
+  change.complete_ = complete;
+  CHECK(table.TakeChange(change, kStart));
+  CHECK(table.size() == (complete ? 1 : 2));
+  change.to_ = 10;
+  CHECK(table.TakeChange(change, kStart + 3s));
+  CHECK(table.size() == 1);
+}
+
 TEST_CASE("the published list: revisions rise, lapsed rows have a grace",
           "[routing]") {
   auto table = Table({Row("a"), Row("b")});
--- a/tests/routing/list_history_test.cpp
+++ b/tests/routing/list_history_test.cpp
@@ -31,6 +31,11 @@
   return rows;
 }
 
+/// A read each 600 ms; revisions here rise by one with each.
+core::TimePoint At(std::uint64_t read) {
+  return core::TimePoint(1h) + 600ms * static_cast<int>(read);
+}
+
 /// What a receiver believes, by the messages that reached it.
 struct Receiver {
   /// @return false when messages before this one are missing.
@@ -39,6 +44,9 @@
       return false;
     }
     revision_ = change.to_;
+    if (change.whole_ && change.complete_) {
+      ids_.clear();
+    }
     for (const auto& row : change.rows_) {
       ids_.insert(row.id_.value());
     }
@@ -55,20 +63,38 @@
 TEST_CASE("the first reads tell the whole list", "[routing]") {
   ListHistory history;
   for (std::uint64_t revision = 1; revision <= 3; ++revision) {
-    const auto change = history.OnRead(revision, Rows({"a", "b"}), true);
-    CHECK(change.from_ == 0);
+    const auto change =
+        history.OnRead(revision, Rows({"a", "b"}), true, At(revision));
+    CHECK(change.whole_);
     CHECK(change.rows_.size() == 2);
   }
-  const auto change = history.OnRead(4, Rows({"a", "b"}), true);
+  const auto change = history.OnRead(4, Rows({"a", "b"}), true, At(4));
   CHECK(change.from_ == 1);
+  CHECK_FALSE(change.whole_);
   CHECK(change.rows_.empty());
 }
 
+TEST_CASE("who reads again after a while tells the whole list", "[routing]") {
+  struct Row {
+    core::Duration pause_;
+    bool whole_;
+  };
+  const auto row = GENERATE(Row{600ms, false}, Row{1500ms, false},
+                            Row{1501ms, true}, Row{120s, true});
+  ListHistory history;
+  for (std::uint64_t revision = 1; revision <= 6; ++revision) {
+    (void)history.OnRead(revision, Rows({"a"}), true, At(revision));
+  }
+  const auto change = history.OnRead(90, Rows({"a"}), true, At(6) + row.pause_);
+  CHECK(change.whole_ == row.whole_);
+  CHECK(change.rows_.size() == (row.whole_ ? 1 : 0));
+}
+
 TEST_CASE("an unchanged list is an empty change", "[routing]") {
   ListHistory history;
   EndpointListChange change;
   for (std::uint64_t revision = 1; revision <= 4; ++revision) {
-    change = history.OnRead(revision, Rows({"a"}), true);
+    change = history.OnRead(revision, Rows({"a"}), true, At(revision));
   }
   CHECK(change.rows_.empty());
   CHECK(change.gone_.empty());
@@ -79,9 +105,9 @@
           "[routing]") {
   ListHistory history;
   for (std::uint64_t revision = 1; revision <= 4; ++revision) {
-    (void)history.OnRead(revision, Rows({"a", "b"}), true);
+    (void)history.OnRead(revision, Rows({"a", "b"}), true, At(revision));
   }
-  const auto change = history.OnRead(5, Rows({"a", "c"}), false);
+  const auto change = history.OnRead(5, Rows({"a", "c"}), false, At(5));
   CHECK(change.gone_.empty());
   REQUIRE(change.rows_.size() == 1);
   CHECK(change.rows_.front() == Row("c"));
@@ -91,13 +117,14 @@
           "[routing]") {
   ListHistory history;
   for (std::uint64_t revision = 1; revision <= 5; ++revision) {
-    (void)history.OnRead(revision, Rows({"a", "b"}), true);
+    (void)history.OnRead(revision, Rows({"a", "b"}), true, At(revision));
   }
   // The store is back; leases may have lapsed.
-  for (std::uint64_t revision = 10; revision <= 16; ++revision) {
-    CHECK(history.OnRead(revision, Rows({"a"}), false).gone_.empty());
+  for (std::uint64_t revision = 6; revision <= 12; ++revision) {
+    CHECK(history.OnRead(revision, Rows({"a"}), false, At(revision))
+              .gone_.empty());
   }
-  const auto change = history.OnRead(17, Rows({"a"}), true);
+  const auto change = history.OnRead(13, Rows({"a"}), true, At(13));
   REQUIRE(change.gone_.size() == 1);
   CHECK(change.gone_.front().value() == "b");
 }
@@ -108,6 +135,9 @@
     std::mt19937 random(seed);
     ListHistory history;
     Receiver receiver;
+    // Who read before this one knows of rows that it never saw.
+    receiver.ids_ = {"before"};
+    receiver.revision_ = 5;
     std::set<std::string> listed;
     int lost = 0;
     int incomplete = 0;
@@ -120,7 +150,7 @@
       }
       incomplete = incomplete > 0 ? incomplete - 1 : random() % 12 == 0 ? 4 : 0;
       const auto change =
-          history.OnRead(read * 10, Rows(listed), incomplete == 0);
+          history.OnRead(read * 10, Rows(listed), incomplete == 0, At(read));
       lost = lost < 2 && random() % 3 == 0 ? lost + 1 : 0;
       if (lost == 0) {
         RC_ASSERT(receiver.Take(change));
