--- a/tests/membership/read_duty_test.cpp
+++ b/tests/membership/read_duty_test.cpp
@@ -105,6 +105,7 @@
   const auto row = GENERATE(Row{500ms, 1}, Row{900ms, 2}, Row{2100ms, 3},
                             Row{4500ms, 5}, Row{8s, 7});
   std::vector<core::InstanceId> members;
+  members.reserve(30);
   for (int i = 0; i < 30; ++i) {
     members.emplace_back(std::to_string(i));
   }
--- a/tests/routing/list_history_test.cpp
+++ b/tests/routing/list_history_test.cpp
@@ -25,6 +25,7 @@
 
 std::vector<EndpointRow> Rows(const std::set<std::string>& ids) {
   std::vector<EndpointRow> rows;
+  rows.reserve(ids.size());
   for (const auto& id : ids) {
     rows.push_back(Row(id));
   }
