--- a/tests/swarm/roll_test.cpp
+++ b/tests/swarm/roll_test.cpp
@@ -15,7 +15,7 @@
 }
 
 RollResult Played(const RollPlaySettings& settings) {
-  const auto result = RollPlay(settings).Run();
+  auto result = RollPlay(settings).Run();
   if (!result.whole_.empty()) {
     std::cout << "figure: roll at " << settings.agents_ << " agents in "
               << settings.domains_ << " domains, whole after "
