Buffers of reads belong to a thread, as loops do

Seen in a process with three loops on threads of their own (stand-ins, callers): answers held bytes of other connections, endpoints' servers answered 400 to proper requests, 6 of 5,100. Cause: the buffer that all streams of a loop share was shared by all loops.

--- a/packages/daemon/src/daemon/tcp_stream.cpp
+++ b/packages/daemon/src/daemon/tcp_stream.cpp
@@ -14,7 +14,8 @@
 namespace {
 
 constexpr int kBacklog = 1024;
-/// One read at a time on a loop: the buffer is shared by all its streams.
+/// One read at a time on a loop: the buffer is shared by all streams of its
+/// thread.
 constexpr std::size_t kReadBytes = std::size_t{32} << 10;
 /// How long a finished connection goes on dropping what the peer sends.
 constexpr auto kLinger = std::chrono::milliseconds(1000);
@@ -24,7 +25,7 @@
 constexpr int kProbeCount = 3;
 
 std::array<char, kReadBytes>& ReadBuffer() {
-  static std::array<char, kReadBytes> buffer;
+  thread_local std::array<char, kReadBytes> buffer;
   return buffer;
 }
 
--- a/packages/daemon/src/daemon/udp_socket.cpp
+++ b/packages/daemon/src/daemon/udp_socket.cpp
@@ -14,7 +14,7 @@
 constexpr std::size_t kMaxDatagram = std::size_t{64} << 10;
 
 std::array<char, kMaxDatagram>& ReceiveBuffer() {
-  static std::array<char, kMaxDatagram> buffer;
+  thread_local std::array<char, kMaxDatagram> buffer;
   return buffer;
 }
 
