--- a/tests/fleet/relay.cpp
+++ b/tests/fleet/relay.cpp
@@ -34,6 +34,20 @@
   return socket;
 }
 
+/// Its system forgets what it has not delivered, and the peer sees a reset.
+void CloseWithReset(int socket) {
+  const linger abort{.l_onoff = 1, .l_linger = 0};
+  (void)setsockopt(socket, SOL_SOCKET, SO_LINGER, &abort, sizeof(abort));
+  close(socket);
+}
+
+bool WasReset(int socket) {
+  int error = 0;
+  socklen_t size = sizeof(error);
+  (void)getsockopt(socket, SOL_SOCKET, SO_ERROR, &error, &size);
+  return error != 0;
+}
+
 /// @return false when either side is gone.
 bool Forward(int from, int to) {
   std::array<char, kBlock> block{};
@@ -65,8 +79,12 @@
   std::string from_;
   std::string to_;
   std::string target_;
+  /// Address of the route.
+  std::string listen_;
   std::array<int, 2> sockets_{-1, -1};
   bool closed_ = false;
+  /// Both sides are to see a reset.
+  bool reset_ = false;
 };
 
 Relay::Relay(std::vector<RelayRoute> routes,
@@ -102,6 +120,46 @@
 void Relay::Heal() {
   const std::lock_guard lock(mutex_);
   cut_.clear();
+  silent_.clear();
+}
+
+void Relay::Silence(const std::string& listen, Way way) {
+  const std::lock_guard lock(mutex_);
+  silent_[listen] = way;
+}
+
+void Relay::Restore(const std::string& listen) {
+  const std::lock_guard lock(mutex_);
+  silent_.erase(listen);
+}
+
+void Relay::ResetAll(const std::string& listen) {
+  const std::lock_guard lock(mutex_);
+  resets_.insert(listen);
+}
+
+bool Relay::IsSilent(const Pair& pair, std::size_t side) {
+  const std::lock_guard lock(mutex_);
+  const auto found = silent_.find(pair.listen_);
+  if (found == silent_.end()) {
+    return false;
+  }
+  const auto held = side == 0 ? Way::kToTarget : Way::kBack;
+  return found->second == Way::kBoth || found->second == held;
+}
+
+void Relay::CloseMarked() {
+  std::set<std::string> resets;
+  {
+    const std::lock_guard lock(mutex_);
+    resets.swap(resets_);
+  }
+  for (auto& pair : pairs_) {
+    if (resets.contains(pair.listen_)) {
+      pair.closed_ = true;
+      pair.reset_ = true;
+    }
+  }
 }
 
 bool Relay::IsCut(const Pair& pair) {
@@ -124,6 +182,7 @@
   Pair pair{.from_ = route.from_,
             .to_ = route.to_,
             .target_ = route.target_,
+            .listen_ = route.listen_,
             .sockets_ = {socket, -1}};
   if (pair.from_.empty() && found != domain_of_ip_.end()) {
     pair.from_ = found->second;
@@ -138,15 +197,19 @@
       polled.push_back({listener.socket_, POLLIN, 0});
     }
     std::vector<std::pair<Pair*, std::size_t>> sides;
+    CloseMarked();
     for (auto& pair : pairs_) {
-      if (IsCut(pair)) {
+      if (IsCut(pair) || pair.closed_) {
         continue;
       }
-      if (pair.sockets_[1] < 0) {
+      if (pair.sockets_[1] < 0 && !IsSilent(pair, 0)) {
         pair.sockets_[1] = Open(pair.target_, false);
         pair.closed_ = pair.sockets_[1] < 0;
       }
       for (std::size_t side = 0; side < 2 && !pair.closed_; ++side) {
+        if (pair.sockets_[1] < 0 || IsSilent(pair, side)) {
+          continue;
+        }
         polled.push_back({pair.sockets_.at(side), POLLIN, 0});
         sides.emplace_back(&pair, side);
       }
@@ -159,15 +222,20 @@
       }
     }
     for (const auto& [pair, side] : sides) {
-      if (polled[next++].revents != 0 && !pair->closed_) {
-        pair->closed_ =
-            !Forward(pair->sockets_.at(side), pair->sockets_.at(1 - side));
+      if (polled[next++].revents == 0 || pair->closed_) {
+        continue;
       }
+      const int from = pair->sockets_.at(side);
+      pair->reset_ = WasReset(from);
+      pair->closed_ =
+          pair->reset_ || !Forward(from, pair->sockets_.at(1 - side));
     }
     pairs_.remove_if([](const Pair& pair) {
       if (pair.closed_) {
-        close(pair.sockets_[0]);
-        close(pair.sockets_[1]);
+        const auto end =
+            pair.reset_ ? CloseWithReset : [](int socket) { close(socket); };
+        end(pair.sockets_[0]);
+        end(pair.sockets_[1]);
       }
       return pair.closed_;
     });
--- a/tests/membership/read_duty_test.cpp
+++ b/tests/membership/read_duty_test.cpp
@@ -143,6 +143,25 @@
   CHECK(duty.Reads(kStart + row.after_) == row.reads_);
 }
 
+TEST_CASE("however many stand by, none of them believes an old list",
+          "[membership]") {
+  // Each waited for the one before it: the thirteenth, told nothing any more,
+  // chose endpoints by a list of 2.7 s, the thirtieth of 5.3 s. An endpoint
+  // that leaves may get work for 2 to 4 s, the time on the way included.
+  const auto size = GENERATE(1U, 2U, 13U, 30U, 300U);
+  std::vector<core::InstanceId> members;
+  for (unsigned i = 0; i < size; ++i) {
+    members.emplace_back(std::to_string(i));
+  }
+  for (const auto& member : members) {
+    ReadDuty duty(member, {});
+    duty.SetMembers(members);
+    duty.OnRead(kStart - 1s);
+    duty.OnTold(kStart);
+    CHECK(duty.Reads(kStart + 1500ms));
+  }
+}
+
 TEST_CASE("one who tries in vain tries again as often as it reads",
           "[membership]") {
   ReadDuty duty(core::InstanceId("a"), {});
--- /dev/null
+++ b/tests/platform/leaving_test.cpp
@@ -0,0 +1,68 @@
+// Requests at endpoints that they must not reach any more, through a path that
+// is silent for a while.
+//
+// Users saw requests reach an endpoint after it had said that it leaves, and
+// after their callers had been answered from elsewhere.
+//
+// The order of events. The path to an endpoint falls silent. An entry's attempt
+// is lost after 1.2 s; the entry closes the connection and asks elsewhere. The
+// path comes back, and the bytes of the attempt arrive, seconds after.
+#include <catch2/catch.hpp>
+#include <thread>
+
+#include "deployment.hpp"
+#include "fleet/relay.hpp"
+
+namespace chalkwell::platform_tests {
+namespace {
+
+using namespace std::chrono_literals;
+
+/// Answers of an entry to as many requests as reach both endpoints.
+void WarmUp(Deployment& deployment, const Node& entry) {
+  REQUIRE(Eventually([&] {
+    (void)Ask(entry, RequestText("/safe/warm"));
+    return deployment.first_.runs() > 0 && deployment.second_.runs() > 0;
+  }));
+}
+
+TEST_CASE("an attempt that was given up does not arrive any more",
+          "[platform][leaving]") {
+  const auto path = GENERATE(std::string("/safe/x"), std::string("/once/x"));
+  Deployment deployment;
+  const auto named = Local(FreePort());
+  const auto real = deployment.first_.address();
+  fleet::Relay relay({{named, real, "", ""}}, {});
+  deployment.first_.SetNamed(named);
+  deployment.store_.Put("servers/i-first",
+                        deployment.first_.Row("plain", "z1"));
+  const auto entry = deployment.StartEntry("e1", deployment.store_.address());
+  REQUIRE(Eventually([&] { return entry.Ready(); }));
+  WarmUp(deployment, entry);
+  std::atomic<int> arrived{0};
+  deployment.first_.OnArrival([&](const std::string&) { ++arrived; });
+  relay.Silence(named, fleet::Way::kBoth);
+  // Some of them choose the endpoint behind the relay.
+  for (int i = 0; i < 4; ++i) {
+    (void)Ask(entry, RequestText(path));
+  }
+  const auto log = deployment.Log("e1");
+  REQUIRE((log.find("end=\"lost\"") != std::string::npos ||
+           log.find("past_deadline=\"yes\"") != std::string::npos));
+  relay.Restore(named);
+  // What was on the path is in before an answer to a later request is.
+  deployment.store_.Remove("servers/i-second");
+  const auto before = deployment.first_.runs();
+  REQUIRE(Eventually([&] {
+    return Status(Ask(entry, RequestText("/safe/later"))) == "200" &&
+           deployment.first_.runs() > before;
+  }));
+  const auto last = deployment.first_.requests().back();
+  CHECK(last.path_ == "/safe/later");
+  for (const auto& request : deployment.first_.requests()) {
+    CHECK(request.path_ != path);
+  }
+}
+
+}  // namespace
+}  // namespace chalkwell::platform_tests
--- a/tests/platform/standins.cpp
+++ b/tests/platform/standins.cpp
@@ -19,12 +19,13 @@
 
 constexpr std::uint64_t kEvents = 6;
 
-std::unique_ptr<daemon::Http1Server> Serve(LoopThread& thread,
-                                           daemon::HttpHandler handler) {
+std::unique_ptr<daemon::Http1Server> Serve(
+    LoopThread& thread, daemon::HttpHandler handler,
+    const daemon::Address& listen = kAnyPort) {
   std::unique_ptr<daemon::Http1Server> server;
   thread.Do([&] {
     server = std::make_unique<daemon::Http1Server>(
-        thread.loop(), daemon::Address{"127.0.0.1", 0},
+        thread.loop(), listen,
         daemon::Http1ServerHooks{.limits_ = [] { return HttpLimits{}; },
                                  .on_refused_ = nullptr},
         std::move(handler));
@@ -106,11 +107,13 @@
   done.get_future().wait();
 }
 
-StoreStandin::StoreStandin(LoopThread& thread)
+StoreStandin::StoreStandin(LoopThread& thread, const daemon::Address& listen,
+                           std::size_t page)
     : thread_(thread),
-      server_(Serve(thread, [this](const HttpExchangePtr& exchange) {
-        OnCall(exchange);
-      })) {}
+      page_(page),
+      server_(Serve(
+          thread, [this](const HttpExchangePtr& exchange) { OnCall(exchange); },
+          listen)) {}
 
 // Callers may hang up just now, which the loop notices: what it touches is
 // destroyed on it.
@@ -119,6 +122,7 @@
     server_.reset();
     watches_.clear();
     silent_.clear();
+    alive_.reset();
   });
 }
 
@@ -158,8 +162,16 @@
 void StoreStandin::OnCall(const HttpExchangePtr& exchange) {
   ++calls_;
   const auto& path = exchange->request().path_;
-  if (busy_) {
+  if (busy_ || random_() % 1000 < busy_share_) {
     exchange->Respond(503, {}, "");
+  } else if (path.starts_with("/kv-range") &&
+             delay_.load() > std::chrono::milliseconds(0)) {
+    thread_.loop().After(delay_.load(),
+                         [this, exchange, alive = std::weak_ptr<int>(alive_)] {
+                           if (!alive.expired()) {
+                             AnswerRange(exchange);
+                           }
+                         });
   } else if (path.starts_with("/kv-range")) {
     AnswerRange(exchange);
   } else if (path.starts_with("/kv-watch")) {
@@ -203,15 +215,13 @@
   const auto& path = exchange->request().path_;
   const auto prefix = Query(path, "pathPrefix");
   const auto after = Query(path, "afterRev");
-  // Small pages, so that paging is always tried.
-  constexpr std::size_t kPage = 2;
   auto items = nlohmann::json::array();
   bool more = false;
   for (const auto& [key, item] : items_) {
     if (!key.starts_with(prefix) || key <= after) {
       continue;
     }
-    if (items.size() == kPage) {
+    if (items.size() == page_) {
       more = true;
       break;
     }
@@ -246,21 +256,39 @@
                 [this](const Watch& watch) { return AnswerWatch(watch); });
 }
 
-EndpointStandin::EndpointStandin(LoopThread& thread, std::string id)
-    : thread_(thread),
-      id_(std::move(id)),
-      server_(Serve(thread, [this](const HttpExchangePtr& exchange) {
-        OnCall(exchange);
-      })) {}
+EndpointStandin::EndpointStandin(LoopThread& thread, std::string id,
+                                 daemon::Address listen)
+    : thread_(thread), listen_(std::move(listen)), id_(std::move(id)) {
+  Start();
+}
 
 EndpointStandin::~EndpointStandin() {
+  Stop();
+  thread_.Do([this] { alive_.reset(); });
+}
+
+void EndpointStandin::Start() {
+  server_ = Serve(
+      thread_, [this](const HttpExchangePtr& exchange) { OnCall(exchange); },
+      listen_);
+  listen_.port_ = server_->port();
+}
+
+void EndpointStandin::Stop() {
   thread_.Do([this] {
     server_.reset();
     held_.clear();
   });
 }
 
-std::string EndpointStandin::address() const { return AddressOf(*server_); }
+void EndpointStandin::OnArrival(
+    std::function<void(const std::string& request)> handler) {
+  thread_.Do([&] { on_arrival_ = std::move(handler); });
+}
+
+std::string EndpointStandin::address() const {
+  return named_.empty() ? listen_.ToString() : named_;
+}
 
 void EndpointStandin::SetId(const std::string& id) {
   thread_.Do([&] { id_ = id; });
@@ -275,9 +303,13 @@
                       {"version", version_.load()},
                       {"adapters", nlohmann::json::array()}});
   }
-  return {
+  nlohmann::json row{
       {"service", service}, {"addr", address()}, {"zone", zone}, {"slots", 4},
       {"state", state},     {"models", models},  {"seq", 1}};
+  if (born_ > 0) {
+    row["born"] = born_.load();
+  }
+  return row;
 }
 
 std::vector<daemon::HttpRequest> EndpointStandin::requests() const {
@@ -318,12 +350,13 @@
   if (version_ > 0) {
     models.push_back({{"name", "m"}, {"version", version_.load()}});
   }
-  RespondJson(exchange, {{"stage", "both"},
-                         {"models", models},
-                         {"busySlots", false},
-                         {"seq", orders_.load()},
-                         {"queued", 0},
-                         {"active", 0}});
+  nlohmann::json report{{"stage", "both"},    {"models", models},
+                        {"busySlots", false}, {"seq", orders_.load()},
+                        {"queued", 0},        {"active", 0}};
+  if (born_ > 0) {
+    report["born"] = born_.load();
+  }
+  RespondJson(exchange, report);
 }
 
 void EndpointStandin::Order(const HttpExchangePtr& exchange) {
@@ -358,11 +391,31 @@
                       "");
     return;
   }
+  if (on_arrival_) {
+    on_arrival_(request_id);
+  }
   if (behaviour == Behaviour::kShed) {
     exchange->Respond(503, {{"not-executed", "1"}, {"attempt-id", request_id}},
                       "");
     return;
   }
+  const auto work = work_.load();
+  if (work > std::chrono::milliseconds(0)) {
+    thread_.loop().After(work,
+                         [this, exchange, alive = std::weak_ptr<int>(alive_)] {
+                           if (!alive.expired()) {
+                             Answer(exchange);
+                           }
+                         });
+  } else {
+    Answer(exchange);
+  }
+}
+
+void EndpointStandin::Answer(const HttpExchangePtr& exchange) {
+  const auto& request = exchange->request();
+  const auto behaviour = behaviour_.load();
+  const std::string request_id(FindHeader(request.headers_, "attempt-id"));
   ++runs_;
   {
     const std::lock_guard lock(mutex_);
--- a/tests/platform/standins.hpp
+++ b/tests/platform/standins.hpp
@@ -9,6 +9,7 @@
 #include <memory>
 #include <mutex>
 #include <nlohmann/json.hpp>
+#include <random>
 #include <string>
 #include <thread>
 #include <vector>
@@ -17,6 +18,9 @@
 
 namespace chalkwell::standins {
 
+/// Any free port of this machine.
+inline const daemon::Address kAnyPort{"127.0.0.1", 0};
+
 /// @brief A loop on a thread; what is built on it is touched only through Do.
 class LoopThread {
  public:
@@ -41,7 +45,10 @@
 /// @brief The metadata store: read, page and watch.
 class StoreStandin {
  public:
-  explicit StoreStandin(LoopThread& thread);
+  /// @param page items of one answer; few, so that paging is always tried.
+  explicit StoreStandin(LoopThread& thread,
+                        const daemon::Address& listen = kAnyPort,
+                        std::size_t page = 2);
   ~StoreStandin();
 
   [[nodiscard]] std::string address() const;
@@ -49,6 +56,10 @@
   void Remove(const std::string& key);
   /// @brief While true every call gets 503.
   void SetBusy(bool busy) { busy_ = busy; }
+  /// @brief From now on this many of a thousand calls get 503.
+  void SetBusyShare(unsigned per_mille) { busy_share_ = per_mille; }
+  /// @brief From now on reads are answered so much later.
+  void SetDelay(std::chrono::milliseconds delay) { delay_ = delay; }
   /// @brief Forgets its history once: the next watch gets 410.
   void Forget() { forget_ = true; }
   /// @brief Watches are taken and never answered, as on a connection that went
@@ -77,18 +88,24 @@
   void WakeWatches();
 
   LoopThread& thread_;
+  std::size_t page_;
   std::map<std::string, Item> items_;
   std::uint64_t revision_ = 0;
   std::vector<Watch> watches_;
   /// Watches that are never answered.
   std::vector<daemon::HttpExchangePtr> silent_;
   std::atomic<bool> busy_{false};
+  std::atomic<unsigned> busy_share_{0};
+  std::atomic<std::chrono::milliseconds> delay_{};
+  std::minstd_rand random_{1};
   std::atomic<bool> forget_{false};
   std::atomic<bool> watches_silent_{false};
   std::atomic<std::uint64_t> calls_{0};
   /// By prefix that was asked for.
   std::map<std::string, int> told_;
   std::unique_ptr<daemon::Http1Server> server_;
+  /// Gone once answers that are still awaited must not touch this any more.
+  std::shared_ptr<int> alive_ = std::make_shared<int>();
 };
 
 /// @brief How an endpoint treats requests.
@@ -113,7 +130,8 @@
 /// @brief A model engine or plain service.
 class EndpointStandin {
  public:
-  EndpointStandin(LoopThread& thread, std::string id);
+  EndpointStandin(LoopThread& thread, std::string id,
+                  daemon::Address listen = kAnyPort);
   ~EndpointStandin();
 
   [[nodiscard]] const std::string& id() const { return id_; }
@@ -126,6 +144,20 @@
   void SetVersion(std::uint64_t version) { version_ = version; }
   /// @brief A restarted endpoint: another id at the same address.
   void SetId(const std::string& id);
+  /// @brief Start of its life, as it tells it; 0 for one that does not.
+  void SetBorn(std::uint64_t born) { born_ = born; }
+  /// @brief The address that it names as its own, where a relay stands before
+  /// it.
+  void SetNamed(const std::string& address) { named_ = address; }
+  /// @brief From now on answers take so long.
+  void SetWork(std::chrono::milliseconds work) { work_ = work; }
+  /// @brief Told of each request that it did not refuse as another's, as it
+  /// arrives.
+  void OnArrival(std::function<void(const std::string& request)> handler);
+  /// @brief Its process ends: connections break, new ones are refused.
+  void Stop();
+  /// @brief Its process starts again, at the same address.
+  void Start();
   [[nodiscard]] std::uint64_t version() const { return version_; }
   [[nodiscard]] int runs() const { return runs_; }
   [[nodiscard]] int gone() const { return gone_; }
@@ -141,14 +173,20 @@
  private:
   void OnCall(const daemon::HttpExchangePtr& exchange);
   void Run(const daemon::HttpExchangePtr& exchange);
+  void Answer(const daemon::HttpExchangePtr& exchange);
   void Stream(const daemon::HttpExchangePtr& exchange, bool cut);
   void Report(const daemon::HttpExchangePtr& exchange) const;
   void Order(const daemon::HttpExchangePtr& exchange);
   void StageGet(const daemon::HttpExchangePtr& exchange) const;
 
   LoopThread& thread_;
+  daemon::Address listen_;
   mutable std::mutex mutex_;
   std::string id_;
+  std::string named_;
+  std::atomic<std::uint64_t> born_{0};
+  std::atomic<std::chrono::milliseconds> work_{};
+  std::function<void(const std::string&)> on_arrival_;
   std::atomic<Behaviour> behaviour_{Behaviour::kServe};
   std::atomic<std::uint64_t> version_{0};
   std::atomic<std::uint64_t> orders_{0};
@@ -159,6 +197,8 @@
   std::map<std::size_t, std::string> staged_;
   std::vector<daemon::HttpExchangePtr> held_;
   std::unique_ptr<daemon::Http1Server> server_;
+  /// Gone once answers that are still awaited must not touch this any more.
+  std::shared_ptr<int> alive_ = std::make_shared<int>();
 };
 
 /// @brief The source of weights.
--- a/tests/routing/endpoint_life_test.cpp
+++ b/tests/routing/endpoint_life_test.cpp
@@ -149,6 +149,44 @@
   CHECK(engines.Chosen() == row.chosen_);
 }
 
+TEST_CASE("an endpoint that leaves goes on leaving, whatever else is heard",
+          "[routing]") {
+  // A life said that it leaves; a report of the life before came late and put
+  // that one in its place, the next report brought the life back, without the
+  // mark. Only rows that changed lately are told, so the mark was lost for
+  // good.
+  using Word = std::function<void(EndpointTable&)>;
+  const Word early = [](EndpointTable& table) {
+    table.TakeReport(kAddress, ReportOf(1000), kStart + 10ms);
+  };
+  const Word told_early = [](EndpointTable& table) {
+    table.TakeLife(kAddress, {kId, At(1000)}, kStart + 10ms);
+  };
+  const Word again = [](EndpointTable& table) {
+    table.TakeReport(kAddress, ReportOf(2000), kStart + 20ms);
+  };
+  const Word told_again = [](EndpointTable& table) {
+    table.TakeLife(kAddress, {kId, At(2000)}, kStart + 20ms);
+  };
+  const auto marked_by_row = GENERATE(true, false);
+  const auto before = GENERATE_COPY(early, told_early);
+  const auto after = GENERATE_COPY(again, told_again);
+  Engines engines;
+  auto row = RowOf(2000);
+  row.leaving_ = marked_by_row;
+  engines.List({row}, 2);
+  if (!marked_by_row) {
+    engines.table_.MarkLeaving({kId, At(2000)});
+  }
+  CHECK_FALSE(engines.Chosen());
+  before(engines.table_);
+  after(engines.table_);
+  engines.table_.TakeReport(kAddress, ReportOf(2000), kStart + 30ms);
+  CHECK_FALSE(engines.Chosen());
+  engines.List({RowOf(3000)}, 3);
+  CHECK(engines.Chosen());
+}
+
 TEST_CASE("requests of an earlier life end without a trace", "[routing]") {
   Engines engines;
   auto& table = engines.table_;
--- a/tests/routing/endpoint_table_test.cpp
+++ b/tests/routing/endpoint_table_test.cpp
@@ -328,6 +328,43 @@
   CHECK(table.size() == 1);
 }
 
+TEST_CASE("an endpoint that is gone is not used, however its going is told",
+          "[routing]") {
+  // Requests reached endpoints whose rows were gone: the list that lacked them
+  // came while leases might have lapsed, so they were kept; the complete list
+  // after it had the same revision, or never came to a process that only hears
+  // of the reads of others.
+  struct Case {
+    std::string name_;
+    /// Rows of the list that lacks the endpoint, told a moment after the
+    /// incomplete one; its revision is 9 as well.
+    bool told_complete_;
+    core::Duration after_;
+    bool used_;
+  };
+  const auto row =
+      GENERATE(Case{"in the grace", false, 2s, true},
+               Case{"told again, complete, nothing changed", true, 1s, false},
+               Case{"told nothing more", false, 2600ms, false});
+  INFO(row.name_);
+  auto table = Table({Row("a"), Row("b")});
+  EndpointListChange change;
+  change.to_ = 9;
+  change.rows_ = {Row("b")};
+  change.whole_ = true;
+  change.complete_ = false;
+  CHECK(table.TakeChange(change, kStart));
+  if (row.told_complete_) {
+    change.complete_ = true;
+    CHECK(table.TakeChange(change, kStart + 600ms));
+  }
+  const auto engine = Engine();
+  const ChoiceRequest request{.service_ = "pool",
+                              .engine_ = &engine,
+                              .tried_ = {core::InstanceId("b")}};
+  CHECK(Chosen(table, request, kStart + row.after_) == (row.used_ ? "a" : ""));
+}
+
 TEST_CASE("the published list: revisions rise, lapsed rows have a grace",
           "[routing]") {
   auto table = Table({Row("a"), Row("b")});
