--- a/tests/platform/standins.cpp
+++ b/tests/platform/standins.cpp
@@ -4,6 +4,7 @@
 #include <sodium.h>
 
 #include <algorithm>
+#include <csignal>
 #include <future>
 #include <utility>
 
@@ -73,6 +74,8 @@
 }  // namespace
 
 LoopThread::LoopThread() {
+  // A peer that is killed while it is written to is no reason to end.
+  std::signal(SIGPIPE, SIG_IGN);
   poll_ = std::make_unique<daemon::Timer>(loop_);
   poll_->Every(std::chrono::milliseconds(1), [this] {
     std::vector<std::function<void()>> tasks;
