Sight: the age of the endpoint list, counted from when the store was asked, in logs, metrics and messages

The record could not tell by whose word and by how old a list an attempt was chosen. Now request-sent says list_age_ms, endpoints-changed the age and who told it, and endpoint_list_age_seconds counts ages at all attempts; the age travels with what readers tell, delays of datagrams (and of receivers that stand still) are added. No decision changes.

--- a/packages/chalkwell/src/chalkwell/routing/endpoint_table.hpp
+++ b/packages/chalkwell/src/chalkwell/routing/endpoint_table.hpp
@@ -2,6 +2,7 @@
 // the published list, load reports, and its own requests.
 #pragma once
 
+#include <algorithm>
 #include <cstdint>
 #include <deque>
 #include <map>
@@ -54,6 +55,9 @@
   /// Whole lists only: false when leases may have lapsed while the store was
   /// away.
   bool complete_ = true;
+  /// The store had the list so at this time, or later; by the clock of who
+  /// holds the change.
+  core::TimePoint as_of_;
 };
 
 /// @brief What an endpoint reported of itself.
@@ -174,6 +178,11 @@
   /// @brief Takes what another process saw change in the list.
   /// @return false when the change begins behind a gap: the list must be read.
   bool TakeChange(const EndpointListChange& change, core::TimePoint now);
+  /// @brief What is believed of the list includes all that the store had said
+  /// by then.
+  void ConfirmAsOf(core::TimePoint as_of) noexcept {
+    as_of_ = std::max(as_of_, as_of);
+  }
   /// @brief An agent told which life its endpoint is, which the list may not
   /// show yet.
   /// @param row without weights; a report tells them.
@@ -225,6 +234,9 @@
   [[nodiscard]] std::size_t size() const noexcept { return endpoints_.size(); }
   [[nodiscard]] std::uint64_t revision() const noexcept { return revision_; }
   [[nodiscard]] bool heard() const noexcept { return revision_ > 0; }
+  /// @brief The list believed in lacks nothing that was published before; the
+  /// clock's epoch until one was heard.
+  [[nodiscard]] core::TimePoint as_of() const noexcept { return as_of_; }
   /// @brief Requests believed to be at an endpoint; 0 when it is not known.
   [[nodiscard]] std::uint32_t LoadOf(const core::InstanceId& id,
                                      core::TimePoint now) const;
@@ -353,6 +365,8 @@
   std::deque<EndpointLife> departed_;
   /// Of the published list last taken; never falls.
   std::uint64_t revision_ = 0;
+  /// Never falls.
+  core::TimePoint as_of_;
   /// The newest report of any endpoint.
   core::TimePoint latest_report_;
   /// What the subset depends on has changed.
--- a/packages/daemon/src/daemon/direct/direct_entry.cpp
+++ b/packages/daemon/src/daemon/direct/direct_entry.cpp
@@ -112,7 +112,10 @@
                    list_.OnDeparted(departed);
                  },
              .on_list_ =
-                 [this](const ListMessage& list) { list_.OnChange(list); },
+                 [this](const membership::Member& teller,
+                        const ListMessage& list, core::TimePoint sent_at) {
+                   list_.OnChange(teller, list, sent_at);
+                 },
              .on_rules_ =
                  [this](const membership::Member& member, std::uint64_t version,
                         bool watches) {
--- a/packages/daemon/src/daemon/direct/direct_request.cpp
+++ b/packages/daemon/src/daemon/direct/direct_request.cpp
@@ -171,6 +171,7 @@
        {"service", request_.service_},
        {"rules", std::to_string(request_.rules_version_)},
        {"list", std::to_string(context_.endpoints_.revision())},
+       {"list_age_ms", Millis(now - context_.endpoints_.as_of())},
        {"weights", std::to_string(row.weights_version_.value_or(0))},
        {"occupied", std::to_string(attempt_.choice_.occupied_)},
        {"report_age_ms", attempt_.choice_.reported_
@@ -179,6 +180,8 @@
        {"on_time", request_.on_time_ ? "yes" : "no"},
        {"predicted_ms", Millis(attempt_.choice_.first_byte_)},
        {"left_ms", Millis(terms.time_left_)}});
+  context_.metrics_.Observe("endpoint_list_age_seconds", {},
+                            now - context_.endpoints_.as_of());
   context_.endpoints_.OnSent(row.id_, request_.caller_.prompt_tokens_, now,
                              request_.on_time_);
   attempt_.counted_ = true;
--- a/packages/daemon/src/daemon/direct/endpoint_list.cpp
+++ b/packages/daemon/src/daemon/direct/endpoint_list.cpp
@@ -63,6 +63,7 @@
   const auto before = endpoints_.Rows();
   const bool complete = now - hooks_.reachable_since_() >= kLapseTime;
   endpoints_.TakeList(published.endpoints_, published.revision_, complete, now);
+  endpoints_.ConfirmAsOf(published.asked_at_);
   const auto after = endpoints_.Rows();
   if (before != after) {
     LogChange(from_store ? "store" : "peer");
@@ -75,10 +76,11 @@
 }
 
 void EndpointList::TellOthers(const Published& published, bool complete) {
-  const auto change = history_.OnRead(published.revision_, published.endpoints_,
-                                      complete, loop_.Now());
+  auto change = history_.OnRead(published.revision_, published.endpoints_,
+                                complete, loop_.Now());
+  change.as_of_ = published.asked_at_;
   if (duty_.Reads(loop_.Now()) && change.rows_.size() <= kMaxRows) {
-    mesh_.TellList(ToMessage(change));
+    mesh_.TellList(ToMessage(change, loop_.Now()));
   }
 }
 
@@ -91,31 +93,38 @@
   }
 }
 
-void EndpointList::OnChange(const ListMessage& message) {
+void EndpointList::OnChange(const membership::Member& teller,
+                            const ListMessage& message,
+                            core::TimePoint sent_at) {
   if (message.tried_) {
     duty_.OnTried(loop_.Now());
     return;
   }
   const auto before = endpoints_.Rows();
-  if (!endpoints_.TakeChange(ToChange(message), loop_.Now())) {
+  const auto change = ToChange(message, sent_at);
+  if (!endpoints_.TakeChange(change, loop_.Now())) {
     // What was told before was lost.
     hooks_.read_();
     return;
   }
+  endpoints_.ConfirmAsOf(change.as_of_);
   duty_.OnTold(loop_.Now());
   if (before != endpoints_.Rows()) {
-    LogChange("neighbour");
+    LogChange(teller.id_.value());
   }
 }
 
 void EndpointList::LogChange(const std::string& source) {
   const auto rows = endpoints_.Rows();
+  const auto age = std::chrono::duration_cast<std::chrono::milliseconds>(
+      loop_.Now() - endpoints_.as_of());
   const auto leaving =
       std::ranges::count_if(rows, &routing::EndpointRow::leaving_);
   log_.Write(core::EventNumber::kEndpointsChanged,
              {{"revision", std::to_string(endpoints_.revision())},
               {"endpoints", std::to_string(rows.size())},
               {"leaving", std::to_string(leaving)},
+              {"age_ms", std::to_string(age.count())},
               {"source", source}});
 }
 
--- a/packages/daemon/src/daemon/direct/endpoint_list.hpp
+++ b/packages/daemon/src/daemon/direct/endpoint_list.hpp
@@ -39,8 +39,10 @@
   /// Rows of services that nobody named are left out: they may have another
   /// writer, and one that bears a good endpoint's address would hide it.
   void TakeRead(Published published, bool from_store);
-  /// @brief A neighbour told what it read.
-  void OnChange(const ListMessage& message);
+  /// @brief A member told what it, or another one, read.
+  /// @param sent_at when it did, by the own clock.
+  void OnChange(const membership::Member& teller, const ListMessage& message,
+                core::TimePoint sent_at);
   /// @brief The store did not answer a read.
   void OnReadFailed();
   /// @brief Any entry told which endpoints leave.
@@ -55,6 +57,7 @@
                     const std::vector<routing::EndpointRow>& after);
   /// @brief Other failure domains that come before the own one in reading.
   [[nodiscard]] std::size_t DomainsAhead() const;
+  /// @param source whose word is believed.
   void LogChange(const std::string& source);
   void LeaveOutUnnamed(std::vector<routing::EndpointRow>& rows);
 
--- a/packages/daemon/src/daemon/direct/hooks.hpp
+++ b/packages/daemon/src/daemon/direct/hooks.hpp
@@ -102,6 +102,8 @@
 /// @brief What a read brought.
 struct Published {
   ReadEnd end_ = ReadEnd::kUnreachable;
+  /// When the store was asked: what it said was so at this time, or later.
+  core::TimePoint asked_at_;
   /// Of the store, at the time of the answer.
   std::uint64_t revision_ = 0;
   std::optional<config::TrafficRules> rules_;
--- a/packages/daemon/src/daemon/direct/mesh_messages.cpp
+++ b/packages/daemon/src/daemon/direct/mesh_messages.cpp
@@ -46,8 +46,12 @@
   return {core::InstanceId(message.id_), ToStart(message.started_ms_)};
 }
 
-ListMessage ToMessage(const routing::EndpointListChange& change) {
+ListMessage ToMessage(const routing::EndpointListChange& change,
+                      core::TimePoint now) {
   ListMessage message;
+  message.age_ms_ = static_cast<std::uint64_t>(
+      std::chrono::ceil<std::chrono::milliseconds>(now - change.as_of_)
+          .count());
   message.from_ = change.from_;
   message.to_ = change.to_;
   message.whole_ = change.whole_;
@@ -69,8 +73,10 @@
   return message;
 }
 
-routing::EndpointListChange ToChange(const ListMessage& message) {
+routing::EndpointListChange ToChange(const ListMessage& message,
+                                     core::TimePoint sent_at) {
   routing::EndpointListChange change;
+  change.as_of_ = sent_at - std::chrono::milliseconds(message.age_ms_);
   change.from_ = message.from_;
   change.to_ = message.to_;
   change.whole_ = message.whole_;
--- a/packages/daemon/src/daemon/direct/mesh_messages.hpp
+++ b/packages/daemon/src/daemon/direct/mesh_messages.hpp
@@ -104,7 +104,9 @@
   bool complete_ = true;
   /// Nothing but that a read was tried in vain.
   bool tried_ = false;
-  MSGPACK_DEFINE(from_, to_, rows_, gone_, whole_, complete_, tried_)
+  /// Since the store was asked for it, as the message is sent.
+  std::uint64_t age_ms_ = 0;
+  MSGPACK_DEFINE(from_, to_, rows_, gone_, whole_, complete_, tried_, age_ms_)
 };
 
 /// @brief Wire form of one life of an endpoint.
@@ -156,8 +158,11 @@
 /// @brief A start time on the wire; 0 for none.
 [[nodiscard]] std::int64_t ToMs(const std::optional<core::StartTime>& started);
 [[nodiscard]] std::optional<core::StartTime> ToStart(std::int64_t ms);
-[[nodiscard]] ListMessage ToMessage(const routing::EndpointListChange& change);
-[[nodiscard]] routing::EndpointListChange ToChange(const ListMessage& message);
+[[nodiscard]] ListMessage ToMessage(const routing::EndpointListChange& change,
+                                    core::TimePoint now);
+/// @param sent_at when the message was sent, by the own clock.
+[[nodiscard]] routing::EndpointListChange ToChange(const ListMessage& message,
+                                                   core::TimePoint sent_at);
 /// @brief A report as its reader believes it.
 /// @param outbound how long the agent's link held the report back; requests
 /// wait on the way in, their answers on the way out.
--- a/packages/daemon/src/daemon/direct/mesh_node.cpp
+++ b/packages/daemon/src/daemon/direct/mesh_node.cpp
@@ -223,7 +223,8 @@
   const auto sender = ToMember(message.sender_);
   auto& path = paths_[{sender.address_, sender.incarnation_}];
   const std::chrono::milliseconds sent(message.sent_ms_);
-  inbound_.OnMessage(path.OnMessage(sent, now), now);
+  const auto delay = path.OnMessage(sent, now);
+  inbound_.OnMessage(delay, now);
   TakeMembers(message, sender);
   if (message.subscribes_ && hooks_.on_subscribe_) {
     hooks_.on_subscribe_(sender);
@@ -233,8 +234,8 @@
       hooks_.on_held_(sender, held);
     }
   }
-  TakeNews(message, sender);
-  PassOn(message, sender);
+  TakeNews(message, sender, delay);
+  PassOn(message, sender, delay);
 }
 
 void MeshNode::TakeMembers(const MeshMessage& message,
@@ -266,7 +267,8 @@
 }
 
 void MeshNode::TakeNews(const MeshMessage& message,
-                        const membership::Member& sender) {
+                        const membership::Member& sender,
+                        core::Duration delay) {
   const auto& departed = message.departed_;
   if (hooks_.on_departed_ &&
       !(departed.leaving_.empty() && departed.gone_.empty())) {
@@ -274,7 +276,7 @@
   }
   const bool lists = message.list_.to_ > 0 || message.list_.tried_;
   if (hooks_.on_list_ && lists) {
-    hooks_.on_list_(message.list_);
+    hooks_.on_list_(sender, message.list_, loop_.Now() - delay);
   }
   if (hooks_.on_rules_) {
     hooks_.on_rules_(sender, message.rules_version_, message.watches_rules_);
@@ -287,7 +289,7 @@
 }
 
 void MeshNode::PassOn(const MeshMessage& message,
-                      const membership::Member& sender) {
+                      const membership::Member& sender, core::Duration delay) {
   const auto& departed = message.departed_;
   const bool departs = !(departed.leaving_.empty() && departed.gone_.empty());
   const bool lists = message.list_.to_ > 0;
@@ -297,6 +299,8 @@
   auto onward = Envelope();
   onward.departed_ = departed;
   onward.list_ = message.list_;
+  onward.list_.age_ms_ += static_cast<std::uint64_t>(
+      std::chrono::ceil<std::chrono::milliseconds>(delay).count());
   const auto targets = Plan().PassOn(sender.domain_);
   if (!targets.empty()) {
     told_domain_at_ = loop_.Now();
--- a/packages/daemon/src/daemon/direct/mesh_node.hpp
+++ b/packages/daemon/src/daemon/direct/mesh_node.hpp
@@ -46,7 +46,11 @@
       on_weights_;
   std::function<void(const membership::Member& member)> on_lost_;
   std::function<void(const DepartedMessage& departed)> on_departed_;
-  std::function<void(const ListMessage& list)> on_list_;
+  /// @param sent_at when the list was told, by the own clock: datagrams may
+  /// wait on their way and before this process, which may stand still.
+  std::function<void(const membership::Member& teller, const ListMessage& list,
+                     core::TimePoint sent_at)>
+      on_list_;
   /// A member told which rules it has in force, 0 for none, and whether it
   /// takes them from the store.
   std::function<void(const membership::Member& member, std::uint64_t version,
@@ -126,9 +130,12 @@
   void TakeMembers(const MeshMessage& message,
                    const membership::Member& sender);
   /// @brief Takes what the sender knows of rules, weights and endpoints.
-  void TakeNews(const MeshMessage& message, const membership::Member& sender);
+  /// @param delay how long the message was under way beyond the usual.
+  void TakeNews(const MeshMessage& message, const membership::Member& sender,
+                core::Duration delay);
   /// @brief A delegate hands on what came from another failure domain.
-  void PassOn(const MeshMessage& message, const membership::Member& sender);
+  void PassOn(const MeshMessage& message, const membership::Member& sender,
+              core::Duration delay);
   membership::MergeEnd Merge(const membership::Member& member);
   void LogMember(core::EventNumber event, const membership::Member& member);
   void Answer(const membership::Member& asker);
--- a/packages/daemon/src/daemon/direct/published_reader.cpp
+++ b/packages/daemon/src/daemon/direct/published_reader.cpp
@@ -130,11 +130,12 @@
     return;
   }
   calls_.OnCall(section, StoreCallCause::kOnce);
-  const auto cancel =
-      store_.read_(section, [this, section](const Published& published) {
+  const auto cancel = store_.read_(
+      section, [this, section, asked_at = loop_.Now()](Published published) {
         reading_.erase(section);
         CountAnswer(section, published);
         if (published.end_ == ReadEnd::kRead) {
+          published.asked_at_ = asked_at;
           handler_(section, published);
         }
       });
@@ -172,8 +173,9 @@
   task.asking_ = true;
   task.asked_at_ = loop_.Now();
   calls_.OnCall(task.section_, CauseOf(task));
-  task.cancel_ = Call(task, [this, &task](const Published& published) {
+  task.cancel_ = Call(task, [this, &task](Published published) {
     task.asking_ = false;
+    published.asked_at_ = task.asked_at_;
     OnAnswer(task, published);
   });
 }
--- a/packages/daemon/src/daemon/direct/published_relay.cpp
+++ b/packages/daemon/src/daemon/direct/published_relay.cpp
@@ -31,7 +31,7 @@
   if (published.pages_.empty() || published.revision_ < kept.revision_) {
     return;
   }
-  kept = {published.revision_, published.pages_};
+  kept = {published.revision_, published.pages_, published.asked_at_};
 }
 
 bool PublishedRelay::Answer(const PeerCallPtr& call) {
@@ -46,6 +46,10 @@
     if (known == ask.known_.end() || known->second < kept.revision_) {
       answer.revisions_[number] = kept.revision_;
       answer.pages_[number] = kept.pages_;
+      answer.ages_ms_[number] = static_cast<std::uint64_t>(
+          std::chrono::duration_cast<std::chrono::milliseconds>(loop_.Now() -
+                                                                kept.asked_at_)
+              .count());
     }
   }
   const auto packed = Pack(answer);
@@ -75,17 +79,17 @@
   }
   asking_ = true;
   connection->Ask(std::string(kPublishedPath), Pack(ask),
-                  [this, peer = member.id_.value()](PeerEnd end, int status,
-                                                    const std::string& body) {
+                  [this, peer = member.id_.value(), asked_at = loop_.Now()](
+                      PeerEnd end, int status, const std::string& body) {
                     asking_ = false;
                     if (end == PeerEnd::kWhole && status == kOk) {
-                      OnAnswer(body, peer);
+                      OnAnswer(body, peer, asked_at);
                     }
                   });
 }
 
-void PublishedRelay::OnAnswer(const std::string& body,
-                              const std::string& peer) {
+void PublishedRelay::OnAnswer(const std::string& body, const std::string& peer,
+                              core::TimePoint asked_at) {
   const auto deflated = Unpack<DeflatedAnswer>(body, peer);
   const auto packed = deflated.size_ <= kLongest
                           ? Inflate(deflated.bytes_, deflated.size_)
@@ -101,6 +105,10 @@
     if (published.end_ != ReadEnd::kRead) {
       continue;
     }
+    const auto age = answer.ages_ms_.find(number);
+    if (age != answer.ages_ms_.end()) {
+      published.asked_at_ = asked_at - std::chrono::milliseconds(age->second);
+    }
     log_.Write(core::EventNumber::kLearnedFromPeer,
                {{"peer", peer},
                 {"section", std::to_string(number)},
--- a/packages/daemon/src/daemon/direct/published_relay.hpp
+++ b/packages/daemon/src/daemon/direct/published_relay.hpp
@@ -27,7 +27,9 @@
 struct PublishedAnswer {
   std::map<std::uint8_t, std::uint64_t> revisions_;
   std::map<std::uint8_t, std::vector<std::string>> pages_;
-  MSGPACK_DEFINE(revisions_, pages_)
+  /// Since the store was asked for them.
+  std::map<std::uint8_t, std::uint64_t> ages_ms_;
+  MSGPACK_DEFINE(revisions_, pages_, ages_ms_)
 };
 
 /// @brief An answer on the wire. Lists deflate to a fifth, and all entries of a
@@ -58,9 +60,12 @@
   struct Kept {
     std::uint64_t revision_ = 0;
     std::vector<std::string> pages_;
+    core::TimePoint asked_at_;
   };
 
-  void OnAnswer(const std::string& body, const std::string& peer);
+  /// @param asked_at when the peer was asked.
+  void OnAnswer(const std::string& body, const std::string& peer,
+                core::TimePoint asked_at);
 
   Loop& loop_;
   const StoreClient& store_;
--- a/tests/soak/soak.cpp
+++ b/tests/soak/soak.cpp
@@ -1,6 +1,7 @@
 // Callers go on until the troubles are over and what they left has settled.
 #include "soak/soak.hpp"
 
+#include <fstream>
 #include <iostream>
 #include <thread>
 
@@ -12,6 +13,32 @@
 constexpr auto kSettle = std::chrono::seconds(2);
 constexpr std::size_t kMostPrinted = 20;
 
+/// Collects one field of all lines in the logs of a folder.
+Times FieldOfLogs(const std::filesystem::path& folder,
+                  const std::string& name) {
+  const auto mark = "\"" + name + "\":\"";
+  Times times;
+  for (const auto& file : std::filesystem::directory_iterator(folder)) {
+    std::ifstream lines(file.path());
+    for (std::string line; std::getline(lines, line);) {
+      const auto at = line.find(mark);
+      if (at != std::string::npos) {
+        times.Add(milliseconds(std::stol(line.substr(at + mark.size()))));
+      }
+    }
+  }
+  return times;
+}
+
+void PrintTimes(const std::string& what, const Times& times,
+                std::ostream& out) {
+  out << what << ": " << times.count()
+      << ", ms at 50, 99, 99.9, 100 of 100: " << times.Quantile(0.5).count()
+      << " " << times.Quantile(0.99).count() << " "
+      << times.Quantile(0.999).count() << " " << times.Quantile(1).count()
+      << "\n";
+}
+
 }  // namespace
 
 RunResult Run(const RunSettings& settings) {
@@ -39,6 +66,7 @@
   result.answers_ = judge.answers();
   result.arrivals_ = judge.arrivals();
   result.late_sends_ = judge.late_sends();
+  result.list_ages_ = FieldOfLogs(settings.world_.folder_, "list_age_ms");
   if (result.findings_.empty()) {
     std::filesystem::remove_all(settings.world_.folder_);
   }
@@ -54,12 +82,10 @@
   for (const auto& [kind, count] : result.played_) {
     out << " " << kind << ":" << count;
   }
-  const auto& late = result.late_sends_;
-  out << "\nsent after a leaving was acknowledged: " << late.count()
-      << ", ms after it at 50, 99, 99.9, 100 of 100: "
-      << late.Quantile(0.5).count() << " " << late.Quantile(0.99).count() << " "
-      << late.Quantile(0.999).count() << " " << late.Quantile(1).count()
-      << "\n";
+  out << "\n";
+  PrintTimes("sent by entries in touch after a leaving was acknowledged",
+             result.late_sends_, out);
+  PrintTimes("age of the list at choices", result.list_ages_, out);
   std::map<std::string, std::size_t> kinds;
   for (const auto& finding : result.findings_) {
     if (++kinds[finding.what_] <= kMostPrinted) {
--- a/tests/soak/soak.hpp
+++ b/tests/soak/soak.hpp
@@ -24,6 +24,8 @@
   std::map<std::string, unsigned> played_;
   std::uint64_t arrivals_ = 0;
   Times late_sends_;
+  /// Ages of the lists by which attempts were chosen, as entries logged them.
+  Times list_ages_;
 };
 
 /// @brief Plays one run; the logs of its processes stay in its folder when
