An endpoint whose row is missing is left after the grace, and when the list is told complete, without another read

Callers' requests went to endpoints that were gone. Cause: a list that may lack lapsed rows keeps those that it lacks; the complete list after it was ignored when nothing had changed meanwhile (same revision), and who only hears of others' reads dropped missing rows at its next own read, up to 120 s later. Ruled out: a lost telling (the test has none). Now a missing endpoint is looked at when it is chosen, and a whole list of the known revision counts. Before: chosen 2.6 s after the incomplete list and 1 s after the complete one; after: neither.

--- a/packages/chalkwell/src/chalkwell/routing/endpoint_choice.cpp
+++ b/packages/chalkwell/src/chalkwell/routing/endpoint_choice.cpp
@@ -84,7 +84,12 @@
 }
 
 bool EndpointTable::Usable(const Endpoint& endpoint,
-                           const ChoiceRequest& request) const {
+                           const ChoiceRequest& request,
+                           core::TimePoint now) const {
+  // Nobody need take a further list for a missing endpoint to be left.
+  if (IsGone(endpoint, settings_.lapse_grace_, now)) {
+    return false;
+  }
   const auto& row = endpoint.row_;
   if (row.service_ != request.service_ || row.leaving_ ||
       !incarnations_.Lives(row.address_, row.life()) ||
@@ -196,7 +201,7 @@
   std::uint64_t best_tie = 0;
   const double late_share = request.on_time_ ? LateShare() : 0;
   for (const auto& [id, endpoint] : endpoints_) {
-    if (endpoint.selected_ != selected || !Usable(endpoint, request)) {
+    if (endpoint.selected_ != selected || !Usable(endpoint, request, now)) {
       continue;
     }
     Expected expected;
--- a/packages/chalkwell/src/chalkwell/routing/endpoint_table.cpp
+++ b/packages/chalkwell/src/chalkwell/routing/endpoint_table.cpp
@@ -95,11 +95,12 @@
 
 bool EndpointTable::TakeChange(const EndpointListChange& change,
                                core::TimePoint now) {
-  if (change.to_ <= revision_) {
+  // What was incomplete may be told complete without another revision.
+  if (change.whole_ && change.to_ >= revision_) {
+    TakeList(change.rows_, change.to_, change.complete_, now);
     return true;
   }
-  if (change.whole_) {
-    TakeList(change.rows_, change.to_, change.complete_, now);
+  if (change.to_ <= revision_) {
     return true;
   }
   if (change.from_ > revision_) {
@@ -115,11 +116,16 @@
   return true;
 }
 
+bool EndpointTable::IsGone(const Endpoint& endpoint, core::Duration grace,
+                           core::TimePoint now) {
+  const auto& missing = endpoint.missing_since_;
+  return missing && now - *missing >= grace && now >= endpoint.told_until_;
+}
+
 void EndpointTable::DropMissing(core::Duration grace, core::TimePoint now) {
   std::vector<core::InstanceId> gone;
   for (const auto& [id, endpoint] : endpoints_) {
-    const auto& missing = endpoint.missing_since_;
-    if (missing && now - *missing >= grace && now >= endpoint.told_until_) {
+    if (IsGone(endpoint, grace, now)) {
       gone.push_back(id);
     }
   }
--- a/packages/chalkwell/src/chalkwell/routing/endpoint_table.hpp
+++ b/packages/chalkwell/src/chalkwell/routing/endpoint_table.hpp
@@ -306,7 +306,12 @@
 
   [[nodiscard]] Endpoint* Find(const core::InstanceId& id);
   [[nodiscard]] bool Usable(const Endpoint& endpoint,
-                            const ChoiceRequest& request) const;
+                            const ChoiceRequest& request,
+                            core::TimePoint now) const;
+  /// @brief Whether its row has been missing for so long that the endpoint is
+  /// taken as gone.
+  [[nodiscard]] static bool IsGone(const Endpoint& endpoint,
+                                   core::Duration grace, core::TimePoint now);
   [[nodiscard]] std::uint32_t Occupied(const Endpoint& endpoint,
                                        core::TimePoint now) const;
   /// @brief Part of what waits at endpoints that is late, as the own requests
