That a life leaves is remembered apart from the row that shows it

Callers' requests could go to an endpoint that had said that it leaves. Cause, by a table over orders of words: a report, or a told life, of the life before comes late and puts that one in the row's place; the next word of the leaving life begins it anew, without its mark. A mark that came before its life was known was dropped. Only rows that changed in the last reads are told, so nobody told it again. Ruled out for lives without a start time: they differ in id.

--- a/packages/chalkwell/src/chalkwell/routing/endpoint_table.cpp
+++ b/packages/chalkwell/src/chalkwell/routing/endpoint_table.cpp
@@ -69,13 +69,33 @@
     std::erase(next.dead_starts_, *row.started_);
   }
   next.row_ = std::move(row);
+  next.row_.leaving_ = next.row_.leaving_ || SaidLeaving(next.row_.life());
   endpoint = std::move(next);
 }
 
+void EndpointTable::RememberLeaving(const EndpointLife& life) {
+  if (SaidLeaving(life)) {
+    return;
+  }
+  leaving_.push_back(life);
+  if (leaving_.size() > kMaxDeparted) {
+    leaving_.pop_front();
+  }
+}
+
+bool EndpointTable::SaidLeaving(const EndpointLife& life) const {
+  return std::ranges::any_of(leaving_, [&](const EndpointLife& leaving) {
+    return leaving.id_ == life.id_ && leaving.started_ == life.started_;
+  });
+}
+
 void EndpointTable::TakeRow(EndpointRow row) {
   subset_due_ = true;
   auto& endpoint = endpoints_[row.id_];
   endpoint.missing_since_.reset();
+  if (row.leaving_) {
+    RememberLeaving(row.life());
+  }
   if (endpoint.WasDead(row.started_)) {
     // Its next life was told of before its row was written.
     return;
@@ -168,6 +188,7 @@
   }
   auto& endpoint = endpoints_[row.id_];
   endpoint.row_ = std::move(row);
+  endpoint.row_.leaving_ = SaidLeaving(life);
   endpoint.told_until_ = now + settings_.told_grace_;
 }
 
@@ -225,8 +246,10 @@
 }
 
 void EndpointTable::MarkLeaving(const EndpointLife& life) {
+  RememberLeaving(life);
   auto* endpoint = Find(life.id_);
   if (endpoint != nullptr && SameLife(endpoint->row_.life(), life)) {
+    RememberLeaving(endpoint->row_.life());
     endpoint->row_.leaving_ = true;
     subset_due_ = true;
   }
--- a/packages/chalkwell/src/chalkwell/routing/endpoint_table.hpp
+++ b/packages/chalkwell/src/chalkwell/routing/endpoint_table.hpp
@@ -356,7 +356,10 @@
       const std::string& service);
   /// @brief Forgets all of an endpoint but its earlier lives: another one
   /// begins.
-  static void BeginLife(Endpoint& endpoint, EndpointRow row);
+  void BeginLife(Endpoint& endpoint, EndpointRow row);
+  /// @brief Remembers that a life said that it leaves.
+  void RememberLeaving(const EndpointLife& life);
+  [[nodiscard]] bool SaidLeaving(const EndpointLife& life) const;
   void TakeRow(EndpointRow row);
   void DropMissing(core::Duration grace, core::TimePoint now);
   void Erase(const core::InstanceId& id);
@@ -368,6 +371,10 @@
   /// Lives that left the list, newest last; at most kMaxDeparted. An agent that
   /// still tells of one does not bring it back.
   std::deque<EndpointLife> departed_;
+  /// Lives that said that they leave, newest last; at most kMaxDeparted. Words
+  /// of another life may put it in their place for a while, and come too early
+  /// or too late.
+  std::deque<EndpointLife> leaving_;
   /// Of the published list last taken; never falls.
   std::uint64_t revision_ = 0;
   /// Never falls.
