An endpoint that leaves gets no request that was chosen before and sent, or delivered, after

By reading and by test: up to 0.4 s pass between choice and open connection, and on a silent path a request that may run only once is awaited until its deadline, 6 s for streams: its bytes then arrive whenever the path comes back. Now the choice is looked at again as the connection opens (not sent, another endpoint is asked), and every 100 ms until the endpoint's system has acknowledged the request (reset, and the caller is told at once). Requests that were delivered go on. attempt-ended says given_up: silent or endpoint-left.

--- a/packages/chalkwell/src/chalkwell/routing/endpoint_choice.cpp
+++ b/packages/chalkwell/src/chalkwell/routing/endpoint_choice.cpp
@@ -83,15 +83,25 @@
   return now + begins >= request.versions_.until_;
 }
 
+bool EndpointTable::TakesWork(const EndpointLife& life,
+                              core::TimePoint now) const {
+  const auto found = endpoints_.find(life.id_);
+  if (found == endpoints_.end()) {
+    return false;
+  }
+  const auto& endpoint = found->second;
+  return SameLife(endpoint.row_.life(), life) && !endpoint.row_.leaving_ &&
+         !IsGone(endpoint, settings_.lapse_grace_, now) &&
+         incarnations_.Lives(endpoint.row_.address_, life);
+}
+
 bool EndpointTable::Usable(const Endpoint& endpoint,
                            const ChoiceRequest& request,
                            core::TimePoint now) const {
   // Nobody need take a further list for a missing endpoint to be left.
-  if (IsGone(endpoint, settings_.lapse_grace_, now)) {
-    return false;
-  }
   const auto& row = endpoint.row_;
   if (row.service_ != request.service_ || row.leaving_ ||
+      IsGone(endpoint, settings_.lapse_grace_, now) ||
       !incarnations_.Lives(row.address_, row.life()) ||
       std::ranges::find(request.tried_, row.id_) != request.tried_.end()) {
     return false;
--- a/packages/chalkwell/src/chalkwell/routing/endpoint_table.hpp
+++ b/packages/chalkwell/src/chalkwell/routing/endpoint_table.hpp
@@ -223,6 +223,11 @@
   [[nodiscard]] std::optional<EndpointChoice> Choose(
       const ChoiceRequest& request, core::TimePoint now);
 
+  /// @brief Whether a life is still believed to take requests: it neither leaves
+  /// nor is gone, and no other one was heard of in its place.
+  [[nodiscard]] bool TakesWork(const EndpointLife& life,
+                               core::TimePoint now) const;
+
   /// @brief Endpoints of the subset that this entry uses: their agents are
   /// asked for reports.
   [[nodiscard]] std::vector<EndpointRow> Subset();
--- a/packages/daemon/src/daemon/direct/direct_request.cpp
+++ b/packages/daemon/src/daemon/direct/direct_request.cpp
@@ -139,6 +139,10 @@
   options.max_rest_ = request_.route_.repeatable() ? kMaxRest : kMaxRestOnce;
   options.connect_timeout_ = kConnectTimeout;
   options.silence_ = request_.deadline_ - now + milliseconds(1000);
+  // The endpoint may leave while the connection opens.
+  options.may_send_ = [this, self = shared_from_this(), life = row.life()] {
+    return context_.endpoints_.TakesWork(life, context_.loop_.Now());
+  };
   options.is_ours_ = [this,
                       self = shared_from_this()](const HttpHeaders& headers) {
     return context_.adapter_.requests_.answers_(headers, request_.caller_.id_);
@@ -191,8 +195,32 @@
   ExpectFirstByte();
 }
 
+// A path that is silent as the endpoint leaves may deliver the request long
+// after; it is looked at until the endpoint has it.
+bool DirectRequest::LeftUndelivered() {
+  const auto now = context_.loop_.Now();
+  if (attempt_.delivered_ || now - attempt_.sent_at_ < kSilenceCheck) {
+    return false;
+  }
+  attempt_.delivered_ = !attempt_.call_->undelivered();
+  return !attempt_.delivered_ &&
+         !context_.endpoints_.TakesWork(attempt_.choice_.row_.life(), now);
+}
+
 void DirectRequest::ExpectFirstByte() {
-  if (!request_.route_.repeatable() || ended_ || attempt_.call_ == nullptr) {
+  if (ended_ || attempt_.call_ == nullptr) {
+    return;
+  }
+  if (LeftUndelivered()) {
+    attempt_.given_up_ = "endpoint-left";
+    OnSilence();
+    return;
+  }
+  if (!request_.route_.repeatable()) {
+    if (!attempt_.delivered_) {
+      silence_.Once(kSilenceCheck,
+                    [self = shared_from_this()] { self->ExpectFirstByte(); });
+    }
     return;
   }
   routing::AwaitedAttempt awaited;
@@ -380,6 +408,7 @@
                          {"endpoint", attempt_.choice_.row_.id_.value()},
                          {"end", std::string(routing::ToString(end))},
                          {"status", std::to_string(attempt_.status_)},
+                         {"given_up", std::string(attempt_.given_up_)},
                          {"after_ms", Millis(now - attempt_.sent_at_)}});
     context_.metrics_.Count("attempts_ended_total",
                             {{"end", std::string(routing::ToString(end))}});
@@ -392,6 +421,9 @@
   if (ended_ || attempt_.call_ == nullptr) {
     return;
   }
+  if (attempt_.given_up_.empty()) {
+    attempt_.given_up_ = "silent";
+  }
   std::exchange(attempt_.call_, nullptr)->Cancel();
   EndAttempt(routing::AttemptEnd::kLost, routing::EndpointOutcome::kFailed);
 }
--- a/packages/daemon/src/daemon/direct/direct_request.hpp
+++ b/packages/daemon/src/daemon/direct/direct_request.hpp
@@ -78,11 +78,15 @@
     AnswerFacts facts_;
     std::string body_;
     bool answering_ = false;
+    /// The endpoint's system has the whole request.
+    bool delivered_ = false;
     /// Its answer goes to the caller as it arrives.
     bool streams_ = false;
     /// Its answer gave no length.
     bool unframed_ = false;
     bool counted_ = false;
+    /// Why this process ended it; empty when it ended by itself.
+    std::string_view given_up_;
   };
 
   void Perform(const routing::RequestActions& actions);
@@ -104,6 +108,8 @@
   void RespondAnswer();
   void RespondOwn(const routing::FinishRequest& finish);
   void ExpectFirstByte();
+  /// @brief Whether the endpoint is left meanwhile and has not got the request.
+  [[nodiscard]] bool LeftUndelivered();
   void ExpectEvent();
   void CountEnded(routing::EndpointOutcome outcome);
   [[nodiscard]] bool current(routing::AttemptNumber number) const noexcept {
--- a/packages/daemon/src/daemon/http_client.cpp
+++ b/packages/daemon/src/daemon/http_client.cpp
@@ -116,7 +116,7 @@
     settings.connect_timeout_ = options_.connect_timeout_;
     stream_ = TcpStream::Connect(state_->loop_, address_, settings,
                                  [this](bool open) {
-                                   if (open) {
+                                   if (open && MaySend()) {
                                      Watch();
                                      SendBytes();
                                    } else {
@@ -132,6 +132,11 @@
     GiveUp();
   }
 
+  [[nodiscard]] bool undelivered() const override {
+    const bool connecting = !bytes_.empty();
+    return connecting || (stream_ != nullptr && stream_->undelivered());
+  }
+
   void SetReading(bool reading) override {
     if (busy() && stream_ != nullptr) {
       stream_->SetReading(reading);
@@ -169,6 +174,10 @@
  private:
   [[nodiscard]] bool busy() const noexcept { return self_ != nullptr; }
 
+  [[nodiscard]] bool MaySend() const {
+    return !options_.may_send_ || options_.may_send_();
+  }
+
   void Watch() {
     stream_->Observe(
         {.on_data_ = [this](std::string_view bytes) { OnData(bytes); },
--- a/packages/daemon/src/daemon/http_client.hpp
+++ b/packages/daemon/src/daemon/http_client.hpp
@@ -46,6 +46,9 @@
   core::Duration connect_timeout_ = std::chrono::milliseconds(1000);
   /// Longest silence of the server; the client's own when left out.
   std::optional<core::Duration> silence_;
+  /// Asked when a new connection has opened: false when the request is not to
+  /// be sent any more. None for always.
+  std::function<bool()> may_send_;
   /// False for a response that belongs to an earlier request on the same
   /// connection: it is dropped and the next one is awaited.
   std::function<bool(const HttpHeaders& headers)> is_ours_;
@@ -57,6 +60,9 @@
   virtual ~HttpCall() = default;
   /// @brief Closes the connection; no callback follows.
   virtual void Cancel() = 0;
+  /// @brief Whether the server's system has not acknowledged some of the
+  /// request; false when the system does not tell.
+  [[nodiscard]] virtual bool undelivered() const { return false; }
   /// @brief Holds back the response while its reader is slow.
   virtual void SetReading(bool /*reading*/) {}
 };
--- a/packages/daemon/src/daemon/tcp_stream.cpp
+++ b/packages/daemon/src/daemon/tcp_stream.cpp
@@ -2,8 +2,10 @@
 #include "daemon/tcp_stream.hpp"
 
 #include <arpa/inet.h>
+#include <linux/sockios.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
+#include <sys/ioctl.h>
 
 #include <array>
 #include <utility>
@@ -134,6 +136,18 @@
   }
 }
 
+bool TcpStream::undelivered() const {
+  uv_os_fd_t descriptor = -1;
+  if (handle_ == nullptr ||
+      uv_fileno(reinterpret_cast<const uv_handle_t*>(&handle_->tcp_),
+                &descriptor) != 0) {
+    return false;
+  }
+  int unacknowledged = 0;
+  const bool told = ::ioctl(descriptor, SIOCOUTQ, &unacknowledged) == 0;
+  return pending_ > 0 || (told && unacknowledged > 0);
+}
+
 std::string TcpStream::PeerIp() const {
   sockaddr_storage storage{};
   int length = sizeof(storage);
--- a/packages/daemon/src/daemon/tcp_stream.hpp
+++ b/packages/daemon/src/daemon/tcp_stream.hpp
@@ -60,6 +60,9 @@
   [[nodiscard]] bool open() const noexcept { return handle_ != nullptr; }
   /// @brief Bytes written and not yet handed to the system.
   [[nodiscard]] std::size_t pending() const noexcept { return pending_; }
+  /// @brief Whether the peer's system has not acknowledged some of what was
+  /// written; false when the own system does not tell.
+  [[nodiscard]] bool undelivered() const;
   /// @brief IP number of the other side.
   [[nodiscard]] std::string PeerIp() const;
 
--- a/tests/daemon/http_client_test.cpp
+++ b/tests/daemon/http_client_test.cpp
@@ -121,6 +121,60 @@
   CHECK(second.body_ == "two");
 }
 
+TEST_CASE("a request that may not be sent any more is not", "[daemon]") {
+  // An endpoint left while a connection to it opened, and got the request.
+  const bool may_send = GENERATE(true, false);
+  Fixture fixture;
+  std::string got;
+  std::thread server([&] {
+    auto peer = fixture.listener_.Accept();
+    got = peer.ReadUntil(may_send ? kHeadEnd : "");
+    peer.Send("HTTP/1.1 200 OK\r\ncontent-length: 0\r\n\r\n");
+  });
+  HttpSendOptions options;
+  options.may_send_ = [may_send] { return may_send; };
+  HttpEnd end = HttpEnd::kBroken;
+  fixture.client_.Fetch(
+      {"127.0.0.1", fixture.listener_.port()},
+      {.method_ = "GET", .path_ = "/", .headers_ = {}, .body_ = ""},
+      [&](const HttpResponse& response) {
+        end = response.end_;
+        fixture.loop_.Stop();
+      },
+      std::size_t{1} << 20, std::move(options));
+  fixture.loop_.Run();
+  fixture.Settle();
+  server.join();
+  CHECK(end == (may_send ? HttpEnd::kWhole : HttpEnd::kNotSent));
+  CHECK(got.empty() != may_send);
+}
+
+TEST_CASE("a request that its server does not read is undelivered",
+          "[daemon]") {
+  struct Row {
+    std::size_t bytes_;
+    bool undelivered_;
+  };
+  // The server's system takes the small one, whoever reads it.
+  const auto row =
+      GENERATE(Row{100, false}, Row{std::size_t{32} << 20, true});
+  Fixture fixture;
+  std::optional<RawSocket> peer;
+  std::thread server([&] { peer.emplace(fixture.listener_.Accept()); });
+  const auto call = fixture.client_.Send(
+      {"127.0.0.1", fixture.listener_.port()},
+      {.method_ = "POST",
+       .path_ = "/",
+       .headers_ = {},
+       .body_ = std::string(row.bytes_, 'x')},
+      {});
+  fixture.Settle();
+  server.join();
+  CHECK(call->undelivered() == row.undelivered_);
+  call->Cancel();
+  fixture.Settle();
+}
+
 TEST_CASE("which connections are used again", "[daemon]") {
   struct Row {
     std::string name_;
--- a/tests/platform/leaving_test.cpp
+++ b/tests/platform/leaving_test.cpp
@@ -15,6 +15,7 @@
 #include <catch2/catch.hpp>
 #include <thread>
 
+#include "../daemon/raw_socket.hpp"
 #include "deployment.hpp"
 #include "fleet/relay.hpp"
 
@@ -69,5 +70,40 @@
   }
 }
 
+TEST_CASE("a request that has not arrived when its endpoint leaves is given up",
+          "[platform][leaving]") {
+  // One that may run only once is awaited until its caller's deadline; on a path
+  // that is silent it would arrive whenever that comes back.
+  Deployment deployment;
+  deployment.limits_.body_bytes_ = std::size_t{64} << 20;
+  deployment.PutRules(2, {"k1"});
+  deployment.store_.Remove("servers/i-second");
+  // Nobody reads there: its system takes a part of the request, no more.
+  const daemon::RawListener silent;
+  deployment.first_.SetNamed(Local(silent.port()));
+  deployment.store_.Put("servers/i-first",
+                        deployment.first_.Row("plain", "z1"));
+  const auto entry = deployment.StartEntry("e1", deployment.store_.address());
+  REQUIRE(Eventually([&] { return entry.Ready(); }));
+  const std::string body(std::size_t{32} << 20, 'x');
+  std::string answer;
+  std::thread caller([&] {
+    answer = Ask(entry,
+                 "POST /once/x HTTP/1.1\r\nhost: h\r\nattempt-id: a1\r\n"
+                 "deadline-ms: 30000\r\nauthorization: Bearer k1\r\n"
+                 "connection: close\r\ncontent-length: " +
+                     std::to_string(body.size()) + "\r\n\r\n" + body);
+  });
+  CHECK(Eventually([&] {
+    return deployment.Log("e1").find("request-sent") != std::string::npos;
+  }));
+  deployment.store_.Put("servers/i-first",
+                        deployment.first_.Row("plain", "z1", "draining"));
+  caller.join();
+  CHECK(Status(answer) == "502");
+  CHECK(deployment.Log("e1").find("given_up=\"endpoint-left\"") !=
+        std::string::npos);
+}
+
 }  // namespace
 }  // namespace chalkwell::platform_tests
