What an entry believes of the list has an oldest age, whatever its rank

An entry in touch could choose endpoints by a list as old as the bound. Cause: each rank waited 150 ms longer than the one before, counted from a telling, however old what was told was: the thirteenth read 2.7 s after the last telling (bound 3 s), the thirtieth 5.3 s (bound 4 s); a reader that stood still between the answer and its telling kept all others from reading. Now tellings count from when the store was asked, and whoever believes a list older than 0.6 of the bound reads itself, unless the store is known to be away.

--- a/packages/chalkwell/src/chalkwell/membership/read_duty.cpp
+++ b/packages/chalkwell/src/chalkwell/membership/read_duty.cpp
@@ -49,7 +49,16 @@
       now - heard_at >= settings_.patience_ + settings_.step_ * behind;
   const bool in_vain =
       now - *told_at_ >= settings_.patience_ + settings_.tried_step_ * behind;
-  return silent || in_vain;
+  return silent || in_vain || Stale(now);
+}
+
+bool ReadDuty::Stale(core::TimePoint now) const noexcept {
+  if (!told_at_ || now - *told_at_ < settings_.oldest_) {
+    return false;
+  }
+  const auto tried_at = std::max(tried_at_, failed_at_);
+  const bool away = tried_at && *tried_at > *told_at_;
+  return !away;
 }
 
 core::Duration ReadDuty::Interval(core::TimePoint now) const noexcept {
--- a/packages/chalkwell/src/chalkwell/membership/read_duty.hpp
+++ b/packages/chalkwell/src/chalkwell/membership/read_duty.hpp
@@ -4,6 +4,7 @@
 // this costs the publisher does not grow with the deployment.
 #pragma once
 
+#include <algorithm>
 #include <optional>
 #include <span>
 
@@ -31,6 +32,9 @@
   /// for all, each further reader only asks in vain: some 7 of a failure domain
   /// read after 8 s, not all.
   core::Duration tried_step_ = std::chrono::milliseconds(1200);
+  /// Whoever believes an older list reads itself, whatever its rank, unless the
+  /// publisher is known to be away: endpoints that leave are told by the list.
+  core::Duration oldest_ = std::chrono::milliseconds(1200);
 };
 
 /// @brief The duty of one member.
@@ -46,15 +50,25 @@
   /// @brief This member read the list itself.
   void OnRead(core::TimePoint now) noexcept;
   /// @brief This member tried to read the list, in vain.
-  void OnFailed(core::TimePoint now) noexcept { asked_at_ = now; }
+  void OnFailed(core::TimePoint now) noexcept {
+    asked_at_ = now;
+    failed_at_ = now;
+  }
   /// @brief Another member told of a read.
-  void OnTold(core::TimePoint now) noexcept { told_at_ = now; }
+  /// @param as_of when the publisher was asked: an old telling keeps nobody
+  /// from reading.
+  void OnTold(core::TimePoint as_of) noexcept {
+    told_at_ = std::max(told_at_.value_or(as_of), as_of);
+  }
   /// @brief Another member of the own failure domain told that it tried to
   /// read, in vain.
   void OnTried(core::TimePoint now) noexcept;
   /// @brief Whether this member reads for the others: the first in rank, or
   /// whoever is told of no read any more.
   [[nodiscard]] bool Reads(core::TimePoint now) const noexcept;
+  /// @brief Whether what is believed is older than it may be, and the publisher
+  /// is not known to be away.
+  [[nodiscard]] bool Stale(core::TimePoint now) const noexcept;
   /// @brief Time from the last own try to the next, as of now.
   [[nodiscard]] core::Duration Interval(core::TimePoint now) const noexcept;
 
@@ -71,7 +85,9 @@
   std::size_t domains_ahead_ = 0;
   /// Last own try.
   std::optional<core::TimePoint> asked_at_;
-  /// None until a read, or a try, was told of.
+  /// Last own try in vain.
+  std::optional<core::TimePoint> failed_at_;
+  /// None until a read, or a try, was told of; never falls.
   std::optional<core::TimePoint> told_at_;
   std::optional<core::TimePoint> tried_at_;
 };
--- a/packages/daemon/src/daemon/direct/endpoint_list.cpp
+++ b/packages/daemon/src/daemon/direct/endpoint_list.cpp
@@ -11,6 +11,9 @@
 namespace chalkwell::daemon::direct {
 namespace {
 
+/// Part of the bound after which an entry reads the list itself: the read, a
+/// pause of its own, and the way of a request take the rest.
+constexpr double kOldestShare = 0.6;
 /// Changed rows that one datagram carries, some 25 KB; more are read by
 /// everyone.
 constexpr std::size_t kMaxRows = 250;
@@ -21,6 +24,7 @@
   const auto often = list.often_;
   membership::ReadDutySettings settings;
   settings.often_ = often;
+  settings.oldest_ = core::FromMs(core::ToMs(list.leave_bound_) * kOldestShare);
   settings.patience_ = often + often / 2;
   settings.step_ = often / 4;
   settings.seldom_ = std::max(settings.seldom_, often);
@@ -115,7 +119,7 @@
     return;
   }
   endpoints_.ConfirmAsOf(change.as_of_);
-  duty_.OnTold(loop_.Now());
+  duty_.OnTold(change.as_of_);
   if (before != endpoints_.Rows()) {
     LogChange(teller.id_.value());
   }
--- a/tests/membership/read_duty_test.cpp
+++ b/tests/membership/read_duty_test.cpp
@@ -162,6 +162,35 @@
   }
 }
 
+TEST_CASE("an old telling keeps nobody from reading", "[membership]") {
+  // A reader stood still between the store's answer and its telling: what it
+  // told then counted as read at that moment.
+  struct Row {
+    core::Duration age_;
+    bool tried_;
+    bool stale_;
+  };
+  const auto row = GENERATE(Row{0ms, false, false}, Row{1199ms, false, false},
+                            Row{1200ms, false, true}, Row{4s, false, true},
+                            // While the publisher is away few go on trying.
+                            Row{4s, true, false});
+  const std::vector<core::InstanceId> members{
+      core::InstanceId("a"), core::InstanceId("b"), core::InstanceId("c")};
+  const auto last = FirstChoices("read-list", members, 3).back();
+  ReadDuty duty(last, {});
+  duty.SetMembers(members);
+  duty.OnRead(kStart - 5s);
+  duty.OnTold(kStart - row.age_);
+  if (row.tried_) {
+    duty.OnFailed(kStart);
+  }
+  CHECK(duty.Stale(kStart) == row.stale_);
+  // A later telling of something older takes nothing back.
+  duty.OnTold(kStart);
+  duty.OnTold(kStart - 10s);
+  CHECK_FALSE(duty.Stale(kStart + 1s));
+}
+
 TEST_CASE("one who tries in vain tries again as often as it reads",
           "[membership]") {
   ReadDuty duty(core::InstanceId("a"), {});
