A process that stood still reads the list before it chooses by it

Callers' requests that waited at a paused entry were sent by the list of before the pause, also to endpoints that had left meanwhile; the read was under way, and nothing waited for it. Seen as list ages of 1.5 to 4.3 s at choices in the soak, all at processes that had just woken.

--- a/packages/chalkwell/src/chalkwell/membership/read_duty.cpp
+++ b/packages/chalkwell/src/chalkwell/membership/read_duty.cpp
@@ -49,16 +49,14 @@
       now - heard_at >= settings_.patience_ + settings_.step_ * behind;
   const bool in_vain =
       now - *told_at_ >= settings_.patience_ + settings_.tried_step_ * behind;
-  return silent || in_vain || Stale(now);
+  return silent || in_vain || Stale(*told_at_, now);
 }
 
-bool ReadDuty::Stale(core::TimePoint now) const noexcept {
-  if (!told_at_ || now - *told_at_ < settings_.oldest_) {
-    return false;
-  }
+bool ReadDuty::Stale(core::TimePoint as_of,
+                     core::TimePoint now) const noexcept {
   const auto tried_at = std::max(tried_at_, failed_at_);
-  const bool away = tried_at && *tried_at > *told_at_;
-  return !away;
+  const bool away = tried_at && *tried_at > as_of;
+  return !away && now - as_of >= settings_.oldest_;
 }
 
 core::Duration ReadDuty::Interval(core::TimePoint now) const noexcept {
--- a/packages/chalkwell/src/chalkwell/membership/read_duty.hpp
+++ b/packages/chalkwell/src/chalkwell/membership/read_duty.hpp
@@ -66,9 +66,11 @@
   /// @brief Whether this member reads for the others: the first in rank, or
   /// whoever is told of no read any more.
   [[nodiscard]] bool Reads(core::TimePoint now) const noexcept;
-  /// @brief Whether what is believed is older than it may be, and the publisher
-  /// is not known to be away.
-  [[nodiscard]] bool Stale(core::TimePoint now) const noexcept;
+  /// @brief Whether a list is older than may be believed, and the publisher is
+  /// not known to be away.
+  /// @param as_of when the publisher was asked for it.
+  [[nodiscard]] bool Stale(core::TimePoint as_of,
+                           core::TimePoint now) const noexcept;
   /// @brief Time from the last own try to the next, as of now.
   [[nodiscard]] core::Duration Interval(core::TimePoint now) const noexcept;
 
--- a/packages/daemon/src/daemon/direct/direct_entry.cpp
+++ b/packages/daemon/src/daemon/direct/direct_entry.cpp
@@ -181,7 +181,14 @@
                                  {{"status", std::to_string(status)},
                                   {"peer", peer}});
                            }},
-      [this](const HttpExchangePtr& exchange) { OnCaller(exchange); });
+      [this](const HttpExchangePtr& exchange) {
+        const auto now = process_.loop().Now();
+        list_.WhenFresh([this, exchange, now] {
+          if (exchange->open()) {
+            OnCaller(exchange, now);
+          }
+        });
+      });
   process_.log().Write(core::EventNumber::kListening,
                        {{"caller", settings.Text("listen", "caller")}});
   peers_ = std::make_unique<PeerServer>(
@@ -348,8 +355,8 @@
   endpoints_.TakeReport(message.endpoint_, report, now);
 }
 
-void DirectEntry::OnCaller(const HttpExchangePtr& exchange) {
-  const auto now = process_.loop().Now();
+void DirectEntry::OnCaller(const HttpExchangePtr& exchange,
+                           core::TimePoint received_at) {
   const auto& http = exchange->request();
   auto caller = adapter_.requests_.read_request_(http);
   if (rules_.empty()) {
@@ -385,9 +392,9 @@
   if (const auto* service = rules_.FindService(request.service_)) {
     request.engine_ = service->engine_;
   }
-  request.received_at_ = now;
+  request.received_at_ = received_at;
   request.deadline_ =
-      now +
+      received_at +
       std::min(route->timeout_, caller.time_left_.value_or(route->timeout_));
   if (caller.time_left_) {
     request.age_ = ages_.OnRequest(route->name_, *caller.time_left_);
--- a/packages/daemon/src/daemon/direct/direct_entry.hpp
+++ b/packages/daemon/src/daemon/direct/direct_entry.hpp
@@ -50,7 +50,8 @@
                      const std::string& source);
   void AskPeersIfCutOff();
   void OnLoad(const LoadMessage& message);
-  void OnCaller(const HttpExchangePtr& exchange);
+  /// @param received_at when it arrived.
+  void OnCaller(const HttpExchangePtr& exchange, core::TimePoint received_at);
   void OnReady(const HttpExchangePtr& exchange);
   void Refuse(HttpExchange& exchange, const CallerRequest& caller, int status,
               core::EventNumber event, const std::string& reason,
--- a/packages/daemon/src/daemon/direct/endpoint_list.cpp
+++ b/packages/daemon/src/daemon/direct/endpoint_list.cpp
@@ -78,6 +78,24 @@
   if (from_store) {
     duty_.OnRead(now);
     TellOthers(published, complete);
+    RunWaiting();
+  }
+}
+
+void EndpointList::WhenFresh(std::function<void()> task) {
+  const bool stale =
+      endpoints_.heard() && duty_.Stale(endpoints_.as_of(), loop_.Now());
+  if (!stale) {
+    task();
+    return;
+  }
+  waiting_.push_back(std::move(task));
+  hooks_.read_();
+}
+
+void EndpointList::RunWaiting() {
+  for (const auto& task : std::exchange(waiting_, {})) {
+    task();
   }
 }
 
@@ -98,6 +116,7 @@
     tried_told_at_ = now;
     mesh_.TellReadFailed();
   }
+  RunWaiting();
 }
 
 void EndpointList::OnChange(const membership::Member& teller,
@@ -123,6 +142,9 @@
   if (before != endpoints_.Rows()) {
     LogChange(teller.id_.value());
   }
+  if (!duty_.Stale(endpoints_.as_of(), loop_.Now())) {
+    RunWaiting();
+  }
 }
 
 void EndpointList::LogChange(const std::string& source) {
--- a/packages/daemon/src/daemon/direct/endpoint_list.hpp
+++ b/packages/daemon/src/daemon/direct/endpoint_list.hpp
@@ -57,6 +57,10 @@
   void OnReadFailed();
   /// @brief Any entry told which endpoints leave.
   void OnDeparted(const DepartedMessage& departed);
+  /// @brief Runs a task once the list is not older than it may be, now if it is
+  /// not: a process that stood still chooses nobody by what it believed before.
+  /// It waits for one read, also if that fails.
+  void WhenFresh(std::function<void()> task);
   /// @brief Time between two own reads, as of now.
   [[nodiscard]] core::Duration Interval();
 
@@ -68,6 +72,8 @@
   /// @brief Other failure domains that come before the own one in reading.
   [[nodiscard]] std::size_t DomainsAhead() const;
   /// @param source whose word is believed.
+  /// @brief A read has ended, or another process told of one.
+  void RunWaiting();
   void LogChange(const std::string& source);
   void LeaveOutUnnamed(std::vector<routing::EndpointRow>& rows);
 
@@ -81,6 +87,8 @@
   core::TimePoint tried_told_at_;
   membership::ReadDuty duty_;
   membership::StoreOutage outage_;
+  /// Tasks that wait for a read.
+  std::vector<std::function<void()>> waiting_;
   /// The list as this process itself read it.
   routing::ListHistory history_;
   /// Rows left out of the last read, for the log.
