--- a/Makefile
+++ b/Makefile
@@ -7,7 +7,7 @@
   libsodium-dev libxxhash-dev libboost-dev libssl-dev zlib1g-dev
 CCACHE = $(if $(shell command -v ccache),-DCMAKE_CXX_COMPILER_LAUNCHER=ccache)
 
-.PHONY: all setup build test demo fuzz proofs lint format bench-control bench-burst bench-requests capacity docs
+.PHONY: all setup build test demo fuzz soak proofs lint format bench-control bench-burst bench-requests capacity docs
 
 all: build
 
@@ -32,6 +32,11 @@
 fuzz: build
 	@$(BUILD)/tests/fuzz_long $(MINUTES) $(SEED)
 
+# Real processes under faults: make soak SEED=1 SECONDS=40 [KINDS=freeze,kill]
+SECONDS ?= 40
+soak: build
+	@$(BUILD)/tests/soak_long $(SEED) $(SECONDS) $(KINDS)
+
 # Measures what control costs (some minutes) and keeps the output for CAPACITY.md.
 bench-control: build
 	@$(BUILD)/bench/bench_control | tee docs/measurements/control.txt
--- a/packages/daemon/src/daemon/direct/endpoint_list.cpp
+++ b/packages/daemon/src/daemon/direct/endpoint_list.cpp
@@ -78,14 +78,16 @@
   if (from_store) {
     duty_.OnRead(now);
     TellOthers(published, complete);
-    RunWaiting();
+    ServeWaiting();
   }
 }
 
+bool EndpointList::Stale() const {
+  return endpoints_.heard() && duty_.Stale(endpoints_.as_of(), loop_.Now());
+}
+
 void EndpointList::WhenFresh(std::function<void()> task) {
-  const bool stale =
-      endpoints_.heard() && duty_.Stale(endpoints_.as_of(), loop_.Now());
-  if (!stale) {
+  if (!Stale()) {
     task();
     return;
   }
@@ -93,6 +95,15 @@
   hooks_.read_();
 }
 
+// A read that was under way while the process stood still brings an old list.
+void EndpointList::ServeWaiting() {
+  if (!Stale()) {
+    RunWaiting();
+  } else if (!waiting_.empty()) {
+    hooks_.read_();
+  }
+}
+
 void EndpointList::RunWaiting() {
   for (const auto& task : std::exchange(waiting_, {})) {
     task();
@@ -142,9 +153,7 @@
   if (before != endpoints_.Rows()) {
     LogChange(teller.id_.value());
   }
-  if (!duty_.Stale(endpoints_.as_of(), loop_.Now())) {
-    RunWaiting();
-  }
+  ServeWaiting();
 }
 
 void EndpointList::LogChange(const std::string& source) {
--- a/packages/daemon/src/daemon/direct/endpoint_list.hpp
+++ b/packages/daemon/src/daemon/direct/endpoint_list.hpp
@@ -71,9 +71,12 @@
                     const std::vector<routing::EndpointRow>& after);
   /// @brief Other failure domains that come before the own one in reading.
   [[nodiscard]] std::size_t DomainsAhead() const;
-  /// @param source whose word is believed.
-  /// @brief A read has ended, or another process told of one.
+  [[nodiscard]] bool Stale() const;
+  /// @brief A list was taken: what waits for a fresh one runs, or a further
+  /// read begins.
+  void ServeWaiting();
   void RunWaiting();
+  /// @param source whose word is believed.
   void LogChange(const std::string& source);
   void LeaveOutUnnamed(std::vector<routing::EndpointRow>& rows);
 
--- a/packages/daemon/src/daemon/direct/mesh_messages.cpp
+++ b/packages/daemon/src/daemon/direct/mesh_messages.cpp
@@ -1,7 +1,27 @@
 // Between wire forms and the library's types.
 #include "daemon/direct/mesh_messages.hpp"
 
+#include <algorithm>
+
 namespace chalkwell::daemon::direct {
+namespace {
+
+/// Ages told beyond this count as this: what is so old is not believed anyway.
+constexpr auto kOldest = std::chrono::hours(1);
+
+}  // namespace
+
+core::Duration ToAge(std::uint64_t ms) {
+  constexpr auto kMost =
+      static_cast<std::uint64_t>(std::chrono::milliseconds(kOldest).count());
+  return std::chrono::milliseconds(std::min(ms, kMost));
+}
+
+std::uint64_t ToAgeMs(core::Duration age) {
+  const auto whole = std::chrono::ceil<std::chrono::milliseconds>(age);
+  return static_cast<std::uint64_t>(
+      std::clamp<std::chrono::milliseconds>(whole, {}, kOldest).count());
+}
 
 MemberMessage ToMessage(const membership::Member& member) {
   return {.id_ = member.id_.value(),
@@ -49,9 +69,7 @@
 ListMessage ToMessage(const routing::EndpointListChange& change,
                       core::TimePoint now) {
   ListMessage message;
-  message.age_ms_ = static_cast<std::uint64_t>(
-      std::chrono::ceil<std::chrono::milliseconds>(now - change.as_of_)
-          .count());
+  message.age_ms_ = ToAgeMs(now - change.as_of_);
   message.from_ = change.from_;
   message.to_ = change.to_;
   message.whole_ = change.whole_;
@@ -76,7 +94,7 @@
 routing::EndpointListChange ToChange(const ListMessage& message,
                                      core::TimePoint sent_at) {
   routing::EndpointListChange change;
-  change.as_of_ = sent_at - std::chrono::milliseconds(message.age_ms_);
+  change.as_of_ = sent_at - ToAge(message.age_ms_);
   change.from_ = message.from_;
   change.to_ = message.to_;
   change.whole_ = message.whole_;
--- a/packages/daemon/src/daemon/direct/mesh_messages.hpp
+++ b/packages/daemon/src/daemon/direct/mesh_messages.hpp
@@ -155,6 +155,10 @@
 [[nodiscard]] membership::Member ToMember(const MemberMessage& message);
 [[nodiscard]] LifeMessage ToMessage(const routing::EndpointLife& life);
 [[nodiscard]] routing::EndpointLife ToLife(const LifeMessage& message);
+/// @brief An age as it travels; any number may be told.
+[[nodiscard]] core::Duration ToAge(std::uint64_t ms);
+/// @return whole milliseconds, rounded up.
+[[nodiscard]] std::uint64_t ToAgeMs(core::Duration age);
 /// @brief A start time on the wire; 0 for none.
 [[nodiscard]] std::int64_t ToMs(const std::optional<core::StartTime>& started);
 [[nodiscard]] std::optional<core::StartTime> ToStart(std::int64_t ms);
--- a/packages/daemon/src/daemon/direct/mesh_node.cpp
+++ b/packages/daemon/src/daemon/direct/mesh_node.cpp
@@ -299,8 +299,7 @@
   auto onward = Envelope();
   onward.departed_ = departed;
   onward.list_ = message.list_;
-  onward.list_.age_ms_ += static_cast<std::uint64_t>(
-      std::chrono::ceil<std::chrono::milliseconds>(delay).count());
+  onward.list_.age_ms_ = ToAgeMs(ToAge(message.list_.age_ms_) + delay);
   const auto targets = Plan().PassOn(sender.domain_);
   if (!targets.empty()) {
     told_domain_at_ = loop_.Now();
--- a/packages/daemon/src/daemon/direct/published_relay.cpp
+++ b/packages/daemon/src/daemon/direct/published_relay.cpp
@@ -46,10 +46,7 @@
     if (known == ask.known_.end() || known->second < kept.revision_) {
       answer.revisions_[number] = kept.revision_;
       answer.pages_[number] = kept.pages_;
-      answer.ages_ms_[number] = static_cast<std::uint64_t>(
-          std::chrono::duration_cast<std::chrono::milliseconds>(loop_.Now() -
-                                                                kept.asked_at_)
-              .count());
+      answer.ages_ms_[number] = ToAgeMs(loop_.Now() - kept.asked_at_);
     }
   }
   const auto packed = Pack(answer);
@@ -107,7 +104,7 @@
     }
     const auto age = answer.ages_ms_.find(number);
     if (age != answer.ages_ms_.end()) {
-      published.asked_at_ = asked_at - std::chrono::milliseconds(age->second);
+      published.asked_at_ = asked_at - ToAge(age->second);
     }
     log_.Write(core::EventNumber::kLearnedFromPeer,
                {{"peer", peer},
--- a/tests/daemon/mesh_messages_test.cpp
+++ b/tests/daemon/mesh_messages_test.cpp
@@ -45,6 +45,25 @@
   CHECK(report.pace_ == Approx(1.5));
 }
 
+TEST_CASE("a list's age counts from the store's answer on, whatever is told",
+          "[daemon]") {
+  struct Row {
+    std::uint64_t age_ms_;
+    core::Duration age_;
+  };
+  // None of them makes a list newer than its telling.
+  const auto row = GENERATE(Row{0, 0ms}, Row{700, 700ms}, Row{3'600'001, 1h},
+                            Row{~std::uint64_t{0}, 1h});
+  const core::TimePoint sent_at(5h);
+  ListMessage message;
+  message.age_ms_ = row.age_ms_;
+  const auto change = ToChange(message, sent_at);
+  CHECK(change.as_of_ == sent_at - row.age_);
+  const auto onward = ToMessage(change, sent_at + 1500us);
+  CHECK(ToChange(onward, sent_at + 1500us).as_of_ <=
+        std::max(change.as_of_, sent_at + 1500us - 1h));
+}
+
 TEST_CASE("weights that are not whole are told as none", "[daemon]") {
   CHECK_FALSE(ToReport(LoadMessage{}, 0ms).weights_version_.has_value());
 }
