--- a/packages/chalkwell/src/chalkwell/routing/endpoint_table.hpp
+++ b/packages/chalkwell/src/chalkwell/routing/endpoint_table.hpp
@@ -223,8 +223,8 @@
   [[nodiscard]] std::optional<EndpointChoice> Choose(
       const ChoiceRequest& request, core::TimePoint now);
 
-  /// @brief Whether a life is still believed to take requests: it neither leaves
-  /// nor is gone, and no other one was heard of in its place.
+  /// @brief Whether a life is still believed to take requests: it neither
+  /// leaves nor is gone, and no other one was heard of in its place.
   [[nodiscard]] bool TakesWork(const EndpointLife& life,
                                core::TimePoint now) const;
 
--- a/packages/daemon/src/daemon/metrics.cpp
+++ b/packages/daemon/src/daemon/metrics.cpp
@@ -9,7 +9,8 @@
 namespace {
 
 const prometheus::Histogram::BucketBoundaries kSeconds = {
-    0.001, 0.0025, 0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1, 1.5, 2, 2.5, 3, 4, 5, 10, 30};
+    0.001, 0.0025, 0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5,
+    1,     1.5,    2,     2.5,  3,     4,    5,   10,   30};
 
 }  // namespace
 
--- a/tests/daemon/http_client_test.cpp
+++ b/tests/daemon/http_client_test.cpp
@@ -156,18 +156,17 @@
     bool undelivered_;
   };
   // The server's system takes the small one, whoever reads it.
-  const auto row =
-      GENERATE(Row{100, false}, Row{std::size_t{32} << 20, true});
+  const auto row = GENERATE(Row{100, false}, Row{std::size_t{32} << 20, true});
   Fixture fixture;
   std::optional<RawSocket> peer;
   std::thread server([&] { peer.emplace(fixture.listener_.Accept()); });
-  const auto call = fixture.client_.Send(
-      {"127.0.0.1", fixture.listener_.port()},
-      {.method_ = "POST",
-       .path_ = "/",
-       .headers_ = {},
-       .body_ = std::string(row.bytes_, 'x')},
-      {});
+  const auto call =
+      fixture.client_.Send({"127.0.0.1", fixture.listener_.port()},
+                           {.method_ = "POST",
+                            .path_ = "/",
+                            .headers_ = {},
+                            .body_ = std::string(row.bytes_, 'x')},
+                           {});
   fixture.Settle();
   server.join();
   CHECK(call->undelivered() == row.undelivered_);
