A soak that is ended ends its children

Runs that were cut off (their output was read by a command that left early, and by SIGTERM) left 105 processes behind, which ran on for an hour beside later runs; ended by their ids. Children are listed and killed in the handler; SIGPIPE is ignored.

--- a/tests/fleet/child.cpp
+++ b/tests/fleet/child.cpp
@@ -9,6 +9,8 @@
 #include <sys/wait.h>
 #include <unistd.h>
 
+#include <array>
+#include <atomic>
 #include <csignal>
 #include <set>
 #include <stdexcept>
@@ -25,6 +27,36 @@
 constexpr int kSignalBase = 128;
 constexpr auto kPoll = std::chrono::milliseconds(5);
 
+/// Children that live, for a handler of signals: 0 is a free place.
+constexpr std::size_t kMostChildren = 1024;
+std::array<std::atomic<pid_t>, kMostChildren> living;
+
+void Enlist(pid_t pid) {
+  for (auto& place : living) {
+    pid_t none = 0;
+    if (place.compare_exchange_strong(none, pid)) {
+      return;
+    }
+  }
+}
+
+void Strike(pid_t pid) {
+  for (auto& place : living) {
+    pid_t own = pid;
+    place.compare_exchange_strong(own, 0);
+  }
+}
+
+void KillChildren(int signal) {
+  for (const auto& place : living) {
+    if (const pid_t pid = place; pid != 0) {
+      ::kill(pid, SIGKILL);
+    }
+  }
+  std::signal(signal, SIG_DFL);
+  std::raise(signal);
+}
+
 bool IsFree(std::uint16_t port) {
   const int probe = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
   const int on = 1;
@@ -60,6 +92,7 @@
   if (error != 0) {
     throw std::runtime_error("cannot start " + arguments.front());
   }
+  Enlist(pid_);
 }
 
 Child::~Child() { Kill(); }
@@ -89,6 +122,7 @@
   while (pid_ != 0) {
     int status = 0;
     if (::waitpid(pid_, &status, WNOHANG) == pid_) {
+      Strike(pid_);
       pid_ = 0;
       exit_code_ = WIFEXITED(status) ? WEXITSTATUS(status)
                                      : kSignalBase + WTERMSIG(status);
@@ -107,11 +141,18 @@
     ::kill(pid_, SIGKILL);
     int status = 0;
     ::waitpid(pid_, &status, 0);
+    Strike(pid_);
     pid_ = 0;
     exit_code_ = kSignalBase + SIGKILL;
   }
 }
 
+void KillChildrenWhenEnded() {
+  for (const int signal : {SIGINT, SIGTERM, SIGHUP}) {
+    std::signal(signal, KillChildren);
+  }
+}
+
 std::string DaemonPath() { return CHALKWELLD_PATH; }
 std::string CliPath() { return CHALKWELL_PATH; }
 std::string StandinPath() { return STANDIN_PATH; }
--- a/tests/fleet/child.hpp
+++ b/tests/fleet/child.hpp
@@ -37,6 +37,10 @@
   int exit_code_ = 0;
 };
 
+/// @brief From now on children are killed when this process is ended by SIGINT,
+/// SIGTERM or SIGHUP: nobody else would end them.
+void KillChildrenWhenEnded();
+
 /// @brief Paths of the programs under test.
 [[nodiscard]] std::string DaemonPath();
 [[nodiscard]] std::string CliPath();
--- a/tests/soak/soak_main.cpp
+++ b/tests/soak/soak_main.cpp
@@ -1,6 +1,7 @@
 // Long runs by hand: soak SEED SECONDS [KINDS [PROGRAM [PAUSE]]], for example
 // soak 7 60 freeze,kill; PROGRAM is the chalkwelld of another revision, and a
 // last word the mean pause between two disturbances in milliseconds.
+#include <csignal>
 #include <cstdlib>
 #include <iostream>
 
@@ -8,6 +9,9 @@
 
 int main(int count, char** words) {
   using namespace chalkwell::soak;
+  chalkwell::fleet::KillChildrenWhenEnded();
+  // Whoever reads the output may leave before the end.
+  std::signal(SIGPIPE, SIG_IGN);
   const std::string seed = count > 1 ? words[1] : "1";
   RunSettings settings;
   settings.troubles_.seed_ = std::stoull(seed);
