--- a/tests/platform/leaving_test.cpp
+++ b/tests/platform/leaving_test.cpp
@@ -88,6 +88,7 @@
   const auto before = deployment.first_.runs();
   std::vector<std::string> answers(kWaiting);
   std::vector<std::thread> callers;
+  callers.reserve(kWaiting);
   for (auto& answer : answers) {
     callers.emplace_back(
         [&] { answer = Ask(entry, RequestText("/safe/waiting")); });
--- a/tests/soak/soak_main.cpp
+++ b/tests/soak/soak_main.cpp
@@ -8,12 +8,11 @@
 #include "soak/soak.hpp"
 
 int main(int count, char** words) {
-  using namespace chalkwell::soak;
   chalkwell::fleet::KillChildrenWhenEnded();
   // Whoever reads the output may leave before the end.
   std::signal(SIGPIPE, SIG_IGN);
   const std::string seed = count > 1 ? words[1] : "1";
-  RunSettings settings;
+  chalkwell::soak::RunSettings settings;
   settings.troubles_.seed_ = std::stoull(seed);
   settings.troubles_.length_ =
       std::chrono::seconds(count > 2 ? std::stoi(words[2]) : 40);
@@ -22,14 +21,15 @@
     settings.world_.daemon_ = words[4];
   }
   if (count > 5) {
-    settings.troubles_.disturbances_ = milliseconds(std::stoi(words[5]));
+    settings.troubles_.disturbances_ =
+        std::chrono::milliseconds(std::stoi(words[5]));
   }
   settings.world_.folder_ =
       std::filesystem::temp_directory_path() / ("chalkwell-soak-" + seed);
-  const auto result = Run(settings);
+  const auto result = chalkwell::soak::Run(settings);
   std::cout << "soak seed " << seed << (result.started_ ? "" : " NOT STARTED")
             << "\n";
-  Print(result, std::cout);
+  chalkwell::soak::Print(result, std::cout);
   const bool clean = result.started_ && result.findings_.empty();
   if (!clean) {
     std::cout << "logs in " << settings.world_.folder_.string() << "\n";
