Log the content digest of requests and how their connections ended

Callers' tries carry an id each, so nothing in the logs tied two tries of one request to each other, and a lost attempt read the same whether its connection was reset, was never opened or was closed by the entry.

It needs no shared key: the account is part of it, and a caller cannot construct the digest of another account's request. attempt-ended also says how the connection ended.

--- a/packages/chalkwell/src/chalkwell/routing/fwd.hpp
+++ b/packages/chalkwell/src/chalkwell/routing/fwd.hpp
@@ -18,6 +18,8 @@
 class IncarnationTable;
 struct EndpointLife;
 class RequestAge;
+class RequestDigest;
+struct RequestContent;
 struct EngineLoad;
 struct StreamRequest;
 class EventSplitter;
--- a/packages/daemon/src/daemon/direct/direct_entry.cpp
+++ b/packages/daemon/src/daemon/direct/direct_entry.cpp
@@ -400,6 +400,11 @@
     request.age_ = ages_.OnRequest(route->name_, *caller.time_left_);
   }
   request.rules_version_ = rules_.rules().version_;
+  request.digest_ = routing::RequestDigest::Of({.account_ = request.account_,
+                                                .method_ = http.method_,
+                                                .host_ = caller.host_,
+                                                .path_ = http.path_,
+                                                .body_ = http.body_});
   request.route_ = *route;
   request.caller_ = std::move(caller);
   Admit(exchange, std::move(request));
--- a/packages/daemon/src/daemon/direct/direct_request.cpp
+++ b/packages/daemon/src/daemon/direct/direct_request.cpp
@@ -40,6 +40,11 @@
   return std::to_string(std::chrono::duration_cast<milliseconds>(span).count());
 }
 
+/// What became of an attempt's connection, for logs.
+std::string ConnectionEnd(const std::optional<HttpEnd>& end) {
+  return end ? std::string(ToString(*end)) : "closed by this process";
+}
+
 }  // namespace
 
 DirectRequest::DirectRequest(RequestContext& context, HttpExchangePtr exchange,
@@ -170,6 +175,7 @@
   context_.log_.Write(
       core::EventNumber::kRequestSent,
       {{"request", request_.caller_.id_},
+       {"content", request_.digest_.ToHex()},
        {"attempt", std::to_string(number)},
        {"endpoint", row.id_.value()},
        {"service", request_.service_},
@@ -335,6 +341,7 @@
     return;
   }
   attempt_.call_ = nullptr;
+  attempt_.call_end_ = end;
   silence_.Cancel();
   if (end == HttpEnd::kNotSent) {
     EndAttempt(routing::AttemptEnd::kNeverSent,
@@ -404,9 +411,11 @@
   if (end != routing::AttemptEnd::kComplete) {
     context_.log_.Write(core::EventNumber::kAttemptEnded,
                         {{"request", request_.caller_.id_},
+                         {"content", request_.digest_.ToHex()},
                          {"attempt", std::to_string(attempt_.number_)},
                          {"endpoint", attempt_.choice_.row_.id_.value()},
                          {"end", std::string(routing::ToString(end))},
+                         {"connection", ConnectionEnd(attempt_.call_end_)},
                          {"status", std::to_string(attempt_.status_)},
                          {"given_up", std::string(attempt_.given_up_)},
                          {"after_ms", Millis(now - attempt_.sent_at_)}});
--- a/packages/daemon/src/daemon/direct/direct_request.hpp
+++ b/packages/daemon/src/daemon/direct/direct_request.hpp
@@ -9,6 +9,7 @@
 
 #include "chalkwell/routing/endpoint_table.hpp"
 #include "chalkwell/routing/event_splitter.hpp"
+#include "chalkwell/routing/request_digest.hpp"
 #include "chalkwell/routing/request_tracker.hpp"
 #include "chalkwell/routing/retry_budget.hpp"
 #include "daemon/direct/hooks.hpp"
@@ -39,6 +40,8 @@
   CallerRequest caller_;
   config::TrafficRoute route_;
   core::ClientAccountId account_;
+  /// Identity of what is asked for, across tries and entries.
+  routing::RequestDigest digest_;
   std::optional<std::uint32_t> priority_;
   /// Whether it goes before those that are late.
   bool on_time_ = true;
@@ -87,6 +90,9 @@
     bool counted_ = false;
     /// Why this process ended it; empty when it ended by itself.
     std::string_view given_up_;
+    /// How the call ended; none while it is under way or when this process
+    /// ended it.
+    std::optional<HttpEnd> call_end_;
   };
 
   void Perform(const routing::RequestActions& actions);
--- a/packages/daemon/src/daemon/http_client.cpp
+++ b/packages/daemon/src/daemon/http_client.cpp
@@ -54,6 +54,20 @@
 
 }  // namespace
 
+std::string_view ToString(HttpEnd end) noexcept {
+  switch (end) {
+    case HttpEnd::kWhole:
+      return "whole answer";
+    case HttpEnd::kUnframed:
+      return "answer without length";
+    case HttpEnd::kNotSent:
+      return "not opened";
+    case HttpEnd::kBroken:
+      return "broken";
+  }
+  return "broken";
+}
+
 struct HttpClient::State : std::enable_shared_from_this<State> {
   class Connection;
   using ConnectionPtr = std::shared_ptr<Connection>;
--- a/packages/daemon/src/daemon/http_client.hpp
+++ b/packages/daemon/src/daemon/http_client.hpp
@@ -28,6 +28,9 @@
   kBroken,
 };
 
+/// @brief Text of a response's end in logs.
+[[nodiscard]] std::string_view ToString(HttpEnd end) noexcept;
+
 /// @brief What the client reports of one response.
 struct HttpCallbacks {
   std::function<void(int status, const HttpHeaders& headers)> on_head_;
--- /dev/null
+++ b/tests/routing/request_digest_test.cpp
@@ -0,0 +1,45 @@
+// Which requests count as the same.
+#include "chalkwell/routing/request_digest.hpp"
+
+#include <catch2/catch.hpp>
+
+namespace chalkwell::routing {
+namespace {
+
+RequestContent Content() {
+  return {core::ClientAccountId("acct"), "POST", "h", "/stream/x?q=1", "body"};
+}
+
+TEST_CASE("requests that differ in any part have different digests",
+          "[routing]") {
+  auto other = Content();
+  SECTION("account") { other.account_ = core::ClientAccountId("acc"); }
+  SECTION("no account") { other.account_ = {}; }
+  SECTION("method") { other.method_ = "PUT"; }
+  SECTION("host") { other.host_ = "g"; }
+  SECTION("query") { other.path_ = "/stream/x?q=2"; }
+  SECTION("body") { other.body_ = "bod"; }
+  SECTION("empty body") { other.body_ = ""; }
+  SECTION("bytes moved from path to body") {
+    other.path_ = "/stream/x?q=";
+    other.body_ = "1body";
+  }
+  CHECK(RequestDigest::Of(other) != RequestDigest::Of(Content()));
+}
+
+TEST_CASE("a request digest survives its wire and text forms", "[routing]") {
+  const auto digest = RequestDigest::Of(Content());
+  CHECK(digest == RequestDigest::Of(Content()));
+  CHECK(RequestDigest::FromBytes(digest.ToBytes()) == digest);
+  CHECK(RequestDigest::FromHex(digest.ToHex()) == digest);
+}
+
+TEST_CASE("what is no request digest is refused", "[routing]") {
+  const auto text = GENERATE(as<std::string>{}, "", "ab", std::string(31, 'a'),
+                             std::string(33, 'a'), std::string(32, 'g'));
+  CHECK_FALSE(RequestDigest::FromHex(text).has_value());
+  CHECK_FALSE(RequestDigest::FromBytes(text).has_value());
+}
+
+}  // namespace
+}  // namespace chalkwell::routing
