--- a/tests/fleet/child.cpp
+++ b/tests/fleet/child.cpp
@@ -57,6 +57,15 @@
   std::raise(signal);
 }
 
+std::vector<char*> Pointers(const std::vector<std::string>& texts) {
+  std::vector<char*> pointers;
+  pointers.reserve(texts.size() + 1);
+  for (const auto& text : texts) {
+    pointers.push_back(const_cast<char*>(text.c_str()));
+  }
+  return pointers;
+}
+
 bool IsFree(std::uint16_t port) {
   const int probe = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
   const int on = 1;
@@ -73,21 +82,22 @@
 
 }  // namespace
 
-Child::Child(const std::vector<std::string>& arguments,
-             const std::string& log) {
-  std::vector<char*> argv;
-  argv.reserve(arguments.size() + 1);
-  for (const auto& argument : arguments) {
-    argv.push_back(const_cast<char*>(argument.c_str()));
-  }
+Child::Child(const std::vector<std::string>& arguments, const std::string& log,
+             const std::vector<std::string>& environment) {
+  auto argv = Pointers(arguments);
   argv.push_back(nullptr);
+  auto variables = Pointers(environment);
+  for (char** inherited = environ; *inherited != nullptr; ++inherited) {
+    variables.push_back(*inherited);
+  }
+  variables.push_back(nullptr);
   posix_spawn_file_actions_t actions;
   posix_spawn_file_actions_init(&actions);
   posix_spawn_file_actions_addopen(&actions, STDOUT_FILENO, log.c_str(),
                                    O_WRONLY | O_CREAT | O_APPEND, 0644);
   posix_spawn_file_actions_adddup2(&actions, STDOUT_FILENO, STDERR_FILENO);
-  const int error =
-      posix_spawn(&pid_, argv.front(), &actions, nullptr, argv.data(), environ);
+  const int error = posix_spawn(&pid_, argv.front(), &actions, nullptr,
+                                argv.data(), variables.data());
   posix_spawn_file_actions_destroy(&actions);
   if (error != 0) {
     throw std::runtime_error("cannot start " + arguments.front());
--- a/tests/fleet/child.hpp
+++ b/tests/fleet/child.hpp
@@ -15,7 +15,9 @@
  public:
   Child() = default;
   /// @param log file that gets its standard output and error.
-  Child(const std::vector<std::string>& arguments, const std::string& log);
+  /// @param environment "NAME=VALUE", beside what this process has.
+  Child(const std::vector<std::string>& arguments, const std::string& log,
+        const std::vector<std::string>& environment = {});
   ~Child();
   Child(Child&& other) noexcept;
   Child& operator=(Child&& other) noexcept;
--- /dev/null
+++ b/tests/platform/crashing_request_test.cpp
@@ -0,0 +1,145 @@
+// Requests that crash the endpoints that run them, at real entries.
+#include <catch2/catch.hpp>
+#include <deque>
+#include <thread>
+
+#include "../daemon/raw_socket.hpp"
+#include "deployment.hpp"
+
+namespace chalkwell::platform_tests {
+namespace {
+
+using namespace std::chrono_literals;
+
+/// Endpoints that crash until a request counts as the cause.
+constexpr int kCrashes = 3;
+constexpr int kTries = 10;
+/// Callers come back after a pause.
+constexpr auto kPause = 300ms;
+const std::string kCrashing = "boom";
+
+/// Endpoints of the plain service, enough for all tries of a test.
+class CrashingEndpoints {
+ public:
+  explicit CrashingEndpoints(Deployment& deployment) {
+    deployment.first_.Stop();
+    deployment.second_.Stop();
+    deployment.store_.Remove("servers/" + deployment.first_.id());
+    deployment.store_.Remove("servers/" + deployment.second_.id());
+    for (int i = 0; i < 2 * kTries; ++i) {
+      auto& endpoint = endpoints_.emplace_back(deployment.thread_,
+                                               "i-plain-" + std::to_string(i));
+      endpoint.CrashOn(kCrashing);
+      deployment.store_.Put("servers/" + endpoint.id(),
+                            endpoint.Row("plain", "z1"));
+    }
+  }
+
+  [[nodiscard]] int crashes() const {
+    int crashes = 0;
+    for (const auto& endpoint : endpoints_) {
+      crashes += endpoint.crashes();
+    }
+    return crashes;
+  }
+  [[nodiscard]] std::deque<standins::EndpointStandin>& all() {
+    return endpoints_;
+  }
+
+ private:
+  std::deque<standins::EndpointStandin> endpoints_;
+};
+
+std::string AskCrashing(const Node& entry, const std::string& path) {
+  std::this_thread::sleep_for(kPause);
+  return Ask(entry, RequestText(path, "k1", "", kCrashing));
+}
+
+bool Knows(const Deployment& deployment, const std::string& entry,
+           const std::string& other) {
+  return deployment.Log(entry).find("member=\"" + other + "\"") !=
+         std::string::npos;
+}
+
+TEST_CASE("a request that crashes endpoints is refused after the third crash",
+          "[platform][crash]") {
+  const auto path =
+      GENERATE(as<std::string>{}, "/safe/x", "/once/x", "/stream/x");
+  CAPTURE(path);
+  Deployment deployment;
+  CrashingEndpoints endpoints(deployment);
+  const auto first = deployment.StartEntry("e1", deployment.store_.address());
+  const auto second =
+      deployment.StartEntry("e2", deployment.store_.address(), &first);
+  REQUIRE(Eventually([&] { return first.Ready() && second.Ready(); }));
+  REQUIRE(Eventually([&] {
+    return Knows(deployment, "e1", "e2") && Knows(deployment, "e2", "e1");
+  }));
+  std::string last;
+  for (int i = 0; i < kTries; ++i) {
+    last = AskCrashing(i % 2 == 0 ? first : second, path);
+  }
+  CHECK(endpoints.crashes() == kCrashes);
+  CHECK(Status(last) == "503");
+  CHECK(last.find("retry-after") != std::string::npos);
+  for (const auto* entry : {&first, &second}) {
+    CHECK(Status(Ask(*entry, RequestText(path))) == "200");
+  }
+}
+
+TEST_CASE("an entry that starts later refuses a request that crashed endpoints",
+          "[platform][crash]") {
+  Deployment deployment;
+  CrashingEndpoints endpoints(deployment);
+  const auto first = deployment.StartEntry("e1", deployment.store_.address());
+  REQUIRE(Eventually([&] { return first.Ready(); }));
+  for (int i = 0; i < kTries / 2; ++i) {
+    (void)AskCrashing(first, "/safe/x");
+  }
+  const auto second =
+      deployment.StartEntry("e2", deployment.store_.address(), &first);
+  REQUIRE(Eventually([&] { return second.Ready(); }));
+  REQUIRE(Eventually([&] { return Knows(deployment, "e2", "e1"); }));
+  CHECK(Status(AskCrashing(second, "/safe/x")) == "503");
+  CHECK(endpoints.crashes() == kCrashes);
+}
+
+TEST_CASE("endpoints that crash without cause in a request quarantine nobody",
+          "[platform][crash]") {
+  // Many callers ask the same, and wait at endpoints that are replaced.
+  constexpr int kRounds = 4;
+  Deployment deployment;
+  CrashingEndpoints endpoints(deployment);
+  for (auto& endpoint : endpoints.all()) {
+    endpoint.SetWork(50ms);
+  }
+  const auto entry = deployment.StartEntry("e1", deployment.store_.address());
+  REQUIRE(Eventually([&] { return entry.Ready(); }));
+  std::atomic<bool> done{false};
+  std::atomic<int> quarantined{0};
+  std::vector<std::thread> callers;
+  for (int i = 0; i < 6; ++i) {
+    callers.emplace_back([&] {
+      while (!done) {
+        const auto answer = Ask(entry, RequestText("/safe/popular"));
+        quarantined += answer.find("crashed") != std::string::npos ? 1 : 0;
+      }
+    });
+  }
+  for (int round = 0; round < kRounds; ++round) {
+    std::this_thread::sleep_for(400ms);
+    for (std::size_t i = 0; i < 3; ++i) {
+      endpoints.all()[static_cast<std::size_t>(round) * 3 + i].Stop();
+    }
+  }
+  std::this_thread::sleep_for(400ms);
+  done = true;
+  for (auto& caller : callers) {
+    caller.join();
+  }
+  CHECK(quarantined == 0);
+  CHECK(Status(Ask(entry, RequestText("/safe/popular"))) == "200");
+}
+
+}  // namespace
+}  // namespace chalkwell::platform_tests
--- a/tests/platform/deployment.cpp
+++ b/tests/platform/deployment.cpp
@@ -16,12 +16,12 @@
 constexpr auto kPatience = 20s;
 
 nlohmann::json Route(const std::string& path, const std::string& kind,
-                     const std::string& service) {
+                     const std::string& service, int timeout_ms) {
   return {{"name", path},
           {"host", "h"},
           {"pathPrefix", path},
           {"kind", kind},
-          {"timeoutMs", 4000},
+          {"timeoutMs", timeout_ms},
           {"targetLatencyMs", 300},
           {"targetGapMs", 300},
           {"priority", 1},
@@ -89,14 +89,15 @@
 
 void Deployment::PutRules(StoreStandin& store, std::uint64_t version,
                           const std::vector<std::string>& keys) {
-  nlohmann::json routes{Route("/safe/", "idempotent", "plain"),
-                        Route("/open/", "idempotent", "plain"),
-                        Route("/once/", "non_idempotent", "plain"),
-                        Route("/stream/", "streaming", "plain"),
-                        Route("/model/", "idempotent", "pool")};
+  nlohmann::json routes{
+      Route("/safe/", "idempotent", "plain", limits_.timeout_ms_),
+      Route("/open/", "idempotent", "plain", limits_.timeout_ms_),
+      Route("/once/", "non_idempotent", "plain", limits_.timeout_ms_),
+      Route("/stream/", "streaming", "plain", limits_.timeout_ms_),
+      Route("/model/", "idempotent", "pool", limits_.timeout_ms_)};
   for (std::size_t i = 0; i < more_routes_; ++i) {
-    routes.push_back(
-        Route("/more" + std::to_string(i) + "/", "idempotent", "plain"));
+    routes.push_back(Route("/more" + std::to_string(i) + "/", "idempotent",
+                           "plain", limits_.timeout_ms_));
   }
   store.Put(
       "op/config",
@@ -151,7 +152,7 @@
          "retry_reserve = 100\n[stop]\ndrain_ms = 5000\n";
   node.child_ = Child(
       {fleet::DaemonPath(), "entry", "--adapter", "platform", "--config", path},
-      (folder_ / (name + ".log")).string());
+      (folder_ / (name + ".log")).string(), environment_);
   return node;
 }
 
@@ -170,7 +171,7 @@
                          "8000\n[stop]\ndrain_ms = 500\n";
   node.child_ = Child(
       {fleet::DaemonPath(), "agent", "--adapter", "platform", "--config", path},
-      (folder_ / (name + ".log")).string());
+      (folder_ / (name + ".log")).string(), environment_);
   return node;
 }
 
@@ -182,10 +183,11 @@
 }
 
 std::string RequestText(const std::string& path, const std::string& key,
-                        const std::string& extra) {
+                        const std::string& extra, const std::string& body) {
   return "POST " + path + " HTTP/1.1\r\nhost: h\r\nattempt-id: a1\r\n" +
          "deadline-ms: 3000\r\ntenant: forged\r\nauthorization: Bearer " + key +
-         "\r\nconnection: close\r\n" + extra + "content-length: 4\r\n\r\nbody";
+         "\r\nconnection: close\r\n" + extra + "content-length: 4\r\n\r\n" +
+         body;
 }
 
 std::string Ask(const Node& node, const std::string& text) {
--- a/tests/platform/deployment.hpp
+++ b/tests/platform/deployment.hpp
@@ -45,6 +45,8 @@
   std::size_t header_bytes_ = 4096;
   std::size_t body_bytes_ = 1000;
   int header_ms_ = 3000;
+  /// Longest time of a request, whatever its caller says.
+  int timeout_ms_ = 4000;
 };
 
 /// @brief A process that knows another one at its start: both listen for peers
@@ -86,12 +88,16 @@
   CallerLimits limits_;
   /// Routes beyond the five that requests take; they make the rules large.
   std::size_t more_routes_ = 0;
+  /// Of processes started from now on; "NAME=VALUE".
+  std::vector<std::string> environment_;
 };
 
 /// @brief Text of a caller's request.
+/// @param body four characters.
 [[nodiscard]] std::string RequestText(const std::string& path,
                                       const std::string& key = "k1",
-                                      const std::string& extra = "");
+                                      const std::string& extra = "",
+                                      const std::string& body = "body");
 /// @brief What an entry answers to a request.
 [[nodiscard]] std::string Ask(const Node& node, const std::string& text);
 /// @brief Status of an answer; empty when nothing was answered.
--- a/tests/platform/standins.cpp
+++ b/tests/platform/standins.cpp
@@ -19,6 +19,9 @@
 using daemon::HttpLimits;
 
 constexpr std::uint64_t kEvents = 6;
+/// From the head of the answer of a request that crashes its endpoint to the
+/// crash.
+constexpr std::chrono::milliseconds kCrashDelay(20);
 
 std::unique_ptr<daemon::Http1Server> Serve(
     LoopThread& thread, daemon::HttpHandler handler,
@@ -289,6 +292,15 @@
   thread_.Do([&] { on_arrival_ = std::move(handler); });
 }
 
+void EndpointStandin::CrashOn(const std::string& text) {
+  thread_.Do([&] { crash_text_ = text; });
+}
+
+void EndpointStandin::OnCrash(
+    std::function<void(const std::string& request)> handler) {
+  thread_.Do([&] { on_crash_ = std::move(handler); });
+}
+
 std::string EndpointStandin::address() const {
   return named_.empty() ? listen_.ToString() : named_;
 }
@@ -424,6 +436,11 @@
     const std::lock_guard lock(mutex_);
     requests_.push_back(request);
   }
+  if (!crash_text_.empty() &&
+      request.body_.find(crash_text_) != std::string::npos) {
+    Crash(exchange);
+    return;
+  }
   HttpHeaders headers{{"attempt-id", request_id},
                       {"response-seal", "s." + id_}};
   switch (behaviour) {
@@ -454,6 +471,28 @@
   }
 }
 
+void EndpointStandin::Crash(const HttpExchangePtr& exchange) {
+  const auto& headers = exchange->request().headers_;
+  const std::string request_id(FindHeader(headers, "attempt-id"));
+  exchange->Start(200, {{"content-type", "text/event-stream"},
+                        {"attempt-id", request_id},
+                        {"response-seal", "s." + id_}});
+  // The head is on its way when the connections break.
+  thread_.loop().After(kCrashDelay, [this, exchange, request_id,
+                                     alive = std::weak_ptr<int>(alive_)] {
+    if (alive.expired() || server_ == nullptr) {
+      return;
+    }
+    ++crashes_;
+    exchange->End(false);
+    server_.reset();
+    held_.clear();
+    if (on_crash_) {
+      on_crash_(request_id);
+    }
+  });
+}
+
 void EndpointStandin::Stream(const HttpExchangePtr& exchange, bool cut) {
   const auto& headers = exchange->request().headers_;
   const std::string request_id(FindHeader(headers, "attempt-id"));
--- a/tests/platform/standins.hpp
+++ b/tests/platform/standins.hpp
@@ -154,6 +154,11 @@
   /// @brief Told of each request that it did not refuse as another's, as it
   /// arrives.
   void OnArrival(std::function<void(const std::string& request)> handler);
+  /// @brief From now on its process ends as it begins a request whose body
+  /// holds this text; empty for never.
+  void CrashOn(const std::string& text);
+  /// @brief Told of each crash, on the loop, with the request's id.
+  void OnCrash(std::function<void(const std::string& request)> handler);
   /// @brief Its process ends: connections break, new ones are refused.
   void Stop();
   /// @brief Its process starts again, at the same address.
@@ -161,6 +166,7 @@
   [[nodiscard]] std::uint64_t version() const { return version_; }
   [[nodiscard]] int runs() const { return runs_; }
   [[nodiscard]] int gone() const { return gone_; }
+  [[nodiscard]] int crashes() const { return crashes_; }
   /// @brief Times that its agent asked for its report.
   [[nodiscard]] int reports() const { return reports_; }
   [[nodiscard]] std::uint64_t orders() const { return orders_; }
@@ -175,6 +181,7 @@
   void Run(const daemon::HttpExchangePtr& exchange);
   void Answer(const daemon::HttpExchangePtr& exchange);
   void Stream(const daemon::HttpExchangePtr& exchange, bool cut);
+  void Crash(const daemon::HttpExchangePtr& exchange);
   void Report(const daemon::HttpExchangePtr& exchange) const;
   void Order(const daemon::HttpExchangePtr& exchange);
   void StageGet(const daemon::HttpExchangePtr& exchange) const;
@@ -187,6 +194,9 @@
   std::atomic<std::uint64_t> born_{0};
   std::atomic<std::chrono::milliseconds> work_{};
   std::function<void(const std::string&)> on_arrival_;
+  std::string crash_text_;
+  std::function<void(const std::string&)> on_crash_;
+  std::atomic<int> crashes_{0};
   std::atomic<Behaviour> behaviour_{Behaviour::kServe};
   std::atomic<std::uint64_t> version_{0};
   std::atomic<std::uint64_t> orders_{0};
