Quarantine requests that crash the endpoints that run them

Callers saw requests fail all over a service while one caller's request came back again and again: each try crashed two endpoints and broke whatever else ran there, 30 to 44 endpoints in a series.

Cause: each attempt was decided alone. A lost attempt was held against the endpoint only; nothing related it to the same request in this try, in an earlier one or at another entry. Ruled out: the size of the retry budget (callers' own tries alone make more than 20 crashes) and late knowledge of dead endpoints (attempts are lost 4 ms after the crash).

A request is now known by the digest of its content. When the connection of an attempt breaks, the entry probes the endpoint's address: a process that has ended refuses, a path that was reset accepts, a machine without power says nothing. An endpoint that is replaced in place within its listing counts, too; one that said it leaves, or whose row was withdrawn, does not. Entries merge the crashes of each request (any order, idempotent, bounded, expiring): published at once to the failure domain and the delegates of the others, repeated by gossip and given to those who join. After two crashes a request runs one at a time in the fleet and is not repeated within a try; after three it is refused with 503 and the time left, and may be tried again after a minute, then two, up to thirty. Crashes within 250 ms count as one unless the request was sent after the earlier one, and a request that runs to its end is blamed for none before: endpoints that fail together condemn nobody, nor does popularity.

--- a/packages/chalkwell/src/chalkwell/core/event.cpp
+++ b/packages/chalkwell/src/chalkwell/core/event.cpp
@@ -150,6 +150,18 @@
     {kCallerLimit, kInfo, "caller-limit",
      "A request broke a limit on size, time or form.",
      "Look at the limits in force if callers should be allowed to."},
+    {kEndpointCrashed, kWarning, "endpoint-crashed",
+     "An endpoint's process ended while requests were under way there.",
+     "If one request is blamed again and again, it is quarantined; else look "
+     "at the endpoint."},
+    {kRequestStanding, kWarning, "request-standing",
+     "A request is suspected to crash endpoints, quarantined, or cleared of "
+     "it; crashes names each with the entry that saw it.",
+     "Find its caller by the content of request-sent lines; lift a wrong "
+     "quarantine with `chalkwell quarantine`."},
+    {kRequestQuarantined, kInfo, "request-quarantined",
+     "A request was refused because endpoints crashed under others like it.",
+     "None; request-standing says why."},
 });
 
 }  // namespace
--- a/packages/chalkwell/src/chalkwell/core/event.hpp
+++ b/packages/chalkwell/src/chalkwell/core/event.hpp
@@ -65,6 +65,9 @@
   kRequestEnded = 610,
   kCallerGone = 611,
   kCallerLimit = 612,
+  kEndpointCrashed = 613,
+  kRequestStanding = 614,
+  kRequestQuarantined = 615,
 };
 
 /// @brief How urgent an event is.
--- /dev/null
+++ b/packages/chalkwell/src/chalkwell/routing/crash_evidence.cpp
@@ -0,0 +1,89 @@
+// One loss an endpoint life: the same crash breaks all attempts there.
+#include "chalkwell/routing/crash_evidence.hpp"
+
+#include <algorithm>
+#include <utility>
+
+namespace chalkwell::routing {
+namespace {
+
+bool Holds(const std::vector<LostAttempt>& attempts,
+           const RequestDigest& request) {
+  return std::ranges::find(attempts, request, &LostAttempt::request_) !=
+         attempts.end();
+}
+
+}  // namespace
+
+CrashEvidence::Loss* CrashEvidence::Find(const EndpointLife& endpoint) {
+  const auto found = std::ranges::find_if(losses_, [&](const Loss& loss) {
+    return SameLife(loss.crash_.endpoint_, endpoint);
+  });
+  return found == losses_.end() ? nullptr : &*found;
+}
+
+void CrashEvidence::Expire(core::TimePoint now) {
+  std::erase_if(losses_, [&](const Loss& loss) {
+    return now - loss.crash_.at_ >= settings_.patience_;
+  });
+}
+
+LossVerdict CrashEvidence::OnLost(const LostAttempt& attempt,
+                                  const EndpointLife& endpoint,
+                                  const std::string& address,
+                                  core::TimePoint now) {
+  Expire(now);
+  if (auto* loss = Find(endpoint)) {
+    if (loss->state_ == State::kCrashed) {
+      return LossVerdict::kCrashed;
+    }
+    auto& attempts = loss->crash_.attempts_;
+    if (!Holds(attempts, attempt.request_) &&
+        attempts.size() < settings_.max_requests_) {
+      attempts.push_back(attempt);
+    }
+    return LossVerdict::kWait;
+  }
+  losses_.push_back({.crash_ = {endpoint, address, now, {attempt}},
+                     .state_ = State::kProbing});
+  if (losses_.size() > settings_.max_endpoints_) {
+    losses_.pop_front();
+  }
+  return LossVerdict::kProbe;
+}
+
+SuspectedCrash CrashEvidence::OnCrashed(const EndpointLife& endpoint) {
+  auto* loss = Find(endpoint);
+  if (loss == nullptr || loss->state_ == State::kCrashed) {
+    return {.endpoint_ = endpoint, .address_ = "", .at_ = {}, .attempts_ = {}};
+  }
+  loss->state_ = State::kCrashed;
+  return loss->crash_;
+}
+
+void CrashEvidence::OnInconclusive(const EndpointLife& endpoint) {
+  auto* loss = Find(endpoint);
+  if (loss != nullptr && loss->state_ == State::kProbing) {
+    loss->state_ = State::kInconclusive;
+  }
+}
+
+std::vector<SuspectedCrash> CrashEvidence::Waiting(core::TimePoint now) {
+  Expire(now);
+  std::vector<SuspectedCrash> waiting;
+  for (const auto& loss : losses_) {
+    if (loss.state_ == State::kInconclusive) {
+      waiting.push_back(loss.crash_);
+    }
+  }
+  return waiting;
+}
+
+bool CrashEvidence::Probing(const RequestDigest& request) const {
+  return std::ranges::any_of(losses_, [&](const Loss& loss) {
+    return loss.state_ == State::kProbing &&
+           Holds(loss.crash_.attempts_, request);
+  });
+}
+
+}  // namespace chalkwell::routing
--- /dev/null
+++ b/packages/chalkwell/src/chalkwell/routing/crash_evidence.hpp
@@ -0,0 +1,92 @@
+// Tells an endpoint that crashed from a connection that broke: attempts lost at
+// an endpoint wait for evidence that its process has ended.
+#pragma once
+
+#include <chrono>
+#include <cstdint>
+#include <deque>
+#include <string>
+#include <vector>
+
+#include "chalkwell/core/fwd.hpp"
+#include "chalkwell/routing/endpoint_life.hpp"
+#include "chalkwell/routing/request_digest.hpp"
+
+namespace chalkwell::routing {
+
+/// @brief What is to be done about a lost attempt.
+enum class LossVerdict : std::uint8_t {
+  /// The first loss there: probe the endpoint's address.
+  kProbe,
+  /// A probe is under way, or the endpoint was found alive.
+  kWait,
+  /// The endpoint is known to have crashed.
+  kCrashed,
+};
+
+/// @brief An attempt whose connection broke.
+struct LostAttempt {
+  RequestDigest request_;
+  /// How long it had been under way.
+  core::Duration under_way_{};
+};
+
+/// @brief An endpoint life at which attempts were lost.
+struct SuspectedCrash {
+  EndpointLife endpoint_;
+  /// "ip:port".
+  std::string address_;
+  /// When the first attempt was lost.
+  core::TimePoint at_;
+  /// One for each request, in order of loss.
+  std::vector<LostAttempt> attempts_;
+};
+
+/// @brief Settings of the evidence.
+struct CrashEvidenceSettings {
+  /// How long a loss waits for evidence: an endpoint is back under a new
+  /// incarnation, and in the published list, within some seconds.
+  core::Duration patience_ = std::chrono::seconds(10);
+  /// Endpoint lives remembered, lost or crashed; the oldest give way.
+  std::size_t max_endpoints_ = 256;
+  /// Requests remembered of one endpoint life.
+  std::size_t max_requests_ = 64;
+};
+
+/// @brief Losses of one entry.
+class CrashEvidence {
+ public:
+  explicit CrashEvidence(CrashEvidenceSettings settings = {})
+      : settings_(settings) {}
+
+  /// @brief The connection of an attempt broke while it was under way.
+  [[nodiscard]] LossVerdict OnLost(const LostAttempt& attempt,
+                                   const EndpointLife& endpoint,
+                                   const std::string& address,
+                                   core::TimePoint now);
+  /// @brief The endpoint's process is known to have ended.
+  /// @return what was lost there; no attempts when that was known already.
+  [[nodiscard]] SuspectedCrash OnCrashed(const EndpointLife& endpoint);
+  /// @brief The endpoint answered, or did not: nothing follows yet.
+  void OnInconclusive(const EndpointLife& endpoint);
+  /// @brief Losses that wait for evidence beyond that of a probe.
+  [[nodiscard]] std::vector<SuspectedCrash> Waiting(core::TimePoint now);
+  /// @brief Whether a probe is to show if a request's last endpoint crashed.
+  [[nodiscard]] bool Probing(const RequestDigest& request) const;
+
+ private:
+  enum class State : std::uint8_t { kProbing, kInconclusive, kCrashed };
+  struct Loss {
+    SuspectedCrash crash_;
+    State state_ = State::kProbing;
+  };
+
+  [[nodiscard]] Loss* Find(const EndpointLife& endpoint);
+  void Expire(core::TimePoint now);
+
+  CrashEvidenceSettings settings_;
+  /// In order of time.
+  std::deque<Loss> losses_;
+};
+
+}  // namespace chalkwell::routing
--- a/packages/chalkwell/src/chalkwell/routing/endpoint_table.cpp
+++ b/packages/chalkwell/src/chalkwell/routing/endpoint_table.cpp
@@ -89,10 +89,26 @@
   });
 }
 
+bool EndpointTable::Departs(const EndpointLife& life) const {
+  const auto same = [&](const EndpointLife& other) {
+    return SameLife(other, life);
+  };
+  return std::ranges::any_of(leaving_, same) ||
+         std::ranges::any_of(departed_, same);
+}
+
+bool EndpointTable::Replaced(const std::string& address,
+                             const EndpointLife& life) const {
+  return !Departs(life) && !incarnations_.Lives(address, life);
+}
+
 void EndpointTable::TakeRow(EndpointRow row) {
   subset_due_ = true;
   auto& endpoint = endpoints_[row.id_];
   endpoint.missing_since_.reset();
+  std::erase_if(departed_, [&](const EndpointLife& departed) {
+    return SameLife(departed, row.life());
+  });
   if (row.leaving_) {
     RememberLeaving(row.life());
   }
--- a/packages/chalkwell/src/chalkwell/routing/endpoint_table.hpp
+++ b/packages/chalkwell/src/chalkwell/routing/endpoint_table.hpp
@@ -228,6 +228,14 @@
   [[nodiscard]] bool TakesWork(const EndpointLife& life,
                                core::TimePoint now) const;
 
+  /// @brief Whether another life is known to answer at the address of one that
+  /// was listed and did not leave.
+  [[nodiscard]] bool Replaced(const std::string& address,
+                              const EndpointLife& life) const;
+  /// @brief Whether a life said that it leaves, or its row was withdrawn: its
+  /// end is planned.
+  [[nodiscard]] bool Departs(const EndpointLife& life) const;
+
   /// @brief Endpoints of the subset that this entry uses: their agents are
   /// asked for reports.
   [[nodiscard]] std::vector<EndpointRow> Subset();
--- a/packages/chalkwell/src/chalkwell/routing/request_digest.cpp
+++ b/packages/chalkwell/src/chalkwell/routing/request_digest.cpp
@@ -46,9 +46,8 @@
   RequestDigest digest;
   std::size_t size = 0;
   const char* end = nullptr;
-  const int failed =
-      sodium_hex2bin(digest.bytes_.data(), kSize, text.data(), text.size(),
-                     nullptr, &size, &end);
+  const int failed = sodium_hex2bin(digest.bytes_.data(), kSize, text.data(),
+                                    text.size(), nullptr, &size, &end);
   const bool whole = end == text.data() + text.size();
   return failed == 0 && whole && size == kSize ? std::optional(digest)
                                                : std::nullopt;
--- a/packages/daemon/src/daemon/admin.cpp
+++ b/packages/daemon/src/daemon/admin.cpp
@@ -12,6 +12,8 @@
 namespace {
 
 constexpr std::size_t kMaxBody = 1024;
+/// Followed by a content digest.
+constexpr std::string_view kLiftPath = "/quarantine/lift?content=";
 
 /// Resident memory of this process in bytes.
 double ResidentBytes() {
@@ -56,6 +58,13 @@
       hooks.refresh_();
       exchange->Respond(200, {{"content-type", "text/plain; version=0.0.4"}},
                         metrics.Render());
+    } else if (path.starts_with(kLiftPath) && hooks.lift_quarantine_ &&
+               exchange->request().method_ == "POST") {
+      const bool lifted = hooks.lift_quarantine_(path.substr(kLiftPath.size()));
+      exchange->Respond(lifted ? 200 : 404, text,
+                        lifted ? "lifted\n"
+                               : "content: no request with this digest is "
+                                 "quarantined; /status lists them\n");
     } else {
       exchange->Respond(404, text,
                         "not found; try /healthz /readyz /status /metrics\n");
--- a/packages/daemon/src/daemon/admin.hpp
+++ b/packages/daemon/src/daemon/admin.hpp
@@ -1,4 +1,5 @@
-// The admin listener of both daemons: /metrics, /healthz, /readyz, /status.
+// The admin listener of both daemons: /metrics, /healthz, /readyz, /status, and
+// /quarantine/lift where requests are quarantined.
 #pragma once
 
 #include <functional>
@@ -18,6 +19,9 @@
   std::function<std::string()> status_;
   /// Called before metrics are rendered, to set gauges.
   std::function<void()> refresh_;
+  /// Ends the quarantine of a request, by its content digest; false when there
+  /// is none. None for processes without a quarantine.
+  std::function<bool(const std::string& content)> lift_quarantine_ = nullptr;
 };
 
 /// @brief Opens the admin listener.
--- a/packages/daemon/src/daemon/direct/direct_entry.cpp
+++ b/packages/daemon/src/daemon/direct/direct_entry.cpp
@@ -75,6 +75,7 @@
                adapter_,
                endpoints_,
                budget_,
+               quarantine_,
                process.log(),
                process.metrics(),
                process.tracer(),
@@ -121,6 +122,14 @@
                         bool watches) {
                    keeper_.OnHeard(member, version, watches);
                  },
+             .on_crashes_ =
+                 [this](const membership::Member& sender,
+                        const std::vector<CrashRecordMessage>& records,
+                        core::TimePoint sent_at) {
+                   quarantine_.OnRecords(sender, records, sent_at);
+                 },
+             .crashes_ =
+                 [this](std::size_t most) { return quarantine_.Sample(most); },
              .rules_version_ = [this] { return keeper_.version(); },
              .watches_rules_ = [this] { return keeper_.watches(); },
              .weights_ =
@@ -131,6 +140,8 @@
                    }
                    return known;
                  }}),
+      quarantine_(process.loop(), endpoints_, mesh_, process.log(),
+                  process.metrics()),
       list_(process.loop(), endpoints_, mesh_, process.log(),
             EndpointListSettingsOf(process.settings()),
             {.read_ = [this] { reader_.ReadNow(Section::kEndpoints); },
@@ -161,11 +172,16 @@
   TakeSettings();
   auto& loop = process_.loop();
   const auto& settings = process_.settings();
-  admin_ = OpenAdmin(loop, ParseAddress(settings.Text("listen", "admin")),
-                     process_.metrics(),
-                     {.not_ready_ = [this] { return NotReady(); },
-                      .status_ = [this] { return Status(); },
-                      .refresh_ = [] {}});
+  admin_ = OpenAdmin(
+      loop, ParseAddress(settings.Text("listen", "admin")), process_.metrics(),
+      {.not_ready_ = [this] { return NotReady(); },
+       .status_ = [this] { return Status(); },
+       .refresh_ = [this] { quarantine_.RefreshMetrics(); },
+       .lift_quarantine_ =
+           [this](const std::string& content) {
+             const auto request = routing::RequestDigest::FromHex(content);
+             return request && quarantine_.Lift(*request);
+           }});
   ready_ = std::make_unique<Http1Server>(
       loop, ParseAddress(settings.Text("listen", "ready")),
       Http1ServerHooks{.limits_ = [] { return HttpLimits{}; },
@@ -451,6 +467,13 @@
 void DirectEntry::Admit(const HttpExchangePtr& exchange,
                         AdmittedDirect request) {
   const auto now = process_.loop().Now();
+  if (const auto refusal = quarantine_.RefusalOf(request.digest_)) {
+    Refuse(*exchange, request.caller_, kUnavailable,
+           core::EventNumber::kRequestQuarantined,
+           "content " + request.digest_.ToHex() + " " + refusal->reason_,
+           refusal->retry_after_);
+    return;
+  }
   std::string reason;
   if (const auto wait = RefusalOf(request, now, reason)) {
     Refuse(*exchange, request.caller_, kUnavailable,
@@ -524,6 +547,7 @@
                               {"members", mesh_.Live().size()},
                               {"requests_in_flight", in_flight_},
                               {"requests_waiting", 0},
+                              {"quarantine", quarantine_.Status()},
                               {"endpoints", rows}};
   return status.dump();
 }
--- a/packages/daemon/src/daemon/direct/direct_entry.hpp
+++ b/packages/daemon/src/daemon/direct/direct_entry.hpp
@@ -20,6 +20,7 @@
 #include "daemon/direct/mesh_node.hpp"
 #include "daemon/direct/published_reader.hpp"
 #include "daemon/direct/published_relay.hpp"
+#include "daemon/direct/quarantine_keeper.hpp"
 #include "daemon/direct/rules_keeper.hpp"
 #include "daemon/http1_server.hpp"
 #include "daemon/process_base.hpp"
@@ -84,6 +85,7 @@
   RequestContext context_;
   PublishedReader reader_;
   MeshNode mesh_;
+  QuarantineKeeper quarantine_;
   EndpointList list_;
   RulesKeeper keeper_;
   PublishedRelay relay_;
--- a/packages/daemon/src/daemon/direct/direct_request.cpp
+++ b/packages/daemon/src/daemon/direct/direct_request.cpp
@@ -60,7 +60,7 @@
                 .max_attempts_ = std::max(1U, request_.route_.max_attempts_),
                 .may_retry_ =
                     [this](routing::RetryKind kind, core::TimePoint now) {
-                      return context_.budget_.Take(kind, now);
+                      return MayRepeat(kind, now);
                     }}),
       deadline_(context.loop_),
       silence_(context.loop_) {}
@@ -70,6 +70,12 @@
   span_ = context_.tracer_.Begin(
       "entry.request", FindHeader(exchange_->request().headers_, kTraceparent));
   context_.budget_.OnRequest(now);
+  quarantine_token_ = context_.quarantine_.OnBegun(
+      request_.digest_, request_.deadline_, [weak = weak_from_this()] {
+        if (const auto self = weak.lock()) {
+          self->OnQuarantined();
+        }
+      });
   exchange_->OnAbort([self = shared_from_this()] { self->OnCallerGone(); });
   deadline_.Once(request_.deadline_ - now,
                  [self = shared_from_this()] { self->OnDeadline(); });
@@ -144,9 +150,11 @@
   options.max_rest_ = request_.route_.repeatable() ? kMaxRest : kMaxRestOnce;
   options.connect_timeout_ = kConnectTimeout;
   options.silence_ = request_.deadline_ - now + milliseconds(1000);
-  // The endpoint may leave while the connection opens.
+  // While the connection opens the endpoint may leave, and the request may be
+  // quarantined.
   options.may_send_ = [this, self = shared_from_this(), life = row.life()] {
-    return context_.endpoints_.TakesWork(life, context_.loop_.Now());
+    return context_.endpoints_.TakesWork(life, context_.loop_.Now()) &&
+           context_.quarantine_.MayRepeat(request_.digest_, std::nullopt);
   };
   options.is_ours_ = [this,
                       self = shared_from_this()](const HttpHeaders& headers) {
@@ -423,9 +431,31 @@
                             {{"end", std::string(routing::ToString(end))}});
     events_.DropRest();
   }
+  ReportEnd(end);
   Perform(tracker_.OnEnded(attempt_.number_, end, now));
 }
 
+void DirectRequest::ReportEnd(routing::AttemptEnd end) {
+  const routing::LostAttempt attempt{request_.digest_,
+                                     context_.loop_.Now() - attempt_.sent_at_};
+  const bool may_have_run = end == routing::AttemptEnd::kLost ||
+                            end == routing::AttemptEnd::kFailedRan;
+  last_lost_ = may_have_run ? std::optional(attempt) : std::nullopt;
+  if (attempt_.call_end_ == HttpEnd::kBroken) {
+    context_.quarantine_.OnLost(attempt, attempt_.choice_.row_);
+  }
+  // An endpoint that crashes in the middle of an answer without length seems to
+  // have completed it.
+  if (end == routing::AttemptEnd::kComplete && !attempt_.unframed_) {
+    context_.quarantine_.OnAnswered(request_.digest_);
+  }
+}
+
+bool DirectRequest::MayRepeat(routing::RetryKind kind, core::TimePoint now) {
+  return context_.quarantine_.MayRepeat(request_.digest_, last_lost_) &&
+         context_.budget_.Take(kind, now);
+}
+
 void DirectRequest::OnSilence() {
   if (ended_ || attempt_.call_ == nullptr) {
     return;
@@ -437,6 +467,15 @@
   EndAttempt(routing::AttemptEnd::kLost, routing::EndpointOutcome::kFailed);
 }
 
+void DirectRequest::OnQuarantined() {
+  if (ended_ || attempt_.call_ == nullptr || attempt_.answering_) {
+    return;
+  }
+  attempt_.given_up_ = "quarantined";
+  std::exchange(attempt_.call_, nullptr)->Cancel();
+  EndAttempt(routing::AttemptEnd::kLost, routing::EndpointOutcome::kCancelled);
+}
+
 void DirectRequest::OnDeadline() {
   past_deadline_ = true;
   if (attempt_.call_ != nullptr && !attempt_.answering_) {
@@ -462,6 +501,7 @@
   const auto now = context_.loop_.Now();
   deadline_.Cancel();
   silence_.Cancel();
+  context_.quarantine_.OnEnded(quarantine_token_);
   const bool answered = finish.outcome_ == routing::Outcome::kAnswered;
   if (started_) {
     if (answered) {
@@ -511,9 +551,12 @@
     return;
   }
   if (finish.outcome_ == routing::Outcome::kRefusedNotRun) {
+    const auto refusal = context_.quarantine_.RefusalOf(request_.digest_);
     exchange_->Respond(
         kUnavailable,
-        codec.own_headers_(request_.caller_.id_, finish.retry_after_), "");
+        codec.own_headers_(request_.caller_.id_, refusal ? refusal->retry_after_
+                                                         : finish.retry_after_),
+        refusal ? refusal->reason_ + "\n" : "");
     return;
   }
   exchange_->Respond(past_deadline_ ? kGatewayTimeout : kBadGateway,
--- a/packages/daemon/src/daemon/direct/direct_request.hpp
+++ b/packages/daemon/src/daemon/direct/direct_request.hpp
@@ -13,6 +13,7 @@
 #include "chalkwell/routing/request_tracker.hpp"
 #include "chalkwell/routing/retry_budget.hpp"
 #include "daemon/direct/hooks.hpp"
+#include "daemon/direct/quarantine_keeper.hpp"
 #include "daemon/event_log.hpp"
 #include "daemon/metrics.hpp"
 #include "daemon/tracer.hpp"
@@ -26,6 +27,7 @@
   const Adapter& adapter_;
   routing::EndpointTable& endpoints_;
   routing::RetryBudget& budget_;
+  QuarantineKeeper& quarantine_;
   EventLog& log_;
   Metrics& metrics_;
   Tracer& tracer_;
@@ -104,6 +106,8 @@
   void OnPlainData(std::string_view bytes);
   void OnEnd(routing::AttemptNumber number, HttpEnd end);
   void OnSilence();
+  /// @brief The request was quarantined: an attempt without an answer ends.
+  void OnQuarantined();
   void OnDeadline();
   void OnCallerGone();
   void EndAttempt(routing::AttemptEnd end, routing::EndpointOutcome outcome);
@@ -118,6 +122,11 @@
   [[nodiscard]] bool LeftUndelivered();
   void ExpectEvent();
   void CountEnded(routing::EndpointOutcome outcome);
+  /// @brief Tells the quarantine what the end of an attempt says of the
+  /// request.
+  void ReportEnd(routing::AttemptEnd end);
+  /// @brief Whether the tracker may choose a further endpoint.
+  [[nodiscard]] bool MayRepeat(routing::RetryKind kind, core::TimePoint now);
   [[nodiscard]] bool current(routing::AttemptNumber number) const noexcept {
     return !ended_ && attempt_.number_ == number && attempt_.call_ != nullptr;
   }
@@ -138,6 +147,9 @@
   bool started_ = false;
   bool ended_ = false;
   bool past_deadline_ = false;
+  /// The last attempt if it may have run.
+  std::optional<routing::LostAttempt> last_lost_;
+  QuarantineKeeper::Token quarantine_token_ = 0;
   /// The last failure that an endpoint itself answered.
   std::optional<HttpResponse> failure_;
   Timer deadline_;
--- a/packages/daemon/src/daemon/direct/mesh_messages.cpp
+++ b/packages/daemon/src/daemon/direct/mesh_messages.cpp
@@ -120,6 +120,37 @@
   return change;
 }
 
+CrashRecordMessage ToMessage(const routing::CrashRecord& record,
+                             core::TimePoint now) {
+  CrashRecordMessage message;
+  message.request_ = record.request_.ToBytes();
+  for (const auto& crash : record.crashes_) {
+    message.crashes_.push_back({.endpoint_ = ToMessage(crash.endpoint_),
+                                .reporter_ = crash.reporter_.value(),
+                                .age_ms_ = ToAgeMs(now - crash.at_),
+                                .cleared_ = crash.cleared_,
+                                .under_way_ms_ = ToAgeMs(crash.under_way_)});
+  }
+  return message;
+}
+
+std::optional<routing::CrashRecord> ToRecord(const CrashRecordMessage& message,
+                                             core::TimePoint sent_at) {
+  const auto request = routing::RequestDigest::FromBytes(message.request_);
+  if (!request) {
+    return std::nullopt;
+  }
+  routing::CrashRecord record{.request_ = *request, .crashes_ = {}};
+  for (const auto& crash : message.crashes_) {
+    record.crashes_.push_back({.endpoint_ = ToLife(crash.endpoint_),
+                               .reporter_ = core::InstanceId(crash.reporter_),
+                               .at_ = sent_at - ToAge(crash.age_ms_),
+                               .under_way_ = ToAge(crash.under_way_ms_),
+                               .cleared_ = crash.cleared_});
+  }
+  return record;
+}
+
 routing::LoadReport ToReport(const LoadMessage& message,
                              core::Duration outbound) {
   routing::LoadReport report;
--- a/packages/daemon/src/daemon/direct/mesh_messages.hpp
+++ b/packages/daemon/src/daemon/direct/mesh_messages.hpp
@@ -5,11 +5,13 @@
 #include <cstdint>
 #include <map>
 #include <msgpack.hpp>
+#include <optional>
 #include <string>
 #include <vector>
 
 #include "chalkwell/membership/gossip_table.hpp"
 #include "chalkwell/routing/endpoint_table.hpp"
+#include "chalkwell/routing/request_quarantine.hpp"
 
 namespace chalkwell::daemon::direct {
 
@@ -124,6 +126,33 @@
   MSGPACK_DEFINE(leaving_, gone_)
 };
 
+/// @brief Wire form of one crash of an endpoint.
+struct CrashMessage {
+  LifeMessage endpoint_;
+  /// Entry that saw it.
+  std::string reporter_;
+  /// Since the crash, as the message is sent.
+  std::uint64_t age_ms_ = 0;
+  bool cleared_ = false;
+  /// How long the request had been under way there.
+  std::uint64_t under_way_ms_ = 0;
+  MSGPACK_DEFINE(endpoint_, reporter_, age_ms_, cleared_, under_way_ms_)
+};
+
+/// @brief Values of CrashRecordMessage::trial_ms_ below 1.
+enum class TrialChange : std::int64_t { kNone = -1, kEnded = 0 };
+
+/// @brief Endpoints that crashed while a request was under way there.
+struct CrashRecordMessage {
+  /// Bytes of the request's digest.
+  std::string request_;
+  std::vector<CrashMessage> crashes_;
+  /// The sender has an attempt of the suspected request under way, for this
+  /// long at the most; a TrialChange when not positive.
+  std::int64_t trial_ms_ = static_cast<std::int64_t>(TrialChange::kNone);
+  MSGPACK_DEFINE(request_, crashes_, trial_ms_)
+};
+
 /// @brief One datagram.
 struct MeshMessage {
   MemberMessage sender_;
@@ -144,8 +173,9 @@
   std::uint64_t rules_version_ = 0;
   /// The sender takes the rules from the store: its neighbours need not.
   bool watches_rules_ = false;
+  std::vector<CrashRecordMessage> crashes_;
   MSGPACK_DEFINE(sender_, rows_, held_, weights_, asks_, subscribes_, departed_,
-                 sent_ms_, list_, rules_version_, watches_rules_)
+                 sent_ms_, list_, rules_version_, watches_rules_, crashes_)
 };
 
 /// A pace travels in thousandths.
@@ -167,6 +197,13 @@
 /// @param sent_at when the message was sent, by the own clock.
 [[nodiscard]] routing::EndpointListChange ToChange(const ListMessage& message,
                                                    core::TimePoint sent_at);
+/// @brief The record as it is sent; it says nothing of a trial.
+[[nodiscard]] CrashRecordMessage ToMessage(const routing::CrashRecord& record,
+                                           core::TimePoint now);
+/// @param sent_at when the message was sent, by the own clock.
+/// @return nothing when the message names no request.
+[[nodiscard]] std::optional<routing::CrashRecord> ToRecord(
+    const CrashRecordMessage& message, core::TimePoint sent_at);
 /// @brief A report as its reader believes it.
 /// @param outbound how long the agent's link held the report back; requests
 /// wait on the way in, their answers on the way out.
--- a/packages/daemon/src/daemon/direct/mesh_node.cpp
+++ b/packages/daemon/src/daemon/direct/mesh_node.cpp
@@ -18,6 +18,10 @@
 constexpr std::size_t kAsked = 8;
 /// Rows of an answer to one who asks: a newcomer knows nobody.
 constexpr std::size_t kAnswerRows = 24;
+/// Records of crashes that gossip carries, and that an answer does: an entry
+/// that missed their publication gets them within some intervals.
+constexpr std::size_t kCrashRecords = 8;
+constexpr std::size_t kAnswerCrashRecords = 24;
 /// Seeds are greeted this often at the start, whether or not they answer.
 constexpr unsigned kGreetings = 6;
 constexpr auto kGreetingInterval = std::chrono::milliseconds(150);
@@ -93,7 +97,7 @@
       SendTo(TrafficKind::kGossip, {silent}, message);
     }
     for (const auto& target : table_.Targets(kTargets)) {
-      auto message = Envelope();
+      auto message = GossipEnvelope(kCrashRecords);
       for (const auto& row : table_.Sample(kRows, target.domain_)) {
         message.rows_.push_back(ToMessage(row));
       }
@@ -144,6 +148,14 @@
   return message;
 }
 
+MeshMessage MeshNode::GossipEnvelope(std::size_t crash_records) const {
+  auto message = Envelope();
+  if (hooks_.crashes_) {
+    message.crashes_ = hooks_.crashes_(crash_records);
+  }
+  return message;
+}
+
 void MeshNode::Send(TrafficKind kind, const std::string& address,
                     const core::FailureDomainId& domain,
                     const MeshMessage& message) {
@@ -209,7 +221,8 @@
 
 void MeshNode::Answer(const membership::Member& asker) {
   table_.Beat();
-  auto answer = Envelope();
+  const bool to_entry = asker.kind_ == membership::MemberKind::kEntry;
+  auto answer = to_entry ? GossipEnvelope(kAnswerCrashRecords) : Envelope();
   if (IsEntry()) {
     for (const auto& row : table_.Sample(kAnswerRows, asker.domain_)) {
       answer.rows_.push_back(ToMessage(row));
@@ -278,6 +291,9 @@
   if (hooks_.on_list_ && lists) {
     hooks_.on_list_(sender, message.list_, loop_.Now() - delay);
   }
+  if (hooks_.on_crashes_ && !message.crashes_.empty()) {
+    hooks_.on_crashes_(sender, message.crashes_, loop_.Now() - delay);
+  }
   if (hooks_.on_rules_) {
     hooks_.on_rules_(sender, message.rules_version_, message.watches_rules_);
   }
@@ -339,6 +355,19 @@
          message);
 }
 
+void MeshNode::PublishCrashes(const std::vector<CrashRecordMessage>& records) {
+  auto message = Envelope();
+  message.crashes_ = records;
+  SendTo(TrafficKind::kCrashes, Plan().Tell(membership::Reach::kSure), message);
+}
+
+void MeshNode::ForwardCrashes(const core::FailureDomainId& from,
+                              const std::vector<CrashRecordMessage>& records) {
+  auto message = Envelope();
+  message.crashes_ = records;
+  SendTo(TrafficKind::kCrashes, Plan().PassOn(from), message);
+}
+
 void MeshNode::TellReadFailed() {
   auto message = Envelope();
   message.list_.tried_ = true;
--- a/packages/daemon/src/daemon/direct/mesh_node.hpp
+++ b/packages/daemon/src/daemon/direct/mesh_node.hpp
@@ -56,6 +56,14 @@
   std::function<void(const membership::Member& member, std::uint64_t version,
                      bool watches)>
       on_rules_;
+  /// A member published endpoints that crashed under requests.
+  /// @param sent_at when it did, by the own clock.
+  std::function<void(const membership::Member& sender,
+                     const std::vector<CrashRecordMessage>& records,
+                     core::TimePoint sent_at)>
+      on_crashes_;
+  /// Some records of crashes for another entry.
+  std::function<std::vector<CrashRecordMessage>(std::size_t most)> crashes_;
   /// Version of the rules in force here; 0 for none.
   std::function<std::uint64_t()> rules_version_;
   /// Whether this process takes the rules from the store.
@@ -102,6 +110,13 @@
   void TellList(const ListMessage& list);
   /// @brief Tells the own failure domain that the list could not be read.
   void TellReadFailed();
+  /// @brief Publishes records of crashes to the own failure domain and to the
+  /// delegates of the others.
+  void PublishCrashes(const std::vector<CrashRecordMessage>& records);
+  /// @brief Forwards records that came from another failure domain, if this
+  /// entry is a delegate of its own.
+  void ForwardCrashes(const core::FailureDomainId& from,
+                      const std::vector<CrashRecordMessage>& records);
   /// @brief Tells members which rules and weights are known here.
   void TellNews(const std::vector<membership::Member>& members);
   /// @brief Tells whoever must know which rules and weights are known here.
@@ -144,6 +159,8 @@
   void SendTo(TrafficKind kind, const std::vector<membership::Member>& members,
               const MeshMessage& message);
   [[nodiscard]] MeshMessage Envelope() const;
+  /// @brief An envelope with some records of crashes.
+  [[nodiscard]] MeshMessage GossipEnvelope(std::size_t crash_records) const;
   [[nodiscard]] membership::SpreadPlan Plan() const;
   [[nodiscard]] bool IsEntry() const noexcept {
     return self().kind_ == membership::MemberKind::kEntry;
--- a/packages/daemon/src/daemon/direct/traffic_count.cpp
+++ b/packages/daemon/src/daemon/direct/traffic_count.cpp
@@ -31,6 +31,8 @@
       return "departed";
     case TrafficKind::kHeld:
       return "held";
+    case TrafficKind::kCrashes:
+      return "crashes";
   }
   return "";
 }
--- a/packages/daemon/src/daemon/direct/traffic_count.hpp
+++ b/packages/daemon/src/daemon/direct/traffic_count.hpp
@@ -22,6 +22,7 @@
   kList,
   kDeparted,
   kHeld,
+  kCrashes,
 };
 
 [[nodiscard]] std::string_view ToString(TrafficKind kind);
@@ -45,7 +46,7 @@
     std::uint64_t datagrams_ = 0;
     std::uint64_t bytes_ = 0;
   };
-  static constexpr std::size_t kKinds = 8;
+  static constexpr std::size_t kKinds = 9;
   /// Of IP and UDP: reports are hardly larger than they.
   static constexpr std::size_t kHeaderBytes = 28;
   /// Sent to the own failure domain, and to others; by kind.
--- a/packages/daemon/src/daemon/tcp_stream.cpp
+++ b/packages/daemon/src/daemon/tcp_stream.cpp
@@ -82,6 +82,7 @@
         auto* owner = static_cast<Handle*>(connect->handle->data)->owner_;
         delete connect;
         if (owner != nullptr) {
+          owner->refused_ = status == UV_ECONNREFUSED;
           owner->OnConnected(status == 0);
         }
       });
--- a/packages/daemon/src/daemon/tcp_stream.hpp
+++ b/packages/daemon/src/daemon/tcp_stream.hpp
@@ -58,6 +58,9 @@
 
   void Observe(StreamObserver observer);
   [[nodiscard]] bool open() const noexcept { return handle_ != nullptr; }
+  /// @brief Whether the peer's system refused the connection: nothing listens
+  /// there.
+  [[nodiscard]] bool refused() const noexcept { return refused_; }
   /// @brief Bytes written and not yet handed to the system.
   [[nodiscard]] std::size_t pending() const noexcept { return pending_; }
   /// @brief Whether the peer's system has not acknowledged some of what was
@@ -97,6 +100,7 @@
   std::size_t pending_ = 0;
   bool reading_ = false;
   bool finishing_ = false;
+  bool refused_ = false;
   std::function<void(bool)> connected_;
   std::unique_ptr<Timer> timer_;
 };
--- /dev/null
+++ b/tests/routing/request_quarantine_test.cpp
@@ -0,0 +1,210 @@
+// Which requests are suspected and refused, from the crashes that entries saw.
+#include "chalkwell/routing/request_quarantine.hpp"
+
+#include <rapidcheck.h>
+
+#include <algorithm>
+#include <catch2/catch.hpp>
+#include <random>
+
+namespace chalkwell::routing {
+namespace {
+
+using namespace std::chrono_literals;
+
+const core::TimePoint kStart = core::TimePoint{} + 1h;
+
+RequestDigest Request(const std::string& body) {
+  return RequestDigest::Of(
+      {core::ClientAccountId("a"), "POST", "h", "/x", body});
+}
+
+EndpointCrash Crash(int endpoint, core::Duration after,
+                    const std::string& reporter = "e1",
+                    core::Duration under_way = 2s) {
+  return {.endpoint_ = {core::InstanceId("i-" + std::to_string(endpoint)), {}},
+          .reporter_ = core::InstanceId(reporter),
+          .at_ = kStart + after,
+          .under_way_ = under_way,
+          .cleared_ = false};
+}
+
+TEST_CASE("the standing of a request follows from its crashes", "[routing]") {
+  struct Row {
+    std::string name_;
+    std::vector<EndpointCrash> crashes_;
+    Standing standing_;
+  };
+  const auto row = GENERATE(
+      Row{"none", {}, Standing::kClear},
+      Row{"one", {Crash(1, 0s)}, Standing::kClear},
+      Row{"two", {Crash(1, 0s), Crash(2, 1s)}, Standing::kSuspected},
+      Row{"three",
+          {Crash(1, 0s), Crash(2, 1s), Crash(3, 2s)},
+          Standing::kQuarantined},
+      Row{"three, out of order",
+          {Crash(3, 2s), Crash(1, 0s), Crash(2, 1s)},
+          Standing::kQuarantined},
+      Row{"of three entries",
+          {Crash(1, 0s, "e1"), Crash(2, 1s, "e2"), Crash(3, 2s, "e3")},
+          Standing::kQuarantined},
+      Row{"one crash that three entries saw",
+          {Crash(1, 0s, "e1"), Crash(1, 1s, "e2"), Crash(1, 2s, "e3")},
+          Standing::kClear},
+      Row{"a whole service at once",
+          {Crash(1, 0ms), Crash(2, 10ms), Crash(3, 20ms), Crash(4, 200ms)},
+          Standing::kClear},
+      Row{"sent on after each crash",
+          {Crash(1, 0ms), Crash(2, 20ms, "e1", 20ms),
+           Crash(3, 300ms, "e2", 20ms)},
+          Standing::kQuarantined},
+      Row{"a service that fails within a moment, and attempts that follow it",
+          {Crash(1, 0ms), Crash(2, 20ms, "e1", 20ms),
+           Crash(3, 40ms, "e1", 20ms), Crash(4, 60ms, "e1", 20ms)},
+          Standing::kSuspected},
+      Row{"a whole service twice",
+          {Crash(1, 0ms), Crash(2, 10ms), Crash(3, 3s), Crash(4, 3010ms)},
+          Standing::kSuspected});
+  CAPTURE(row.name_);
+  RequestQuarantine quarantine;
+  for (const auto& crash : row.crashes_) {
+    (void)quarantine.AddCrash(Request("x"), crash);
+  }
+  CHECK(quarantine.StandingOf(Request("x"), kStart + 5s) == row.standing_);
+  CHECK(quarantine.StandingOf(Request("y"), kStart + 5s) == Standing::kClear);
+}
+
+TEST_CASE("a request that runs to its end is blamed for no earlier crash",
+          "[routing]") {
+  RequestQuarantine quarantine;
+  const auto request = Request("popular");
+  for (int i = 0; i < 3; ++i) {
+    (void)quarantine.AddCrash(request, Crash(i, i * 1s));
+  }
+  CHECK(quarantine.Clear(request));
+  CHECK_FALSE(quarantine.Clear(request));
+  CHECK(quarantine.StandingOf(request, kStart + 3s) == Standing::kClear);
+  SECTION("nor when an entry that does not know it publishes them again") {
+    for (int i = 0; i < 3; ++i) {
+      CHECK_FALSE(quarantine.AddCrash(request, Crash(i, i * 1s)));
+    }
+    CHECK(quarantine.StandingOf(request, kStart + 3s) == Standing::kClear);
+  }
+  SECTION("later crashes count anew") {
+    for (int i = 3; i < 6; ++i) {
+      (void)quarantine.AddCrash(request, Crash(i, i * 1s));
+    }
+    CHECK(quarantine.StandingOf(request, kStart + 6s) ==
+          Standing::kQuarantined);
+  }
+}
+
+TEST_CASE("a quarantined request is tried again after a term that doubles",
+          "[routing]") {
+  struct Row {
+    int crashes_;
+    core::Duration term_;
+  };
+  const auto row =
+      GENERATE(Row{3, 60s}, Row{4, 120s}, Row{5, 240s}, Row{20, 30min});
+  CAPTURE(row.crashes_);
+  RequestQuarantine quarantine;
+  const auto request = Request("x");
+  for (int i = 0; i < row.crashes_; ++i) {
+    (void)quarantine.AddCrash(request, Crash(i, i * 1s));
+  }
+  const auto last = kStart + (row.crashes_ - 1) * 1s;
+  CHECK(quarantine.QuarantinedUntil(request) == last + row.term_);
+  CHECK(quarantine.StandingOf(request, last + row.term_ - 1ms) ==
+        Standing::kQuarantined);
+  CHECK(quarantine.StandingOf(request, last + row.term_) ==
+        Standing::kSuspected);
+}
+
+TEST_CASE("a trial elsewhere ends with its time, a crash or a clearance",
+          "[routing]") {
+  RequestQuarantine quarantine;
+  const auto request = Request("x");
+  (void)quarantine.AddCrash(request, Crash(1, 0s));
+  (void)quarantine.AddCrash(request, Crash(2, 1s));
+  quarantine.SetTrial(request, kStart + 10s);
+  CHECK(quarantine.OnTrial(request, kStart + 9s));
+  SECTION("time") { CHECK_FALSE(quarantine.OnTrial(request, kStart + 10s)); }
+  SECTION("crash") {
+    (void)quarantine.AddCrash(request, Crash(3, 2s));
+    CHECK_FALSE(quarantine.OnTrial(request, kStart + 3s));
+  }
+  SECTION("clearance") {
+    (void)quarantine.Clear(request);
+    CHECK_FALSE(quarantine.OnTrial(request, kStart + 3s));
+  }
+}
+
+TEST_CASE("the table is bounded and forgets", "[routing]") {
+  QuarantineSettings settings;
+  settings.max_records_ = 4;
+  RequestQuarantine quarantine(settings);
+  for (int i = 0; i < 10; ++i) {
+    (void)quarantine.AddCrash(Request(std::to_string(i)), Crash(i, i * 1s));
+  }
+  CHECK(quarantine.size() == 4);
+  CHECK(quarantine.Find(Request("9")) != nullptr);
+  CHECK(quarantine.Find(Request("0")) == nullptr);
+  quarantine.Expire(kStart + 9s + settings.memory_);
+  CHECK(quarantine.size() == 0);
+}
+
+TEST_CASE("samples hold suspected requests first and drop the others in time",
+          "[routing]") {
+  QuarantineSettings settings;
+  RequestQuarantine quarantine(settings);
+  for (int i = 0; i < 6; ++i) {
+    (void)quarantine.AddCrash(Request("innocent" + std::to_string(i)),
+                              Crash(i, 0s));
+  }
+  (void)quarantine.AddCrash(Request("x"), Crash(1, 0s));
+  (void)quarantine.AddCrash(Request("x"), Crash(2, 1s));
+  for (unsigned i = 0; i < 6 * settings.clear_samples_; ++i) {
+    const auto sample = quarantine.Sample(2);
+    REQUIRE_FALSE(sample.empty());
+    CHECK(sample.front().request_ == Request("x"));
+  }
+  CHECK(quarantine.Sample(8).size() == 1);
+}
+
+TEST_CASE("entries that merged the same records agree, in whatever order",
+          "[routing]") {
+  rc::check([] {
+    const auto count = *rc::gen::inRange(1, 7);
+    std::vector<CrashRecord> records;
+    for (int i = 0; i < count; ++i) {
+      auto crash = Crash(*rc::gen::inRange(0, 4),
+                         *rc::gen::inRange(0, 4) * std::chrono::seconds(1));
+      // An endpoint life crashes once.
+      crash.at_ = kStart + (crash.endpoint_.id_.value().back() - '0') * 1s;
+      crash.cleared_ = *rc::gen::inRange(0, 4) == 0;
+      records.push_back({Request("x"), {crash}});
+    }
+    auto other = records;
+    std::mt19937 random(*rc::gen::arbitrary<unsigned>());
+    std::ranges::shuffle(other, random);
+    other.insert(other.end(), records.begin(), records.end());
+    RequestQuarantine left;
+    RequestQuarantine right;
+    for (const auto& record : records) {
+      (void)left.Merge(record);
+    }
+    for (const auto& record : other) {
+      (void)right.Merge(record);
+    }
+    const auto now = kStart + 10s;
+    RC_ASSERT(left.StandingOf(Request("x"), now) ==
+              right.StandingOf(Request("x"), now));
+    RC_ASSERT(left.Blames(Request("x")) == right.Blames(Request("x")));
+    RC_ASSERT(left.Find(Request("x"))->crashes_.size() ==
+              right.Find(Request("x"))->crashes_.size());
+  });
+}
+
+}  // namespace
+}  // namespace chalkwell::routing
