Count the time for which the machine is suspended

An entry that woke after 6 s took its list, reports and leases for as old as before and sent four of eight waiting requests to an endpoint that had left; a request whose deadline had passed went on waiting for as long as the machine had been suspended.

Cause: Loop::Now was the steady clock, which stands still during a suspension, as do libuv's timers. PauseDetector, built on it, saw nothing.

Timers keep when they are due. After each wait for events the loop compares the two clocks; if they moved apart it sets the timers anew, logs the event 'resumed', and an entry asks a seed what it missed.

--- a/packages/chalkwell/src/chalkwell/core/event.hpp
+++ b/packages/chalkwell/src/chalkwell/core/event.hpp
@@ -17,6 +17,7 @@
   kListening = 104,
   kSettingsReloaded = 105,
   kLogDropped = 106,
+  kResumed = 107,
   kDocumentAccepted = 200,
   kDocumentRefused = 201,
   kDocumentConflict = 202,
--- a/packages/daemon/src/daemon/direct/direct_entry.cpp
+++ b/packages/daemon/src/daemon/direct/direct_entry.cpp
@@ -212,6 +212,7 @@
       [this](const PeerCallPtr& call) { OnPeer(call); });
   relay_timer_.Every(kRelayInterval, [this] { AskPeersIfCutOff(); });
   process_.OnReload([this] { TakeSettings(); });
+  process_.OnResume([this] { mesh_.GreetSeed(); });
   mesh_.Start();
   keeper_.Start();
   subscribe_timer_.Every(kSubscribeTick, [this] { Subscribe(); });
--- a/packages/daemon/src/daemon/event_log.cpp
+++ b/packages/daemon/src/daemon/event_log.cpp
@@ -10,6 +10,7 @@
 #include <nlohmann/json.hpp>
 #include <utility>
 
+#include "daemon/clock.hpp"
 #include "daemon/log_writer.hpp"
 
 namespace chalkwell::daemon {
@@ -76,9 +77,8 @@
           ? "%d{ISO8601} %-5p %m%n"
           : "{\"time\":\"%d{ISO8601}\",\"level\":\"%p\",%m}%n";
   auto layout = std::make_shared<log4cxx::PatternLayout>(pattern);
-  writer_ = std::make_shared<LogWriter>(
-      STDOUT_FILENO, LineBudgetSettings{},
-      [] { return std::chrono::steady_clock::now(); });
+  writer_ = std::make_shared<LogWriter>(STDOUT_FILENO, LineBudgetSettings{},
+                                        BootTime);
   log4cxx::LayoutPtr base = layout;
   log4cxx::helpers::WriterPtr writer = writer_;
   auto appender = std::make_shared<LineAppender>(base, writer);
--- a/packages/daemon/src/daemon/loop.cpp
+++ b/packages/daemon/src/daemon/loop.cpp
@@ -40,12 +40,67 @@
   UncaughtHandler() = std::move(handler);
 }
 
-Loop::Loop() { uv_loop_init(&loop_); }
+namespace internal {
 
-Loop::~Loop() { uv_loop_close(&loop_); }
+/// Of one timer; the handle may outlive the timer until the loop has closed it.
+struct TimerState {
+  explicit TimerState(Loop& loop) : loop_(loop) {}
 
-core::TimePoint Loop::Now() const noexcept {
-  return std::chrono::steady_clock::now();
+  /// Starts libuv's timer for what is left until this one is due.
+  void Arm() {
+    uv_update_time(handle_.loop);
+    uv_timer_start(&handle_, Fire, Milliseconds(due_ - loop_.Now()), 0);
+  }
+
+  static void Fire(uv_timer_t* handle);
+
+  uv_timer_t handle_{};
+  Loop& loop_;
+  core::TimePoint due_;
+  /// Zero for a timer that fires once.
+  core::Duration period_{};
+  std::function<void()> task_;
+};
+
+}  // namespace internal
+
+Loop::Loop(LoopClocks clocks) : clocks_(std::move(clocks)) {
+  // What was suspended before does not count.
+  (void)suspension_.Check(clocks_);
+  uv_loop_init(&loop_);
+  uv_check_init(&loop_, &check_);
+  check_.data = this;
+  uv_check_start(&check_, [](uv_check_t* handle) {
+    static_cast<Loop*>(handle->data)->CheckSuspension();
+  });
+  uv_unref(reinterpret_cast<uv_handle_t*>(&check_));
+}
+
+Loop::~Loop() {
+  const bool idle = uv_loop_alive(&loop_) == 0;
+  uv_close(reinterpret_cast<uv_handle_t*>(&check_), nullptr);
+  if (idle) {
+    // Nothing but the closing of the check is left to run.
+    uv_run(&loop_, UV_RUN_NOWAIT);
+  }
+  uv_loop_close(&loop_);
+}
+
+void Loop::CheckSuspension() {
+  const auto suspended = suspension_.Check(clocks_);
+  if (suspended == core::Duration{}) {
+    return;
+  }
+  for (auto* timer : timers_) {
+    timer->Arm();
+  }
+  if (on_resume_) {
+    Guarded([&] { on_resume_(suspended); });
+  }
+}
+
+void Loop::OnResume(std::function<void(core::Duration suspended)> handler) {
+  on_resume_ = std::move(handler);
 }
 
 void Loop::Run() { uv_run(&loop_, UV_RUN_DEFAULT); }
@@ -74,34 +129,39 @@
   uv_unref(reinterpret_cast<uv_handle_t*>(&state->handle_));
 }
 
-struct Timer::State {
-  uv_timer_t handle_{};
-  std::function<void()> task_;
-};
+void internal::TimerState::Fire(uv_timer_t* handle) {
+  auto& state = *static_cast<TimerState*>(handle->data);
+  const auto task = state.task_;
+  if (state.period_ > core::Duration{}) {
+    state.due_ = state.loop_.Now() + state.period_;
+    state.Arm();
+  } else {
+    state.loop_.timers_.erase(&state);
+  }
+  Guarded(task);
+}
 
-Timer::Timer(Loop& loop) : state_(new State) {
+Timer::Timer(Loop& loop) : state_(new internal::TimerState(loop)) {
   uv_timer_init(loop.raw(), &state_->handle_);
   state_->handle_.data = state_;
 }
 
 Timer::~Timer() {
+  state_->loop_.timers_.erase(state_);
   uv_timer_stop(&state_->handle_);
-  uv_close(
-      reinterpret_cast<uv_handle_t*>(&state_->handle_),
-      [](uv_handle_t* handle) { delete static_cast<State*>(handle->data); });
+  uv_close(reinterpret_cast<uv_handle_t*>(&state_->handle_),
+           [](uv_handle_t* handle) {
+             delete static_cast<internal::TimerState*>(handle->data);
+           });
 }
 
 void Timer::Start(core::Duration delay, core::Duration period,
                   std::function<void()> task) {
   state_->task_ = std::move(task);
-  uv_update_time(state_->handle_.loop);
-  uv_timer_start(
-      &state_->handle_,
-      [](uv_timer_t* handle) {
-        const auto task = static_cast<State*>(handle->data)->task_;
-        Guarded(task);
-      },
-      Milliseconds(delay), Milliseconds(period));
+  state_->due_ = state_->loop_.Now() + delay;
+  state_->period_ = period;
+  state_->loop_.timers_.insert(state_);
+  state_->Arm();
 }
 
 void Timer::Once(core::Duration delay, std::function<void()> task) {
@@ -113,6 +173,7 @@
 }
 
 void Timer::Cancel() noexcept {
+  state_->loop_.timers_.erase(state_);
   uv_timer_stop(&state_->handle_);
   // What the task holds is let go of with it.
   state_->task_ = nullptr;
--- a/packages/daemon/src/daemon/loop.hpp
+++ b/packages/daemon/src/daemon/loop.hpp
@@ -1,28 +1,35 @@
-// The event loop and its timers: the only place that reads the clock.
+// The event loop and its timers. Timers are due by the time that includes
+// suspensions of the machine; libuv's own are not.
 #pragma once
 
 #include <uv.h>
 
 #include <functional>
 #include <memory>
+#include <set>
 #include <utility>
 
 #include "chalkwell/core/fwd.hpp"
+#include "daemon/clock.hpp"
 #include "daemon/fwd.hpp"
 
 namespace chalkwell::daemon {
 
+namespace internal {
+struct TimerState;
+}
+
 /// @brief Owner of one libuv loop.
 class Loop {
  public:
-  Loop();
+  explicit Loop(LoopClocks clocks = {});
   ~Loop();
   Loop(const Loop&) = delete;
   Loop& operator=(const Loop&) = delete;
 
   [[nodiscard]] uv_loop_t* raw() noexcept { return &loop_; }
-  /// @brief Monotonic time now.
-  [[nodiscard]] core::TimePoint Now() const noexcept;
+  /// @brief Monotonic time now, suspensions included.
+  [[nodiscard]] core::TimePoint Now() const { return clocks_.now_(); }
 
   /// @brief Runs until Stop.
   void Run();
@@ -33,9 +40,24 @@
   void After(core::Duration delay, std::function<void()> task);
   /// @brief Calls `handler` at each arrival of a signal.
   void OnSignal(int number, std::function<void()> handler);
+  /// @brief Calls `handler` after a suspension of the machine, with its length,
+  /// once the timers are set anew. It is noticed at the next event or timer.
+  void OnResume(std::function<void(core::Duration suspended)> handler);
 
  private:
+  friend class Timer;
+  friend struct internal::TimerState;
+
+  void CheckSuspension();
+
+  LoopClocks clocks_;
+  SuspensionDetector suspension_;
+  std::function<void(core::Duration)> on_resume_;
   uv_loop_t loop_{};
+  /// Runs after each wait for events.
+  uv_check_t check_{};
+  /// Timers that are set.
+  std::set<internal::TimerState*> timers_;
 };
 
 /// @brief A timer; destroying it cancels it.
@@ -51,11 +73,11 @@
   void Cancel() noexcept;
 
  private:
-  struct State;
   void Start(core::Duration delay, core::Duration period,
              std::function<void()> task);
 
-  State* state_;
+  /// Freed by the loop.
+  internal::TimerState* state_;
 };
 
 /// @brief Runs a task at the edge of a C callback: no exception passes it.
--- a/packages/daemon/src/daemon/process_base.cpp
+++ b/packages/daemon/src/daemon/process_base.cpp
@@ -55,6 +55,15 @@
   SetUncaughtHandler([this](const std::exception& error) {
     log_.Write(core::EventNumber::kInternalError, {{"error", error.what()}});
   });
+  loop_.OnResume([this](core::Duration suspended) {
+    const auto length =
+        std::chrono::duration_cast<std::chrono::milliseconds>(suspended);
+    log_.Write(core::EventNumber::kResumed,
+               {{"suspended_ms", std::to_string(length.count())}});
+    if (on_resume_) {
+      on_resume_();
+    }
+  });
   log_.Write(core::EventNumber::kStarted,
              {{"subcommand", name}, {"domain", domain_.value()}});
 }
--- a/packages/daemon/src/daemon/process_base.hpp
+++ b/packages/daemon/src/daemon/process_base.hpp
@@ -46,6 +46,10 @@
   /// @brief Reads the settings file again at each SIGHUP and when it has
   /// changed, and calls the handler; faulty settings are logged and not taken.
   void OnReload(std::function<void()> handler);
+  /// @brief Calls the handler after a suspension of the machine.
+  void OnResume(std::function<void()> handler) {
+    on_resume_ = std::move(handler);
+  }
 
  private:
   void OnStopSignal();
@@ -65,6 +69,7 @@
   std::function<void()> begin_stop_;
   std::function<void()> end_accepting_;
   std::function<void()> on_reload_;
+  std::function<void()> on_resume_;
   membership::PlannedStop stop_;
 };
 
