--- a/packages/chalkwell/src/chalkwell/routing/request_quarantine.hpp
+++ b/packages/chalkwell/src/chalkwell/routing/request_quarantine.hpp
@@ -60,6 +60,9 @@
   /// a cause of their own, and a popular request is under way at many of them.
   /// From the first to the last crash of a quarantined request it is as long.
   core::Duration same_cause_ = std::chrono::milliseconds(250);
+  /// A request that was sent after a crash needs as long to cause another: it
+  /// has to arrive, to be read and to begin.
+  core::Duration least_run_ = std::chrono::milliseconds(10);
   /// From the last crash until the request may be tried again, one at a time;
   /// doubled with each further crash.
   core::Duration first_term_ = std::chrono::seconds(60);
--- a/tests/routing/request_quarantine_test.cpp
+++ b/tests/routing/request_quarantine_test.cpp
@@ -62,6 +62,9 @@
           {Crash(1, 0ms), Crash(2, 20ms, "e1", 20ms),
            Crash(3, 40ms, "e1", 20ms), Crash(4, 60ms, "e1", 20ms)},
           Standing::kSuspected},
+      Row{"sent on to an endpoint that was about to fail, too",
+          {Crash(1, 0ms), Crash(2, 4ms, "e1", 3ms)},
+          Standing::kClear},
       Row{"a whole service twice",
           {Crash(1, 0ms), Crash(2, 10ms), Crash(3, 3s), Crash(4, 3010ms)},
           Standing::kSuspected});
