Allow for rounded times when crashes of other entries are compared

An entry that got two crashes of one request from another entry rounded their times to milliseconds and took the second attempt for one that was sent before the first crash: it counted one cause, not two, and repeated the request within a try.

--- a/packages/chalkwell/src/chalkwell/routing/request_quarantine.cpp
+++ b/packages/chalkwell/src/chalkwell/routing/request_quarantine.cpp
@@ -133,8 +133,9 @@
     return;
   }
   const bool apart = crash.at_ - causes.last_ >= settings_.same_cause_;
+  const auto sent_at = crash.at_ - crash.under_way_;
   const bool sent_after = crash.under_way_ >= settings_.least_run_ &&
-                          crash.at_ - crash.under_way_ >= causes.last_;
+                          sent_at >= causes.last_ - settings_.clock_error_;
   if (causes.count_ == 0) {
     causes.first_ = crash.at_;
   } else if (!apart && !sent_after) {
--- a/packages/chalkwell/src/chalkwell/routing/request_quarantine.hpp
+++ b/packages/chalkwell/src/chalkwell/routing/request_quarantine.hpp
@@ -63,6 +63,8 @@
   /// A request that was sent after a crash needs as long to cause another: it
   /// has to arrive, to be read and to begin.
   core::Duration least_run_ = std::chrono::milliseconds(10);
+  /// How far the times of two crashes may be off that came from another entry.
+  core::Duration clock_error_ = std::chrono::milliseconds(5);
   /// From the last crash until the request may be tried again, one at a time;
   /// doubled with each further crash.
   core::Duration first_term_ = std::chrono::seconds(60);
