Soak: requests that crash endpoints, and suspended machines

Two more kinds of faults in real processes. 'crashing-request': callers repeat a request at any entry whose runs crash their endpoints, which are back under a new incarnation after 1.5 to 4.5 s. 'suspend': an entry is paused and its steady clock falls behind the boot clock by as long. The judge counts crashes and arrivals of each such request by the endpoints' word, and innocent requests that were refused as quarantined; half of the innocent ones ask for the same.

--- a/tests/platform/standins.cpp
+++ b/tests/platform/standins.cpp
@@ -287,6 +287,12 @@
   });
 }
 
+bool EndpointStandin::running() {
+  bool running = false;
+  thread_.Do([&] { running = server_ != nullptr; });
+  return running;
+}
+
 void EndpointStandin::OnArrival(
     std::function<void(const std::string& request)> handler) {
   thread_.Do([&] { on_arrival_ = std::move(handler); });
--- a/tests/platform/standins.hpp
+++ b/tests/platform/standins.hpp
@@ -163,6 +163,7 @@
   void Stop();
   /// @brief Its process starts again, at the same address.
   void Start();
+  [[nodiscard]] bool running();
   [[nodiscard]] std::uint64_t version() const { return version_; }
   [[nodiscard]] int runs() const { return runs_; }
   [[nodiscard]] int gone() const { return gone_; }
--- a/tests/soak/callers.hpp
+++ b/tests/soak/callers.hpp
@@ -1,5 +1,6 @@
 // Callers who keep using their connections: a steady stream of requests of all
-// kinds to all entries that are up.
+// kinds to all entries that are up, many of them for the same, and callers who
+// repeat a request that crashes endpoints.
 #pragma once
 
 #include <atomic>
@@ -30,15 +31,38 @@
   Callers(const Callers&) = delete;
   Callers& operator=(const Callers&) = delete;
 
+  /// @brief From now on, for a while, a request is repeated at any entry whose
+  /// runs crash their endpoints.
+  void BeginCrashing(std::chrono::milliseconds length);
+
  private:
+  /// Tries of one request that crashes endpoints.
+  struct Series {
+    /// Its body holds it.
+    std::string name_;
+    std::string path_;
+    std::chrono::steady_clock::time_point until_;
+    std::chrono::steady_clock::time_point next_;
+  };
+
   void SendSome();
+  void SendCrashing();
   void SendOne(const Target& target);
+  void Send(const Target& target, const std::string& path, int deadline_ms,
+            const std::string& id, const std::string& body);
+  [[nodiscard]] const Target& AnyTarget() {
+    return targets_[random_() % targets_.size()];
+  }
 
   std::vector<Target> targets_;
   unsigned rate_;
   std::minstd_rand random_;
   Judge& judge_;
   std::uint64_t sent_ = 0;
+  /// Of them, beyond the steady stream.
+  std::uint64_t extra_ = 0;
+  std::uint64_t series_begun_ = 0;
+  std::vector<Series> series_;
   std::chrono::steady_clock::time_point begun_;
   standins::LoopThread thread_;
   std::unique_ptr<daemon::HttpClient> http_;
--- a/tests/soak/judge.cpp
+++ b/tests/soak/judge.cpp
@@ -16,6 +16,13 @@
   return request.substr(0, request.find('/'));
 }
 
+/// Name of a request that crashes endpoints; empty for others.
+std::string CrashingName(const std::string& request) {
+  const auto begin = request.find('/') + 1;
+  const auto name = request.substr(begin, request.find('/', begin) - begin);
+  return name.starts_with(kCrashMark) ? name : "";
+}
+
 }  // namespace
 
 milliseconds Times::Quantile(double share) const {
@@ -74,6 +81,27 @@
   ++arrivals_;
   JudgeLeft(endpoint, request, now);
   JudgeStray(endpoint, request, now);
+  JudgeCrashing(endpoint, request, now);
+}
+
+void Judge::JudgeCrashing(const std::string& endpoint,
+                          const std::string& request, TimePoint now) {
+  const auto name = CrashingName(request);
+  const auto found = crashes_.find(name);
+  if (found == crashes_.end() || found->second.size() < bounds_.crashes_ ||
+      !InTouch(EntryOf(request), now)) {
+    return;
+  }
+  const auto after = Since(found->second[bounds_.crashes_ - 1], now);
+  if (after > bounds_.contact_ && ++tries_after_[name] > bounds_.tries_after_) {
+    findings_.push_back(
+        {"sent although it crashes endpoints", endpoint, request, after});
+  }
+}
+
+void Judge::OnCrash(const std::string& request) {
+  const std::lock_guard lock(mutex_);
+  crashes_[CrashingName(request)].push_back(Now());
 }
 
 void Judge::JudgeLeft(const std::string& endpoint, const std::string& request,
@@ -106,8 +134,16 @@
   }
 }
 
-void Judge::OnAnswered(const std::string& request, int status) {
+void Judge::OnAnswered(const std::string& request, int status,
+                       const std::string& body) {
   const std::lock_guard lock(mutex_);
+  if (CrashingName(request).empty()) {
+    suspected_ += body.find("suspected: ") != std::string::npos ? 1 : 0;
+    if (body.find("quarantined: ") != std::string::npos) {
+      findings_.push_back(
+          {"innocent, but quarantined", "", request, milliseconds(0)});
+    }
+  }
   answered_[request] = Now();
   ++answers_[status];
   if (status >= 400 && status < 500) {
@@ -136,4 +172,18 @@
   return late_sends_;
 }
 
+std::map<std::string, std::size_t> Judge::crashes() const {
+  const std::lock_guard lock(mutex_);
+  std::map<std::string, std::size_t> crashes;
+  for (const auto& [name, times] : crashes_) {
+    crashes[name] = times.size();
+  }
+  return crashes;
+}
+
+std::uint64_t Judge::suspected() const {
+  const std::lock_guard lock(mutex_);
+  return suspected_;
+}
+
 }  // namespace chalkwell::soak
--- a/tests/soak/judge.hpp
+++ b/tests/soak/judge.hpp
@@ -1,5 +1,6 @@
 // What callers, endpoints and the store saw, held against what the system
-// promises of endpoints that leave. All clocks are one: the soak's own.
+// promises of endpoints that leave and of requests that crash endpoints. All
+// clocks are one: the soak's own.
 #pragma once
 
 #include <chrono>
@@ -14,6 +15,10 @@
 using TimePoint = std::chrono::steady_clock::time_point;
 using std::chrono::milliseconds;
 
+/// @brief Begins the name of a request that crashes endpoints; its body and id
+/// hold the name.
+inline const std::string kCrashMark = "crash-";
+
 /// @brief Bounds of a deployment.
 struct Bounds {
   /// From the store's acknowledgement that an endpoint leaves, or is gone, to
@@ -23,6 +28,10 @@
   milliseconds contact_{4000};
   /// A request that was answered may still arrive somewhere for this long.
   milliseconds stray_{500};
+  /// Crashes after which a request is known to be their cause, and how often it
+  /// may arrive once entries have had the time to know it.
+  std::size_t crashes_ = 3;
+  std::size_t tries_after_ = 3;
 };
 
 /// @brief A request that an endpoint should not have got.
@@ -65,8 +74,12 @@
   /// @brief An endpoint got a request.
   /// @param request "ENTRY/NUMBER", as the callers name them.
   void OnArrival(const std::string& endpoint, const std::string& request);
+  /// @brief A request that crashes endpoints did so.
+  /// @param request "ENTRY/NAME/NUMBER", where NAME begins with kCrashMark.
+  void OnCrash(const std::string& request);
   /// @brief A caller has the final answer to its request, or left.
-  void OnAnswered(const std::string& request, int status);
+  void OnAnswered(const std::string& request, int status,
+                  const std::string& body);
 
   [[nodiscard]] std::vector<Finding> findings() const;
   /// @brief Answers by status, 0 for none.
@@ -74,6 +87,10 @@
   [[nodiscard]] std::uint64_t arrivals() const;
   /// @brief How long after an acknowledgement entries in touch still sent.
   [[nodiscard]] Times late_sends() const;
+  /// @brief Crashes of each request that crashes endpoints.
+  [[nodiscard]] std::map<std::string, std::size_t> crashes() const;
+  /// @brief Requests that wait since one like them is suspected.
+  [[nodiscard]] std::uint64_t suspected() const;
 
  private:
   [[nodiscard]] bool InTouch(const std::string& entry, TimePoint now) const;
@@ -82,6 +99,8 @@
                  TimePoint now);
   void JudgeStray(const std::string& endpoint, const std::string& request,
                   TimePoint now);
+  void JudgeCrashing(const std::string& endpoint, const std::string& request,
+                     TimePoint now);
 
   Bounds bounds_;
   mutable std::mutex mutex_;
@@ -93,6 +112,11 @@
   std::map<int, std::uint64_t> answers_;
   std::uint64_t arrivals_ = 0;
   Times late_sends_;
+  /// Times of the crashes of each request that crashes endpoints.
+  std::map<std::string, std::vector<TimePoint>> crashes_;
+  /// Its arrivals once entries had the time to know it.
+  std::map<std::string, std::size_t> tries_after_;
+  std::uint64_t suspected_ = 0;
   std::vector<Finding> findings_;
 };
 
--- a/tests/soak/soak.cpp
+++ b/tests/soak/soak.cpp
@@ -55,9 +55,9 @@
     for (const auto& entry : world.entries()) {
       targets.push_back({entry.name_, world.CallerAddress(entry)});
     }
-    const Callers callers(std::move(targets), settings.rate_,
-                          settings.troubles_.seed_, judge);
-    Troubles troubles(settings.troubles_, world, judge);
+    Callers callers(std::move(targets), settings.rate_,
+                    settings.troubles_.seed_, judge);
+    Troubles troubles(settings.troubles_, world, callers, judge);
     troubles.Play();
     std::this_thread::sleep_for(kSettle);
     result.played_ = troubles.played();
@@ -66,6 +66,8 @@
   result.answers_ = judge.answers();
   result.arrivals_ = judge.arrivals();
   result.late_sends_ = judge.late_sends();
+  result.crashes_ = judge.crashes();
+  result.suspected_ = judge.suspected();
   result.list_ages_ = FieldOfLogs(settings.world_.folder_, "list_age_ms");
   if (result.findings_.empty()) {
     std::filesystem::remove_all(settings.world_.folder_);
@@ -85,6 +87,12 @@
   out << "\n";
   PrintTimes("sent by entries in touch after a leaving was acknowledged",
              result.late_sends_, out);
+  out << "endpoints crashed by each request";
+  for (const auto& [name, count] : result.crashes_) {
+    out << " " << name << ":" << count;
+  }
+  out << "; innocent requests refused while one like them was tried: "
+      << result.suspected_ << "\n";
   PrintTimes("age of the list at choices", result.list_ages_, out);
   std::map<std::string, std::size_t> kinds;
   for (const auto& finding : result.findings_) {
--- a/tests/soak/soak_test.cpp
+++ b/tests/soak/soak_test.cpp
@@ -25,6 +25,17 @@
   return settings;
 }
 
+TEST_CASE("requests that crash endpoints are refused, and no others",
+          "[soak]") {
+  const auto result = Run(Small(4, "crashing-request,suspend,kill,path-reset"));
+  std::ostringstream text;
+  Print(result, text);
+  INFO(text.str());
+  CHECK(result.started_);
+  CHECK_FALSE(result.crashes_.empty());
+  CHECK(result.findings_.empty());
+}
+
 TEST_CASE("endpoints that left get no work, whatever happens meanwhile",
           "[soak]") {
   struct Row {
--- a/tests/soak/troubles.cpp
+++ b/tests/soak/troubles.cpp
@@ -13,14 +13,19 @@
 constexpr int kServeOnMs = 2500;
 /// An address is used again no sooner than this.
 constexpr auto kReuse = milliseconds(2000);
+/// An endpoint that crashed is back after some seconds.
+constexpr int kLeastRevivalMs = 1500;
+constexpr int kMostRevivalMs = 4500;
 /// A planned stop of an entry takes no longer.
 constexpr auto kGrace = std::chrono::seconds(9);
 
 }  // namespace
 
-Troubles::Troubles(TroubleSettings settings, World& world, Judge& judge)
+Troubles::Troubles(TroubleSettings settings, World& world, Callers& callers,
+                   Judge& judge)
     : settings_(std::move(settings)),
       world_(world),
+      callers_(callers),
       judge_(judge),
       random_(settings_.seed_) {
   AddDepartures();
@@ -43,6 +48,13 @@
            Freeze(*entry);
          }
        }},
+      {"suspend",
+       [this] {
+         if (auto* entry = Running()) {
+           Suspend(*entry);
+         }
+       }},
+      {"crashing-request", [this] { CrashEndpoints(); }},
       {"freeze-domain", [this] { FreezeDomain(); }},
       {"kill", [this] { Restart(SIGKILL); }},
       {"stop", [this] { Restart(SIGTERM); }},
@@ -104,6 +116,7 @@
       due_.erase(due_.begin());
       action();
     }
+    ReviveCrashed();
     std::this_thread::sleep_for(kTick);
   }
   for (auto& entry : world_.entries()) {
@@ -192,17 +205,48 @@
   return entry.stopped_ ? nullptr : &entry;
 }
 
-void Troubles::Freeze(Entry& entry) {
+void Troubles::Freeze(Entry& entry) { Pause(entry, false); }
+
+void Troubles::Suspend(Entry& entry) { Pause(entry, true); }
+
+void Troubles::Pause(Entry& entry, bool suspended) {
   entry.stopped_ = true;
   judge_.OnDisturbed(entry.name_);
   entry.child_.Signal(SIGSTOP);
-  Later(Between(300, 4000), [this, &entry] {
+  const auto length = Between(300, 4000);
+  Later(length, [this, &entry, suspended, length] {
+    if (suspended) {
+      entry.clocks_->Add(length);
+    }
     entry.child_.Signal(SIGCONT);
     entry.stopped_ = false;
     judge_.OnDisturbed(entry.name_);
   });
 }
 
+void Troubles::CrashEndpoints() { callers_.BeginCrashing(Between(4000, 9000)); }
+
+void Troubles::ReviveCrashed() {
+  for (auto* place : world_.TakeCrashed()) {
+    Later(Between(kLeastRevivalMs, kMostRevivalMs),
+          [this, place] { Revive(*place); });
+  }
+}
+
+void Troubles::Revive(Place& place) {
+  if (busy_[&place]) {
+    // It was leaving: its next life may begin with that.
+    Later(milliseconds(kLeastRevivalMs), [this, &place] { Revive(place); });
+    return;
+  }
+  if (!place.endpoint_->running()) {
+    world_.RemoveRow(place);
+    place.endpoint_->SetVersion(place.engine_ ? 1 : 0);
+    place.endpoint_->Start();
+    world_.BeginLife(place, false);
+  }
+}
+
 void Troubles::FreezeDomain() {
   const auto* first = Running();
   if (first == nullptr) {
--- a/tests/soak/troubles.hpp
+++ b/tests/soak/troubles.hpp
@@ -8,6 +8,7 @@
 #include <random>
 #include <string>
 
+#include "soak/callers.hpp"
 #include "soak/judge.hpp"
 #include "soak/world.hpp"
 
@@ -27,7 +28,8 @@
 /// @brief Plays on the calling thread until its time is over.
 class Troubles {
  public:
-  Troubles(TroubleSettings settings, World& world, Judge& judge);
+  Troubles(TroubleSettings settings, World& world, Callers& callers,
+           Judge& judge);
 
   void Play();
   /// @brief How often each kind was played.
@@ -60,6 +62,12 @@
   void Lapse();
   [[nodiscard]] Entry* Running();
   void Freeze(Entry& entry);
+  void Suspend(Entry& entry);
+  void Pause(Entry& entry, bool suspended);
+  void CrashEndpoints();
+  /// @brief Endpoints that crashed begin their next lives some seconds later.
+  void ReviveCrashed();
+  void Revive(Place& place);
   void FreezeDomain();
   void Restart(int signal);
   void HoldStore(fleet::Way way);
@@ -71,6 +79,7 @@
 
   TroubleSettings settings_;
   World& world_;
+  Callers& callers_;
   Judge& judge_;
   std::mt19937_64 random_;
   std::vector<Kind> departures_;
--- a/tests/soak/world.cpp
+++ b/tests/soak/world.cpp
@@ -92,6 +92,8 @@
       entry.name_ = entry.domain_ + "e" + std::to_string(number + 1);
       entry.ip_ = Ip(1, domain, number);
       entry.store_ = At(Ip(3, domain, number), store_port_);
+      entry.clocks_ = std::make_unique<fleet::Suspension>(
+          settings_.folder_ / (entry.name_ + ".clock"));
       routes_.push_back({entry.store_, StoreAddress(), "", ""});
       entries_.push_back(std::move(entry));
     }
@@ -118,7 +120,14 @@
         routes_.push_back({place.address_, real, "", ""});
       }
       places_.push_back(std::move(place));
-      BeginLife(places_.back(), false);
+      auto& placed = places_.back();
+      placed.endpoint_->CrashOn(kCrashMark);
+      placed.endpoint_->OnCrash([this, &placed](const std::string& request) {
+        judge_.OnCrash(request);
+        const std::lock_guard lock(mutex_);
+        crashed_.push_back(&placed);
+      });
+      BeginLife(placed, false);
     }
   }
 }
@@ -173,6 +182,11 @@
   store_->Remove("servers/" + place.endpoint_->id());
 }
 
+std::vector<Place*> World::TakeCrashed() {
+  const std::lock_guard lock(mutex_);
+  return std::exchange(crashed_, {});
+}
+
 void World::StartEntry(Entry& entry) {
   const auto path = (settings_.folder_ / (entry.name_ + ".ini")).string();
   std::ofstream(path)
@@ -188,7 +202,8 @@
          "[stop]\ndrain_ms = 7500\n[log]\nformat = json\n";
   entry.child_ = fleet::Child(
       {settings_.daemon_, "entry", "--adapter", "platform", "--config", path},
-      (settings_.folder_ / (entry.name_ + ".log")).string());
+      (settings_.folder_ / (entry.name_ + ".log")).string(),
+      entry.clocks_->environment());
   entry.stopped_ = false;
 }
 
--- a/tests/soak/world.hpp
+++ b/tests/soak/world.hpp
@@ -6,11 +6,13 @@
 #include <deque>
 #include <filesystem>
 #include <memory>
+#include <mutex>
 #include <string>
 #include <vector>
 
 #include "fleet/child.hpp"
 #include "fleet/relay.hpp"
+#include "fleet/suspension.hpp"
 #include "platform/standins.hpp"
 #include "soak/judge.hpp"
 
@@ -39,6 +41,7 @@
   /// Where its store is reached, through a relay.
   std::string store_;
   fleet::Child child_;
+  std::unique_ptr<fleet::Suspension> clocks_;
   bool stopped_ = false;
 };
 
@@ -78,6 +81,9 @@
   /// @param same_id it bears the id of the one before.
   void BeginLife(Place& place, bool same_id);
 
+  /// @brief Places whose endpoints crashed since the last call.
+  [[nodiscard]] std::vector<Place*> TakeCrashed();
+
   [[nodiscard]] std::deque<Entry>& entries() noexcept { return entries_; }
   [[nodiscard]] std::deque<Place>& places() noexcept { return places_; }
   [[nodiscard]] standins::StoreStandin& store() noexcept { return *store_; }
@@ -110,6 +116,8 @@
   std::unique_ptr<fleet::Relay> relay_;
   std::deque<Place> places_;
   std::deque<Entry> entries_;
+  std::mutex mutex_;
+  std::vector<Place*> crashed_;
 };
 
 }  // namespace chalkwell::soak
