--- a/packages/cli/src/cli/inspect_commands.cpp
+++ b/packages/cli/src/cli/inspect_commands.cpp
@@ -86,6 +86,45 @@
   }
 }
 
+/// Calls the admin listener of an entry.
+/// @throws core::Error when it does not answer.
+daemon::HttpResponse CallAdmin(const std::string& address,
+                               const std::string& method,
+                               const std::string& path) {
+  daemon::Loop loop;
+  daemon::HttpClient client(loop, kTimeout);
+  const daemon::HttpRequest request{
+      .method_ = method, .path_ = path, .headers_ = {}, .body_ = ""};
+  daemon::HttpResponse response;
+  client.Fetch(daemon::ParseAddress(address), request,
+               [&](daemon::HttpResponse answer) {
+                 response = std::move(answer);
+                 loop.Stop();
+               });
+  loop.Run();
+  if (response.end_ != daemon::HttpEnd::kWhole) {
+    throw core::Error(core::Step::kConnect, address,
+                      "the entry's admin listener does not answer");
+  }
+  return response;
+}
+
+nlohmann::json StatusOf(const std::string& address) {
+  return nlohmann::json::parse(CallAdmin(address, "GET", "/status").body_);
+}
+
+void PrintQuarantine(const nlohmann::json& rows) {
+  if (rows.empty()) {
+    std::cout << "no request is suspected or quarantined\n";
+  }
+  for (const auto& row : rows) {
+    std::cout << row.value("content", "") << " " << row.value("standing", "")
+              << ", for another "
+              << static_cast<long>(row.value("left_ms", 0.0)) << " ms\n  "
+              << row.value("crashes", "") << "\n";
+  }
+}
+
 }  // namespace
 
 void CheckSettings(const std::string& path, daemon::UsedBy user) {
@@ -110,22 +149,7 @@
 }
 
 int ShowStatus(const std::string& address, bool as_json) {
-  daemon::Loop loop;
-  daemon::HttpClient client(loop, kTimeout);
-  const daemon::HttpRequest request{
-      .method_ = "GET", .path_ = "/status", .headers_ = {}, .body_ = ""};
-  daemon::HttpResponse response;
-  client.Fetch(daemon::ParseAddress(address), request,
-               [&](daemon::HttpResponse answer) {
-                 response = std::move(answer);
-                 loop.Stop();
-               });
-  loop.Run();
-  if (!response.ok()) {
-    throw core::Error(core::Step::kConnect, address,
-                      "the entry's admin listener does not answer");
-  }
-  const auto status = nlohmann::json::parse(response.body_);
+  const auto status = StatusOf(address);
   if (as_json) {
     std::cout << status.dump(2) << "\n";
   } else {
@@ -134,6 +158,22 @@
   return status.value("ready", false) ? 0 : kNotReady;
 }
 
+int ShowQuarantine(const std::string& address) {
+  PrintQuarantine(
+      StatusOf(address).value("quarantine", nlohmann::json::array()));
+  return 0;
+}
+
+int LiftQuarantine(const std::string& address, const std::string& content) {
+  const auto response =
+      CallAdmin(address, "POST", "/quarantine/lift?content=" + content);
+  if (!response.ok()) {
+    throw core::Error(core::Step::kParse, address, response.body_);
+  }
+  std::cout << content << ": lifted; all entries follow\n";
+  return 0;
+}
+
 int Explain(int number) {
   bool found = false;
   for (const auto& event : core::EventCatalogue()) {
--- a/packages/cli/src/cli/inspect_commands.hpp
+++ b/packages/cli/src/cli/inspect_commands.hpp
@@ -1,4 +1,5 @@
-// chalkwell check, status and explain: what runs and what a number means.
+// chalkwell check, status, quarantine and explain: what runs and what a number
+// means.
 #pragma once
 
 #include <string>
@@ -16,6 +17,15 @@
 /// @brief Asks an entry's admin listener.
 /// @return an exit code: 0 ready, 3 not ready, 1 unreachable.
 [[nodiscard]] int ShowStatus(const std::string& address, bool as_json);
+/// @brief Prints which requests an entry suspects or refuses because endpoints
+/// crashed under them.
+/// @return an exit code.
+[[nodiscard]] int ShowQuarantine(const std::string& address);
+/// @brief Ends the quarantine of a request at all entries.
+/// @param content its digest, as ShowQuarantine prints it.
+/// @return an exit code.
+[[nodiscard]] int LiftQuarantine(const std::string& address,
+                                 const std::string& content);
 /// @brief Prints what an event number means; all of them for 0.
 /// @return an exit code.
 [[nodiscard]] int Explain(int number);
--- a/packages/cli/src/cli/main.cpp
+++ b/packages/cli/src/cli/main.cpp
@@ -211,6 +211,30 @@
   });
 }
 
+void AddQuarantine(CLI::App& app, Action& action) {
+  struct Options {
+    std::string address_;
+    std::string content_;
+  };
+  auto options = std::make_shared<Options>();
+  auto* command = app.add_subcommand(
+      "quarantine", "list requests that crash endpoints, or lift a quarantine");
+  command
+      ->add_option("entry", options->address_,
+                   "admin listener of any entry, ip:port")
+      ->required();
+  command->add_option("--lift", options->content_,
+                      "content digest of a request to run again");
+  command->callback([&action, options] {
+    action = [options] {
+      return options->content_.empty()
+                 ? chalkwell::cli::ShowQuarantine(options->address_)
+                 : chalkwell::cli::LiftQuarantine(options->address_,
+                                                  options->content_);
+    };
+  });
+}
+
 void AddExplain(CLI::App& app, Action& action) {
   struct Options {
     int number_ = 0;
@@ -263,6 +287,7 @@
   AddBundleShow(*bundle, action);
   AddCheck(app, action);
   AddStatus(app, action);
+  AddQuarantine(app, action);
   AddExplain(app, action);
   CLI11_PARSE(app, argc, argv);
   try {
--- a/tests/cli/cli_test.cpp
+++ b/tests/cli/cli_test.cpp
@@ -118,6 +118,7 @@
     CHECK(user.said().find(row.says_) != std::string::npos);
   }
   CHECK(user.Run({"status", "127.0.0.1:1"}) == 1);
+  CHECK(user.Run({"quarantine", "127.0.0.1:1"}) == 1);
   CHECK(user.Run({"explain", "602"}) == 0);
   CHECK(user.said().find("request-unknown") != std::string::npos);
   CHECK(user.Run({"explain", "9"}) == 1);
--- a/tests/platform/crashing_request_test.cpp
+++ b/tests/platform/crashing_request_test.cpp
@@ -1,6 +1,8 @@
 // Requests that crash the endpoints that run them, at real entries.
 #include <catch2/catch.hpp>
 #include <deque>
+#include <fstream>
+#include <sstream>
 #include <thread>
 
 #include "../daemon/raw_socket.hpp"
@@ -55,6 +57,25 @@
   return Ask(entry, RequestText(path, "k1", "", kCrashing));
 }
 
+struct CliResult {
+  int code_ = 0;
+  std::string output_;
+};
+
+CliResult RunCli(const Deployment& deployment,
+                 const std::vector<std::string>& arguments) {
+  const auto log = deployment.folder_ / "cli.log";
+  std::filesystem::remove(log);
+  std::vector<std::string> command{fleet::CliPath(), "quarantine"};
+  command.insert(command.end(), arguments.begin(), arguments.end());
+  fleet::Child child(command, log.string());
+  const auto code = child.Wait(std::chrono::milliseconds(20s));
+  std::ifstream file(log);
+  std::stringstream text;
+  text << file.rdbuf();
+  return {code.value_or(-1), text.str()};
+}
+
 bool Knows(const Deployment& deployment, const std::string& entry,
            const std::string& other) {
   return deployment.Log(entry).find("member=\"" + other + "\"") !=
@@ -104,6 +125,41 @@
   CHECK(endpoints.crashes() == kCrashes);
 }
 
+TEST_CASE("an operator sees a quarantine at one entry and lifts it at another",
+          "[platform][crash]") {
+  Deployment deployment;
+  CrashingEndpoints endpoints(deployment);
+  const auto first = deployment.StartEntry("e1", deployment.store_.address());
+  const auto second =
+      deployment.StartEntry("e2", deployment.store_.address(), &first);
+  REQUIRE(Eventually([&] { return first.Ready() && second.Ready(); }));
+  REQUIRE(Eventually([&] {
+    return Knows(deployment, "e1", "e2") && Knows(deployment, "e2", "e1");
+  }));
+  for (int i = 0; i < kTries / 2; ++i) {
+    (void)AskCrashing(first, "/safe/x");
+  }
+  const auto listed = RunCli(deployment, {Local(second.admin_)});
+  CHECK(listed.code_ == 0);
+  CHECK(listed.output_.find("quarantined") != std::string::npos);
+  CHECK(listed.output_.find(" by e1 ") != std::string::npos);
+  const auto content = listed.output_.substr(0, listed.output_.find(' '));
+  for (auto& endpoint : endpoints.all()) {
+    endpoint.CrashOn("");
+  }
+  struct Row {
+    std::string content_;
+    int code_;
+  };
+  for (const auto& row : {Row{"12", 2}, Row{std::string(32, '0'), 2},
+                          Row{content, 0}, Row{content, 2}}) {
+    CAPTURE(row.content_);
+    CHECK(RunCli(deployment, {Local(second.admin_), "--lift", row.content_})
+              .code_ == row.code_);
+  }
+  CHECK(Status(AskCrashing(first, "/safe/x")) == "200");
+}
+
 TEST_CASE("endpoints that crash without cause in a request quarantine nobody",
           "[platform][crash]") {
   // Many callers ask the same, and wait at endpoints that are replaced.
