Tests claim their ports in blocks

Each test process began to hand out ports at its process id times 131 modulo 22,000: two processes whose ids differ by 168 began 8 ports apart and gave out the same ones. A process now listens on the first port of a block of 500 for as long as it runs, and hands out the others.

--- a/tests/fleet/child.cpp
+++ b/tests/fleet/child.cpp
@@ -12,7 +12,6 @@
 #include <array>
 #include <atomic>
 #include <csignal>
-#include <set>
 #include <stdexcept>
 #include <thread>
 #include <utility>
@@ -23,7 +22,10 @@
 /// Below the range the system takes outgoing ports from, so that a connection
 /// never sits on a port that a child is about to listen on.
 constexpr int kFirstPort = 10000;
-constexpr int kPorts = 22000;
+/// Ports are claimed in blocks, so that test processes side by side never give
+/// out the same ones.
+constexpr int kBlock = 500;
+constexpr int kBlocks = 44;
 constexpr int kSignalBase = 128;
 constexpr auto kPoll = std::chrono::milliseconds(5);
 
@@ -57,6 +59,38 @@
   std::raise(signal);
 }
 
+/// Binds a port of this machine.
+/// @return the socket, -1 when the port is taken.
+int Bind(int port, bool reuse) {
+  const int descriptor = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+  const int on = reuse ? 1 : 0;
+  ::setsockopt(descriptor, SOL_SOCKET, SO_REUSEADDR, &on, sizeof(on));
+  sockaddr_in address{};
+  address.sin_family = AF_INET;
+  address.sin_port = htons(static_cast<std::uint16_t>(port));
+  address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+  if (::bind(descriptor, reinterpret_cast<sockaddr*>(&address),
+             sizeof(address)) != 0) {
+    ::close(descriptor);
+    return -1;
+  }
+  return descriptor;
+}
+
+/// Claims a block of ports for as long as this process runs: it listens on the
+/// first one.
+/// @return that port.
+int ClaimPorts() {
+  for (int i = 0; i < kBlocks; ++i) {
+    const int port = kFirstPort + (::getpid() + i) % kBlocks * kBlock;
+    const int claim = Bind(port, false);
+    if (claim >= 0 && ::listen(claim, 1) == 0) {
+      return port;
+    }
+  }
+  throw std::runtime_error("no free block of ports");
+}
+
 std::vector<char*> Pointers(const std::vector<std::string>& texts) {
   std::vector<char*> pointers;
   pointers.reserve(texts.size() + 1);
@@ -67,17 +101,11 @@
 }
 
 bool IsFree(std::uint16_t port) {
-  const int probe = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
-  const int on = 1;
-  ::setsockopt(probe, SOL_SOCKET, SO_REUSEADDR, &on, sizeof(on));
-  sockaddr_in address{};
-  address.sin_family = AF_INET;
-  address.sin_port = htons(port);
-  address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-  const bool bound = ::bind(probe, reinterpret_cast<sockaddr*>(&address),
-                            sizeof(address)) == 0;
-  ::close(probe);
-  return bound;
+  const int probe = Bind(port, true);
+  if (probe >= 0) {
+    ::close(probe);
+  }
+  return probe >= 0;
 }
 
 }  // namespace
@@ -168,17 +196,18 @@
 std::string StandinPath() { return STANDIN_PATH; }
 
 std::uint16_t FreePort() {
-  static std::set<int> given;
-  static int next = ::getpid() * 131 % kPorts;
-  for (int tries = 0; tries < kPorts; ++tries) {
-    const int port = kFirstPort + next;
-    next = (next + 1) % kPorts;
-    if (!given.contains(port) && IsFree(static_cast<std::uint16_t>(port))) {
-      given.insert(port);
-      return static_cast<std::uint16_t>(port);
+  static int next = ClaimPorts();
+  static int end = next + kBlock - 1;
+  for (;;) {
+    if (next == end) {
+      next = ClaimPorts();
+      end = next + kBlock - 1;
+    }
+    const auto port = static_cast<std::uint16_t>(++next);
+    if (IsFree(port)) {
+      return port;
     }
   }
-  throw std::runtime_error("no free port");
 }
 
 }  // namespace chalkwell::fleet
