--- a/packages/chalkwell/src/chalkwell/routing/crash_evidence.hpp
+++ b/packages/chalkwell/src/chalkwell/routing/crash_evidence.hpp
@@ -1,4 +1,4 @@
-// Tells an endpoint that crashed from a connection that broke: attempts lost at
+// Distinguishes crashed endpoints from broken connections: attempts lost at
 // an endpoint wait for evidence that its process has ended.
 #pragma once
 
--- a/packages/daemon/src/daemon/direct/direct_request.hpp
+++ b/packages/daemon/src/daemon/direct/direct_request.hpp
@@ -122,7 +122,7 @@
   [[nodiscard]] bool LeftUndelivered();
   void ExpectEvent();
   void CountEnded(routing::EndpointOutcome outcome);
-  /// @brief Tells the quarantine what the end of an attempt says of the
+  /// @brief Reports to the quarantine what the end of an attempt says of the
   /// request.
   void ReportEnd(routing::AttemptEnd end);
   /// @brief Whether the tracker may choose a further endpoint.
--- a/tests/platform/standins.hpp
+++ b/tests/platform/standins.hpp
@@ -157,7 +157,7 @@
   /// @brief From now on its process ends as it begins a request whose body
   /// holds this text; empty for never.
   void CrashOn(const std::string& text);
-  /// @brief Told of each crash, on the loop, with the request's id.
+  /// @brief Called at each crash, on the loop, with the request's id.
   void OnCrash(std::function<void(const std::string& request)> handler);
   /// @brief Its process ends: connections break, new ones are refused.
   void Stop();
