Probe again when an endpoint loses attempts after a harmless reset

A loss at an endpoint that had been found alive within 10 s was not probed, so that a crash soon after a reset, a lost answer or a connection closed at rest counted for nobody. Found by reading; the test failed before. What was lost before the probe is not blamed for a crash that follows.

--- a/packages/chalkwell/src/chalkwell/routing/crash_evidence.cpp
+++ b/packages/chalkwell/src/chalkwell/routing/crash_evidence.cpp
@@ -33,10 +33,17 @@
                                   const std::string& address,
                                   core::TimePoint now) {
   Expire(now);
-  if (auto* loss = Find(endpoint)) {
-    if (loss->state_ == State::kCrashed) {
-      return LossVerdict::kCrashed;
-    }
+  auto* loss = Find(endpoint);
+  if (loss != nullptr && loss->state_ == State::kCrashed) {
+    return LossVerdict::kCrashed;
+  }
+  if (loss != nullptr && loss->state_ == State::kInconclusive) {
+    // What was lost before was not lost by a crash that follows.
+    loss->crash_ = {endpoint, address, now, {attempt}};
+    loss->state_ = State::kProbing;
+    return LossVerdict::kProbe;
+  }
+  if (loss != nullptr) {
     auto& attempts = loss->crash_.attempts_;
     if (!Holds(attempts, attempt.request_) &&
         attempts.size() < settings_.max_requests_) {
--- a/packages/chalkwell/src/chalkwell/routing/crash_evidence.hpp
+++ b/packages/chalkwell/src/chalkwell/routing/crash_evidence.hpp
@@ -16,9 +16,9 @@
 
 /// @brief What is to be done about a lost attempt.
 enum class LossVerdict : std::uint8_t {
-  /// The first loss there: probe the endpoint's address.
+  /// The first loss there since the last probe: probe the endpoint's address.
   kProbe,
-  /// A probe is under way, or the endpoint was found alive.
+  /// A probe is under way.
   kWait,
   /// The endpoint is known to have crashed.
   kCrashed,
--- a/tests/routing/crash_evidence_test.cpp
+++ b/tests/routing/crash_evidence_test.cpp
@@ -61,6 +61,19 @@
   }
 }
 
+TEST_CASE("a crash after a reset of the same endpoint's connections is seen",
+          "[routing]") {
+  CrashEvidence evidence;
+  (void)evidence.OnLost({Request("reset"), 1s}, kLife, kAddress, kStart);
+  evidence.OnInconclusive(kLife);
+  CHECK(evidence.OnLost({Request("x"), 1s}, kLife, kAddress, kStart + 1s) ==
+        LossVerdict::kProbe);
+  const auto crash = evidence.OnCrashed(kLife);
+  CHECK(crash.at_ == kStart + 1s);
+  REQUIRE(crash.attempts_.size() == 1);
+  CHECK(crash.attempts_.front().request_ == Request("x"));
+}
+
 TEST_CASE("the memory of losses is bounded", "[routing]") {
   CrashEvidenceSettings settings;
   settings.max_endpoints_ = 2;
