Probe a silent address up to three times

A single lost packet made a probe inconclusive, and the crash was seen only when the next incarnation was listed, if at all. No test: the decision is one comparison in the daemon.

--- a/packages/daemon/src/daemon/direct/quarantine_keeper.cpp
+++ b/packages/daemon/src/daemon/direct/quarantine_keeper.cpp
@@ -15,6 +15,8 @@
 
 /// A probe that is neither accepted nor refused by then shows nothing.
 constexpr auto kProbeTimeout = milliseconds(400);
+/// Probes of an address that stays silent.
+constexpr unsigned kProbes = 3;
 /// Changes are collected for this long: a crash ends all attempts there.
 constexpr auto kPublishDelay = milliseconds(5);
 /// Records of one datagram; 8 crashes each make some 20 KB.
@@ -136,7 +138,7 @@
   }
   switch (evidence_.OnLost(attempt, life, endpoint.address_, now)) {
     case routing::LossVerdict::kProbe:
-      Probe(endpoint);
+      Probe(endpoint, kProbes);
       return;
     case routing::LossVerdict::kWait:
       return;
@@ -147,27 +149,32 @@
 
 // A process that has ended refuses connections at once; a machine that is cut
 // off or has lost power says nothing, and a path that was reset accepts them.
-void QuarantineKeeper::Probe(const routing::EndpointRow& endpoint) {
+void QuarantineKeeper::Probe(const routing::EndpointRow& endpoint,
+                             unsigned tries) {
   StreamSettings settings;
   settings.connect_timeout_ = kProbeTimeout;
-  const auto life = endpoint.life();
-  probes_[life.id_] = TcpStream::Connect(
-      loop_, ParseAddress(endpoint.address_), settings, [this, life](bool) {
-        const auto probe = probes_.extract(life.id_);
+  probes_[endpoint.id_] = TcpStream::Connect(
+      loop_, ParseAddress(endpoint.address_), settings,
+      [this, endpoint, tries](bool open) {
+        const auto probe = probes_.extract(endpoint.id_);
         const bool refused = probe && probe.mapped()->refused();
         if (probe) {
           probe.mapped()->Close();
         }
-        OnProbed(life, refused);
+        const auto closed = refused ? ProbeEnd::kRefused : ProbeEnd::kSilent;
+        OnProbed(endpoint, open ? ProbeEnd::kAccepted : closed, tries);
       });
 }
 
-void QuarantineKeeper::OnProbed(const routing::EndpointLife& endpoint,
-                                bool refused) {
-  if (refused) {
-    OnCrashed(endpoint, "connection refused");
+void QuarantineKeeper::OnProbed(const routing::EndpointRow& endpoint,
+                                ProbeEnd end, unsigned tries) {
+  if (end == ProbeEnd::kRefused) {
+    OnCrashed(endpoint.life(), "connection refused");
+  } else if (end == ProbeEnd::kSilent && tries > 1) {
+    // One packet may have been lost.
+    Probe(endpoint, tries - 1);
   } else {
-    evidence_.OnInconclusive(endpoint);
+    evidence_.OnInconclusive(endpoint.life());
   }
 }
 
--- a/packages/daemon/src/daemon/direct/quarantine_keeper.hpp
+++ b/packages/daemon/src/daemon/direct/quarantine_keeper.hpp
@@ -77,14 +77,18 @@
   void RefreshMetrics();
 
  private:
+  enum class ProbeEnd : std::uint8_t { kAccepted, kRefused, kSilent };
+
   struct UnderWay {
     routing::RequestDigest request_;
     core::TimePoint deadline_;
     std::function<void()> abandon_;
   };
 
-  void Probe(const routing::EndpointRow& endpoint);
-  void OnProbed(const routing::EndpointLife& endpoint, bool refused);
+  /// @param tries how often the address is probed if nothing answers.
+  void Probe(const routing::EndpointRow& endpoint, unsigned tries);
+  void OnProbed(const routing::EndpointRow& endpoint, ProbeEnd end,
+                unsigned tries);
   void OnCrashed(const routing::EndpointLife& endpoint,
                  const std::string& evidence);
   void CheckReplaced();
