Drop told endpoints that a later list lacks

The engine had restarted at 13.85 s, its agent told entries of the new incarnation, and its row was withdrawn at 14.00 s, between two reads of the list at 13.49 and 14.09 s: no list ever showed it. Entries kept what was told for 2.5 s, whatever lists said meanwhile.

A complete list, or a change without a gap, that was asked for 300 ms after the telling or later and lacks the endpoint now ends its grace; lists that may lack living endpoints do not. The test failed before on the two rows concerned.

--- a/packages/chalkwell/src/chalkwell/routing/endpoint_table.cpp
+++ b/packages/chalkwell/src/chalkwell/routing/endpoint_table.cpp
@@ -31,12 +31,13 @@
 
 void EndpointTable::TakeList(std::vector<EndpointRow> rows,
                              std::uint64_t revision, bool complete,
-                             core::TimePoint now) {
+                             core::TimePoint now, core::TimePoint as_of) {
   if (revision < revision_) {
     return;
   }
   revision_ = revision;
   for (auto& [id, endpoint] : endpoints_) {
+    endpoint.listed_ = false;
     if (!endpoint.missing_since_) {
       endpoint.missing_since_ = now;
     }
@@ -45,6 +46,9 @@
     TakeRow(std::move(row));
   }
   DropMissing(complete ? core::Duration{} : settings_.lapse_grace_, now);
+  if (complete) {
+    DropUnlisted(as_of);
+  }
 }
 
 bool EndpointTable::Endpoint::WasDead(
@@ -57,6 +61,7 @@
   Endpoint next;
   next.selected_ = endpoint.selected_;
   next.rank_ = endpoint.rank_;
+  next.listed_ = endpoint.listed_;
   next.dead_starts_ = std::move(endpoint.dead_starts_);
   if (endpoint.row_.started_) {
     next.dead_starts_.push_back(*endpoint.row_.started_);
@@ -105,6 +110,7 @@
 void EndpointTable::TakeRow(EndpointRow row) {
   subset_due_ = true;
   auto& endpoint = endpoints_[row.id_];
+  endpoint.listed_ = true;
   endpoint.missing_since_.reset();
   std::erase_if(departed_, [&](const EndpointLife& departed) {
     return SameLife(departed, row.life());
@@ -133,21 +139,26 @@
                                core::TimePoint now) {
   // What was incomplete may be told complete without another revision.
   if (change.whole_ && change.to_ >= revision_) {
-    TakeList(change.rows_, change.to_, change.complete_, now);
+    TakeList(change.rows_, change.to_, change.complete_, now, change.as_of_);
     return true;
   }
-  if (change.to_ <= revision_) {
+  if (change.to_ < revision_) {
     return true;
   }
   if (change.from_ > revision_) {
     return false;
   }
-  revision_ = change.to_;
-  for (const auto& row : change.rows_) {
-    TakeRow(row);
+  if (change.to_ > revision_) {
+    revision_ = change.to_;
+    for (const auto& row : change.rows_) {
+      TakeRow(row);
+    }
+    for (const auto& id : change.gone_) {
+      Erase(id);
+    }
   }
-  for (const auto& id : change.gone_) {
-    Erase(id);
+  if (change.complete_) {
+    DropUnlisted(change.as_of_);
   }
   return true;
 }
@@ -165,7 +176,22 @@
       gone.push_back(id);
     }
   }
-  for (const auto& id : gone) {
+  Erase(gone);
+}
+
+void EndpointTable::DropUnlisted(core::TimePoint as_of) {
+  std::vector<core::InstanceId> gone;
+  for (const auto& [id, endpoint] : endpoints_) {
+    if (!endpoint.listed_ &&
+        as_of - endpoint.told_at_ >= settings_.publish_time_) {
+      gone.push_back(id);
+    }
+  }
+  Erase(gone);
+}
+
+void EndpointTable::Erase(const std::vector<core::InstanceId>& ids) {
+  for (const auto& id : ids) {
     Erase(id);
   }
 }
@@ -192,6 +218,7 @@
   if (known != nullptr) {
     if (Differ(known->row_.started_, row.started_)) {
       BeginLife(*known, std::move(row));
+      known->told_at_ = now;
       known->told_until_ = now + settings_.told_grace_;
     }
     return;
@@ -205,6 +232,7 @@
   auto& endpoint = endpoints_[row.id_];
   endpoint.row_ = std::move(row);
   endpoint.row_.leaving_ = SaidLeaving(life);
+  endpoint.told_at_ = now;
   endpoint.told_until_ = now + settings_.told_grace_;
 }
 
@@ -245,6 +273,7 @@
       incarnations_.OnTold(address, row.life());
       BeginLife(endpoint, std::move(row));
       subset_due_ = true;
+      endpoint.told_at_ = taken_at;
       endpoint.told_until_ = taken_at + settings_.told_grace_;
     }
     subset_due_ = subset_due_ || endpoint.version().has_value() !=
--- a/packages/chalkwell/src/chalkwell/routing/endpoint_table.hpp
+++ b/packages/chalkwell/src/chalkwell/routing/endpoint_table.hpp
@@ -107,6 +107,9 @@
   /// A row that an agent told is kept this long for the list to show it: an
   /// endpoint publishes itself as it starts, and the list is read every 600 ms.
   core::Duration told_grace_ = std::chrono::milliseconds(2500);
+  /// From the telling until the store shows the endpoint, if it lives: a
+  /// complete list that was asked for later and lacks it ends the grace.
+  core::Duration publish_time_ = std::chrono::milliseconds(300);
   /// Half-life of what is remembered of failures.
   core::Duration failure_half_life_ = std::chrono::seconds(3);
   /// A first byte that is awaited for longer than this shows an endpoint or
@@ -173,8 +176,10 @@
   /// @param revision of the list; lower ones are ignored.
   /// @param complete false when leases may have lapsed while the store was
   /// away: missing rows are kept for the grace time.
+  /// @param as_of when the store was asked for it; the clock's epoch when that
+  /// is not known.
   void TakeList(std::vector<EndpointRow> rows, std::uint64_t revision,
-                bool complete, core::TimePoint now);
+                bool complete, core::TimePoint now, core::TimePoint as_of = {});
   /// @brief Takes what another process saw change in the list.
   /// @return false when the change begins behind a gap: the list must be read.
   bool TakeChange(const EndpointListChange& change, core::TimePoint now);
@@ -294,8 +299,11 @@
     /// Decaying mean of waits for the first byte; plain services only.
     core::Duration waited_{};
     std::optional<core::TimePoint> missing_since_;
-    /// Until when a told row need not be in the list.
+    /// When its agent told it, and until when it need not be in the list.
+    core::TimePoint told_at_;
     core::TimePoint told_until_;
+    /// Whether the list has a row with its id.
+    bool listed_ = false;
     /// Starts of earlier lives under this id, newest last; at most kMaxStarts.
     /// Their rows change nothing.
     std::deque<core::StartTime> dead_starts_;
@@ -375,6 +383,11 @@
   [[nodiscard]] bool SaidLeaving(const EndpointLife& life) const;
   void TakeRow(EndpointRow row);
   void DropMissing(core::Duration grace, core::TimePoint now);
+  /// @brief Erases endpoints that were told and would be in the list if they
+  /// lived.
+  /// @param as_of when the store was asked for the list.
+  void DropUnlisted(core::TimePoint as_of);
+  void Erase(const std::vector<core::InstanceId>& ids);
   void Erase(const core::InstanceId& id);
 
   EndpointTableSettings settings_;
--- a/packages/daemon/src/daemon/direct/endpoint_list.cpp
+++ b/packages/daemon/src/daemon/direct/endpoint_list.cpp
@@ -68,7 +68,8 @@
   const auto before = endpoints_.Rows();
   outage_.OnList(published.asked_at_, now);
   const bool complete = !outage_.MayHaveLapsed(now);
-  endpoints_.TakeList(published.endpoints_, published.revision_, complete, now);
+  endpoints_.TakeList(published.endpoints_, published.revision_, complete, now,
+                      published.asked_at_);
   endpoints_.ConfirmAsOf(published.asked_at_);
   const auto after = endpoints_.Rows();
   if (before != after) {
--- a/tests/routing/endpoint_table_test.cpp
+++ b/tests/routing/endpoint_table_test.cpp
@@ -461,6 +461,52 @@
   CHECK(Chosen(table, request, kStart + 3s).empty());
 }
 
+TEST_CASE("a told endpoint that a later list lacks gets no work", "[routing]") {
+  // It was published and withdrawn between two reads of the list.
+  struct Case {
+    std::string name_;
+    /// After the telling, the list was asked for.
+    core::Duration asked_;
+    bool complete_;
+    bool whole_;
+    bool listed_before_;
+    bool used_;
+  };
+  const auto row = GENERATE(
+      Case{"asked before it can be there", 100ms, true, true, false, true},
+      Case{"asked later", 400ms, true, true, false, false},
+      Case{"leases may have lapsed", 400ms, false, true, false, true},
+      Case{"a change that does not name it", 400ms, true, false, false, false},
+      Case{"a change, and leases may have lapsed", 400ms, false, false, false,
+           true},
+      Case{"a change that does not name it, as the list does", 400ms, true,
+           false, true, true});
+  CAPTURE(row.name_);
+  auto table = Table({RowAt("a", 3)});
+  const auto engine = Engine();
+  const ChoiceRequest request{.service_ = "pool", .engine_ = &engine};
+  table.TakeTold(RowAt("b", 0), kStart);
+  LoadReport report;
+  report.weights_version_ = 1;
+  table.TakeReport("shared:1", report, kStart);
+  if (row.listed_before_) {
+    table.TakeList({RowAt("a", 3), RowAt("b", 4)}, 2, true, kStart + 50ms,
+                   kStart);
+  }
+  EndpointListChange change;
+  change.from_ = 1;
+  change.to_ = 3;
+  change.whole_ = row.whole_;
+  change.complete_ = row.complete_;
+  change.as_of_ = kStart + row.asked_;
+  if (row.whole_) {
+    change.rows_ = {RowAt("a", 3)};
+  }
+  CHECK(table.TakeChange(change, kStart + row.asked_ + 10ms));
+  CHECK(Chosen(table, request, kStart + row.asked_ + 10ms) ==
+        (row.used_ ? "b" : ""));
+}
+
 TEST_CASE("an endpoint that left the list is not told back", "[routing]") {
   auto table = Table({RowAt("a", 3)});
   const auto engine = Engine();
