Probe again when an endpoint that lost attempts still accepts

A process that ends may close its connections before its listener.

An address that does not refuse is probed once more after 50 ms, also when it was silent.

--- a/packages/daemon/src/daemon/direct/quarantine_keeper.cpp
+++ b/packages/daemon/src/daemon/direct/quarantine_keeper.cpp
@@ -15,8 +15,10 @@
 
 /// A probe that is neither accepted nor refused by then shows nothing.
 constexpr auto kProbeTimeout = milliseconds(400);
-/// Probes of an address that stays silent.
-constexpr unsigned kProbes = 3;
+/// Probes of an address that does not refuse: one packet may be lost, and a
+/// process that ends may close its connections before its listener.
+constexpr unsigned kProbes = 2;
+constexpr auto kProbePause = milliseconds(50);
 /// Changes are collected for this long: a crash ends all attempts there.
 constexpr auto kPublishDelay = milliseconds(5);
 /// Records of one datagram; 8 crashes each make some 20 KB.
@@ -155,24 +157,23 @@
   settings.connect_timeout_ = kProbeTimeout;
   probes_[endpoint.id_] = TcpStream::Connect(
       loop_, ParseAddress(endpoint.address_), settings,
-      [this, endpoint, tries](bool open) {
+      [this, endpoint, tries](bool) {
         const auto probe = probes_.extract(endpoint.id_);
         const bool refused = probe && probe.mapped()->refused();
         if (probe) {
           probe.mapped()->Close();
         }
-        const auto closed = refused ? ProbeEnd::kRefused : ProbeEnd::kSilent;
-        OnProbed(endpoint, open ? ProbeEnd::kAccepted : closed, tries);
+        OnProbed(endpoint, refused, tries);
       });
 }
 
 void QuarantineKeeper::OnProbed(const routing::EndpointRow& endpoint,
-                                ProbeEnd end, unsigned tries) {
-  if (end == ProbeEnd::kRefused) {
+                                bool refused, unsigned tries) {
+  if (refused) {
     OnCrashed(endpoint.life(), "connection refused");
-  } else if (end == ProbeEnd::kSilent && tries > 1) {
-    // One packet may have been lost.
-    Probe(endpoint, tries - 1);
+  } else if (tries > 1) {
+    loop_.After(kProbePause,
+                [this, endpoint, tries] { Probe(endpoint, tries - 1); });
   } else {
     evidence_.OnInconclusive(endpoint.life());
   }
--- a/packages/daemon/src/daemon/direct/quarantine_keeper.hpp
+++ b/packages/daemon/src/daemon/direct/quarantine_keeper.hpp
@@ -77,17 +77,15 @@
   void RefreshMetrics();
 
  private:
-  enum class ProbeEnd : std::uint8_t { kAccepted, kRefused, kSilent };
-
   struct UnderWay {
     routing::RequestDigest request_;
     core::TimePoint deadline_;
     std::function<void()> abandon_;
   };
 
-  /// @param tries how often the address is probed if nothing answers.
+  /// @param tries how often the address is probed until it refuses.
   void Probe(const routing::EndpointRow& endpoint, unsigned tries);
-  void OnProbed(const routing::EndpointRow& endpoint, ProbeEnd end,
+  void OnProbed(const routing::EndpointRow& endpoint, bool refused,
                 unsigned tries);
   void OnCrashed(const routing::EndpointLife& endpoint,
                  const std::string& evidence);
--- a/tests/platform/standins.cpp
+++ b/tests/platform/standins.cpp
@@ -22,6 +22,8 @@
 /// From the head of the answer of a request that crashes its endpoint to the
 /// crash.
 constexpr std::chrono::milliseconds kCrashDelay(20);
+/// From the end of its connection to that of all others and of the listener.
+constexpr std::chrono::milliseconds kListenerDelay(10);
 
 std::unique_ptr<daemon::Http1Server> Serve(
     LoopThread& thread, daemon::HttpHandler handler,
@@ -491,11 +493,17 @@
     }
     ++crashes_;
     exchange->End(false);
-    server_.reset();
-    held_.clear();
     if (on_crash_) {
       on_crash_(request_id);
     }
+    // A process that ends may close its listener last.
+    thread_.loop().After(kListenerDelay,
+                         [this, alive = std::weak_ptr<int>(alive_)] {
+                           if (!alive.expired()) {
+                             server_.reset();
+                             held_.clear();
+                           }
+                         });
   });
 }
 
