--- a/packages/cli/src/cli/inspect_commands.cpp
+++ b/packages/cli/src/cli/inspect_commands.cpp
@@ -1,6 +1,7 @@
 // Checks, status and explanations.
 #include "cli/inspect_commands.hpp"
 
+#include <cstdint>
 #include <iomanip>
 #include <iostream>
 #include <nlohmann/json.hpp>
@@ -120,8 +121,8 @@
   for (const auto& row : rows) {
     std::cout << row.value("content", "") << " " << row.value("standing", "")
               << ", for another "
-              << static_cast<long>(row.value("left_ms", 0.0)) << " ms\n  "
-              << row.value("crashes", "") << "\n";
+              << static_cast<std::int64_t>(row.value("left_ms", 0.0))
+              << " ms\n  " << row.value("crashes", "") << "\n";
   }
 }
 
