Wait in a test until a request is on its way before its endpoint leaves

By reading: the test withdrew the endpoint as soon as request-sent was logged, which is before the connection opens; an entry that learns of the leaving in between does not send the request and truly says so. The test now waits until bytes of the request have come out at the other end; what it checks is the same.

--- a/tests/platform/leaving_test.cpp
+++ b/tests/platform/leaving_test.cpp
@@ -129,9 +129,10 @@
                  "connection: close\r\ncontent-length: " +
                      std::to_string(body.size()) + "\r\n\r\n" + body);
   });
-  CHECK(Eventually([&] {
-    return deployment.Log("e1").find("request-sent") != std::string::npos;
-  }));
+  // Some of it is on its way: before that the entry would not send it at all.
+  const auto taken = silent.Accept();
+  CHECK_FALSE(taken.ReadUntil("POST").empty());
+  CHECK(deployment.Log("e1").find("request-sent") != std::string::npos);
   deployment.store_.Put("servers/i-first",
                         deployment.first_.Row("plain", "z1", "draining"));
   caller.join();
