--- a/tests/platform/crashing_request_test.cpp
+++ b/tests/platform/crashing_request_test.cpp
@@ -164,6 +164,7 @@
           "[platform][crash]") {
   // Many callers ask the same, and wait at endpoints that are replaced.
   constexpr int kRounds = 4;
+  constexpr std::size_t kCallers = 6;
   Deployment deployment;
   CrashingEndpoints endpoints(deployment);
   for (auto& endpoint : endpoints.all()) {
@@ -174,7 +175,8 @@
   std::atomic<bool> done{false};
   std::atomic<int> quarantined{0};
   std::vector<std::thread> callers;
-  for (int i = 0; i < 6; ++i) {
+  callers.reserve(kCallers);
+  for (std::size_t i = 0; i < kCallers; ++i) {
     callers.emplace_back([&] {
       while (!done) {
         const auto answer = Ask(entry, RequestText("/safe/popular"));
