Clear late-confirmed crashes of requests that completed since

Callers of popular contents got 503 as quarantined at entries that had just resumed: a crash that is confirmed seconds later, by a new incarnation at the address, was added to the record although runs of the content had completed meanwhile; completions cleared only what was known at their time.

Each entry now remembers when a content last completed (15 s, 8192 contents) and clears crashes before that as it learns of them, from its own probes or from other entries. What it clears it publishes, so that an entry without completions of its own, as one that was suspended, is corrected by the others.

Ruled out: delaying late crashes until the others have answered, which would delay the quarantine of requests that do crash endpoints.

The new test table fails without the memory (6 of 36 assertions: completed after the last crash, and between the first and the second).

--- a/packages/chalkwell/src/chalkwell/routing/request_quarantine.cpp
+++ b/packages/chalkwell/src/chalkwell/routing/request_quarantine.cpp
@@ -72,10 +72,41 @@
   return true;
 }
 
+bool RequestQuarantine::CompletedAfter(const RequestDigest& request,
+                                       const EndpointCrash& crash) const {
+  const auto found = completions_.find(request);
+  return found != completions_.end() && found->second >= crash.at_;
+}
+
+void RequestQuarantine::ForgetCompletions(core::TimePoint now) {
+  while (!completion_order_.empty()) {
+    const auto& [at, request] = completion_order_.front();
+    if (completion_order_.size() <= settings_.max_completions_ &&
+        now - at < settings_.completion_memory_) {
+      return;
+    }
+    const auto found = completions_.find(request);
+    if (found != completions_.end() && found->second == at) {
+      completions_.erase(found);
+    }
+    completion_order_.pop_front();
+  }
+}
+
+bool RequestQuarantine::OnCompleted(const RequestDigest& request,
+                                    core::TimePoint now) {
+  completions_[request] = now;
+  completion_order_.emplace_back(now, request);
+  ForgetCompletions(now);
+  return Clear(request);
+}
+
 bool RequestQuarantine::AddCrash(const RequestDigest& request,
                                  const EndpointCrash& crash) {
   auto& entry = EntryOf(request);
-  if (!Insert(entry, crash)) {
+  auto known = crash;
+  known.cleared_ = known.cleared_ || CompletedAfter(request, crash);
+  if (!Insert(entry, known)) {
     return false;
   }
   entry.sampled_ = 0;
@@ -83,12 +114,17 @@
   return true;
 }
 
-bool RequestQuarantine::Merge(const CrashRecord& record) {
-  bool changed = false;
+MergeResult RequestQuarantine::Merge(const CrashRecord& record) {
+  MergeResult result;
   for (const auto& crash : record.crashes_) {
-    changed = AddCrash(record.request_, crash) || changed;
+    if (AddCrash(record.request_, crash)) {
+      result.changed_ = true;
+      result.cleared_ =
+          result.cleared_ ||
+          (!crash.cleared_ && CompletedAfter(record.request_, crash));
+    }
   }
-  return changed;
+  return result;
 }
 
 bool RequestQuarantine::Clear(const RequestDigest& request) {
@@ -112,6 +148,7 @@
   std::erase_if(entries_, [&](const auto& row) {
     return now - LastCrash(row.second.record_) >= settings_.memory_;
   });
+  ForgetCompletions(now);
 }
 
 void RequestQuarantine::SetTrial(const RequestDigest& request,
--- a/packages/chalkwell/src/chalkwell/routing/request_quarantine.hpp
+++ b/packages/chalkwell/src/chalkwell/routing/request_quarantine.hpp
@@ -5,9 +5,11 @@
 
 #include <chrono>
 #include <cstdint>
+#include <deque>
 #include <map>
 #include <optional>
 #include <string_view>
+#include <utility>
 #include <vector>
 
 #include "chalkwell/core/fwd.hpp"
@@ -78,6 +80,17 @@
   /// How often a record is sampled that makes its request neither suspected nor
   /// quarantined: by then every entry has it.
   unsigned clear_samples_ = 6;
+  /// How long a completed run clears its request of crashes that are confirmed
+  /// only afterwards, and how many requests are remembered for that.
+  core::Duration completion_memory_ = std::chrono::seconds(15);
+  std::size_t max_completions_ = 8192;
+};
+
+/// @brief What merging a record did.
+struct MergeResult {
+  bool changed_ = false;
+  /// The request completed here after a crash that the record blames it for.
+  bool cleared_ = false;
 };
 
 /// @brief Requests suspected at one entry.
@@ -90,9 +103,12 @@
   /// @return whether that is new.
   bool AddCrash(const RequestDigest& request, const EndpointCrash& crash);
   /// @brief Merges what another entry knows.
-  /// @return whether it changed anything.
-  bool Merge(const CrashRecord& record);
-  /// @brief One like it ran to its end, or an operator lifts the quarantine.
+  MergeResult Merge(const CrashRecord& record);
+  /// @brief The request ran to its end: clears it of crashes before, also of
+  /// those that are learned of later.
+  /// @return whether it was blamed for anything.
+  bool OnCompleted(const RequestDigest& request, core::TimePoint now);
+  /// @brief An operator lifts the quarantine.
   /// @return whether it was blamed for anything.
   bool Clear(const RequestDigest& request);
   /// @brief Forgets what is older than the memory.
@@ -137,6 +153,10 @@
   bool Insert(Entry& entry, const EndpointCrash& crash);
   [[nodiscard]] Entry& EntryOf(const RequestDigest& request);
   void MakeRoom();
+  /// @brief Whether a run completed after the crash.
+  [[nodiscard]] bool CompletedAfter(const RequestDigest& request,
+                                    const EndpointCrash& crash) const;
+  void ForgetCompletions(core::TimePoint now);
   /// Crashes of one request that have a cause of their own.
   struct Causes {
     std::size_t count_ = 0;
@@ -150,6 +170,11 @@
 
   QuarantineSettings settings_;
   std::map<RequestDigest, Entry> entries_;
+  /// When a run of a request last completed; at most max_completions_.
+  std::map<RequestDigest, core::TimePoint> completions_;
+  /// Completions in order of time; one superseded in `completions_` stays until
+  /// it expires.
+  std::deque<std::pair<core::TimePoint, RequestDigest>> completion_order_;
 };
 
 }  // namespace chalkwell::routing
--- a/packages/daemon/src/daemon/direct/quarantine_keeper.cpp
+++ b/packages/daemon/src/daemon/direct/quarantine_keeper.cpp
@@ -222,23 +222,27 @@
 }
 
 void QuarantineKeeper::OnAnswered(const RequestDigest& request) {
-  (void)Clear(request, "completed");
+  const auto now = loop_.Now();
+  const auto before = quarantine_.StandingOf(request, now);
+  if (quarantine_.OnCompleted(request, now)) {
+    OnCleared(request, before, "completed");
+  }
 }
 
 bool QuarantineKeeper::Lift(const RequestDigest& request) {
-  return Clear(request, "operator");
-}
-
-bool QuarantineKeeper::Clear(const RequestDigest& request,
-                             const std::string& reason) {
   const auto before = quarantine_.StandingOf(request, loop_.Now());
   if (!quarantine_.Clear(request)) {
     return false;
   }
+  OnCleared(request, before, "operator");
+  return true;
+}
+
+void QuarantineKeeper::OnCleared(const RequestDigest& request, Standing before,
+                                 const std::string& reason) {
   metrics_.Count("requests_cleared_total", {{"reason", reason}});
   Publish(request);
   OnChanged(request, before);
-  return true;
 }
 
 void QuarantineKeeper::OnChanged(const RequestDigest& request,
@@ -344,7 +348,7 @@
       continue;
     }
     const auto before = quarantine_.StandingOf(record->request_, loop_.Now());
-    const bool changed = quarantine_.Merge(*record);
+    const auto [changed, cleared] = quarantine_.Merge(*record);
     const bool trial = message.trial_ms_ >= 0;
     if (trial) {
       const auto length = ToAge(static_cast<std::uint64_t>(message.trial_ms_));
@@ -352,10 +356,13 @@
           record->request_,
           sent_at + std::min<core::Duration>(length, kLongestTrial));
     }
-    if (changed) {
+    if (cleared) {
+      OnCleared(record->request_, before, "completed before");
+    } else if (changed) {
       OnChanged(record->request_, before);
     }
-    if (changed || trial) {
+    const bool published = cleared;
+    if ((changed && !published) || trial) {
       news.push_back(ToMessage(*record, loop_.Now()));
       news.back().trial_ms_ = message.trial_ms_;
     }
--- a/packages/daemon/src/daemon/direct/quarantine_keeper.hpp
+++ b/packages/daemon/src/daemon/direct/quarantine_keeper.hpp
@@ -92,7 +92,10 @@
   void CheckReplaced();
   void AddCrash(const routing::LostAttempt& attempt,
                 const routing::EndpointLife& endpoint, core::TimePoint at);
-  bool Clear(const routing::RequestDigest& request, const std::string& reason);
+  /// @brief Tells the others that a request is blamed for less.
+  /// @param before the request's standing before.
+  void OnCleared(const routing::RequestDigest& request,
+                 routing::Standing before, const std::string& reason);
   /// @brief Acts on a record that has changed.
   /// @param before the request's standing before.
   void OnChanged(const routing::RequestDigest& request,
--- a/tests/routing/request_quarantine_test.cpp
+++ b/tests/routing/request_quarantine_test.cpp
@@ -146,6 +146,56 @@
   }
 }
 
+TEST_CASE("a crash confirmed late does not blame a request that ran since",
+          "[routing]") {
+  struct Row {
+    std::string name_;
+    core::Duration completed_{};
+    /// When the crashes are learned of.
+    core::Duration learned_{};
+    Standing standing_;
+  };
+  const auto row = GENERATE(
+      Row{"completed before the crashes", -1s, 3s, Standing::kQuarantined},
+      Row{"between the first and the second", 500ms, 3s, Standing::kSuspected},
+      Row{"after the last", 2500ms, 3s, Standing::kClear},
+      Row{"after the last, long ago", 2500ms, 60s, Standing::kQuarantined});
+  const bool merged = GENERATE(false, true);
+  CAPTURE(row.name_, merged);
+  RequestQuarantine quarantine;
+  CHECK_FALSE(quarantine.OnCompleted(Request("x"), kStart + row.completed_));
+  quarantine.Expire(kStart + row.learned_);
+  const CrashRecord record{Request("x"),
+                           {Crash(1, 0s), Crash(2, 1s), Crash(3, 2s)}};
+  if (merged) {
+    const auto result = quarantine.Merge(record);
+    CHECK(result.changed_);
+    CHECK(result.cleared_ == (row.standing_ != Standing::kQuarantined));
+  } else {
+    for (const auto& crash : record.crashes_) {
+      CHECK(quarantine.AddCrash(record.request_, crash));
+    }
+  }
+  CHECK(quarantine.StandingOf(Request("x"), kStart + row.learned_) ==
+        row.standing_);
+}
+
+TEST_CASE("remembered completions are bounded", "[routing]") {
+  QuarantineSettings settings;
+  settings.max_completions_ = 2;
+  RequestQuarantine quarantine(settings);
+  auto now = kStart;
+  for (const auto* name : {"x", "y", "x", "z"}) {
+    (void)quarantine.OnCompleted(Request(name), now += 100ms);
+  }
+  for (const auto* name : {"x", "y", "z"}) {
+    (void)quarantine.AddCrash(Request(name), Crash(1, 0s));
+  }
+  CHECK(quarantine.Blames(Request("x")) == 0);
+  CHECK(quarantine.Blames(Request("y")) == 1);
+  CHECK(quarantine.Blames(Request("z")) == 0);
+}
+
 TEST_CASE("the table is bounded and forgets", "[routing]") {
   QuarantineSettings settings;
   settings.max_records_ = 4;
