Soak: tell of each crash past the third what its entry could have known

The judge counts only tries that entries in touch send more than 4 s after the third crash. The run now prints all later ones with the time of the crash and of the arrival after the third, the entry and whether it was in touch.

--- a/tests/soak/judge.cpp
+++ b/tests/soak/judge.cpp
@@ -87,12 +87,18 @@
 void Judge::JudgeCrashing(const std::string& endpoint,
                           const std::string& request, TimePoint now) {
   const auto name = CrashingName(request);
+  if (name.empty()) {
+    return;
+  }
+  const auto entry = EntryOf(request);
+  const bool in_touch = InTouch(entry, now);
+  crashing_arrivals_[request] = {{}, now, entry, in_touch};
   const auto found = crashes_.find(name);
   if (found == crashes_.end() || found->second.size() < bounds_.crashes_ ||
-      !InTouch(EntryOf(request), now)) {
+      !in_touch) {
     return;
   }
-  const auto after = Since(found->second[bounds_.crashes_ - 1], now);
+  const auto after = Since(found->second[bounds_.crashes_ - 1].at_, now);
   if (after > bounds_.contact_ && ++tries_after_[name] > bounds_.tries_after_) {
     findings_.push_back(
         {"sent although it crashes endpoints", endpoint, request, after});
@@ -101,7 +107,9 @@
 
 void Judge::OnCrash(const std::string& request) {
   const std::lock_guard lock(mutex_);
-  crashes_[CrashingName(request)].push_back(Now());
+  auto seen = crashing_arrivals_[request];
+  seen.at_ = Now();
+  crashes_[CrashingName(request)].push_back(seen);
 }
 
 void Judge::JudgeLeft(const std::string& endpoint, const std::string& request,
@@ -172,13 +180,9 @@
   return late_sends_;
 }
 
-std::map<std::string, std::size_t> Judge::crashes() const {
+std::map<std::string, std::vector<CrashSeen>> Judge::crashes() const {
   const std::lock_guard lock(mutex_);
-  std::map<std::string, std::size_t> crashes;
-  for (const auto& [name, times] : crashes_) {
-    crashes[name] = times.size();
-  }
-  return crashes;
+  return crashes_;
 }
 
 std::uint64_t Judge::suspected() const {
--- a/tests/soak/judge.hpp
+++ b/tests/soak/judge.hpp
@@ -43,6 +43,16 @@
   milliseconds after_{};
 };
 
+/// @brief A run that crashed its endpoint.
+struct CrashSeen {
+  TimePoint at_;
+  /// When its request reached the endpoint.
+  TimePoint arrived_at_;
+  std::string entry_;
+  /// Whether the entry was in touch as the request arrived.
+  bool in_touch_ = false;
+};
+
 /// @brief Times of one kind, in milliseconds.
 class Times {
  public:
@@ -87,8 +97,8 @@
   [[nodiscard]] std::uint64_t arrivals() const;
   /// @brief How long after an acknowledgement entries in touch still sent.
   [[nodiscard]] Times late_sends() const;
-  /// @brief Crashes of each request that crashes endpoints.
-  [[nodiscard]] std::map<std::string, std::size_t> crashes() const;
+  /// @brief Crashes of each request that crashes endpoints, in order.
+  [[nodiscard]] std::map<std::string, std::vector<CrashSeen>> crashes() const;
   /// @brief Requests that wait since one like them is suspected.
   [[nodiscard]] std::uint64_t suspected() const;
 
@@ -112,8 +122,9 @@
   std::map<int, std::uint64_t> answers_;
   std::uint64_t arrivals_ = 0;
   Times late_sends_;
-  /// Times of the crashes of each request that crashes endpoints.
-  std::map<std::string, std::vector<TimePoint>> crashes_;
+  std::map<std::string, std::vector<CrashSeen>> crashes_;
+  /// Of requests that crash endpoints: the last arrival of each try.
+  std::map<std::string, CrashSeen> crashing_arrivals_;
   /// Its arrivals once entries had the time to know it.
   std::map<std::string, std::size_t> tries_after_;
   std::uint64_t suspected_ = 0;
--- a/tests/soak/soak.cpp
+++ b/tests/soak/soak.cpp
@@ -39,6 +39,24 @@
       << "\n";
 }
 
+/// Tells of each crash past the third whether its entry could have known.
+void PrintLaterCrashes(const std::string& name,
+                       const std::vector<CrashSeen>& crashes,
+                       std::ostream& out) {
+  const std::size_t known = Bounds{}.crashes_;
+  for (auto i = known; i < crashes.size(); ++i) {
+    const auto& crash = crashes[i];
+    const auto third = crashes[known - 1].at_;
+    const auto ms = [&](TimePoint at) {
+      return std::chrono::duration_cast<milliseconds>(at - third).count();
+    };
+    out << "  " << name << " crash " << i + 1 << ": " << ms(crash.at_)
+        << " ms after the third, arrived " << ms(crash.arrived_at_)
+        << " ms after it, entry " << crash.entry_ << " "
+        << (crash.in_touch_ ? "in touch" : "disturbed") << "\n";
+  }
+}
+
 }  // namespace
 
 RunResult Run(const RunSettings& settings) {
@@ -88,11 +106,14 @@
   PrintTimes("sent by entries in touch after a leaving was acknowledged",
              result.late_sends_, out);
   out << "endpoints crashed by each request";
-  for (const auto& [name, count] : result.crashes_) {
-    out << " " << name << ":" << count;
+  for (const auto& [name, crashes] : result.crashes_) {
+    out << " " << name << ":" << crashes.size();
   }
   out << "; innocent requests refused while one like them was tried: "
       << result.suspected_ << "\n";
+  for (const auto& [name, crashes] : result.crashes_) {
+    PrintLaterCrashes(name, crashes, out);
+  }
   PrintTimes("age of the list at choices", result.list_ages_, out);
   std::map<std::string, std::size_t> kinds;
   for (const auto& finding : result.findings_) {
--- a/tests/soak/soak.hpp
+++ b/tests/soak/soak.hpp
@@ -24,7 +24,7 @@
   std::map<std::string, unsigned> played_;
   std::uint64_t arrivals_ = 0;
   Times late_sends_;
-  std::map<std::string, std::size_t> crashes_;
+  std::map<std::string, std::vector<CrashSeen>> crashes_;
   std::uint64_t suspected_ = 0;
   /// Ages of the lists by which attempts were chosen, as entries logged them.
   Times list_ages_;
