Spread the Retry-After of rejected callers

Under an overload, callers who came back after a rejection were admitted as fresh ones and answered late: all were told 2 s, so that they came back with the same time left to the millisecond, and RequestAge learns what fresh requests have left from times that repeat. They displaced callers who could still be in time, for seconds after the overload had ended.

Each rejection now tells a time drawn between half of the longest and the longest. Rejections of quarantined requests keep theirs, which is a term.

--- a/packages/chalkwell/src/chalkwell/routing/fwd.hpp
+++ b/packages/chalkwell/src/chalkwell/routing/fwd.hpp
@@ -10,6 +10,7 @@
 class TicketMinter;
 class FairQueue;
 class RetryBudget;
+class RetrySpread;
 class SlotQueue;
 class EndpointChooser;
 class EndpointTable;
--- a/packages/daemon/src/daemon/direct/direct_entry.cpp
+++ b/packages/daemon/src/daemon/direct/direct_entry.cpp
@@ -70,11 +70,13 @@
       endpoints_({.domain_ = process.domain(), .entry_ = process.id()},
                  std::random_device{}()),
       budget_(RetryBudgetOf(process.settings())),
+      retry_spread_(std::random_device{}()),
       context_{process.loop(),
                process.http(),
                adapter_,
                endpoints_,
                budget_,
+               retry_spread_,
                quarantine_,
                process.log(),
                process.metrics(),
@@ -378,7 +380,7 @@
   auto caller = adapter_.requests_.read_request_(http);
   if (rules_.empty()) {
     Refuse(*exchange, caller, kUnavailable, core::EventNumber::kRequestRefused,
-           "no rules were heard yet", kRetryAfter);
+           "no rules were heard yet", retry_spread_.Draw(kRetryAfter));
     return;
   }
   const auto* route = rules_.FindRoute(caller.host_, http.path_);
@@ -478,7 +480,8 @@
   std::string reason;
   if (const auto wait = RefusalOf(request, now, reason)) {
     Refuse(*exchange, request.caller_, kUnavailable,
-           core::EventNumber::kRequestRefused, reason, wait);
+           core::EventNumber::kRequestRefused, reason,
+           retry_spread_.Draw(*wait));
     return;
   }
   ++in_flight_;
--- a/packages/daemon/src/daemon/direct/direct_entry.hpp
+++ b/packages/daemon/src/daemon/direct/direct_entry.hpp
@@ -14,6 +14,7 @@
 #include "chalkwell/routing/endpoint_table.hpp"
 #include "chalkwell/routing/request_age.hpp"
 #include "chalkwell/routing/retry_budget.hpp"
+#include "chalkwell/routing/retry_spread.hpp"
 #include "daemon/direct/direct_request.hpp"
 #include "daemon/direct/endpoint_list.hpp"
 #include "daemon/direct/hooks.hpp"
@@ -76,6 +77,7 @@
   config::TrafficTable rules_;
   routing::EndpointTable endpoints_;
   routing::RetryBudget budget_;
+  routing::RetrySpread retry_spread_;
   routing::RequestAge ages_;
   /// By model.
   std::map<std::string, rollout::VersionBound> weights_;
--- a/packages/daemon/src/daemon/direct/direct_request.cpp
+++ b/packages/daemon/src/daemon/direct/direct_request.cpp
@@ -552,11 +552,14 @@
   }
   if (finish.outcome_ == routing::Outcome::kRefusedNotRun) {
     const auto refusal = context_.quarantine_.RefusalOf(request_.digest_);
-    exchange_->Respond(
-        kUnavailable,
-        codec.own_headers_(request_.caller_.id_, refusal ? refusal->retry_after_
-                                                         : finish.retry_after_),
-        refusal ? refusal->reason_ + "\n" : "");
+    auto wait =
+        refusal ? std::optional(refusal->retry_after_) : finish.retry_after_;
+    if (!refusal && wait) {
+      wait = context_.retry_spread_.Draw(*wait);
+    }
+    exchange_->Respond(kUnavailable,
+                       codec.own_headers_(request_.caller_.id_, wait),
+                       refusal ? refusal->reason_ + "\n" : "");
     return;
   }
   exchange_->Respond(past_deadline_ ? kGatewayTimeout : kBadGateway,
--- a/packages/daemon/src/daemon/direct/direct_request.hpp
+++ b/packages/daemon/src/daemon/direct/direct_request.hpp
@@ -12,6 +12,7 @@
 #include "chalkwell/routing/request_digest.hpp"
 #include "chalkwell/routing/request_tracker.hpp"
 #include "chalkwell/routing/retry_budget.hpp"
+#include "chalkwell/routing/retry_spread.hpp"
 #include "daemon/direct/hooks.hpp"
 #include "daemon/direct/quarantine_keeper.hpp"
 #include "daemon/event_log.hpp"
@@ -27,6 +28,7 @@
   const Adapter& adapter_;
   routing::EndpointTable& endpoints_;
   routing::RetryBudget& budget_;
+  routing::RetrySpread& retry_spread_;
   QuarantineKeeper& quarantine_;
   EventLog& log_;
   Metrics& metrics_;
--- /dev/null
+++ b/tests/routing/retry_spread_test.cpp
@@ -0,0 +1,38 @@
+// When rejected callers are told to come back, and whether they are known then.
+#include "chalkwell/routing/retry_spread.hpp"
+
+#include <catch2/catch.hpp>
+#include <chrono>
+
+#include "chalkwell/routing/request_age.hpp"
+
+namespace chalkwell::routing {
+namespace {
+
+using namespace std::chrono_literals;
+
+TEST_CASE("a drawn time is between half and whole", "[routing]") {
+  const core::Duration longest = GENERATE(0ms, 1ms, 500ms, 2000ms);
+  RetrySpread spread(1);
+  for (int i = 0; i < 100; ++i) {
+    const auto drawn = spread.Draw(longest);
+    CHECK(drawn >= longest / 2);
+    CHECK(drawn <= longest);
+  }
+}
+
+TEST_CASE("callers who were rejected together are not taken for fresh ones",
+          "[routing]") {
+  RetrySpread spread(1);
+  RequestAge ages;
+  int taken_for_fresh = 0;
+  for (int i = 0; i < 300; ++i) {
+    (void)ages.OnRequest("route", 6000ms);
+    const auto left = 5998ms - spread.Draw(2000ms);
+    taken_for_fresh += ages.OnRequest("route", left) == 0ms ? 1 : 0;
+  }
+  CHECK(taken_for_fresh < 15);
+}
+
+}  // namespace
+}  // namespace chalkwell::routing
