Emulator: failure domains, traffic that swings and steps, capacity

An entry of a deployment uses a subset of the engines, near ones first; the emulator gave each entry all engines, which overstates how many entries see the same free slot. Load can now be given as a part of what full engines give, swing as a sine and change in steps.

--- a/packages/emulator/src/emulator/fleet.cpp
+++ b/packages/emulator/src/emulator/fleet.cpp
@@ -2,10 +2,14 @@
 #include "emulator/fleet.hpp"
 
 #include <algorithm>
+#include <cmath>
 #include <functional>
+#include <numbers>
 #include <optional>
 #include <utility>
 
+#include "chalkwell/routing/engine_model.hpp"
+#include "chalkwell/routing/retry_spread.hpp"
 #include "chalkwell/routing/stream_admission.hpp"
 
 namespace chalkwell::emulator {
@@ -17,9 +21,9 @@
 
 /// @brief What an entry knows; lost when its machine is.
 struct Entry {
-  explicit Entry(std::uint64_t seed)
-      : endpoints_(std::make_unique<routing::EndpointTable>(
-            routing::EndpointTableSettings{}, seed)) {}
+  Entry(routing::EndpointTableSettings settings, std::uint64_t seed)
+      : endpoints_(std::make_unique<routing::EndpointTable>(std::move(settings),
+                                                            seed)) {}
 
   std::unique_ptr<routing::EndpointTable> endpoints_;
   routing::RequestAge ages_;
@@ -39,12 +43,14 @@
   bool on_time_ = true;
   bool waits_ = false;
   bool begun_ = false;
+  bool rejected_first_ = false;
   core::TimePoint first_at_;
 };
 
 class World {
  public:
-  explicit World(const FleetSpec& spec) : spec_(spec), random_(spec.seed_) {
+  explicit World(const FleetSpec& spec)
+      : spec_(spec), random_(spec.seed_), retry_spread_(spec.seed_) {
     for (std::size_t engine = 0; engine < spec_.engines_; ++engine) {
       engines_.emplace_back(
           spec_.engine_, spec_.engine_queue_,
@@ -79,6 +85,8 @@
   }
   void StartEntries();
   void Arrive(std::size_t kind);
+  /// @brief Requests a second of a kind now.
+  [[nodiscard]] double RateOf(std::size_t kind) const;
   void Try(std::uint64_t id);
   /// @brief Offers a call to engines.
   /// @return when to come back, if none begins it.
@@ -95,6 +103,11 @@
   static core::InstanceId IdOf(std::size_t engine) {
     return core::InstanceId("engine-" + std::to_string(engine));
   }
+  [[nodiscard]] core::FailureDomainId DomainOf(std::size_t number) const {
+    return core::FailureDomainId(
+        "domain-" +
+        std::to_string(number % std::max<std::size_t>(1, spec_.domains_)));
+  }
   double Draw() { return std::uniform_real_distribution<>(0, 1)(random_); }
   double Size(double mean, std::size_t kind) {
     const double spread = spec_.kinds_[kind].spread_;
@@ -109,6 +122,7 @@
 
   const FleetSpec& spec_;
   std::mt19937_64 random_;
+  routing::RetrySpread retry_spread_;
   std::deque<Engine> engines_;
   std::vector<Entry> entries_;
   std::map<std::uint64_t, Call> calls_;
@@ -127,18 +141,36 @@
     row.id_ = IdOf(engine);
     row.service_ = "pool";
     row.address_ = IdOf(engine).value() + ":1";
+    row.domain_ = DomainOf(engine);
     rows.push_back(std::move(row));
   }
   entries_.clear();
   for (std::size_t entry = 0; entry < spec_.entries_; ++entry) {
-    entries_.emplace_back(random_());
+    routing::EndpointTableSettings settings;
+    if (spec_.domains_ > 0) {
+      settings.domain_ = DomainOf(entry);
+      settings.entry_ = core::InstanceId("entry-" + std::to_string(entry));
+    }
+    entries_.emplace_back(std::move(settings), random_());
     entries_.back().endpoints_->TakeList(rows, 1, true, now_);
   }
 }
 
+double World::RateOf(std::size_t kind) const {
+  double factor = 1;
+  for (const auto& step : spec_.load_steps_) {
+    if (now_ - kStart >= step.at_) {
+      factor = step.factor_;
+    }
+  }
+  const auto turns = std::chrono::duration<double>(now_ - kStart) /
+                     std::chrono::duration<double>(spec_.swing_period_);
+  factor *= 1 + spec_.swing_ * std::sin(2 * std::numbers::pi * turns);
+  return factor * spec_.kinds_[kind].requests_per_second_;
+}
+
 void World::Arrive(std::size_t kind) {
-  At(now_ + Exponential(spec_.kinds_[kind].requests_per_second_),
-     [this, kind] { Arrive(kind); });
+  At(now_ + Exponential(RateOf(kind)), [this, kind] { Arrive(kind); });
   const auto id = ++next_id_;
   Call call;
   call.kind_ = kind;
@@ -172,10 +204,11 @@
 }
 
 void World::Refuse(std::uint64_t id, core::Duration wait) {
-  const auto& call = calls_.at(id);
+  auto& call = calls_.at(id);
+  call.rejected_first_ = call.rejected_first_ || call.tries_ == 1;
   const auto left = spec_.kinds_[call.kind_].budget_ - (now_ - call.asked_at_);
   // Callers wait at most for a third of what they have left.
-  Retry(id, std::min<core::Duration>(wait, left / 3));
+  Retry(id, std::min<core::Duration>(retry_spread_.Draw(wait), left / 3));
 }
 
 std::optional<core::Duration> World::Begin(
@@ -261,6 +294,10 @@
   if (second < seconds_.size()) {
     ++seconds_[second].asked_;
     ++(seconds_[second].*outcome);
+    const auto& call = calls_.at(id);
+    const bool late = outcome == &Second::late_;
+    seconds_[second].rejected_first_ += call.rejected_first_ ? 1 : 0;
+    seconds_[second].late_on_time_ += late && call.on_time_ ? 1 : 0;
   }
   calls_.erase(id);
 }
@@ -327,6 +364,21 @@
 
 }  // namespace
 
+double Capacity(const FleetSpec& spec) {
+  const auto& engine = spec.engine_;
+  const std::chrono::duration<double> step =
+      routing::StepTime(engine, engine.slots_);
+  double requests = 0;
+  double engine_seconds = 0;
+  for (const auto& kind : spec.kinds_) {
+    requests += kind.requests_per_second_;
+    engine_seconds += kind.requests_per_second_ *
+                      (kind.prompt_tokens_ / engine.read_per_second_ +
+                       kind.answer_tokens_ * step.count() / engine.slots_);
+  }
+  return static_cast<double>(spec.engines_) * requests / engine_seconds;
+}
+
 std::vector<Second> Play(const FleetSpec& spec) { return World(spec).Run(); }
 
 }  // namespace chalkwell::emulator
--- a/packages/emulator/src/emulator/fleet.hpp
+++ b/packages/emulator/src/emulator/fleet.hpp
@@ -37,14 +37,28 @@
   core::Duration engines_back_{};
 };
 
+/// @brief From a time on all kinds ask so many times as often.
+struct LoadStep {
+  core::Duration at_{};
+  double factor_ = 1;
+};
+
 /// @brief A deployment and its load.
 struct FleetSpec {
   config::EngineProfile engine_;
   std::size_t engines_ = 20;
   std::size_t entries_ = 9;
+  /// Failure domains of both, in turn. With 0 every entry uses all engines,
+  /// else the subset that is its own.
+  std::size_t domains_ = 0;
   std::size_t engine_queue_ = 32;
   std::vector<Kind> kinds_;
   std::vector<Outage> outages_;
+  /// In order of time; 1 before the first.
+  std::vector<LoadStep> load_steps_;
+  /// Traffic swings by this part of its mean, up and down, as a sine.
+  double swing_ = 0;
+  core::Duration swing_period_ = std::chrono::seconds(5);
   core::Duration length_ = std::chrono::seconds(20);
   core::Duration report_interval_ = std::chrono::milliseconds(110);
   core::Duration report_delay_ = std::chrono::milliseconds(3);
@@ -63,8 +77,15 @@
   std::uint32_t in_target_ = 0;
   std::uint32_t late_ = 0;
   std::uint32_t refused_ = 0;
+  /// Of all, those whose first try was rejected.
+  std::uint32_t rejected_first_ = 0;
+  /// Of the late ones, those that were admitted as on time.
+  std::uint32_t late_on_time_ = 0;
 };
 
+/// @brief Requests a second that full engines of a deployment give, in its mix.
+[[nodiscard]] double Capacity(const FleetSpec& spec);
+
 /// @brief Plays a fleet.
 /// @return by second of the first try.
 [[nodiscard]] std::vector<Second> Play(const FleetSpec& spec);
