--- a/packages/chalkwell/src/chalkwell/routing/fwd.hpp
+++ b/packages/chalkwell/src/chalkwell/routing/fwd.hpp
@@ -11,6 +11,7 @@
 class FairQueue;
 class RetryBudget;
 class RetrySpread;
+class ConcurrencyLimit;
 class SlotQueue;
 class EndpointChooser;
 class EndpointTable;
