--- a/tests/soak/soak.cpp
+++ b/tests/soak/soak.cpp
@@ -1,6 +1,7 @@
 // Callers go on until the troubles are over and what they left has settled.
 #include "soak/soak.hpp"
 
+#include <algorithm>
 #include <fstream>
 #include <iostream>
 #include <thread>
@@ -12,6 +13,8 @@
 
 constexpr auto kSettle = std::chrono::seconds(2);
 constexpr std::size_t kMostPrinted = 20;
+/// Endpoints that one request is aimed to crash at most.
+constexpr std::size_t kAimedCrashes = 4;
 
 /// Collects one field of all lines in the logs of a folder.
 Times FieldOfLogs(const std::filesystem::path& folder,
@@ -39,6 +42,14 @@
       << "\n";
 }
 
+/// Whether a request crashed more endpoints than the aim allows, by the fault
+/// of whomever: the logs are worth keeping.
+bool CrashesOfInterest(const RunResult& result) {
+  return std::ranges::any_of(result.crashes_, [](const auto& request) {
+    return request.second.size() > kAimedCrashes;
+  });
+}
+
 /// Tells of each crash past the third whether its entry could have known.
 void PrintLaterCrashes(const std::string& name,
                        const std::vector<CrashSeen>& crashes,
@@ -87,7 +98,7 @@
   result.crashes_ = judge.crashes();
   result.suspected_ = judge.suspected();
   result.list_ages_ = FieldOfLogs(settings.world_.folder_, "list_age_ms");
-  if (result.findings_.empty()) {
+  if (result.findings_.empty() && !CrashesOfInterest(result)) {
     std::filesystem::remove_all(settings.world_.folder_);
   }
   return result;
