Give late streams three fifths of an engine's slots

After an outage, callers who are late fill engines beside those who can still be in time, who then wait for their prompts to be read.

Comments no longer tell how the thresholds were found.

--- a/packages/chalkwell/src/chalkwell/routing/stream_admission.cpp
+++ b/packages/chalkwell/src/chalkwell/routing/stream_admission.cpp
@@ -10,18 +10,12 @@
 using std::chrono::milliseconds;
 
 /// A stream whose first event is expected later than this part of its target
-/// does not go before others. Smaller parts let more callers be in time under
-/// an overload that lasts: at 1.45 times four fifths of what engines give 0.69
-/// with 0.48, 0.46 with this (emulator, 10 seeds). But they refuse one caller
-/// in seven, and whole deployments were worth less with 0.53: 0.702 against
-/// 0.708 (three seeds of five days, in trees that differed in other parts too).
+/// does not go before others.
 constexpr double kOnTimeTargets = 0.9;
-/// Late streams fill this part of an engine's places: more of them hold up the
-/// reading of prompts for those on time. After an outage of 0.8 s 0.95 of those
-/// who asked in the four seconds after it were in time (emulator, 20 seeds),
-/// with 0.9 of the places 0.87, with all 0.55, without an order 0.46.
-constexpr double kLatePlaces = 0.8;
-/// When a late caller comes back that found too few free places: what an outage
+/// Late streams fill this part of an engine's slots: more of them hold up the
+/// reading of prompts for those on time.
+constexpr double kLateSlots = 0.6;
+/// When a late caller comes back that found too few free slots: what an outage
 /// leaves behind is served within some two seconds. Callers wait for a third of
 /// what they have left at most.
 constexpr auto kLatePause = milliseconds(2000);
@@ -86,7 +80,7 @@
 }
 
 bool AdmitsLate(const config::EngineProfile& engine, std::uint32_t occupied) {
-  return occupied < kLatePlaces * engine.slots_;
+  return occupied < kLateSlots * engine.slots_;
 }
 
 std::optional<std::uint32_t> EnginePriority(
