--- a/tests/emulator/overload_test.cpp
+++ b/tests/emulator/overload_test.cpp
@@ -67,6 +67,23 @@
   CHECK(sum.refused_ == 0);
 }
 
+TEST_CASE("callers who give times from a range are served as the others",
+          "[emulator]") {
+  const auto seed = GENERATE(1U, 2U, 3U);
+  auto spec = ManyEntries(seed, 0.9);
+  const auto one_time = Sum(Play(spec), 4, 18);
+  for (auto& kind : spec.kinds_) {
+    kind.budget_spread_ = 0.15;
+  }
+  const auto range = Sum(Play(spec), 4, 18);
+  std::cout << "figure in_target_with_times_from_a_range "
+            << Share(range.in_target_, range) << ", with one time "
+            << Share(one_time.in_target_, one_time) << "\n";
+  CHECK(Share(range.in_target_, range) >
+        Share(one_time.in_target_, one_time) - 0.02);
+  CHECK(Share(range.rejected_first_, range) <= 0.005);
+}
+
 TEST_CASE("two seconds after an overload callers are in time again",
           "[emulator]") {
   const auto seed = GENERATE(1U, 2U, 3U);
