Reword comments that tell how thresholds were found

Comments of the modules touched for shifted work say what a value means; how it was found stands in the commits and the design pages. No code changes.

--- a/packages/chalkwell/src/chalkwell/routing/attempt_patience.cpp
+++ b/packages/chalkwell/src/chalkwell/routing/attempt_patience.cpp
@@ -17,15 +17,12 @@
 constexpr int kPredictions = 2;
 /// A late one waits for those on time; its caller leaves before this.
 constexpr auto kLate = milliseconds(2500);
-/// An endpoint that fell silent is left after this: its machine stands still or
-/// is cut off. Its callers leave after some two seconds, and with 1.2 s of them
-/// gone a second endpoint under load seldom answers in time.
+/// An endpoint that fell silent is left after this: its machine is suspended or
+/// cut off, and a second endpoint needs time of its own.
 constexpr auto kSilent = milliseconds(500);
 /// An attempt on old weights that has no first byte so long after the time from
-/// which they are chosen no more is given up. That time is 1.4 s before the
-/// bound; an endpoint may go on reading a prompt for some 200 ms after its
-/// connection was closed, and begin: one that was given up 150 ms before the
-/// bound began 20 ms behind it.
+/// which they are no longer chosen is given up. An endpoint may go on reading a
+/// prompt after its connection was closed, and begin.
 constexpr auto kOldWeights = milliseconds(800);
 
 }  // namespace
--- a/packages/chalkwell/src/chalkwell/routing/endpoint_table.hpp
+++ b/packages/chalkwell/src/chalkwell/routing/endpoint_table.hpp
@@ -89,10 +89,10 @@
   /// An engine whose agent is not heard may be dead, frozen or behind a full
   /// link: others are better by this much.
   core::Duration unreported_cost_ = std::chrono::milliseconds(200);
-  /// An endpoint that was heard no more for this long, while others were,
-  /// stands still or is cut off: it is expected to do so as long again. Agents
-  /// report every 500 ms at least. Before, an engine on a frozen machine seemed
-  /// to become empty, and got requests for the four seconds that it stood.
+  /// An endpoint that was not heard for this long, while others were, is
+  /// suspended or cut off, and expected to remain so as long again. Agents
+  /// report every 500 ms at least. Without it, an engine on a frozen machine
+  /// seems to become empty.
   core::Duration silent_after_ = std::chrono::milliseconds(700);
   /// How late a request may begin at an engine that is not heard: its link may
   /// hold it back by more than a second.
--- a/packages/chalkwell/src/chalkwell/routing/request_age.cpp
+++ b/packages/chalkwell/src/chalkwell/routing/request_age.cpp
@@ -15,7 +15,7 @@
 /// A time seen this often among them is that of fresh requests: scattered over
 /// seconds, three are seldom equal by chance.
 constexpr std::uint32_t kFrequent = 3;
-/// Bins between zero and the longest time; ages below one bin are not told.
+/// Bins between zero and the longest time; shorter ages are reported as zero.
 constexpr std::int64_t kBins = 12;
 /// A bin with less than this part of the usual count holds no fresh requests.
 constexpr double kDense = 0.6;
--- a/packages/chalkwell/src/chalkwell/routing/request_age.hpp
+++ b/packages/chalkwell/src/chalkwell/routing/request_age.hpp
@@ -18,9 +18,9 @@
 /// Where they set the same time to the millisecond, those that come back have
 /// what is left, scattered: a time that is seen again and again is that of
 /// fresh requests. Where each gives a time from a range, those that come back
-/// are fewer to a bin below it, and their age is known to that range only: the
-/// least that it can be is told. With few requests seen it goes by the longest
-/// time.
+/// are fewer to a bin below it; their age is known up to that range only, and
+/// the least possible one is returned. With few requests seen, ages count from
+/// the longest time.
 class RequestAge {
  public:
   /// @brief Adds a request and returns its age; zero when it is not known.
--- a/packages/chalkwell/src/chalkwell/routing/retry_spread.hpp
+++ b/packages/chalkwell/src/chalkwell/routing/retry_spread.hpp
@@ -1,6 +1,7 @@
-// When rejected callers come back. Told the same time, those of one moment come
-// back together, and with the same time left each: RequestAge, which learns
-// what fresh requests have left from times that repeat, takes them for fresh.
+// When rejected callers come back. With the same Retry-After, those of one
+// moment come back together, and with the same time left each: RequestAge,
+// which learns what fresh requests have left from times that repeat, takes them
+// for fresh.
 #pragma once
 
 #include <cstdint>
--- a/packages/daemon/src/daemon/direct/direct_entry.cpp
+++ b/packages/daemon/src/daemon/direct/direct_entry.cpp
@@ -28,9 +28,8 @@
 constexpr double kReserveUsed = 0.5;
 /// Old weights are not used for this last part of the time they may be: a
 /// request may be long on a narrowed link, and wait at its endpoint before it
-/// begins: with 600 ms one began 1.08 s after it was sent, when all entries
-/// chose the last engines with old weights at once. Engines that are known to
-/// be behind a full link are passed over earlier.
+/// begins, since all entries choose the last engines with old weights at once.
+/// Engines that are known to be behind a full link are passed over earlier.
 constexpr auto kVersionMargin = milliseconds(1400);
 /// An entry that the store does not answer asks another entry this often.
 constexpr auto kRelayInterval = milliseconds(700);
--- a/packages/daemon/src/daemon/direct/quarantine_keeper.hpp
+++ b/packages/daemon/src/daemon/direct/quarantine_keeper.hpp
@@ -92,7 +92,7 @@
   void CheckReplaced();
   void AddCrash(const routing::LostAttempt& attempt,
                 const routing::EndpointLife& endpoint, core::TimePoint at);
-  /// @brief Tells the others that a request is blamed for less.
+  /// @brief Publishes and logs that a request is blamed for less.
   /// @param before the request's standing before.
   void OnCleared(const routing::RequestDigest& request,
                  routing::Standing before, const std::string& reason);
