Keep late streams on four fifths of the slots, least cost first

What made four fifths fail after an outage was the random time in the choice: it spreads late streams over more engines, where they delay the prompts of those on time.

Late streams now choose by cost alone.

--- a/packages/chalkwell/src/chalkwell/routing/endpoint_choice.cpp
+++ b/packages/chalkwell/src/chalkwell/routing/endpoint_choice.cpp
@@ -29,9 +29,9 @@
 /// Difference of cost, in milliseconds, up to which any endpoint may be the
 /// best: all entries see the same reports, which are about as old as a slot
 /// takes to come free. If each chose the best by them, they would fill one
-/// engine together.
+/// engine together. Late streams don't: they would take room on more engines.
 double IndifferenceMs(const ChoiceRequest& request) {
-  return request.engine_ == nullptr
+  return request.engine_ == nullptr || !request.on_time_
              ? kTieMs
              : std::max(kTieMs, SlotIntervalMs(*request.engine_));
 }
--- a/packages/chalkwell/src/chalkwell/routing/stream_admission.cpp
+++ b/packages/chalkwell/src/chalkwell/routing/stream_admission.cpp
@@ -14,7 +14,7 @@
 constexpr double kOnTimeTargets = 0.9;
 /// Late streams fill this part of an engine's slots: more of them hold up the
 /// reading of prompts for those on time.
-constexpr double kLateSlots = 0.7;
+constexpr double kLateSlots = 0.8;
 /// When a late caller comes back that found too few free slots: what an outage
 /// leaves behind is served within some two seconds. Callers wait for a third of
 /// what they have left at most.
