--- a/tests/routing/retry_spread_test.cpp
+++ b/tests/routing/retry_spread_test.cpp
@@ -1,4 +1,4 @@
-// When rejected callers are told to come back, and whether they are known then.
+// When rejected callers come back, and whether they are recognised then.
 #include "chalkwell/routing/retry_spread.hpp"
 
 #include <catch2/catch.hpp>
--- a/tests/soak/soak.cpp
+++ b/tests/soak/soak.cpp
@@ -50,7 +50,7 @@
   });
 }
 
-/// Tells of each crash past the third whether its entry could have known.
+/// Prints for each crash past the third whether its entry could have known.
 void PrintLaterCrashes(const std::string& name,
                        const std::vector<CrashSeen>& crashes,
                        std::ostream& out) {
