Leave one endpoint to choose in the test of late arrivals

Cause: the entry chooses the quicker of two plain endpoints; the relay adds a little, and since draws within 2 ms no longer count as equal but decide by chance how often the slower one wins. One slow first answer of the relay was enough to leave it unused.

Now the other endpoint is withdrawn first, and the silence begins when the entry uses only the one behind the relay.

--- a/tests/platform/leaving_test.cpp
+++ b/tests/platform/leaving_test.cpp
@@ -48,8 +48,16 @@
   WarmUp(deployment, entry);
   std::atomic<int> arrived{0};
   deployment.first_.OnArrival([&](const std::string&) { ++arrived; });
+  // Only the endpoint behind the relay is left to choose.
+  deployment.store_.Remove("servers/i-second");
+  REQUIRE(Eventually([&] {
+    const auto runs = deployment.second_.runs();
+    for (int i = 0; i < 8; ++i) {
+      (void)Ask(entry, RequestText("/safe/warm"));
+    }
+    return deployment.second_.runs() == runs;
+  }));
   relay.Silence(named, fleet::Way::kBoth);
-  // Some of them choose the endpoint behind the relay.
   REQUIRE(Eventually([&] {
     (void)Ask(entry, RequestText(path));
     const auto log = deployment.Log("e1");
@@ -58,7 +66,6 @@
   }));
   relay.Restore(named);
   // What was on the path is in before an answer to a later request is.
-  deployment.store_.Remove("servers/i-second");
   const auto before = deployment.first_.runs();
   REQUIRE(Eventually([&] {
     return Status(Ask(entry, RequestText("/safe/later"))) == "200" &&
