Draw from the origin in a window of pieces

What callers saw: engines switched late. Cause: when the origin is back, or a version is named, all agents draw their first pieces at once. What found none waited 1.5 s for its connection; what was last in line was given up after 2.5 s and asked for again (16 draws at the same moment), beside the answer still under way.

Ruled out: spoilt pieces (none then), agents that had gone (few of the failed draws).

Now all agents together draw the first 24 pieces, in order, that nobody is known to hold. A piece that was overtaken by a whole window of later ones, while its drawer has nothing earlier to draw, goes to the next in rank, beside the silence of 900 ms that stood. RollPlay's origin no longer refuses the connections that it has no room for: they wait, as on real machines.

--- a/packages/chalkwell/src/chalkwell/swarm/planner.cpp
+++ b/packages/chalkwell/src/chalkwell/swarm/planner.cpp
@@ -8,7 +8,6 @@
 #include "chalkwell/core/digest.hpp"
 
 namespace chalkwell::swarm {
-
 Planner::Planner(SwarmMember self, PlannerSettings settings, std::uint64_t seed)
     : self_(std::move(self)), settings_(settings), random_(seed) {}
 
@@ -24,6 +23,7 @@
   near_seen_ = held;
   near_progress_ = now;
   seen_at_.assign(chunks_.size(), now);
+  overtaken_.assign(chunks_.size(), 0);
   outstanding_.clear();
   origin_outstanding_ = 0;
   for (auto& [id, peer] : peers_) {
@@ -37,6 +37,7 @@
 void Planner::ForgetRanks() {
   ranks_.assign(chunks_.size(), std::nullopt);
   near_ranks_.assign(chunks_.size(), std::nullopt);
+  drawers_.assign(chunks_.size(), std::nullopt);
 }
 
 void Planner::SetMembers(std::vector<SwarmMember> members) {
@@ -113,6 +114,29 @@
   if (chunk < seen_at_.size() && seen_.Add(chunk)) {
     seen_at_[chunk] = now;
     last_progress_ = now;
+    CountOvertaken(chunk);
+  }
+}
+
+std::size_t Planner::WindowEnd() const {
+  std::size_t open = 0;
+  std::size_t chunk = 0;
+  for (; chunk < chunks_.size(); ++chunk) {
+    const bool lost = overtaken_[chunk] >= settings_.draw_window_;
+    if (seen_.Has(chunk) || lost) {
+      continue;
+    }
+    if (++open > settings_.draw_window_) {
+      break;
+    }
+  }
+  return chunk;
+}
+
+void Planner::CountOvertaken(std::size_t chunk) {
+  const auto end = std::min(chunk, WindowEnd());
+  for (std::size_t ahead = 0; ahead < end; ++ahead) {
+    overtaken_[ahead] += seen_.Has(ahead) ? 0 : 1;
   }
 }
 
@@ -156,7 +180,10 @@
   std::vector<Ranked> ranked;
   for (std::size_t chunk = 0; chunk < chunks_.size(); ++chunk) {
     if (!held_.Has(chunk) && !outstanding_.contains(chunk)) {
-      ranked.push_back({Holders(chunk), random_(), chunk});
+      const auto holders = Holders(chunk);
+      // What is drawn goes by the order that the window has.
+      const bool in_order = settings_.draw_window_ > 0 && holders.all_ == 0;
+      ranked.push_back({holders, in_order ? chunk : random_(), chunk});
     }
   }
   std::ranges::sort(ranked, {}, [](const Ranked& entry) {
@@ -224,6 +251,18 @@
   return *rank;
 }
 
+const core::InstanceId& Planner::FirstInRank(std::size_t chunk) const {
+  auto& first = drawers_[chunk];
+  if (!first) {
+    const auto item = chunks_[chunk].digest_.ToHex();
+    first = std::ranges::max(members_, {}, [&](const SwarmMember& member) {
+              return std::pair(!member.slow_,
+                               core::RendezvousScore(item, member.id_.value()));
+            }).id_;
+  }
+  return *first;
+}
+
 std::size_t Planner::ImportRank(std::size_t chunk) const {
   auto& rank = near_ranks_[chunk];
   if (!rank) {
@@ -232,6 +271,21 @@
   return *rank;
 }
 
+bool Planner::Overtaken(std::size_t chunk, std::size_t behind) const {
+  if (settings_.draw_window_ == 0 ||
+      overtaken_[chunk] < settings_.draw_window_ * behind) {
+    return false;
+  }
+  // One that has several to draw is busy, not gone.
+  const auto drawer = FirstInRank(chunk);
+  for (std::size_t ahead = 0; ahead < chunk; ++ahead) {
+    if (!seen_.Has(ahead) && FirstInRank(ahead) == drawer) {
+      return false;
+    }
+  }
+  return true;
+}
+
 std::optional<DrawCause> Planner::MayDraw(std::size_t chunk,
                                           core::TimePoint now) const {
   const auto rank = DrawRank(chunk);
@@ -239,6 +293,9 @@
     return DrawCause::kElected;
   }
   const auto behind = rank - settings_.origin_copies_ + 1;
+  if (Overtaken(chunk, behind) && Holders(chunk).quick_ == 0) {
+    return DrawCause::kSilence;
+  }
   const auto silence = now - last_progress_;
   if (Holders(chunk).quick_ == 0 &&
       silence >= settings_.draw_silence_ * static_cast<int>(behind)) {
@@ -262,6 +319,8 @@
 
 std::vector<FetchOrder> Planner::Next(core::TimePoint now) {
   std::vector<FetchOrder> orders;
+  const auto window_end =
+      settings_.draw_window_ == 0 ? chunks_.size() : WindowEnd();
   for (const auto chunk : MissingRarestFirst()) {
     const auto from_peers = outstanding_.size() - origin_outstanding_;
     if (from_peers < settings_.in_flight_) {
@@ -276,7 +335,8 @@
         continue;
       }
     }
-    if (!origin_open_ || origin_outstanding_ >= settings_.origin_in_flight_) {
+    if (!origin_open_ || chunk >= window_end ||
+        origin_outstanding_ >= settings_.origin_in_flight_) {
       continue;
     }
     const auto cause = MayDraw(chunk, now);
--- a/packages/chalkwell/src/chalkwell/swarm/planner.hpp
+++ b/packages/chalkwell/src/chalkwell/swarm/planner.hpp
@@ -27,7 +27,12 @@
   std::size_t in_flight_ = 8;
   /// Requests outstanding at the origin.
   std::size_t origin_in_flight_ = 2;
-  /// The next in rank draws when the swarm made no progress for this long.
+  /// Chunks in order that nobody is known to hold and that may be drawn at
+  /// once, by all members together: the origin's link and connections are
+  /// shared, and what it sent can spread while it sends the next. 0: any.
+  std::size_t draw_window_ = 0;
+  /// The next in rank draws when the swarm made no progress for this long, or
+  /// when a chunk that may be drawn was overtaken by a whole window of others.
   core::Duration draw_silence_ = std::chrono::seconds(2);
   /// A chunk request is given up after this.
   core::Duration chunk_timeout_ = std::chrono::seconds(5);
@@ -143,6 +148,14 @@
   [[nodiscard]] std::optional<DrawCause> MayDraw(std::size_t chunk,
                                                  core::TimePoint now) const;
   [[nodiscard]] std::size_t DrawRank(std::size_t chunk) const;
+  [[nodiscard]] const core::InstanceId& FirstInRank(std::size_t chunk) const;
+  /// @brief Whether those ahead of this member seem to be gone.
+  /// @param behind how many of them there are.
+  [[nodiscard]] bool Overtaken(std::size_t chunk, std::size_t behind) const;
+  /// @brief First chunk behind the draw window.
+  [[nodiscard]] std::size_t WindowEnd() const;
+  /// @brief Counts a chunk that was seen now against those ahead of it.
+  void CountOvertaken(std::size_t chunk);
   [[nodiscard]] std::size_t ImportRank(std::size_t chunk) const;
   void ForgetRanks();
   [[nodiscard]] bool MayImport(std::size_t chunk, core::TimePoint now) const;
@@ -162,6 +175,8 @@
   mutable std::vector<std::optional<std::size_t>> ranks_;
   /// The same among members of the own failure domain.
   mutable std::vector<std::optional<std::size_t>> near_ranks_;
+  /// First in rank by chunk; emptied with the ranks.
+  mutable std::vector<std::optional<core::InstanceId>> drawers_;
   std::map<core::InstanceId, Peer> peers_;
   /// By chunk; at most `in_flight_` plus `origin_in_flight_`.
   std::map<std::size_t, Request> outstanding_;
@@ -173,6 +188,8 @@
   ChunkSet near_seen_;
   /// When one of them came to it.
   core::TimePoint near_progress_;
+  /// By chunk: later ones that were seen while it was in the draw window.
+  std::vector<std::size_t> overtaken_;
   /// When each chunk of `seen_` was seen for the first time.
   std::vector<core::TimePoint> seen_at_;
   /// When a chunk was last seen for the first time, or the origin last failed:
--- a/packages/daemon/src/daemon/direct/weights_keeper.cpp
+++ b/packages/daemon/src/daemon/direct/weights_keeper.cpp
@@ -34,6 +34,9 @@
 constexpr std::size_t kPerPeer = 1;
 /// The source's link is shared by all agents: one piece each.
 constexpr std::size_t kOriginInFlight = 1;
+/// Of all agents together: keeps the source's link busy while what it sent
+/// becomes known, with few connections for each.
+constexpr std::size_t kDrawWindow = 24;
 /// Pieces that were compared with their digests within this are not compared
 /// again before the order.
 constexpr auto kVerifiedRecently = milliseconds(500);
@@ -51,6 +54,7 @@
   planner.origin_copies_ = 1;
   planner.per_peer_ = kPerPeer;
   planner.origin_in_flight_ = kOriginInFlight;
+  planner.draw_window_ = kDrawWindow;
   planner.draw_silence_ = kDrawSilence;
   planner.chunk_timeout_ = kPieceTimeout;
   planner.import_silence_ = kImportSilence;
--- a/tests/swarm/roll_play.cpp
+++ b/tests/swarm/roll_play.cpp
@@ -25,8 +25,9 @@
   return core::Duration(static_cast<std::int64_t>(bytes / rate * kSecond));
 }
 
-PlannerSettings PlannerOf() {
+PlannerSettings PlannerOf(const RollPlaySettings& settings) {
   PlannerSettings planner;
+  planner.draw_window_ = settings.draw_window_;
   planner.origin_copies_ = 1;
   planner.per_peer_ = 1;
   planner.origin_in_flight_ = 1;
@@ -48,7 +49,7 @@
   Agent(const SwarmMember& member, const RollPlaySettings& settings,
         std::uint32_t seed)
       : member_(member),
-        planner_(member, PlannerOf(), seed),
+        planner_(member, PlannerOf(settings), seed),
         window_(WindowOf(settings)),
         upload_(static_cast<std::uint64_t>(settings.link_rate_ *
                                            settings.upload_share_),
@@ -119,7 +120,7 @@
           [this, &agent] { Begin(*agent); });
   }
   for (std::size_t i = 0; i < settings_.lost_; ++i) {
-    After(1s,
+    After(settings_.lost_at_,
           [this, i] { agents_[(i * 7919) % agents_.size()]->alive_ = false; });
   }
   while (!queue_.empty() && queue_.top().at_ - start_ < settings_.longest_) {
@@ -130,6 +131,7 @@
   }
   RollResult result;
   result.whole_ = whole_;
+  result.dropped_connections_ = dropped_connections_;
   const auto chunks = static_cast<double>(settings_.chunks_);
   result.origin_copies_ = static_cast<double>(drawn_) / chunks;
   std::size_t given = 0;
@@ -233,10 +235,16 @@
 
 void RollPlay::AskOrigin(Agent& agent, std::size_t chunk) {
   After(kConnectTime, [this, &agent, chunk] {
-    if (OriginAwayNow() || draws_.size() >= settings_.origin_connections_) {
+    if (OriginAwayNow()) {
       OriginFailed(agent, chunk);
       return;
     }
+    if (draws_.size() >= settings_.origin_connections_) {
+      ++dropped_connections_;
+      After(settings_.connect_patience_,
+            [this, &agent, chunk] { OriginFailed(agent, chunk); });
+      return;
+    }
     draws_.push_back({&agent, chunk});
     ServeOrigin();
   });
@@ -253,7 +261,7 @@
   }
   origin_busy_ = true;
   const auto time = TimeOf(static_cast<double>(settings_.chunk_bytes_),
-                           settings_.link_rate_ * kOriginShare);
+                           settings_.origin_rate_ * kOriginShare);
   After(time, [this] {
     origin_busy_ = false;
     if (OriginAwayNow()) {
--- a/tests/swarm/roll_play.hpp
+++ b/tests/swarm/roll_play.hpp
@@ -34,8 +34,9 @@
   std::size_t agents_ = 204;
   std::size_t chunks_ = 96;
   std::size_t chunk_bytes_ = 24576;
-  /// Of each agent, each way, and of the origin.
+  /// Of each agent, each way.
   double link_rate_ = 7.3e6 / 8;
+  double origin_rate_ = 7.3e6 / 8;
   /// Between two failure domains, each way.
   double domain_rate_ = 26e6 / 8;
   core::Duration near_delay_ = std::chrono::microseconds(200);
@@ -43,12 +44,17 @@
   /// Reading a chunk from the engine's staging, and writing it there.
   core::Duration stage_time_ = std::chrono::milliseconds(4);
   std::size_t origin_connections_ = 48;
+  /// One more is not refused: it is not answered, and given up after this.
+  core::Duration connect_patience_ = std::chrono::milliseconds(1500);
   double upload_share_ = 0.85;
   core::Duration tick_ = std::chrono::milliseconds(40);
   core::Duration announce_interval_ = std::chrono::milliseconds(120);
   std::optional<OriginAway> away_;
-  /// Agents that die one second after the naming.
+  /// Agents that die, and when.
   std::size_t lost_ = 0;
+  core::Duration lost_at_ = std::chrono::seconds(1);
+  /// As the planner's.
+  std::size_t draw_window_ = 24;
   std::uint32_t seed_ = 1;
   core::Duration longest_ = std::chrono::seconds(30);
 };
@@ -59,6 +65,8 @@
   std::vector<core::Duration> whole_;
   /// Chunks that the origin sent, over the chunks of a version.
   double origin_copies_ = 0;
+  /// Connections that the origin had no room for.
+  std::size_t dropped_connections_ = 0;
   /// Chunks that crossed into each failure domain other than the origin's, over
   /// the chunks of a version, the most of all.
   double import_copies_ = 0;
@@ -130,6 +138,7 @@
   std::deque<Draw> draws_;
   bool origin_busy_ = false;
   std::size_t drawn_ = 0;
+  std::size_t dropped_connections_ = 0;
   std::map<core::FailureDomainId, std::size_t> imported_;
   std::vector<core::Duration> whole_;
 };
--- a/tests/swarm/roll_test.cpp
+++ b/tests/swarm/roll_test.cpp
@@ -61,6 +61,21 @@
   CHECK(result.At(1) <= 8300ms);
 }
 
+TEST_CASE("agents that all wait for a slow origin leave it room",
+          "[swarm][roll]") {
+  // It sends 22 chunks a second; what finds no connection waits for 1.5 s.
+  RollPlaySettings settings;
+  settings.domains_ = 3;
+  settings.agents_ = 76;
+  settings.origin_rate_ = 4.38e6 / 8;
+  settings.away_ = OriginAway{500ms, 6500ms};
+  const auto result = Played(settings);
+  REQUIRE(result.whole_.size() == settings.agents_);
+  CHECK(result.dropped_connections_ == 0);
+  CHECK(result.origin_copies_ <= 1.1);
+  CHECK(result.At(1) <= 12s);
+}
+
 TEST_CASE("agents that die in the middle of a roll keep nobody from it",
           "[swarm][roll]") {
   RollPlaySettings settings;
--- a/tests/swarm/swarm_test.cpp
+++ b/tests/swarm/swarm_test.cpp
@@ -314,6 +314,75 @@
   CHECK(swarm.AllWhole());
 }
 
+TEST_CASE("members together draw no more than a window of chunks at once",
+          "[swarm]") {
+  constexpr std::size_t kWindow = 4;
+  const auto chunks = Chunks(40);
+  const std::vector<SwarmMember> members{{core::InstanceId("a"), {}},
+                                         {core::InstanceId("b"), {}},
+                                         {core::InstanceId("c"), {}}};
+  PlannerSettings settings;
+  settings.origin_in_flight_ = chunks.size();
+  settings.draw_window_ = kWindow;
+  std::set<std::size_t> asked;
+  for (const auto& member : members) {
+    Planner planner(member, settings, 1);
+    planner.SetMembers(members);
+    planner.Start(chunks, ChunkSet(chunks.size()), kStart);
+    for (const auto& order : planner.Next(kStart)) {
+      asked.insert(order.chunk_);
+    }
+  }
+  CHECK(asked == std::set<std::size_t>{0, 1, 2, 3});
+}
+
+TEST_CASE("a chunk that a window of later ones overtook is drawn by the next",
+          "[swarm]") {
+  constexpr std::size_t kWindow = 4;
+  const auto chunks = Chunks(40);
+  const std::vector<SwarmMember> members{{core::InstanceId("gone"), {}},
+                                         {core::InstanceId("self"), {}}};
+  PlannerSettings settings;
+  settings.origin_in_flight_ = chunks.size();
+  settings.draw_window_ = kWindow;
+  Planner planner(members[1], settings, 1);
+  planner.SetMembers(members);
+  planner.Start(chunks, ChunkSet(chunks.size()), kStart);
+  ChunkSet held(chunks.size());
+  std::set<std::size_t> drawn;
+  const auto seen_behind = [&](std::size_t chunk) {
+    std::size_t count = 0;
+    for (auto other = chunk + 1; other < chunks.size(); ++other) {
+      count += held.Has(other) || drawn.contains(other) ? 1 : 0;
+    }
+    return count;
+  };
+  // The other one holds what it draws, but for the first of its chunks.
+  std::optional<std::size_t> missing;
+  for (std::size_t chunk = 0; chunk < chunks.size(); ++chunk) {
+    const auto seen = missing ? seen_behind(*missing) : 0;
+    for (const auto& order : planner.Next(kStart)) {
+      if (!order.peer_) {
+        drawn.insert(order.chunk_);
+        planner.OnChunk(order.chunk_, kStart);
+      }
+    }
+    if (missing && drawn.contains(*missing)) {
+      CHECK(seen >= kWindow);
+      CHECK(seen <= 2 * kWindow);
+      break;
+    }
+    if (!missing && !drawn.contains(chunk)) {
+      missing = chunk;
+    } else if (!drawn.contains(chunk)) {
+      held.Add(chunk);
+      planner.OnAnnounced(members[0], held, kStart);
+    }
+  }
+  REQUIRE(missing);
+  CHECK(drawn.contains(*missing));
+}
+
 TEST_CASE("a request that times out is asked elsewhere", "[swarm]") {
   Planner planner({core::InstanceId("a"), {}},
                   {.origin_copies_ = 0, .chunk_timeout_ = 5s}, 1);
