Fetch older weights first where the newest can't be had

Cause: 39 engines start between 19 and 25 s, in the middle of a roll, and hold nothing; the origin is away from 20.5 to 26.5 s. Their agents fetched only the newest version, named at 20.0 s, and served nothing until 33 to 40 s, while 40 engines served version 1 and might until 31.4 s.

Others could not give that version: the engine's staging holds one, and pieces of the newest overwrite it. Now an agent copies a piece before it is overwritten, announces what it can give of the older version, and gives it. An engine without weights gets older ones first when they serve longer than they hold up the newest (rollout/start_choice), by the rate at which new pieces appear among the members (swarm/source_progress); nothing for a second counts as never. Older pieces are never asked of the origin. An engine that refuses them, or gets them too slowly, goes on with the newest; what is outdated is dropped.

--- a/packages/chalkwell/src/chalkwell/core/event.hpp
+++ b/packages/chalkwell/src/chalkwell/core/event.hpp
@@ -44,6 +44,7 @@
   kOriginDrawn = 405,
   kStageFailed = 406,
   kStagedSpoilt = 407,
+  kOlderWeightsFirst = 408,
   kTurnTaken = 500,
   kOrderSent = 501,
   kOrderRefused = 502,
--- a/packages/chalkwell/src/chalkwell/rollout/fwd.hpp
+++ b/packages/chalkwell/src/chalkwell/rollout/fwd.hpp
@@ -11,5 +11,7 @@
 class Turns;
 enum class Phase : std::uint8_t;
 class VersionBound;
+struct StartForecast;
+struct StartChoiceSettings;
 
 }  // namespace chalkwell::rollout
--- /dev/null
+++ b/packages/chalkwell/src/chalkwell/rollout/start_choice.hpp
@@ -0,0 +1,39 @@
+// Which weights an engine that holds none fetches first while a roll is under
+// way: the newest, or older ones that others hold and that still may be used.
+#pragma once
+
+#include <optional>
+
+#include "chalkwell/core/fwd.hpp"
+
+namespace chalkwell::rollout {
+
+/// @brief What is foreseen of both ways, from now on.
+struct StartForecast {
+  /// Until the newest version is out of its source; none while that can't be
+  /// told, as when the source does not answer.
+  std::optional<core::Duration> newest_out_;
+  /// Time of what is missing of the newest version on the own link.
+  core::Duration newest_link_{};
+  /// The same of the older version, of which others hold all.
+  core::Duration older_link_{};
+  /// Until requests may no longer begin on the older version.
+  core::Duration older_end_{};
+};
+
+/// @brief Settings of the choice.
+struct StartChoiceSettings {
+  /// From the last piece to the first request: comparing with digests, the
+  /// order, and loading.
+  core::Duration load_time_ = std::chrono::milliseconds(600);
+  /// Service that a further switch costs: running requests end while no other
+  /// begins.
+  core::Duration switch_cost_ = std::chrono::seconds(1);
+};
+
+/// @brief Whether to begin with the older version: it then serves longer than
+/// the newest one is held up.
+[[nodiscard]] bool OlderFirst(const StartForecast& forecast,
+                              const StartChoiceSettings& settings = {});
+
+}  // namespace chalkwell::rollout
--- a/packages/chalkwell/src/chalkwell/swarm/fwd.hpp
+++ b/packages/chalkwell/src/chalkwell/swarm/fwd.hpp
@@ -10,6 +10,8 @@
 class Pacer;
 class Assembly;
 class FetchWindow;
+class OlderPieces;
+class SourceProgress;
 struct FetchOrder;
 struct PlannerSettings;
 
--- a/packages/daemon/src/daemon/direct/mesh_messages.hpp
+++ b/packages/daemon/src/daemon/direct/mesh_messages.hpp
@@ -70,10 +70,15 @@
   std::uint64_t serving_ = 0;
   /// Whether it can give the list of the version's pieces.
   bool has_manifest_ = false;
-  /// Its machine's link carries far less than it is set to.
+  /// Others come first in drawing pieces: its machine's link carries far less
+  /// than it is set to, or it fetches an older version first.
   bool narrowed_ = false;
+  /// Another version of which it can give pieces; 0 for none.
+  std::uint64_t older_version_ = 0;
+  std::string older_bits_;
+  bool has_older_manifest_ = false;
   MSGPACK_DEFINE(model_, version_, pieces_, bits_, serving_, has_manifest_,
-                 narrowed_)
+                 narrowed_, older_version_, older_bits_, has_older_manifest_)
 };
 
 /// @brief Row of the published list of endpoints.
--- a/packages/daemon/src/daemon/direct/piece_exchange.cpp
+++ b/packages/daemon/src/daemon/direct/piece_exchange.cpp
@@ -213,11 +213,8 @@
 
 void PieceExchange::AnswerManifest(const PeerCallPtr& call,
                                    const PieceMessage& message) {
-  const auto* manifest = source_.manifest_();
-  const bool known =
-      manifest != nullptr && manifest->model_ == message.model_ &&
-      (message.version_ == 0 || manifest->version_ == message.version_);
-  if (known) {
+  const auto* manifest = source_.manifest_(message.version_);
+  if (manifest != nullptr && manifest->model_ == message.model_) {
     call->Respond(kOk, Pack(ToMessage(*manifest)));
   } else {
     call->Respond(kNotFound, "");
@@ -229,39 +226,50 @@
   if (!bytes) {
     return false;
   }
-  const auto* manifest = source_.manifest_();
-  const bool known = manifest != nullptr &&
-                     manifest->version_ == message.version_ &&
-                     message.piece_ < manifest->digests_.size();
+  const auto* manifest = source_.manifest_(message.version_);
+  const bool known =
+      manifest != nullptr && message.piece_ < manifest->digests_.size();
   return !known ||
          core::Digest::Sha256Of(*bytes) == manifest->digests_[message.piece_];
 }
 
 void PieceExchange::AnswerPiece(const PeerCallPtr& call,
                                 const PieceMessage& message) {
-  if (!source_.holds_(message.model_, message.piece_)) {
+  if (!source_.holds_(message)) {
     call->Respond(kNotFound, "");
     return;
   }
+  if (const auto* copy = source_.copy_(message)) {
+    GivePiece(call, message, *copy);
+    return;
+  }
   client_.staged_(
       message.model_, message.piece_,
       [this, call, message](std::optional<std::string> bytes) {
-        if (!Whole(message, bytes)) {
-          // Announced on, it would keep all others from drawing it.
-          source_.on_missing_(message.piece_);
-          call->Respond(kNotFound, "");
-          return;
-        }
-        const auto wait = upload_.Reserve(bytes->size(), process_.loop().Now());
-        PieceAnswer answer;
-        answer.waited_ms_ = static_cast<std::uint32_t>(
-            std::chrono::duration_cast<std::chrono::milliseconds>(wait)
-                .count());
-        answer.bytes_ = std::move(*bytes);
-        process_.loop().After(wait, [call, answer = std::move(answer)] {
-          call->Respond(kOk, Pack(answer));
-        });
+        // Overwritten while it was read, it was copied before.
+        const auto* copy = source_.copy_(message);
+        GivePiece(call, message,
+                  copy == nullptr ? std::move(bytes) : std::optional(*copy));
       });
 }
 
+void PieceExchange::GivePiece(const PeerCallPtr& call,
+                              const PieceMessage& message,
+                              std::optional<std::string> bytes) {
+  if (!Whole(message, bytes)) {
+    // Announced on, it would keep all others from drawing it.
+    source_.on_missing_(message);
+    call->Respond(kNotFound, "");
+    return;
+  }
+  const auto wait = upload_.Reserve(bytes->size(), process_.loop().Now());
+  PieceAnswer answer;
+  answer.waited_ms_ = static_cast<std::uint32_t>(
+      std::chrono::duration_cast<std::chrono::milliseconds>(wait).count());
+  answer.bytes_ = std::move(*bytes);
+  process_.loop().After(wait, [call, answer = std::move(answer)] {
+    call->Respond(kOk, Pack(answer));
+  });
+}
+
 }  // namespace chalkwell::daemon::direct
--- a/packages/daemon/src/daemon/direct/piece_exchange.hpp
+++ b/packages/daemon/src/daemon/direct/piece_exchange.hpp
@@ -56,11 +56,13 @@
 
 /// @brief What this agent can give.
 struct PieceSource {
-  std::function<bool(const std::string& model, std::size_t piece)> holds_;
-  /// Null while there is none.
-  std::function<const WeightsManifest*()> manifest_;
+  std::function<bool(const PieceMessage& piece)> holds_;
+  /// Manifest of a version, 0 for any; null while there is none.
+  std::function<const WeightsManifest*(std::uint64_t version)> manifest_;
+  /// Copy of a piece that is no longer staged; null when there is none.
+  std::function<const std::string*(const PieceMessage& piece)> copy_;
   /// A piece that was held can no longer be read whole.
-  std::function<void(std::size_t piece)> on_missing_;
+  std::function<void(const PieceMessage& piece)> on_missing_;
 };
 
 /// @brief Another agent of the same service as it announced itself.
@@ -130,6 +132,9 @@
  private:
   void OnCall(const PeerCallPtr& call);
   void AnswerPiece(const PeerCallPtr& call, const PieceMessage& message);
+  /// @param bytes none when they could not be read.
+  void GivePiece(const PeerCallPtr& call, const PieceMessage& message,
+                 std::optional<std::string> bytes);
   [[nodiscard]] bool Whole(const PieceMessage& message,
                            const std::optional<std::string>& bytes) const;
   void AnswerManifest(const PeerCallPtr& call, const PieceMessage& message);
--- a/packages/daemon/src/daemon/direct/weights_keeper.cpp
+++ b/packages/daemon/src/daemon/direct/weights_keeper.cpp
@@ -5,6 +5,7 @@
 #include <random>
 #include <utility>
 
+#include "chalkwell/rollout/start_choice.hpp"
 #include "chalkwell/swarm/neighbours.hpp"
 #include "daemon/direct/direct_settings.hpp"
 
@@ -46,6 +47,13 @@
 /// has not begun this long before the bound begins without its turn: time to
 /// verify what is staged and to order.
 constexpr auto kSwitchTime = milliseconds(1700);
+/// Between two looks at whether older weights would serve sooner.
+constexpr auto kConsiderInterval = milliseconds(200);
+/// Time of a piece on the own link while none has arrived yet.
+constexpr auto kUnknownPieceTime = milliseconds(40);
+/// Older weights are given up when they take this many times as long as on an
+/// idle link.
+constexpr int kOlderPatience = 4;
 constexpr double kOutShare = 0.5;
 constexpr auto kTurnLease = milliseconds(2600);
 
@@ -76,13 +84,7 @@
     : process_(process),
       client_(client),
       mesh_(mesh),
-      peers_(process, client, mesh,
-             {.holds_ =
-                  [this](const std::string& model, std::size_t piece) {
-                    return model == model_ && held_.Has(piece);
-                  },
-              .manifest_ = [this] { return manifest_ ? &*manifest_ : nullptr; },
-              .on_missing_ = [this](std::size_t piece) { OnMissing(piece); }}),
+      peers_(process, client, mesh, Source()),
       search_({peers_.self(), process.domain()}),
       planner_({peers_.self(), process.domain()}, PlannerSettingsOf(),
                std::random_device{}()),
@@ -93,6 +95,25 @@
   tick_.Every(kTick, [this] { Tick(); });
 }
 
+PieceSource WeightsKeeper::Source() {
+  PieceSource source;
+  source.holds_ = [this](const PieceMessage& piece) {
+    const bool newer =
+        piece.version_ == HeldVersion() && held_.Has(piece.piece_);
+    return piece.model_ == model_ && (newer || older_.Holds(piece));
+  };
+  source.manifest_ = [this](std::uint64_t version) -> const WeightsManifest* {
+    const bool newer =
+        manifest_ && (version == 0 || manifest_->version_ == version);
+    return newer ? &*manifest_ : older_.Manifest(version);
+  };
+  source.copy_ = [this](const PieceMessage& piece) {
+    return older_.Copy(piece);
+  };
+  source.on_missing_ = [this](const PieceMessage& piece) { OnMissing(piece); };
+  return source;
+}
+
 void WeightsKeeper::SetModel(const std::string& model, std::size_t pieces) {
   model_ = model;
   usual_pieces_ = pieces;
@@ -103,12 +124,13 @@
       (!model_.empty() && weights.model_ != model_)) {
     return;
   }
+  const auto before = wanted_.version_;
   wanted_ = weights;
   named_.OnNamed(weights.version_, process_.loop().Now());
   process_.log().Write(core::EventNumber::kWeightsNamed,
                        {{"model", weights.model_},
                         {"version", std::to_string(weights.version_)}});
-  if (phase_ != Phase::kSettled) {
+  if (phase_ != Phase::kSettled && goal_.version_ == before) {
     process_.log().Write(core::EventNumber::kFetchAbandoned,
                          {{"for", std::to_string(weights.version_)}});
     SetPhase(Phase::kSettled);
@@ -143,6 +165,8 @@
     // What it held staged may be gone with its life: it is read anew.
     held_ = {};
     manifest_.reset();
+    older_.Clear();
+    older_refused_ = false;
     staged_checked_ = false;
     announce_due_ = true;
     SetPhase(Phase::kSettled);
@@ -150,7 +174,7 @@
   if (version != serving_) {
     OnServing(version, restarted);
   }
-  const bool needless = version > 0 && version >= wanted_.version_;
+  const bool needless = version > 0 && version >= goal_.version_;
   if (needless && phase_ != Phase::kSettled && !report.ordered_) {
     SetPhase(Phase::kSettled);
     turns_.OnServing(peers_.self(), version, process_.loop().Now());
@@ -173,6 +197,8 @@
   if (model_.empty() || !heard_engine_) {
     return;
   }
+  DropOutdated(now);
+  ConsiderOlder(now);
   switch (phase_) {
     case Phase::kSettled:
       if (serving_ == 0 || serving_ < wanted_.version_) {
@@ -224,7 +250,14 @@
 }
 
 void WeightsKeeper::Begin() {
+  progress_.Start(usual_pieces_, process_.loop().Now());
+  BeginWith(wanted_);
+}
+
+void WeightsKeeper::BeginWith(const NamedWeights& goal) {
   ++job_;
+  KeepServed();
+  goal_ = goal;
   manifest_.reset();
   held_ = {};
   drawn_.clear();
@@ -234,18 +267,105 @@
   SetPhase(Phase::kManifest);
   process_.log().Write(core::EventNumber::kFetchStarted,
                        {{"model", model_},
-                        {"version", std::to_string(wanted_.version_)},
+                        {"version", std::to_string(goal_.version_)},
                         {"serving", std::to_string(serving_)}});
   AskManifest();
 }
 
+void WeightsKeeper::KeepServed() {
+  const bool served = serving_ != 0 && HeldVersion() == serving_;
+  if (served && older_.version() != serving_) {
+    older_.Start(serving_, manifest_, held_);
+  }
+}
+
+std::optional<core::TimePoint> WeightsKeeper::EndOf(
+    std::uint64_t version) const {
+  return named_.EndOf(version, VersionBoundOf(process_.settings()));
+}
+
+core::Duration WeightsKeeper::LinkTime(std::size_t pieces) const {
+  const auto rate = LinkRate(process_.settings());
+  const auto count = static_cast<int>(pieces);
+  if (piece_bytes_ == 0 || rate == 0) {
+    return kUnknownPieceTime * count;
+  }
+  const std::chrono::duration<double> one(static_cast<double>(piece_bytes_) /
+                                          static_cast<double>(rate));
+  return std::chrono::duration_cast<core::Duration>(one) * count;
+}
+
+void WeightsKeeper::DropOutdated(core::TimePoint now) {
+  const auto kept = older_.version();
+  const auto kept_end = EndOf(kept);
+  if (kept != 0 && (serving_ > kept || (kept_end && now >= *kept_end))) {
+    older_.Clear();
+    announce_due_ = true;
+  }
+  const bool fetching =
+      phase_ == Phase::kManifest || phase_ == Phase::kFetching;
+  if (!older_first() || !fetching) {
+    return;
+  }
+  const auto end = EndOf(goal_.version_);
+  const bool slow =
+      now - phase_since_ >= LinkTime(usual_pieces_) * kOlderPatience;
+  older_refused_ = older_refused_ || slow;
+  if (slow || (end && now >= *end)) {
+    process_.log().Write(core::EventNumber::kFetchAbandoned,
+                         {{"for", std::to_string(wanted_.version_)}});
+    SetPhase(Phase::kSettled);
+  }
+}
+
+void WeightsKeeper::ConsiderOlder(core::TimePoint now) {
+  const bool fetching =
+      phase_ == Phase::kManifest || phase_ == Phase::kFetching;
+  const bool open = serving_ == 0 && wanted_.version_ != 0 && !older_first() &&
+                    fetching && !older_refused_;
+  if (!open || now - considered_at_ < kConsiderInterval) {
+    return;
+  }
+  considered_at_ = now;
+  auto seen = OfferedPieces(peers_.peers(), wanted_.version_, usual_pieces_);
+  for (std::size_t piece = 0; piece < usual_pieces_; ++piece) {
+    if (held_.Has(piece)) {
+      seen.Add(piece);
+    }
+  }
+  progress_.OnSeen(seen.count(), now);
+  const auto older =
+      OfferedBelow(peers_.peers(), wanted_.version_, usual_pieces_);
+  const auto end = older ? EndOf(*older) : std::nullopt;
+  if (!end || !progress_.Observed(now)) {
+    return;
+  }
+  rollout::StartForecast forecast;
+  forecast.newest_out_ = progress_.TimeLeft(now);
+  forecast.newest_link_ = LinkTime(usual_pieces_ - held_.count());
+  forecast.older_link_ = LinkTime(usual_pieces_);
+  forecast.older_end_ = *end - now;
+  if (!rollout::OlderFirst(forecast)) {
+    return;
+  }
+  process_.log().Write(
+      core::EventNumber::kOlderWeightsFirst,
+      {{"version", std::to_string(*older)},
+       {"newest", std::to_string(wanted_.version_)},
+       {"newest_pieces_out", std::to_string(seen.count())},
+       {"usable_ms", std::to_string(std::chrono::duration_cast<milliseconds>(
+                                        forecast.older_end_)
+                                        .count())}});
+  BeginWith({model_, *older});
+}
+
 std::vector<swarm::SwarmMember> WeightsKeeper::Lacking() const {
-  return peers_.Lacking(wanted_.version_,
+  return peers_.Lacking(goal_.version_,
                         window_.Narrowed(process_.loop().Now()));
 }
 
 std::size_t WeightsKeeper::ManifestRank() const {
-  const auto item = model_ + ":" + std::to_string(wanted_.version_);
+  const auto item = model_ + ":" + std::to_string(goal_.version_);
   const auto own = core::RendezvousScore(item, peers_.self().value());
   const auto members = Lacking();
   // One of each failure domain asks at once: only neighbours hear who has it.
@@ -259,10 +379,9 @@
 std::vector<swarm::SwarmMember> WeightsKeeper::ManifestHolders() const {
   std::vector<swarm::SwarmMember> holders;
   for (const auto& [id, peer] : peers_.peers()) {
-    const bool has =
-        peer.held_.model_ == model_ && peer.held_.pieces_ > 0 &&
-        peer.held_.has_manifest_ &&
-        (wanted_.version_ == 0 || peer.held_.version_ == wanted_.version_);
+    const bool any = goal_.version_ == 0 && peer.held_.has_manifest_;
+    const bool has = peer.held_.model_ == model_ &&
+                     (any || OffersManifest(peer.held_, goal_.version_));
     if (has) {
       holders.push_back({id, peer.member_.domain_});
     }
@@ -273,7 +392,8 @@
 void WeightsKeeper::AskManifest() {
   const auto now = process_.loop().Now();
   std::optional<std::size_t> rank;
-  if (origin_ && peers_.knows_agents() && source_.Ready(now)) {
+  if (origin_ && peers_.knows_agents() && source_.Ready(now) &&
+      !older_first()) {
     rank = ManifestRank();
   }
   const auto source = search_.Next(ManifestHolders(), rank, now);
@@ -289,7 +409,7 @@
 
 void WeightsKeeper::AskPeerManifest(const core::InstanceId& peer) {
   peers_.AskManifest(
-      peer, {model_, wanted_.version_, 0},
+      peer, {model_, goal_.version_, 0},
       [this, job = job_](const std::optional<WeightsManifest>& manifest) {
         if (Current(job)) {
           OnManifest(manifest);
@@ -298,7 +418,7 @@
 }
 
 void WeightsKeeper::FetchFromPeer(const swarm::FetchOrder& order) {
-  const PieceMessage ask{model_, wanted_.version_,
+  const PieceMessage ask{model_, goal_.version_,
                          static_cast<std::uint32_t>(order.chunk_)};
   peers_.AskPiece(
       *order.peer_, ask,
@@ -321,17 +441,19 @@
                            const HeldMessage& held) {
   const auto id = peers_.OnHeld(sender, held, process_.loop().Now());
   // It lacks what is held here, and may not be among those told.
-  const bool lacks = held.serving_ < serving_ && held_.count() > 0;
+  const bool lacks =
+      held.serving_ < serving_ && (held_.count() > 0 || older_.version() != 0);
   if (lacks && peers_.MayTell(id, process_.loop().Now())) {
     peers_.Tell(id, Held(process_.loop().Now()));
   }
   const bool wanted = phase_ == Phase::kFetching && manifest_ &&
                       held.model_ == model_ &&
-                      held.version_ == wanted_.version_;
+                      (held.version_ == goal_.version_ ||
+                       held.older_version_ == goal_.version_);
   if (wanted) {
     const auto seen = planner_.seen();
     planner_.OnAnnounced({id, sender.domain_},
-                         swarm::ChunkSet::FromBytes(held.bits_, held_.size()),
+                         OfferedPieces(held, goal_.version_, held_.size()),
                          process_.loop().Now());
     if (planner_.seen() > seen) {
       // Someone drew what nobody had: the source answers again.
@@ -353,7 +475,7 @@
 void WeightsKeeper::AskOriginManifest() {
   process_.metrics().Count("origin_manifests_total", {});
   client_.manifest_(
-      *origin_, model_, wanted_.version_,
+      *origin_, model_, goal_.version_,
       [this, job = job_](const std::optional<WeightsManifest>& manifest) {
         OnSource(manifest.has_value(), "manifest");
         if (Current(job)) {
@@ -388,11 +510,12 @@
 void WeightsKeeper::TakeManifest(const WeightsManifest& manifest) {
   if (phase_ != Phase::kManifest || manifest.model_ != model_ ||
       manifest.digests_.empty() ||
-      (wanted_.version_ != 0 && manifest.version_ != wanted_.version_)) {
+      (goal_.version_ != 0 && manifest.version_ != goal_.version_)) {
     return;
   }
-  if (wanted_.version_ == 0) {
+  if (goal_.version_ == 0) {
     wanted_ = {model_, manifest.version_};
+    goal_ = wanted_;
     named_.OnNamed(manifest.version_, process_.loop().Now());
   }
   manifest_ = manifest;
@@ -440,11 +563,9 @@
   planner_.Start(std::move(chunks), held_, now);
   window_.Start();
   for (const auto& [id, peer] : peers_.peers()) {
-    if (peer.held_.version_ == wanted_.version_) {
-      planner_.OnAnnounced(
-          {id, peer.member_.domain_},
-          swarm::ChunkSet::FromBytes(peer.held_.bits_, held_.size()), now);
-    }
+    planner_.OnAnnounced(
+        {id, peer.member_.domain_},
+        OfferedPieces(peer.held_, goal_.version_, held_.size()), now);
   }
   announce_due_ = true;
   Pump();
@@ -466,19 +587,20 @@
   planner_.SetMembers(Lacking());
   planner_.SetInFlight(window_.size());
   // Not knowing the others, each would draw everything.
-  planner_.SetOriginOpen(source_.Ready(now) && peers_.knows_agents());
+  planner_.SetOriginOpen(source_.Ready(now) && peers_.knows_agents() &&
+                         !older_first());
   for (const auto& order : planner_.Next(now)) {
     Fetch(order);
   }
   if (held_.full()) {
     process_.log().Write(
         core::EventNumber::kFetchFinished,
-        {{"version", std::to_string(wanted_.version_)},
+        {{"version", std::to_string(goal_.version_)},
          {"elected_draws",
           std::to_string(planner_.draws(swarm::DrawCause::kElected))},
          {"silence_draws",
           std::to_string(planner_.draws(swarm::DrawCause::kSilence))}});
-    turns_.Start(wanted_.version_, now);
+    turns_.Start(goal_.version_, now);
     SetPhase(Phase::kStaged);
   }
 }
@@ -500,7 +622,7 @@
                        {{"piece", std::to_string(piece)}});
   process_.metrics().Count("origin_pieces_total", {});
   client_.piece_(
-      *origin_, model_, wanted_.version_, piece,
+      *origin_, model_, goal_.version_, piece,
       [this, job = job_, piece](const std::optional<std::string>& bytes) {
         OnSource(bytes.has_value(), "piece");
         if (Current(job)) {
@@ -524,12 +646,28 @@
         {{"piece", std::to_string(piece)}, {"source", source}});
     return;
   }
+  piece_bytes_ = bytes->size();
   if (!held_.Has(piece)) {
     Stage(piece, *bytes);
   }
 }
 
 void WeightsKeeper::Stage(std::size_t piece, std::string bytes) {
+  if (!older_.NeedsCopy(piece)) {
+    PutStaged(piece, std::move(bytes));
+    return;
+  }
+  client_.staged_(model_, piece,
+                  [this, job = job_, piece, bytes = std::move(bytes)](
+                      std::optional<std::string> served) mutable {
+                    older_.OnOverwritten(piece, std::move(served));
+                    if (Current(job)) {
+                      PutStaged(piece, std::move(bytes));
+                    }
+                  });
+}
+
+void WeightsKeeper::PutStaged(std::size_t piece, std::string bytes) {
   client_.stage_(model_, piece, std::move(bytes),
                  [this, job = job_, piece](bool taken) {
                    if (!Current(job)) {
@@ -549,7 +687,12 @@
                  });
 }
 
-void WeightsKeeper::OnMissing(std::size_t piece) {
+void WeightsKeeper::OnMissing(const PieceMessage& asked) {
+  if (asked.version_ != HeldVersion()) {
+    older_.Lose(asked.piece_);
+    return;
+  }
+  const std::size_t piece = asked.piece_;
   if (!held_.Has(piece)) {
     return;
   }
@@ -566,7 +709,7 @@
 }
 
 bool WeightsKeeper::Urgent(core::TimePoint now) const {
-  const auto end = named_.EndOf(serving_, VersionBoundOf(process_.settings()));
+  const auto end = EndOf(serving_);
   return end && now >= *end - kSwitchTime;
 }
 
@@ -578,7 +721,7 @@
       continue;
     }
     near.insert(id);
-    if (peer.held_.serving_ >= wanted_.version_) {
+    if (peer.held_.serving_ >= goal_.version_) {
       turns_.OnServing(id, peer.held_.serving_, now);
     }
   }
@@ -588,7 +731,7 @@
     return;
   }
   process_.log().Write(core::EventNumber::kTurnTaken,
-                       {{"version", std::to_string(wanted_.version_)},
+                       {{"version", std::to_string(goal_.version_)},
                         {"serving", std::to_string(serving_)},
                         {"urgent", std::string(ToText(urgent))}});
   switching_ = true;
@@ -639,16 +782,18 @@
   SetPhase(Phase::kOrdered);
   process_.log().Write(
       core::EventNumber::kOrderSent,
-      {{"model", model_}, {"version", std::to_string(wanted_.version_)}});
-  client_.start_(model_, wanted_.version_, [this, job = job_](OrderEnd end) {
+      {{"model", model_}, {"version", std::to_string(goal_.version_)}});
+  client_.start_(model_, goal_.version_, [this, job = job_](OrderEnd end) {
     if (!Current(job)) {
       return;
     }
     if (end == OrderEnd::kRefused) {
       process_.log().Write(core::EventNumber::kOrderRefused,
-                           {{"version", std::to_string(wanted_.version_)}});
+                           {{"version", std::to_string(goal_.version_)}});
       switching_ = false;
-      SetPhase(Phase::kStaged);
+      const bool older = older_first();
+      older_refused_ = older_refused_ || older;
+      SetPhase(older ? Phase::kSettled : Phase::kStaged);
     }
   });
 }
@@ -656,12 +801,13 @@
 HeldMessage WeightsKeeper::Held(core::TimePoint now) const {
   HeldMessage held;
   held.model_ = model_;
-  held.version_ = manifest_ ? manifest_->version_ : serving_;
+  held.version_ = HeldVersion();
   held.pieces_ = static_cast<std::uint32_t>(held_.size());
   held.bits_ = held_.ToBytes();
   held.serving_ = serving_;
   held.has_manifest_ = manifest_.has_value();
-  held.narrowed_ = window_.Narrowed(now);
+  held.narrowed_ = window_.Narrowed(now) || older_first();
+  older_.AddTo(held);
   return held;
 }
 
--- a/packages/daemon/src/daemon/direct/weights_keeper.hpp
+++ b/packages/daemon/src/daemon/direct/weights_keeper.hpp
@@ -15,8 +15,10 @@
 #include "chalkwell/swarm/fetch_window.hpp"
 #include "chalkwell/swarm/manifest_search.hpp"
 #include "chalkwell/swarm/planner.hpp"
+#include "chalkwell/swarm/source_progress.hpp"
 #include "daemon/direct/hooks.hpp"
 #include "daemon/direct/mesh_node.hpp"
+#include "daemon/direct/older_weights.hpp"
 #include "daemon/direct/piece_exchange.hpp"
 #include "daemon/process_base.hpp"
 
@@ -73,7 +75,30 @@
   void Tick();
   /// @brief The engine serves another version than before; 0 for none.
   void OnServing(std::uint64_t version, bool restarted);
+  /// @brief Begins with the newest version.
   void Begin();
+  /// @brief Begins to fetch a version.
+  void BeginWith(const NamedWeights& goal);
+  /// @brief Keeps what is served for others, before it is overwritten.
+  void KeepServed();
+  /// @brief Turns to older weights where they serve sooner.
+  void ConsiderOlder(core::TimePoint now);
+  /// @brief Whether an older version is fetched, for an engine without any.
+  [[nodiscard]] bool older_first() const noexcept {
+    return phase_ != Phase::kSettled && goal_.version_ < wanted_.version_;
+  }
+  /// @brief Ends with the time in which older weights may be used.
+  void DropOutdated(core::TimePoint now);
+  [[nodiscard]] std::optional<core::TimePoint> EndOf(
+      std::uint64_t version) const;
+  /// @brief Time of pieces on the own link.
+  [[nodiscard]] core::Duration LinkTime(std::size_t pieces) const;
+  /// @brief Version whose pieces are in `held_`.
+  [[nodiscard]] std::uint64_t HeldVersion() const noexcept {
+    return manifest_ ? manifest_->version_ : serving_;
+  }
+  /// @brief What this agent gives to others.
+  [[nodiscard]] PieceSource Source();
   void AskManifest();
   void OnManifest(const std::optional<WeightsManifest>& manifest);
   void TakeManifest(const WeightsManifest& manifest);
@@ -85,7 +110,8 @@
   void OnPiece(std::size_t piece, const std::optional<std::string>& bytes,
                const std::string& source);
   void Stage(std::size_t piece, std::string bytes);
-  void OnMissing(std::size_t piece);
+  void PutStaged(std::size_t piece, std::string bytes);
+  void OnMissing(const PieceMessage& piece);
   void TakeTurn();
   /// @brief Whether the switch cannot wait for its turn.
   [[nodiscard]] bool Urgent(core::TimePoint now) const;
@@ -121,7 +147,18 @@
   std::string model_;
   std::size_t usual_pieces_ = 0;
   std::optional<Address> origin_;
+  /// The newest version.
   NamedWeights wanted_;
+  /// What is fetched, or was last: `wanted_`, or older weights first.
+  NamedWeights goal_;
+  OlderWeights older_;
+  swarm::SourceProgress progress_;
+  core::TimePoint considered_at_;
+  /// The engine refused older weights, or they took too long; until it
+  /// restarts.
+  bool older_refused_ = false;
+  /// Of a piece; 0 until one arrived.
+  std::size_t piece_bytes_ = 0;
   /// Versions heard of, with their times.
   rollout::VersionBound named_;
   /// 0 while the engine serves no whole weights.
--- a/tests/platform/deployment.cpp
+++ b/tests/platform/deployment.cpp
@@ -159,13 +159,15 @@
 Node Deployment::StartAgent(const std::string& name, Beside beside) {
   Node node;
   const auto path = (folder_ / (name + ".ini")).string();
+  const auto engine =
+      beside.engine_.empty() ? engine_.address() : beside.engine_;
   std::ofstream(path) << "[instance]\nid = " << name
                       << "\ndomain = z1\n[listen]\npeer = "
                       << PeerAddress(node, beside)
                       << "\nadmin = " << Local(node.admin_)
                       << "\n[platform]\naddress = " << store_.address()
                       << "\n[mesh]\nseeds = " << Seeds(beside)
-                      << "\n[endpoint]\nbackend = " << engine_.address()
+                      << "\n[endpoint]\nbackend = " << engine
                       << FactsWait(beside)
                       << "\nrole = pool\n[rollout]\nversion_bound_ms = "
                          "8000\n[stop]\ndrain_ms = 500\n";
--- a/tests/platform/deployment.hpp
+++ b/tests/platform/deployment.hpp
@@ -55,6 +55,8 @@
   const Node* seed_ = nullptr;
   /// Last number of its own address; the seed's is 1.
   int host_ = 2;
+  /// Where an agent's engine listens; empty for the deployment's own.
+  std::string engine_;
 };
 
 /// @brief A store, two endpoints of a service, one of a model.
--- a/tests/platform/path_test.cpp
+++ b/tests/platform/path_test.cpp
@@ -351,6 +351,43 @@
         static_cast<int>(2 * kPieces) + (spoilt ? 1 : 0));
 }
 
+TEST_CASE("an engine that starts while the origin is down serves older weights",
+          "[platform]") {
+  Deployment deployment;
+  standins::EndpointStandin second{deployment.thread_, "i-engine-2"};
+  const auto first_address = deployment.engine_.address();
+  const auto second_address = second.address();
+  deployment.engine_.SetNamed("127.0.0.2:7001");
+  second.SetNamed("127.0.0.3:7001");
+  deployment.PutRows();
+  const auto entry = deployment.StartEntry("e1", deployment.store_.address());
+  REQUIRE(Eventually([&] { return entry.Ready(); }));
+  const auto first_agent =
+      deployment.StartAgent("a1", {&entry, 2, first_address});
+  REQUIRE(Eventually([&] { return deployment.engine_.version() == 1; }));
+  // What the first engine has staged is older weights in part only.
+  constexpr int kDrawn = 2;
+  deployment.origin_.GoDownAfter(kDrawn);
+  deployment.store_.Put("op/version/m", {{"model", "m"}, {"version", 2}});
+  REQUIRE(Eventually([&] {
+    const auto staged = deployment.engine_.staged();
+    return std::ranges::count_if(staged, [](const auto& piece) {
+             return piece.second == OriginStandin::Piece(2, piece.first);
+           }) == kDrawn;
+  }));
+  deployment.store_.Put("servers/" + second.id(), second.Row("pool", "z1"));
+  const auto second_agent =
+      deployment.StartAgent("a2", {&entry, 3, second_address});
+  REQUIRE(Eventually([&] { return second.version() == 1; }));
+  for (const auto& [piece, bytes] : second.staged()) {
+    CHECK(bytes == OriginStandin::Piece(1, piece));
+  }
+  deployment.origin_.SetDown(false);
+  CHECK(Eventually([&] {
+    return second.version() == 2 && deployment.engine_.version() == 2;
+  }));
+}
+
 TEST_CASE("an agent that restarts beside a serving engine leaves it alone",
           "[platform]") {
   // Seen: after all processes were killed, agents read their engines before
--- a/tests/platform/standins.cpp
+++ b/tests/platform/standins.cpp
@@ -572,7 +572,7 @@
                            {"digests", digests}});
     return;
   }
-  ++drawn_;
+  down_ = ++drawn_ == down_after_;
   auto bytes = Piece(version, NumberOr(Query(path, "sampleSize"), 0));
   if (spoil_.exchange(false)) {
     bytes[0] = '?';
--- a/tests/platform/standins.hpp
+++ b/tests/platform/standins.hpp
@@ -228,6 +228,8 @@
   [[nodiscard]] std::size_t connections();
   /// @brief While true every call gets 503.
   void SetDown(bool down) { down_ = down; }
+  /// @brief After so many more pieces every call gets 503.
+  void GoDownAfter(int pieces) { down_after_ = drawn_ + pieces; }
   /// @brief The next piece arrives spoilt.
   void SpoilNext() { spoil_ = true; }
 
@@ -240,6 +242,8 @@
   std::atomic<int> manifests_{0};
   std::atomic<bool> spoil_{false};
   std::atomic<bool> down_{false};
+  /// Pieces after which it is down; 0 for never.
+  std::atomic<int> down_after_{0};
   std::unique_ptr<daemon::Http1Server> server_;
 };
 
