--- a/tests/platform/deployment.cpp
+++ b/tests/platform/deployment.cpp
@@ -136,7 +136,7 @@
 }
 
 Node Deployment::StartEntry(const std::string& name, const std::string& store,
-                            Beside beside) {
+                            const Beside& beside) {
   Node node;
   const auto path = (folder_ / (name + ".ini")).string();
   std::ofstream(path)
@@ -156,7 +156,7 @@
   return node;
 }
 
-Node Deployment::StartAgent(const std::string& name, Beside beside) {
+Node Deployment::StartAgent(const std::string& name, const Beside& beside) {
   Node node;
   const auto path = (folder_ / (name + ".ini")).string();
   const auto engine =
--- a/tests/platform/deployment.hpp
+++ b/tests/platform/deployment.hpp
@@ -76,8 +76,9 @@
                                 const std::string& store,
                                 const Node* seed = nullptr);
   [[nodiscard]] Node StartEntry(const std::string& name,
-                                const std::string& store, Beside beside);
-  [[nodiscard]] Node StartAgent(const std::string& name, Beside beside = {});
+                                const std::string& store, const Beside& beside);
+  [[nodiscard]] Node StartAgent(const std::string& name,
+                                const Beside& beside = {});
   [[nodiscard]] std::string Log(const std::string& name) const;
 
   LoopThread thread_;
