--- a/packages/chalkwell/src/chalkwell/rollout/start_choice.hpp
+++ b/packages/chalkwell/src/chalkwell/rollout/start_choice.hpp
@@ -10,8 +10,8 @@
 
 /// @brief What is foreseen of both ways, from now on.
 struct StartForecast {
-  /// Until the newest version is out of its source; none while that can't be
-  /// told, as when the source does not answer.
+  /// Until the newest version is out of its source; none while that is not
+  /// known, as when the source does not answer.
   std::optional<core::Duration> newest_out_;
   /// Time of what is missing of the newest version on the own link.
   core::Duration newest_link_{};
--- a/packages/chalkwell/src/chalkwell/swarm/source_progress.hpp
+++ b/packages/chalkwell/src/chalkwell/swarm/source_progress.hpp
@@ -18,11 +18,11 @@
   void Start(std::size_t pieces, core::TimePoint now);
   /// @param seen pieces that some member is known to hold.
   void OnSeen(std::size_t seen, core::TimePoint now);
-  /// @return until all pieces are held by some member, none when that can't be
-  /// told: too little time was observed, or nothing appeared in it.
+  /// @return until all pieces are held by some member; none when the time
+  /// observed is too short, or nothing appeared in it.
   [[nodiscard]] std::optional<core::Duration> TimeLeft(
       core::TimePoint now) const;
-  /// @brief Whether it was observed for long enough to tell.
+  /// @brief Whether it was observed for long enough to have a rate.
   [[nodiscard]] bool Observed(core::TimePoint now) const;
 
  private:
--- a/packages/daemon/src/daemon/direct/weights_keeper_fetch.cpp
+++ b/packages/daemon/src/daemon/direct/weights_keeper_fetch.cpp
@@ -20,7 +20,8 @@
   const auto item = model_ + ":" + std::to_string(goal_.version_);
   const auto own = core::RendezvousScore(item, peers_.self().value());
   const auto members = Lacking();
-  // One of each failure domain asks at once: only neighbours hear who has it.
+  // One of each failure domain asks at once: who has it is announced to
+  // neighbours only.
   return static_cast<std::size_t>(
       std::ranges::count_if(members, [&](const swarm::SwarmMember& member) {
         return member.domain_ == process_.domain() &&
@@ -92,7 +93,7 @@
 void WeightsKeeper::OnHeld(const membership::Member& sender,
                            const HeldMessage& held) {
   const auto id = peers_.OnHeld(sender, held, process_.loop().Now());
-  // It lacks what is held here, and may not be among those told.
+  // It lacks what is held here, and may be no neighbour.
   const bool lacks =
       held.serving_ < serving_ && (held_.count() > 0 || older_.version() != 0);
   if (lacks && peers_.MayTell(id, process_.loop().Now())) {
