Keep earlier losses at an endpoint that may have crashed

Cause, found by reading: after an inconclusive probe the next attempt lost at the same endpoint replaced the earlier ones, so that the crash was attributed to a request that had been sent to the terminated process (something else, such as a relay, accepted its connection).

Now a later loss is added only if it was in flight at the first one; one that was in flight then and broke much later shows that the endpoint outlived the first. A response of the endpoint itself drops the record. The table test fails on the code before.

--- a/packages/chalkwell/src/chalkwell/routing/crash_detector.cpp
+++ b/packages/chalkwell/src/chalkwell/routing/crash_detector.cpp
@@ -13,6 +13,12 @@
          attempts.end();
 }
 
+/// Whether an attempt that was lost now had been sent by a point in time.
+bool WasInFlight(const LostAttempt& attempt, core::TimePoint now,
+                 core::TimePoint at) {
+  return now - attempt.elapsed_ <= at;
+}
+
 }  // namespace
 
 CrashDetector::Record* CrashDetector::Find(
@@ -34,23 +40,18 @@
                                  const std::string& address,
                                  core::TimePoint now) {
   Expire(now);
-  auto* record = Find(endpoint);
-  if (record != nullptr && record->state_ == State::kCrashed) {
-    return LossAction::kCrashed;
-  }
-  if (record != nullptr && record->state_ == State::kInconclusive) {
-    // A later crash can't be the cause of the earlier losses.
-    record->crash_ = {endpoint, address, now, {attempt}};
-    record->state_ = State::kProbing;
-    return LossAction::kProbe;
-  }
-  if (record != nullptr) {
-    auto& attempts = record->crash_.attempts_;
-    if (!Contains(attempts, attempt.request_) &&
-        attempts.size() < settings_.max_requests_) {
-      attempts.push_back(attempt);
+  if (auto* record = Find(endpoint)) {
+    switch (record->state_) {
+      case State::kCrashed:
+        return WasInFlight(attempt, now, record->crash_.first_loss_at_)
+                   ? LossAction::kCrashed
+                   : LossAction::kIgnore;
+      case State::kInconclusive:
+        return OnLostAgain(*record, attempt, now);
+      case State::kProbing:
+        AddAttempt(*record, attempt);
+        return LossAction::kWait;
     }
-    return LossAction::kWait;
   }
   records_.push_back({.crash_ = {endpoint, address, now, {attempt}},
                       .state_ = State::kProbing});
@@ -60,6 +61,39 @@
   return LossAction::kProbe;
 }
 
+LossAction CrashDetector::OnLostAgain(Record& record,
+                                      const LostAttempt& attempt,
+                                      core::TimePoint now) {
+  auto& crash = record.crash_;
+  record.state_ = State::kProbing;
+  if (!WasInFlight(attempt, now, crash.first_loss_at_)) {
+    return LossAction::kProbe;
+  }
+  if (now - crash.first_loss_at_ > settings_.max_break_spread_) {
+    // The endpoint was still running at the first loss, which was therefore no
+    // crash.
+    crash.first_loss_at_ = now;
+    crash.attempts_.clear();
+  }
+  AddAttempt(record, attempt);
+  return LossAction::kProbe;
+}
+
+void CrashDetector::AddAttempt(Record& record, const LostAttempt& attempt) {
+  auto& attempts = record.crash_.attempts_;
+  if (!Contains(attempts, attempt.request_) &&
+      attempts.size() < settings_.max_requests_) {
+    attempts.push_back(attempt);
+  }
+}
+
+void CrashDetector::OnAnswered(const EndpointIncarnation& endpoint) {
+  std::erase_if(records_, [&](const Record& record) {
+    return record.state_ == State::kInconclusive &&
+           MayBeSameIncarnation(record.crash_.endpoint_, endpoint);
+  });
+}
+
 SuspectedCrash CrashDetector::OnCrashed(const EndpointIncarnation& endpoint) {
   auto* record = Find(endpoint);
   if (record == nullptr || record->state_ == State::kCrashed) {
--- a/packages/chalkwell/src/chalkwell/routing/crash_detector.hpp
+++ b/packages/chalkwell/src/chalkwell/routing/crash_detector.hpp
@@ -24,6 +24,8 @@
   /// The endpoint is known to have crashed: attribute the crash to the request
   /// without a probe.
   kCrashed,
+  /// The request was sent after the endpoint had crashed and is not its cause.
+  kIgnore,
 };
 
 /// @brief An attempt that may have run and ended without a complete response,
@@ -57,6 +59,8 @@
   std::size_t max_endpoints_ = 256;
   /// Requests held per endpoint incarnation.
   std::size_t max_requests_ = 64;
+  /// A crash breaks all connections of an endpoint within this time.
+  core::Duration max_break_spread_ = std::chrono::milliseconds(100);
 };
 
 /// @brief Decides which lost attempts of one entry were lost to a crash.
@@ -66,6 +70,10 @@
       : settings_(settings) {}
 
   /// @brief The connection of an attempt broke while it was in flight.
+  ///
+  /// After an inconclusive probe, an attempt that was sent after the first loss
+  /// does not replace the earlier ones: something else may accept connections
+  /// for the terminated process. See also OnAnswered().
   [[nodiscard]] LossAction OnLost(const LostAttempt& attempt,
                                   const EndpointIncarnation& endpoint,
                                   const std::string& address,
@@ -74,6 +82,9 @@
   /// @return the attempts lost there; none if the crash was known already or no
   /// loss is held.
   [[nodiscard]] SuspectedCrash OnCrashed(const EndpointIncarnation& endpoint);
+  /// @brief The endpoint itself responded to a request: the losses held there
+  /// were no crash, unless a probe is in flight.
+  void OnAnswered(const EndpointIncarnation& endpoint);
   /// @brief The probe showed neither a crash nor its absence.
   void OnInconclusive(const EndpointIncarnation& endpoint);
   /// @brief Losses whose probe was inconclusive, to be checked against the
@@ -91,6 +102,12 @@
   };
 
   [[nodiscard]] Record* Find(const EndpointIncarnation& endpoint);
+  /// @brief An attempt was lost at an endpoint whose earlier losses are held
+  /// after an inconclusive probe.
+  [[nodiscard]] LossAction OnLostAgain(Record& record,
+                                       const LostAttempt& attempt,
+                                       core::TimePoint now);
+  void AddAttempt(Record& record, const LostAttempt& attempt);
   void Expire(core::TimePoint now);
 
   CrashDetectorSettings settings_;
--- a/packages/daemon/src/daemon/direct/direct_request.cpp
+++ b/packages/daemon/src/daemon/direct/direct_request.cpp
@@ -300,6 +300,9 @@
   context_.endpoints_.OnFirstByte(
       attempt_.choice_.row_.id_, request_.caller_.prompt_tokens_,
       attempt_.sent_at_, attempt_.choice_.time_to_first_byte_, now);
+  if (attempt_.response_head_.signed_) {
+    context_.quarantine_.OnAnswered(attempt_.choice_.row_);
+  }
   const bool success = status >= 200 && status < 300;
   attempt_.streaming_ =
       success && attempt_.response_head_.signed_ && request_.route_.streaming_;
--- a/packages/daemon/src/daemon/direct/quarantine_manager.cpp
+++ b/packages/daemon/src/daemon/direct/quarantine_manager.cpp
@@ -152,12 +152,17 @@
       Probe(endpoint, kMaxProbes);
       return;
     case routing::LossAction::kWait:
+    case routing::LossAction::kIgnore:
       return;
     case routing::LossAction::kCrashed:
       AddCrash(attempt, incarnation, now);
   }
 }
 
+void QuarantineManager::OnAnswered(const routing::EndpointRow& endpoint) {
+  crash_detector_.OnAnswered(endpoint.incarnation());
+}
+
 // Only a refused connection shows a crash: a terminated process refuses at
 // once, a machine that is unreachable or has lost power does not reply, and an
 // endpoint whose connections were merely reset accepts.
--- a/packages/daemon/src/daemon/direct/quarantine_manager.hpp
+++ b/packages/daemon/src/daemon/direct/quarantine_manager.hpp
@@ -60,6 +60,8 @@
   /// complete.
   void OnAttemptLost(const routing::LostAttempt& attempt,
                      const routing::EndpointRow& endpoint);
+  /// @brief The endpoint itself responded, so that it was running.
+  void OnAnswered(const routing::EndpointRow& endpoint);
   /// @brief An endpoint ran the request to completion.
   void OnCompleted(const routing::RequestDigest& request);
 
--- a/tests/routing/crash_detector_test.cpp
+++ b/tests/routing/crash_detector_test.cpp
@@ -73,6 +73,30 @@
   CHECK(crash.attempts_.front().request_ == Request("x"));
 }
 
+TEST_CASE("a crash counts for the request that was in flight, not a later one",
+          "[routing]") {
+  // Something else accepts connections for the terminated process, so that the
+  // probes are inconclusive and further requests are sent to it and lost.
+  CrashDetector detector;
+  (void)detector.OnLost({Request("cause"), 50ms}, kEndpoint, kAddress, kStart);
+  detector.OnInconclusive(kEndpoint);
+  CHECK(detector.OnLost({Request("later"), 5ms}, kEndpoint, kAddress,
+                        kStart + 1s) == LossAction::kProbe);
+  detector.OnInconclusive(kEndpoint);
+  SECTION("the next incarnation confirms the crash") {
+    const auto crash = detector.OnCrashed(kEndpoint);
+    CHECK(crash.first_loss_at_ == kStart);
+    REQUIRE(crash.attempts_.size() == 1);
+    CHECK(crash.attempts_.front().request_ == Request("cause"));
+    CHECK(detector.OnLost({Request("stale"), 5ms}, kEndpoint, kAddress,
+                          kStart + 2s) == LossAction::kIgnore);
+  }
+  SECTION("an answer shows that the endpoint had not crashed") {
+    detector.OnAnswered(kEndpoint);
+    CHECK(detector.OnCrashed(kEndpoint).attempts_.empty());
+  }
+}
+
 TEST_CASE("the number of losses held is bounded", "[routing]") {
   CrashDetectorSettings settings;
   settings.max_endpoints_ = 2;
