--- a/packages/chalkwell/src/chalkwell/config/fwd.hpp
+++ b/packages/chalkwell/src/chalkwell/config/fwd.hpp
@@ -19,6 +19,9 @@
 struct RulesPeerSelectorSettings;
 struct RulesSource;
 struct DeltaPart;
+struct SlowStart;
+struct Evacuation;
+class EvacuationTable;
 enum class Verdict : std::uint8_t;
 
 }  // namespace chalkwell::config
--- a/packages/chalkwell/src/chalkwell/config/traffic_rules.cpp
+++ b/packages/chalkwell/src/chalkwell/config/traffic_rules.cpp
@@ -27,6 +27,7 @@
   rules_ = std::move(rules);
   by_host_.clear();
   by_key_.clear();
+  by_account_.clear();
   by_service_.clear();
   known_services_.clear();
   for (const auto& route : rules_.routes_) {
@@ -42,6 +43,7 @@
   }
   if (rules_.accounts_) {
     for (const auto& account : *rules_.accounts_) {
+      by_account_.emplace(account.id_, &account);
       for (const auto& key : account.keys_) {
         by_key_.emplace(key, &account);
       }
@@ -76,6 +78,12 @@
   return found == by_key_.end() ? nullptr : found->second;
 }
 
+const AccountKeys* TrafficTable::FindAccount(
+    const core::ClientAccountId& id) const {
+  const auto found = by_account_.find(id);
+  return found == by_account_.end() ? nullptr : found->second;
+}
+
 const TrafficService* TrafficTable::FindService(const std::string& name) const {
   const auto found = by_service_.find(name);
   return found == by_service_.end() ? nullptr : found->second;
--- a/packages/chalkwell/src/chalkwell/config/traffic_rules.hpp
+++ b/packages/chalkwell/src/chalkwell/config/traffic_rules.hpp
@@ -62,6 +62,8 @@
   std::uint32_t max_attempts_ = 1;
   /// Never empty.
   std::vector<ServiceShare> services_;
+  /// Regions in which its requests may be processed; empty for all.
+  std::vector<core::RegionId> allowed_regions_;
 
   /// @brief Whether a request may be retried after an attempt that may have
   /// run.
@@ -95,6 +97,18 @@
   std::uint32_t weight_chunks_ = 0;
 };
 
+/// @brief Rate of requests that an endpoint of a service bears after a start.
+struct SlowStart {
+  /// Time from its start until the endpoint bears its full rate.
+  core::Duration duration_{};
+  /// Requests per second from all callers together; 0 for no limit.
+  double requests_per_second_ = 0;
+
+  [[nodiscard]] bool limited() const noexcept {
+    return duration_ > core::Duration{} && requests_per_second_ > 0;
+  }
+};
+
 /// @brief A service that requests are routed to, or an origin of weights.
 struct TrafficService {
   std::string name_;
@@ -109,6 +123,7 @@
   std::string origin_;
   /// Empty if not published.
   core::FailureDomainId domain_;
+  SlowStart slow_start_;
 };
 
 /// @brief A client account and its bearer keys.
@@ -117,6 +132,9 @@
   std::vector<std::string> keys_;
   /// Overrides the priority of the route.
   std::optional<std::uint32_t> priority_;
+  /// Regions in which its requests may be processed; empty for all. The regions
+  /// of the route apply as well.
+  std::vector<core::RegionId> allowed_regions_;
 };
 
 /// @brief Size and time limits of incoming requests.
@@ -155,6 +173,9 @@
                                               std::string_view path) const;
   /// @brief The account of a key, or null.
   [[nodiscard]] const AccountKeys* FindAccount(const std::string& key) const;
+  /// @brief The account with an id, or null.
+  [[nodiscard]] const AccountKeys* FindAccount(
+      const core::ClientAccountId& id) const;
   /// @brief Whether the rules list a service or reference it in a route.
   [[nodiscard]] bool HasService(const std::string& service) const {
     return known_services_.contains(service);
@@ -171,6 +192,7 @@
   /// By host; longest path prefix first.
   std::unordered_map<std::string, std::vector<const TrafficRoute*>> by_host_;
   std::unordered_map<std::string, const AccountKeys*> by_key_;
+  std::unordered_map<core::ClientAccountId, const AccountKeys*> by_account_;
   std::unordered_map<std::string, const TrafficService*> by_service_;
   /// Services that are listed or referenced by routes.
   std::unordered_set<std::string> known_services_;
--- a/packages/chalkwell/src/chalkwell/routing/endpoint_choice.cpp
+++ b/packages/chalkwell/src/chalkwell/routing/endpoint_choice.cpp
@@ -134,6 +134,7 @@
   if (row.service_ != request.service_ || row.leaving_ ||
       IsExpired(endpoint, settings_.missing_row_grace_, now) ||
       !incarnations_.IsCurrent(row.address_, row.incarnation()) ||
+      !Allows(request.allowed_domains_, row.domain_) ||
       std::ranges::find(request.tried_, row.id_) != request.tried_.end()) {
     return false;
   }
--- a/packages/chalkwell/src/chalkwell/routing/endpoint_table.hpp
+++ b/packages/chalkwell/src/chalkwell/routing/endpoint_table.hpp
@@ -16,6 +16,7 @@
 #include "chalkwell/config/traffic_rules.hpp"
 #include "chalkwell/core/fwd.hpp"
 #include "chalkwell/core/identifier.hpp"
+#include "chalkwell/routing/data_residency.hpp"
 #include "chalkwell/routing/endpoint_incarnation.hpp"
 #include "chalkwell/routing/fwd.hpp"
 #include "chalkwell/routing/incarnation_table.hpp"
@@ -40,6 +41,9 @@
   /// Version of the weights that all layers of the engine's model have; none
   /// while the engine cannot serve yet and for services without weights.
   std::optional<std::uint64_t> weights_version_;
+  /// Remaining time of its slow start when the endpoint wrote the row; none if
+  /// it does not state it.
+  std::optional<core::Duration> slow_start_left_;
   /// List revision at which the row was created; 0 if unknown.
   std::uint64_t created_revision_ = 0;
 
@@ -175,6 +179,8 @@
   std::uint32_t max_in_flight_ = 0;
   /// Endpoints of earlier attempts, which are not chosen again.
   std::vector<core::InstanceId> tried_;
+  /// Failure domains in which the request may be processed.
+  AllowedDomains allowed_domains_;
 };
 
 /// @brief How a request at an endpoint ended.
--- a/packages/daemon/src/daemon/direct/direct_entry.cpp
+++ b/packages/daemon/src/daemon/direct/direct_entry.cpp
@@ -59,6 +59,13 @@
   return std::to_string(std::chrono::duration_cast<milliseconds>(span).count());
 }
 
+std::string NoEndpointReason(const AdmittedDirectRequest& request) {
+  const std::string where =
+      request.allowed_domains_ ? " in its allowed regions" : "";
+  return "no endpoint of service " + request.service_ + where +
+         " can take work";
+}
+
 membership::Member SelfOf(ProcessBase& process) {
   membership::Member self;
   self.id_ = process.id();
@@ -91,7 +98,11 @@
           [this](const std::string& model) {
             return VersionConstraintFor(model);
           },
-          [this](const std::string& service) { return MaxInFlight(service); }},
+          [this](const std::string& service) { return MaxInFlight(service); },
+          [this](const config::TrafficRoute& route,
+                 const core::ClientAccountId& account) {
+            return AllowedDomains(route, account);
+          }},
       reader_(process.loop(), adapter_.store_,
               ReaderSettingsOf(process.settings()), process.log(),
               process.metrics(),
@@ -180,6 +191,7 @@
   const auto& settings = process_.settings();
   older_version_use_limit_ = OlderVersionUseLimitOf(settings);
   retry_reserve_ = settings.Real("requests", "retry_reserve");
+  regions_ = DomainRegionsOf(settings);
   mesh_.SetSeeds(MeshSettingsOf(settings).seeds_);
 }
 
@@ -421,6 +433,7 @@
     request.account_ = account->id_;
     request.priority_ = account->priority_.value_or(route->priority_);
   }
+  request.allowed_domains_ = AllowedDomains(*route, request.account_);
   if (caller.id_.empty()) {
     Refuse(*exchange, caller, kBadRequest, core::EventNumber::kBadRequest,
            "the request id is missing", std::nullopt);
@@ -456,6 +469,7 @@
     return kRetryAfter;
   }
   routing::ChoiceRequest choice_request;
+  choice_request.allowed_domains_ = request.allowed_domains_;
   choice_request.service_ = request.service_;
   choice_request.prompt_tokens_ = request.caller_.prompt_tokens_;
   choice_request.max_in_flight_ = MaxInFlight(request.service_);
@@ -468,7 +482,7 @@
     if (endpoints_.Choose(choice_request, now)) {
       return std::nullopt;
     }
-    reason = "no endpoint of service " + request.service_ + " can take work";
+    reason = NoEndpointReason(request);
     return kRetryAfter;
   }
   const routing::StreamRequest stream{request.route_.target_latency_,
@@ -477,7 +491,7 @@
       routing::DecideStream(endpoints_, choice_request, stream, now);
   request.on_time_ = decision.on_time_;
   if (!decision.choice_) {
-    reason = "no endpoint of service " + request.service_ + " can take work";
+    reason = NoEndpointReason(request);
   } else if (decision.retry_after_) {
     reason = "its first event is expected after " +
              Millis(decision.choice_->time_to_first_byte_) + " ms, target " +
@@ -516,6 +530,19 @@
       ->Start();
 }
 
+routing::AllowedDomains DirectEntry::AllowedDomains(
+    const config::TrafficRoute& route,
+    const core::ClientAccountId& account) const {
+  const auto* active_route = rules_.FindRoute(route.host_, route.path_prefix_);
+  const auto* active_account = rules_.FindAccount(account);
+  return routing::AllowedDomainsOf(
+      active_route == nullptr ? route.allowed_regions_
+                              : active_route->allowed_regions_,
+      active_account == nullptr ? std::vector<core::RegionId>{}
+                                : active_account->allowed_regions_,
+      regions_);
+}
+
 double DirectEntry::RetryReserveShare() {
   return kRetryReserveFraction * retry_reserve_ /
          static_cast<double>(mesh_.EntryCount());
--- a/packages/daemon/src/daemon/direct/direct_entry.hpp
+++ b/packages/daemon/src/daemon/direct/direct_entry.hpp
@@ -82,6 +82,12 @@
   /// service: its part of the service's connection limit, at least 1; 0 for no
   /// limit.
   [[nodiscard]] std::uint32_t MaxInFlight(const std::string& service);
+  /// @brief Failure domains in which the active rules allow requests of a route
+  /// and a client account to be processed; the admitted route applies if the
+  /// rules no longer have it.
+  [[nodiscard]] routing::AllowedDomains AllowedDomains(
+      const config::TrafficRoute& route,
+      const core::ClientAccountId& account) const;
   void BeginStop();
   [[nodiscard]] std::string Status() const;
 
@@ -114,6 +120,8 @@
   /// When the subscription to an agent was last sent, by the agent's address.
   std::map<std::string, core::TimePoint> last_subscribed_;
   std::size_t in_flight_ = 0;
+  /// Region of each failure domain of the deployment.
+  routing::DomainRegions regions_;
   /// Time from the publication of a target version until no request may start
   /// on an older one.
   core::Duration older_version_use_limit_{};
--- a/packages/daemon/src/daemon/direct/direct_request.cpp
+++ b/packages/daemon/src/daemon/direct/direct_request.cpp
@@ -113,6 +113,10 @@
   choice_request.prompt_tokens_ = request_.caller_.prompt_tokens_;
   choice_request.on_time_ = request_.on_time_;
   choice_request.tried_ = tried_endpoints_;
+  // The rules may have changed since the request was admitted.
+  choice_request.allowed_domains_ = routing::Intersect(
+      request_.allowed_domains_,
+      context_.allowed_domains_(request_.route_, request_.account_));
   choice_request.max_in_flight_ = context_.max_in_flight_(request_.service_);
   if (request_.engine_) {
     choice_request.engine_ = &*request_.engine_;
--- a/packages/daemon/src/daemon/direct/direct_request.hpp
+++ b/packages/daemon/src/daemon/direct/direct_request.hpp
@@ -42,6 +42,11 @@
   /// Limit of this entry's requests in flight at one endpoint of a service; 0
   /// for no limit.
   std::function<std::uint32_t(const std::string& service)> max_in_flight_;
+  /// Failure domains in which the active rules allow requests of a route and a
+  /// client account to be processed.
+  std::function<routing::AllowedDomains(const config::TrafficRoute& route,
+                                        const core::ClientAccountId& account)>
+      allowed_domains_;
 };
 
 /// @brief An admitted request.
@@ -52,6 +57,9 @@
   /// Identifies the content of the request across attempts and entries.
   routing::RequestDigest digest_;
   std::optional<std::uint32_t> priority_;
+  /// Failure domains in which it may be processed, by the rules under which it
+  /// was admitted.
+  routing::AllowedDomains allowed_domains_;
   /// Whether it takes precedence over late requests.
   bool on_time_ = true;
   std::string service_;
--- a/packages/daemon/src/daemon/direct/direct_settings.cpp
+++ b/packages/daemon/src/daemon/direct/direct_settings.cpp
@@ -52,4 +52,12 @@
   return mesh;
 }
 
+routing::DomainRegions DomainRegionsOf(const Settings& settings) {
+  routing::DomainRegions regions;
+  for (const auto& [domain, region] : settings.Pairs("routing", "regions")) {
+    regions[core::FailureDomainId(domain)] = core::RegionId(region);
+  }
+  return regions;
+}
+
 }  // namespace chalkwell::daemon::direct
--- a/packages/daemon/src/daemon/direct/direct_settings.hpp
+++ b/packages/daemon/src/daemon/direct/direct_settings.hpp
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "chalkwell/core/fwd.hpp"
+#include "chalkwell/routing/data_residency.hpp"
 #include "chalkwell/routing/retry_budget.hpp"
 #include "daemon/direct/endpoint_list.hpp"
 #include "daemon/direct/mesh_node.hpp"
@@ -20,6 +21,7 @@
 [[nodiscard]] EndpointListSettings EndpointListSettingsOf(
     const Settings& settings);
 [[nodiscard]] MeshSettings MeshSettingsOf(const Settings& settings);
+[[nodiscard]] routing::DomainRegions DomainRegionsOf(const Settings& settings);
 
 /// @brief Rate of the machine's network link in bytes per second; 0 if not set.
 [[nodiscard]] std::uint64_t LinkRate(const Settings& settings);
--- a/packages/daemon/src/daemon/direct/mesh_messages.cpp
+++ b/packages/daemon/src/daemon/direct/mesh_messages.cpp
@@ -8,6 +8,16 @@
 
 /// Larger ages are clamped to this: data of this age is never used.
 constexpr auto kMaxAge = std::chrono::hours(1);
+constexpr std::int64_t kUnknownRemaining = -1;
+
+std::int64_t ToRemainingMs(const std::optional<core::Duration>& left) {
+  return left ? static_cast<std::int64_t>(ToAgeMs(*left)) : kUnknownRemaining;
+}
+
+std::optional<core::Duration> ToRemaining(std::int64_t ms) {
+  return ms < 0 ? std::nullopt
+                : std::optional(ToAge(static_cast<std::uint64_t>(ms)));
+}
 
 }  // namespace
 
@@ -83,7 +93,9 @@
                              .leaving_ = row.leaving_,
                              .version_ = row.weights_version_.value_or(0),
                              .created_revision_ = row.created_revision_,
-                             .started_ms_ = ToMs(row.started_)});
+                             .started_ms_ = ToMs(row.started_),
+                             .slow_start_left_ms_ =
+                                 ToRemainingMs(row.slow_start_left_)});
   }
   for (const auto& id : change.removed_) {
     message.removed_.push_back(id.value());
@@ -109,6 +121,7 @@
     row.leaving_ = row_message.leaving_;
     row.created_revision_ = row_message.created_revision_;
     row.started_ = ToStartTime(row_message.started_ms_);
+    row.slow_start_left_ = ToRemaining(row_message.slow_start_left_ms_);
     if (row_message.version_ > 0) {
       row.weights_version_ = row_message.version_;
     }
--- a/packages/daemon/src/daemon/direct/mesh_messages.hpp
+++ b/packages/daemon/src/daemon/direct/mesh_messages.hpp
@@ -104,8 +104,10 @@
   std::uint64_t created_revision_ = 0;
   /// 0 when unknown.
   std::int64_t started_ms_ = 0;
+  /// -1 when unknown.
+  std::int64_t slow_start_left_ms_ = -1;
   MSGPACK_DEFINE(id_, service_, address_, domain_, slots_, leaving_, version_,
-                 created_revision_, started_ms_)
+                 created_revision_, started_ms_, slow_start_left_ms_)
 };
 
 /// @brief The endpoint list, or its changes between two reads of one reader.
--- a/packages/daemon/src/daemon/settings.cpp
+++ b/packages/daemon/src/daemon/settings.cpp
@@ -140,6 +140,17 @@
   return std::ranges::all_of(Split(value, ','), IsAddress);
 }
 
+/// Whether a text has the form "NAME:NAME".
+bool IsPair(const std::string& text) {
+  const auto colon = text.find(':');
+  return colon != std::string::npos && colon > 0 && colon + 1 < text.size() &&
+         text.find(':', colon + 1) == std::string::npos;
+}
+
+bool IsPairList(const std::string& value) {
+  return std::ranges::all_of(Split(value, ','), IsPair);
+}
+
 bool IsValid(const SettingDescription& setting, const std::string& value) {
   switch (setting.type_) {
     case SettingType::kText:
@@ -163,6 +174,8 @@
       return IsKeyList(value);
     case SettingType::kAddresses:
       return IsAddressList(value);
+    case SettingType::kPairs:
+      return IsPairList(value);
   }
   return false;
 }
@@ -274,6 +287,8 @@
       return "public keys of 64 hexadecimal digits, separated by commas";
     case SettingType::kAddresses:
       return "IP numbers and ports separated by commas, or nothing";
+    case SettingType::kPairs:
+      return "pairs NAME:NAME separated by commas, or nothing";
   }
   return "";
 }
@@ -355,4 +370,14 @@
   return Split(Text(section, key), ',');
 }
 
+std::map<std::string, std::string> Settings::Pairs(
+    const std::string& section, const std::string& key) const {
+  std::map<std::string, std::string> pairs;
+  for (const auto& pair : List(section, key)) {
+    const auto colon = pair.find(':');
+    pairs[pair.substr(0, colon)] = pair.substr(colon + 1);
+  }
+  return pairs;
+}
+
 }  // namespace chalkwell::daemon
--- a/packages/daemon/src/daemon/settings.hpp
+++ b/packages/daemon/src/daemon/settings.hpp
@@ -58,6 +58,8 @@
   kKeys,
   /// Addresses separated by commas; may be empty.
   kAddresses,
+  /// Pairs "NAME:NAME" separated by commas; may be empty.
+  kPairs,
 };
 
 /// @brief Description of one setting.
@@ -120,6 +122,9 @@
   /// @brief Values of a list, which are separated by commas.
   [[nodiscard]] std::vector<std::string> List(const std::string& section,
                                               const std::string& key) const;
+  /// @brief Values of a list of pairs.
+  [[nodiscard]] std::map<std::string, std::string> Pairs(
+      const std::string& section, const std::string& key) const;
 
  private:
   /// By "section.key", including defaults.
--- a/tests/platform/codec_test.cpp
+++ b/tests/platform/codec_test.cpp
@@ -184,6 +184,38 @@
   CHECK_THROWS_WITH(DecodeRules(route), Catch::Contains("host"));
 }
 
+TEST_CASE("allowed regions and slow starts are decoded, absence means no limit",
+          "[platform]") {
+  auto text = Rules();
+  text["tenants"] = {{{"name", "acct"}, {"apiKeys", {"k"}}}};
+  const auto unlimited = DecodeRules(text);
+  CHECK(unlimited.routes_.front().allowed_regions_.empty());
+  CHECK(unlimited.accounts_->front().allowed_regions_.empty());
+  CHECK_FALSE(unlimited.services_.front().slow_start_.limited());
+  text["routes"][0]["allowedRegions"] = {"north", "south"};
+  text["tenants"][0]["allowedRegions"] = {"south"};
+  text["services"][0]["coldS"] = 2.5;
+  text["services"][0]["coldPerS"] = 14;
+  const auto limited = DecodeRules(text);
+  CHECK(limited.routes_.front().allowed_regions_ ==
+        std::vector{core::RegionId("north"), core::RegionId("south")});
+  CHECK(limited.accounts_->front().allowed_regions_ ==
+        std::vector{core::RegionId("south")});
+  CHECK(limited.services_.front().slow_start_.duration_ == 2500ms);
+  CHECK(limited.services_.front().slow_start_.requests_per_second_ == 14);
+}
+
+TEST_CASE("invalid regions and slow starts are rejected by name",
+          "[platform]") {
+  auto regions = Rules();
+  regions["routes"][0]["allowedRegions"] = "north";
+  CHECK_THROWS_WITH(DecodeRules(regions), Catch::Contains("allowedRegions"));
+  const std::string field = GENERATE("coldS", "coldPerS");
+  auto slow_start = Rules();
+  slow_start["services"][0][field] = -1;
+  CHECK_THROWS_WITH(DecodeRules(slow_start), Catch::Contains(field));
+}
+
 TEST_CASE("endpoint rows are decoded with weights version and draining state",
           "[platform]") {
   struct Row {
--- a/tests/routing/endpoint_table_test.cpp
+++ b/tests/routing/endpoint_table_test.cpp
@@ -137,6 +137,15 @@
              request.max_in_flight_ = 2;
            },
            "a"},
+      Case{"outside the regions in which the request may be processed",
+           [](auto&, auto& request) {
+             request.allowed_domains_.emplace(
+                 {core::FailureDomainId("elsewhere")});
+           },
+           "far"},
+      Case{"no region may process the request",
+           [](auto&, auto& request) { request.allowed_domains_.emplace(); },
+           ""},
       Case{"request for another service",
            [](auto&, auto& request) { request.service_ = "other"; }, ""});
   CAPTURE(row.name_);
