Watch all operations with one call and decode evacuations

Rules, target versions and evacuations lie under one prefix of the store: one watch replaces two, so that evacuations cost no further calls. States of evacuations travel in every message between processes, as registers ordered by store revision. A document's revision now says up to where its holder knows everything that operators published.

--- a/packages/chalkwell/src/chalkwell/core/event.cpp
+++ b/packages/chalkwell/src/chalkwell/core/event.cpp
@@ -67,6 +67,10 @@
      "Calls of this process to the configuration store since the previous such "
      "line, by section (rules, weights, endpoints) and by cause.",
      "None; docs/OPERATIONS.md lists the usual values."},
+    {kEvacuationChanged, kInfo, "evacuation",
+     "A failure domain was evacuated, so that its endpoints get no further "
+     "request, or its evacuation was withdrawn.",
+     "None; publish or withdraw the evacuation to change it."},
     {kPeerConnected, kInfo, "peer-connected", "A stream to a peer was opened.",
      "None."},
     {kPeerLost, kWarning, "peer-lost", "A stream to a peer has ended.",
--- a/packages/chalkwell/src/chalkwell/core/event.hpp
+++ b/packages/chalkwell/src/chalkwell/core/event.hpp
@@ -31,6 +31,7 @@
   kLearnedFromPeer = 209,
   kControlTraffic = 210,
   kStoreCalls = 211,
+  kEvacuationChanged = 212,
   kPeerConnected = 300,
   kPeerLost = 301,
   kPeerProtocol = 302,
--- a/packages/daemon/src/daemon/direct/adapter.hpp
+++ b/packages/daemon/src/daemon/direct/adapter.hpp
@@ -10,6 +10,7 @@
 #include <string>
 #include <vector>
 
+#include "chalkwell/config/evacuation_table.hpp"
 #include "chalkwell/config/traffic_rules.hpp"
 #include "chalkwell/core/digest.hpp"
 #include "chalkwell/routing/endpoint_table.hpp"
@@ -83,7 +84,15 @@
 };
 
 /// @brief Sections of the configuration store.
-enum class Section : std::uint8_t { kRules, kWeights, kEndpoints };
+enum class Section : std::uint8_t {
+  kRules,
+  /// Target versions of weights.
+  kWeights,
+  kEndpoints,
+  /// Everything that operators publish: the rules, the target versions and the
+  /// evacuations.
+  kOperations,
+};
 
 /// @brief Target version of a model's weights.
 struct TargetVersion {
@@ -116,9 +125,14 @@
   /// The rules as published, undecoded, to be passed on to peers.
   std::string encoded_rules_;
   std::vector<TargetVersion> weights_;
+  /// The active evacuations, or the changed ones if the snapshot is the result
+  /// of a watch. Set for the operations section only.
+  std::vector<config::Evacuation> evacuations_;
+  /// The whole section was read, so that what it lacks is not published.
+  bool whole_ = false;
   std::vector<routing::EndpointRow> endpoints_;
-  /// Undecoded pages of the endpoints or weights section, to be passed on to
-  /// peers; set only if the whole section was read.
+  /// Undecoded pages of a section without rules, to be forwarded to peers; set
+  /// only if the whole section was read.
   std::vector<std::string> encoded_pages_;
   /// Descriptions of rows that could not be decoded, for the log.
   std::vector<std::string> decode_errors_;
--- a/packages/daemon/src/daemon/direct/direct_settings.cpp
+++ b/packages/daemon/src/daemon/direct/direct_settings.cpp
@@ -54,7 +54,7 @@
 
 routing::DomainRegions DomainRegionsOf(const Settings& settings) {
   routing::DomainRegions regions;
-  for (const auto& [domain, region] : settings.Pairs("routing", "regions")) {
+  for (const auto& [domain, region] : settings.Pairs("routing", "region")) {
     regions[core::FailureDomainId(domain)] = core::RegionId(region);
   }
   return regions;
--- a/packages/daemon/src/daemon/direct/mesh_messages.cpp
+++ b/packages/daemon/src/daemon/direct/mesh_messages.cpp
@@ -33,6 +33,16 @@
       std::clamp<std::chrono::milliseconds>(rounded, {}, kMaxAge).count());
 }
 
+EvacuationMessage ToMessage(const config::Evacuation& evacuation) {
+  return {evacuation.domain_.value(), evacuation.active_,
+          evacuation.revision_};
+}
+
+config::Evacuation ToEvacuation(const EvacuationMessage& message) {
+  return {core::FailureDomainId(message.domain_), message.active_,
+          message.revision_};
+}
+
 MemberMessage ToMessage(const membership::Member& member) {
   return {.id_ = member.id_.value(),
           .incarnation_ = member.incarnation_,
--- a/packages/daemon/src/daemon/direct/mesh_messages.hpp
+++ b/packages/daemon/src/daemon/direct/mesh_messages.hpp
@@ -10,6 +10,7 @@
 #include <string>
 #include <vector>
 
+#include "chalkwell/config/evacuation_table.hpp"
 #include "chalkwell/membership/gossip_table.hpp"
 #include "chalkwell/routing/endpoint_table.hpp"
 #include "chalkwell/routing/request_quarantine.hpp"
@@ -174,6 +175,14 @@
   MSGPACK_DEFINE(request_, crashes_, trial_ms_)
 };
 
+/// @brief Wire form of the state of an evacuation.
+struct EvacuationMessage {
+  std::string domain_;
+  bool active_ = false;
+  std::uint64_t revision_ = 0;
+  MSGPACK_DEFINE(domain_, active_, revision_)
+};
+
 /// @brief Body of a mesh datagram.
 struct MeshMessage {
   MemberMessage sender_;
@@ -196,14 +205,19 @@
   /// its failure domain need not.
   bool watches_rules_ = false;
   std::vector<CrashRecordMessage> crashes_;
+  /// States of all evacuations known to the sender.
+  std::vector<EvacuationMessage> evacuations_;
   MSGPACK_DEFINE(sender_, rows_, held_chunks_, weights_, requests_reply_,
                  subscribes_, departed_, sent_ms_, list_, rules_version_,
-                 watches_rules_, crashes_)
+                 watches_rules_, crashes_, evacuations_)
 };
 
 /// A slowdown is encoded in thousandths.
 constexpr double kSlowdownUnit = 1000;
 
+[[nodiscard]] EvacuationMessage ToMessage(
+    const config::Evacuation& evacuation);
+[[nodiscard]] config::Evacuation ToEvacuation(const EvacuationMessage& message);
 [[nodiscard]] MemberMessage ToMessage(const membership::Member& member);
 [[nodiscard]] membership::Member ToMember(const MemberMessage& message);
 [[nodiscard]] IncarnationMessage ToMessage(
--- a/packages/daemon/src/daemon/direct/mesh_node.cpp
+++ b/packages/daemon/src/daemon/direct/mesh_node.cpp
@@ -142,6 +142,11 @@
   if (hooks_.weights_) {
     message.weights_ = hooks_.weights_();
   }
+  if (hooks_.evacuations_) {
+    for (const auto& evacuation : hooks_.evacuations_()) {
+      message.evacuations_.push_back(ToMessage(evacuation));
+    }
+  }
   if (hooks_.rules_version_) {
     message.rules_version_ = hooks_.rules_version_();
   }
@@ -298,6 +303,13 @@
   if (hooks_.on_crashes_ && !message.crashes_.empty()) {
     hooks_.on_crashes_(sender, message.crashes_, loop_.Now() - delay);
   }
+  if (hooks_.on_evacuations_ && !message.evacuations_.empty()) {
+    std::vector<config::Evacuation> evacuations;
+    for (const auto& evacuation : message.evacuations_) {
+      evacuations.push_back(ToEvacuation(evacuation));
+    }
+    hooks_.on_evacuations_(evacuations);
+  }
   if (hooks_.on_rules_) {
     hooks_.on_rules_(sender, message.rules_version_, message.watches_rules_);
   }
--- a/packages/daemon/src/daemon/direct/mesh_node.hpp
+++ b/packages/daemon/src/daemon/direct/mesh_node.hpp
@@ -81,6 +81,11 @@
   std::function<bool()> watches_rules_;
   /// Newest weights versions known locally, by model.
   std::function<std::map<std::string, std::uint64_t>()> weights_;
+  /// A process announced the evacuations that it knows.
+  std::function<void(const std::vector<config::Evacuation>& evacuations)>
+      on_evacuations_;
+  /// Evacuations known locally.
+  std::function<std::vector<config::Evacuation>()> evacuations_;
 };
 
 /// @brief One process of the mesh.
@@ -134,10 +139,12 @@
   /// delegate of the local one.
   void ForwardCrashes(const core::FailureDomainId& from,
                       const std::vector<CrashRecordMessage>& records);
-  /// @brief Announces the known versions of rules and weights to some members.
+  /// @brief Announces the known versions of rules and weights, and the
+  /// evacuations, to some members.
   void AnnounceVersions(const std::vector<membership::Member>& members);
-  /// @brief Announces the known versions of rules and weights to the local
-  /// failure domain and to the delegates of the remote ones.
+  /// @brief Announces the known versions of rules and weights, and the
+  /// evacuations, to the local failure domain and to the delegates of the
+  /// remote ones.
   void AnnounceVersions();
   /// @brief When a message was last sent to the whole local failure domain.
   /// Each message announces the known versions of rules and weights.
--- a/packages/daemon/src/daemon/direct/published_reader.cpp
+++ b/packages/daemon/src/daemon/direct/published_reader.cpp
@@ -168,7 +168,8 @@
 }
 
 void PublishedReader::StartCall(Task& task) {
-  const bool known = task.section_ == Section::kRules && task.revision_ > 0;
+  const bool known =
+      task.section_ == Section::kOperations && task.revision_ > 0;
   if (task.failed_ && known) {
     Probe(task);
     return;
@@ -198,7 +199,8 @@
   return store_.read_(task.section_, std::move(done));
 }
 
-// Known rules are not read again after a failure: entries that lost the store
+// Known operations, which include the rules, are not read again after a
+// failure: entries that lost the store
 // together each read 1.3 MB through one shared link, which made them lose it
 // again. They are watched instead. A watch alone would not notice during its
 // whole wait that the store accepts calls without a response, so a small read
@@ -238,9 +240,9 @@
       break;
     case ReadOutcome::kUnreachable:
       SetReachable(false);
-      if (task.section_ != Section::kRules) {
-        // These sections are small, and reading them anew shows when the store
-        // is reachable again.
+      if (task.section_ != Section::kOperations) {
+        // The other sections are small, and reading them anew shows when the
+        // store is reachable again.
         task.revision_ = 0;
       }
       break;
--- a/packages/daemon/src/daemon/direct/rules_exchange.hpp
+++ b/packages/daemon/src/daemon/direct/rules_exchange.hpp
@@ -21,7 +21,8 @@
 /// @brief One version of the rules, undecoded.
 struct RulesDocument {
   std::uint64_t version_ = 0;
-  /// Store revision at which this document was the newest.
+  /// The holder knows everything that operators published up to this store
+  /// revision; 0 if it does not.
   std::uint64_t revision_ = 0;
   std::string text_;
 };
--- a/packages/daemon/src/daemon/direct/rules_manager.cpp
+++ b/packages/daemon/src/daemon/direct/rules_manager.cpp
@@ -18,8 +18,6 @@
 /// connections do.
 constexpr auto kSoleWatcherWait = std::chrono::milliseconds(2000);
 constexpr auto kSharedWatcherWait = std::chrono::milliseconds(4000);
-/// Sections that the watcher role covers.
-constexpr Section kWatchedSections[] = {Section::kRules, Section::kWeights};
 constexpr std::string_view kStoreSource = "store";
 constexpr std::string_view kPeerSource = "peer";
 
@@ -41,17 +39,18 @@
 
 void RulesManager::Start() {
   watcher_role_.OnFirstReadStarted(loop_.Now());
-  for (const auto section : kWatchedSections) {
-    reader_.Watch(section);
-  }
+  reader_.Watch(Section::kOperations);
   tick_.Every(kRoleCheckInterval, [this] { Tick(); });
 }
 
-void RulesManager::OnPublished(const StoreSnapshot& snapshot) {
+void RulesManager::OnPublished(Section section, const StoreSnapshot& snapshot) {
   if (snapshot.rules_) {
+    // Receivers of the document continue their watch after its revision. A read
+    // of the rules alone does not show what else was published until then.
+    const auto revision =
+        section == Section::kOperations ? snapshot.revision_ : 0;
     Apply(*snapshot.rules_,
-          {snapshot.rules_->version_, snapshot.revision_,
-           snapshot.encoded_rules_},
+          {snapshot.rules_->version_, revision, snapshot.encoded_rules_},
           std::string(kStoreSource));
   }
 }
@@ -65,7 +64,7 @@
   watcher_role_.OnDocumentReceived(document.text_.size());
   peer_selector_.OnApplied(version_, loop_.Now());
   if (source != kStoreSource) {
-    reader_.AdvanceTo(Section::kRules, document.revision_);
+    reader_.AdvanceTo(Section::kOperations, document.revision_);
   }
   exchange_.Add(std::move(document));
   handler_(rules, source);
@@ -106,20 +105,18 @@
                {{"watches", watches ? "yes" : "no"},
                 {"rules", std::to_string(version_)},
                 {"neighbours", std::to_string(local_members.size())}});
-    for (const auto section : kWatchedSections) {
-      watches ? reader_.Watch(section) : reader_.Unwatch(section);
-    }
+    watches ? reader_.Watch(Section::kOperations)
+            : reader_.Unwatch(Section::kOperations);
     announced_at_ = {};
   }
   const bool announces = watcher_role_.MustAnnounce(now);
   const core::Duration max_wait = watcher_role_.WatcherCount(now) == 1
                                       ? kSoleWatcherWait
                                       : kSharedWatcherWait;
-  for (const auto section : kWatchedSections) {
-    reader_.SetWatchWait(
-        section, announces ? std::min(max_wait, reader_.default_watch_wait())
+  reader_.SetWatchWait(Section::kOperations,
+                       announces
+                           ? std::min(max_wait, reader_.default_watch_wait())
                            : reader_.default_watch_wait());
-  }
   const auto announced =
       std::max(announced_at_, mesh_.last_domain_announcement());
   if (announces && now - announced >= watcher_role_.announce_interval()) {
--- a/packages/daemon/src/daemon/direct/rules_manager.hpp
+++ b/packages/daemon/src/daemon/direct/rules_manager.hpp
@@ -1,6 +1,7 @@
 // Keeps an entry's rules current. An entry with the watcher role watches them
-// in the store; the others fetch them from peers. The watcher role covers the
-// target version of weights as well.
+// in the store; the others fetch them from peers. One watch covers everything
+// that operators publish: the target versions of weights and the evacuations as
+// well, which every message between processes announces.
 #pragma once
 
 #include <functional>
@@ -31,8 +32,8 @@
                Handler handler);
 
   void Start();
-  /// @brief The reader received the rules section.
-  void OnPublished(const StoreSnapshot& snapshot);
+  /// @brief The reader received a section that may hold the rules.
+  void OnPublished(Section section, const StoreSnapshot& snapshot);
   /// @brief A member announced the version of its active rules.
   /// @param watches whether the member watches the rules in the store.
   void OnVersionAnnounced(const membership::Member& member,
--- a/packages/daemon/src/daemon/direct/store_call_counter.cpp
+++ b/packages/daemon/src/daemon/direct/store_call_counter.cpp
@@ -14,6 +14,8 @@
       return "weights";
     case Section::kEndpoints:
       return "endpoints";
+    case Section::kOperations:
+      return "operations";
   }
   return "";
 }
@@ -60,6 +62,7 @@
   }
   log_.Write(core::EventNumber::kStoreCalls,
              {{"calls", count(all)},
+              {"operations", in_section(Section::kOperations)},
               {"rules", in_section(Section::kRules)},
               {"weights", in_section(Section::kWeights)},
               {"endpoints", in_section(Section::kEndpoints)},
--- a/packages/daemon/src/daemon/direct/store_call_counter.hpp
+++ b/packages/daemon/src/daemon/direct/store_call_counter.hpp
@@ -40,7 +40,7 @@
   void LogSummary();
 
  private:
-  static constexpr std::size_t kSections = 3;
+  static constexpr std::size_t kSections = 4;
   static constexpr std::size_t kCauses = 5;
 
   EventLog& log_;
--- a/packages/daemon/src/daemon/settings.cpp
+++ b/packages/daemon/src/daemon/settings.cpp
@@ -206,7 +206,9 @@
   if (!Applies(*setting, user)) {
     return Location(path, line) + " is not used by this subcommand; remove it";
   }
-  if (setting->type_ == SettingType::kKeys && values.contains(name) &&
+  const bool repeatable = setting->type_ == SettingType::kKeys ||
+                          setting->type_ == SettingType::kPairs;
+  if (repeatable && values.contains(name) &&
       IsValid(*setting, line.value_)) {
     values[name] += "," + line.value_;
     return "";
--- a/packages/daemon/src/daemon/settings.hpp
+++ b/packages/daemon/src/daemon/settings.hpp
@@ -58,7 +58,8 @@
   kKeys,
   /// Addresses separated by commas; may be empty.
   kAddresses,
-  /// Pairs "NAME:NAME" separated by commas; may be empty.
+  /// Pairs "NAME:NAME" separated by commas; may be empty. The setting may be
+  /// repeated in the file; the lists are joined.
   kPairs,
 };
 
--- a/packages/daemon/src/daemon/settings_table.cpp
+++ b/packages/daemon/src/daemon/settings_table.cpp
@@ -48,9 +48,9 @@
     {kDirect, "mesh", "seeds", kAddresses, "", true, kUnused, kUnused, "",
      "addresses",
      "Processes to contact at the start; only the IP addresses are used."},
-    {kDirectEntry, "routing", "regions", kPairs, "", true, kUnused, kUnused, "",
+    {kDirectEntry, "routing", "region", kPairs, "", true, kUnused, kUnused, "",
      "pairs",
-     "Region of each failure domain, as DOMAIN:REGION. A request whose route or "
+     "Region of a failure domain, as DOMAIN:REGION; one line per domain. A request whose route or "
      "account restricts regions is sent only to domains listed here."},
     {kDirect, "mesh", "interval_ms", kReal, "1000", false, 50, kDayMs, "", "ms",
      "Interval between gossip rounds."},
--- a/tests/platform/names_test.cpp
+++ b/tests/platform/names_test.cpp
@@ -36,7 +36,9 @@
                                 "trafficSplit",     "pathPrefix",
                                 "apiKeys",          "maxAttempts",
                                 "maxConns",         "op/config",
-                                "op/version",       "servers/"});
+                                "op/version",       "op/evacuate",
+                                "allowedRegions",   "coldPerS",
+                                "servers/"});
 
 /// Whether a text contains a name other than as the product's own "x-" header
 /// or command-line option.
