--- a/packages/chalkwell/src/chalkwell/core/fwd.hpp
+++ b/packages/chalkwell/src/chalkwell/core/fwd.hpp
@@ -10,6 +10,7 @@
 class Identifier;
 class Digest;
 class Backoff;
+class WindowMaximum;
 struct BackoffSettings;
 class Error;
 enum class Step : std::uint8_t;
--- a/packages/chalkwell/src/chalkwell/core/identifier.hpp
+++ b/packages/chalkwell/src/chalkwell/core/identifier.hpp
@@ -37,8 +37,8 @@
 using InstanceId = Identifier<InstanceTag>;
 using FailureDomainId = Identifier<FailureDomainTag>;
 using ClientAccountId = Identifier<ClientAccountTag>;
-/// @brief Name of a region, a group of failure domains. Rules may restrict where
-/// data is processed to some regions.
+/// @brief Name of a region, a group of failure domains. Rules may restrict
+/// where data is processed to some regions.
 using RegionId = Identifier<RegionTag>;
 /// @brief Kind of work of an endpoint, to which routes and bundles refer; not a
 /// membership role such as watcher or reader.
--- a/packages/chalkwell/src/chalkwell/routing/data_residency.cpp
+++ b/packages/chalkwell/src/chalkwell/routing/data_residency.cpp
@@ -9,16 +9,14 @@
 
 bool Lists(std::span<const core::RegionId> regions,
            const core::RegionId& region) {
-  return regions.empty() ||
-         std::ranges::find(regions, region) != regions.end();
+  return regions.empty() || std::ranges::find(regions, region) != regions.end();
 }
 
 }  // namespace
 
-AllowedDomains AllowedDomainsOf(
-    std::span<const core::RegionId> route_regions,
-    std::span<const core::RegionId> account_regions,
-    const DomainRegions& regions) {
+AllowedDomains AllowedDomainsOf(std::span<const core::RegionId> route_regions,
+                                std::span<const core::RegionId> account_regions,
+                                const DomainRegions& regions) {
   if (route_regions.empty() && account_regions.empty()) {
     return std::nullopt;
   }
@@ -37,8 +35,7 @@
     return left ? left : right;
   }
   std::set<core::FailureDomainId> both;
-  std::ranges::set_intersection(*left, *right,
-                                std::inserter(both, both.end()));
+  std::ranges::set_intersection(*left, *right, std::inserter(both, both.end()));
   return both;
 }
 
--- a/packages/chalkwell/src/chalkwell/routing/endpoint_choice.cpp
+++ b/packages/chalkwell/src/chalkwell/routing/endpoint_choice.cpp
@@ -120,21 +120,67 @@
   }
   const auto& endpoint = found->second;
   return MayBeSameIncarnation(endpoint.row_.incarnation(), incarnation) &&
-         !endpoint.row_.leaving_ &&
+         !endpoint.row_.leaving_ && !IsEvacuated(endpoint.row_.domain_) &&
          !IsExpired(endpoint, settings_.missing_row_grace_, now) &&
          incarnations_.IsCurrent(endpoint.row_.address_, incarnation);
 }
 
+core::TimePoint EndpointTable::NextSlowStartSend(const Endpoint& endpoint,
+                                                 core::TimePoint now) const {
+  const auto* limit = endpoint.slow_start_.Active(now)
+                          ? SlowStartOf(endpoint.row_.service_)
+                          : nullptr;
+  if (limit == nullptr) {
+    return {};
+  }
+  const auto candidates = candidate_counts_.find(endpoint.row_.service_);
+  SlowStartSharers sharers;
+  sharers.entries_ = entries_;
+  sharers.entries_known_ = entries_known_;
+  sharers.endpoints_ =
+      candidates == candidate_counts_.end() ? 1 : candidates->second;
+  sharers.subset_size_ = EndpointSubsetSettings{}.max_serving_;
+  sharers.reported_users_ =
+      endpoint.report_ ? endpoint.report_->subscribers_ : 0;
+  const auto interval = SlowStartInterval(*limit, sharers, endpoint.in_subset_);
+  return endpoint.slow_start_.NextSend(
+      interval, SlowStartOffset(settings_.entry_, endpoint.row_.id_, interval));
+}
+
+std::optional<core::Duration> EndpointTable::SlowStartWait(
+    const ChoiceRequest& request, core::TimePoint now) const {
+  std::optional<core::Duration> wait;
+  for (const auto& [id, endpoint] : endpoints_) {
+    if (endpoint.slow_start_.Active(now) &&
+        IsUsableAfterSlowStart(endpoint, request, now)) {
+      const auto next = std::max<core::Duration>(
+          NextSlowStartSend(endpoint, now) - now, core::Duration{});
+      wait = std::min(wait.value_or(next), next);
+    }
+  }
+  return wait;
+}
+
 bool EndpointTable::IsUsable(const Endpoint& endpoint,
                              const ChoiceRequest& request,
                              core::TimePoint now) const {
+  return IsUsableAfterSlowStart(endpoint, request, now) &&
+         (now >= NextSlowStartSend(endpoint, now) ||
+          faults_.ignore_slow_start_);
+}
+
+bool EndpointTable::IsUsableAfterSlowStart(const Endpoint& endpoint,
+                                           const ChoiceRequest& request,
+                                           core::TimePoint now) const {
   // Expired rows are skipped here because they are erased only when a list is
   // applied.
   const auto& row = endpoint.row_;
   if (row.service_ != request.service_ || row.leaving_ ||
       IsExpired(endpoint, settings_.missing_row_grace_, now) ||
       !incarnations_.IsCurrent(row.address_, row.incarnation()) ||
-      !Allows(request.allowed_domains_, row.domain_) ||
+      IsEvacuated(row.domain_) ||
+      !(Allows(request.allowed_domains_, row.domain_) ||
+        faults_.ignore_allowed_domains_) ||
       std::ranges::find(request.tried_, row.id_) != request.tried_.end()) {
     return false;
   }
@@ -235,19 +281,26 @@
 std::optional<EndpointChoice> EndpointTable::Choose(
     const ChoiceRequest& request, core::TimePoint now) {
   UpdateSubset();
-  auto choice = ChooseFrom(request, true, now);
+  if (request.allowed_domains_) {
+    // The subset may contain few endpoints of the allowed domains.
+    return ChooseFrom(request, Candidates::kAll, now);
+  }
+  auto choice = ChooseFrom(request, Candidates::kSubset, now);
   // Falls back to the other endpoints when none of the subset is usable.
-  return choice ? choice : ChooseFrom(request, false, now);
+  return choice ? choice : ChooseFrom(request, Candidates::kOthers, now);
 }
 
 std::optional<EndpointChoice> EndpointTable::ChooseFrom(
-    const ChoiceRequest& request, bool in_subset, core::TimePoint now) {
+    const ChoiceRequest& request, Candidates candidates, core::TimePoint now) {
   // One for the local failure domain and one for the remote ones.
   std::array<Selection, 2> selections;
   const double late_share = request.on_time_ ? LateShare() : 0;
   std::uniform_real_distribution<> random_cost(0, RandomCostLimitMs(request));
   for (const auto& [id, endpoint] : endpoints_) {
-    if (endpoint.in_subset_ != in_subset || !IsUsable(endpoint, request, now)) {
+    const bool is_candidate =
+        candidates == Candidates::kAll ||
+        endpoint.in_subset_ == (candidates == Candidates::kSubset);
+    if (!is_candidate || !IsUsable(endpoint, request, now)) {
       continue;
     }
     Prediction prediction;
@@ -323,7 +376,7 @@
   std::vector<SubsetCandidate> candidates;
   for (auto& [id, endpoint] : endpoints_) {
     const auto& row = endpoint.row_;
-    if (row.service_ != service || row.leaving_ ||
+    if (row.service_ != service || row.leaving_ || IsEvacuated(row.domain_) ||
         !incarnations_.IsCurrent(row.address_, row.incarnation())) {
       continue;
     }
@@ -334,6 +387,7 @@
                           !needs_weights || endpoint.version().has_value(),
                           endpoint.subset_score_});
   }
+  candidate_counts_[service] = candidates.size();
   return ChooseSubset(settings_.domain_, candidates);
 }
 
--- a/packages/chalkwell/src/chalkwell/routing/endpoint_table.cpp
+++ b/packages/chalkwell/src/chalkwell/routing/endpoint_table.cpp
@@ -22,8 +22,9 @@
 
 }  // namespace
 
-EndpointTable::EndpointTable(EndpointTableSettings settings, std::uint64_t seed)
-    : settings_(std::move(settings)), random_(seed) {}
+EndpointTable::EndpointTable(EndpointTableSettings settings, std::uint64_t seed,
+                             EndpointTableFaults faults)
+    : settings_(std::move(settings)), random_(seed), faults_(faults) {}
 
 EndpointTable::Endpoint* EndpointTable::Find(const core::InstanceId& id) {
   const auto found = endpoints_.find(id);
@@ -44,7 +45,7 @@
     }
   }
   for (auto& row : rows) {
-    ApplyRow(std::move(row));
+    ApplyRow(std::move(row), now);
   }
   EraseMissing(complete ? core::Duration{} : settings_.missing_row_grace_, now);
   if (complete) {
@@ -58,7 +59,8 @@
                         previous_starts_.end();
 }
 
-void EndpointTable::BeginIncarnation(Endpoint& endpoint, EndpointRow row) {
+void EndpointTable::BeginIncarnation(Endpoint& endpoint, EndpointRow row,
+                                     core::TimePoint now) {
   Endpoint next;
   next.in_subset_ = endpoint.in_subset_;
   next.subset_score_ = endpoint.subset_score_;
@@ -79,6 +81,46 @@
   next.row_.leaving_ =
       next.row_.leaving_ || HasAnnouncedDraining(next.row_.incarnation());
   endpoint = std::move(next);
+  BeginSlowStart(endpoint, now);
+  ApplySlowStart(endpoint, nullptr, now);
+}
+
+const config::SlowStart* EndpointTable::SlowStartOf(
+    const std::string& service) const {
+  const auto found = slow_starts_.find(service);
+  return found == slow_starts_.end() || !found->second.limited()
+             ? nullptr
+             : &found->second;
+}
+
+void EndpointTable::BeginSlowStart(Endpoint& endpoint,
+                                   core::TimePoint now) const {
+  if (const auto* limit = SlowStartOf(endpoint.row_.service_)) {
+    endpoint.slow_start_.Begin(now, now + limit->duration_);
+  }
+}
+
+void EndpointTable::ApplySlowStart(Endpoint& endpoint, const EndpointRow* known,
+                                   core::TimePoint now) const {
+  const auto& left = endpoint.row_.slow_start_left_;
+  const bool changed = known == nullptr || known->slow_start_left_ != left;
+  // The time is counted from now, since it is not known when the row was
+  // written; a row that is read again does not extend it.
+  if (left && changed) {
+    endpoint.slow_start_.SetEnd(now, now + *left);
+  }
+}
+
+void EndpointTable::SetEvacuated(std::set<core::FailureDomainId> domains,
+                                 core::TimePoint now) {
+  for (auto& [id, endpoint] : endpoints_) {
+    const auto& domain = endpoint.row_.domain_;
+    if (evacuated_.contains(domain) && !domains.contains(domain)) {
+      BeginSlowStart(endpoint, now);
+    }
+  }
+  evacuated_ = std::move(domains);
+  subset_outdated_ = true;
 }
 
 void EndpointTable::RememberDraining(const EndpointIncarnation& incarnation) {
@@ -115,9 +157,10 @@
          !incarnations_.IsCurrent(address, incarnation);
 }
 
-void EndpointTable::ApplyRow(EndpointRow row) {
+void EndpointTable::ApplyRow(EndpointRow row, core::TimePoint now) {
   subset_outdated_ = true;
-  auto& endpoint = endpoints_[row.id_];
+  const auto [found, added] = endpoints_.try_emplace(row.id_);
+  auto& endpoint = found->second;
   endpoint.listed_ = true;
   endpoint.missing_since_.reset();
   std::erase_if(removed_, [&](const EndpointIncarnation& removed) {
@@ -132,15 +175,19 @@
   }
   incarnations_.OnRow(row.address_, row.incarnation(), row.created_revision_);
   if (StartTimesDiffer(endpoint.row_.started_, row.started_)) {
-    BeginIncarnation(endpoint, std::move(row));
+    BeginIncarnation(endpoint, std::move(row), now);
     return;
   }
   // An incarnation that is draining does not become available again.
   const bool draining = endpoint.row_.leaving_ || row.leaving_;
   const auto started = row.started_ ? row.started_ : endpoint.row_.started_;
-  endpoint.row_ = std::move(row);
+  const auto known = std::exchange(endpoint.row_, std::move(row));
   endpoint.row_.leaving_ = draining;
   endpoint.row_.started_ = started;
+  if (added && !endpoint.row_.slow_start_left_) {
+    BeginSlowStart(endpoint, now);
+  }
+  ApplySlowStart(endpoint, added ? nullptr : &known, now);
 }
 
 bool EndpointTable::ApplyChange(const EndpointListChange& change,
@@ -159,7 +206,7 @@
   if (change.to_ > revision_) {
     revision_ = change.to_;
     for (const auto& row : change.rows_) {
-      ApplyRow(row);
+      ApplyRow(row, now);
     }
     for (const auto& id : change.removed_) {
       Erase(id);
@@ -225,7 +272,7 @@
   incarnations_.OnAnnounced(row.address_, incarnation);
   if (endpoint != nullptr) {
     if (StartTimesDiffer(endpoint->row_.started_, row.started_)) {
-      BeginIncarnation(*endpoint, std::move(row));
+      BeginIncarnation(*endpoint, std::move(row), now);
       endpoint->announced_at_ = now;
       endpoint->announced_until_ = now + settings_.announced_grace_;
     }
@@ -241,6 +288,8 @@
   auto& added = endpoints_[row.id_];
   added.row_ = std::move(row);
   added.row_.leaving_ = HasAnnouncedDraining(incarnation);
+  added.row_.slow_start_left_.reset();
+  BeginSlowStart(added, now);
   added.announced_at_ = now;
   added.announced_until_ = now + settings_.announced_grace_;
 }
@@ -258,6 +307,7 @@
     row.leaving_ = false;
     row.created_revision_ = 0;
     row.weights_version_.reset();
+    row.slow_start_left_.reset();
     ApplyAnnouncement(std::move(row), now);
     return;
   }
@@ -281,8 +331,9 @@
       row.started_ = report.started_;
       row.leaving_ = false;
       row.weights_version_.reset();
+      row.slow_start_left_.reset();
       incarnations_.OnAnnounced(address, row.incarnation());
-      BeginIncarnation(endpoint, std::move(row));
+      BeginIncarnation(endpoint, std::move(row), reported_at);
       subset_outdated_ = true;
       endpoint.announced_at_ = reported_at;
       endpoint.announced_until_ = reported_at + settings_.announced_grace_;
@@ -344,6 +395,7 @@
     return;
   }
   endpoint->in_flight_sent_at_.push_back(now);
+  endpoint->slow_start_.OnSent(now);
   endpoint->sent_since_report_.push_back(now);
   if (on_time) {
     endpoint->pending_prefill_tokens_ += prompt_tokens;
--- a/packages/chalkwell/src/chalkwell/routing/endpoint_table.hpp
+++ b/packages/chalkwell/src/chalkwell/routing/endpoint_table.hpp
@@ -10,6 +10,7 @@
 #include <map>
 #include <optional>
 #include <random>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -20,6 +21,7 @@
 #include "chalkwell/routing/endpoint_incarnation.hpp"
 #include "chalkwell/routing/fwd.hpp"
 #include "chalkwell/routing/incarnation_table.hpp"
+#include "chalkwell/routing/slow_start.hpp"
 
 namespace chalkwell::routing {
 
@@ -84,6 +86,9 @@
   double slowdown_ = 1;
   /// Delay that its network path adds, summed over both directions.
   core::Duration path_delay_{};
+  /// Entries that receive its reports, because their subset contains it; 0 if
+  /// not reported.
+  std::uint32_t subscribers_ = 0;
   /// Id of the reporting endpoint; empty if unknown.
   core::InstanceId incarnation_;
   /// Start time of the reporting incarnation; none if unknown.
@@ -139,6 +144,14 @@
   core::Duration failure_cost_ = std::chrono::seconds(3);
 };
 
+/// @brief Faults that tests inject to show that their checks detect them; all
+/// off in production.
+struct EndpointTableFaults {
+  bool ignore_allowed_domains_ = false;
+  bool ignore_evacuations_ = false;
+  bool ignore_slow_start_ = false;
+};
+
 /// @brief An endpoint chosen for a request, with its predicted response time.
 struct EndpointChoice {
   EndpointRow row_;
@@ -197,7 +210,8 @@
 /// @brief Endpoints by id, with the state of their current incarnation.
 class EndpointTable {
  public:
-  EndpointTable(EndpointTableSettings settings, std::uint64_t seed);
+  EndpointTable(EndpointTableSettings settings, std::uint64_t seed,
+                EndpointTableFaults faults = {});
 
   /// @brief Applies the full published list.
   /// @param revision revision of the list; lists older than the known one are
@@ -247,6 +261,22 @@
   void MarkVersion(const core::InstanceId& id,
                    std::optional<std::uint64_t> version);
 
+  /// @brief Sets the rates that endpoints bear after a start, by service.
+  void SetSlowStarts(std::map<std::string, config::SlowStart> limits) {
+    slow_starts_ = std::move(limits);
+  }
+  /// @brief Sets the number of entries that share the endpoints.
+  /// @param known false while this entry may not know all of them.
+  void SetEntryCount(std::size_t entries, bool known) noexcept {
+    entries_ = entries;
+    entries_known_ = known;
+  }
+  /// @brief Sets the evacuated failure domains, whose endpoints get no further
+  /// request. Endpoints of a domain that is no longer evacuated begin a slow
+  /// start, since they may have been restarted meanwhile.
+  void SetEvacuated(std::set<core::FailureDomainId> domains,
+                    core::TimePoint now);
+
   /// @brief Records that a request was sent.
   /// @param on_time on_time_ of its ChoiceRequest.
   void OnSent(const core::InstanceId& id, double prompt_tokens,
@@ -271,9 +301,14 @@
   /// @return none if no known endpoint is usable.
   [[nodiscard]] std::optional<EndpointChoice> Choose(
       const ChoiceRequest& request, core::TimePoint now);
+  /// @brief Time until an endpoint in slow start may get a request for which
+  /// Choose() found none; none if no endpoint is in slow start.
+  [[nodiscard]] std::optional<core::Duration> SlowStartWait(
+      const ChoiceRequest& request, core::TimePoint now) const;
 
   /// @brief Whether an incarnation accepts requests, as far as is known: it is
-  /// neither draining nor removed, and no other one has replaced it.
+  /// neither draining nor removed, its failure domain is not evacuated, and no
+  /// other one has replaced it.
   [[nodiscard]] bool AcceptsRequests(const EndpointIncarnation& incarnation,
                                      core::TimePoint now) const;
 
@@ -347,6 +382,7 @@
     /// weights only.
     core::Duration mean_wait_{};
     std::optional<core::TimePoint> missing_since_;
+    SlowStartState slow_start_;
     /// When its agent announced it, and until when it need not be listed.
     core::TimePoint announced_at_;
     core::TimePoint announced_until_;
@@ -367,6 +403,9 @@
     }
   };
 
+  /// @brief Endpoints to choose from.
+  enum class Candidates : std::uint8_t { kSubset, kOthers, kAll };
+
   /// @brief Prediction for a request at an endpoint.
   struct Prediction {
     core::Duration time_to_first_byte_{};
@@ -388,6 +427,24 @@
   [[nodiscard]] bool IsUsable(const Endpoint& endpoint,
                               const ChoiceRequest& request,
                               core::TimePoint now) const;
+  /// @brief Whether the endpoint may get a request, apart from its slow start.
+  [[nodiscard]] bool IsUsableAfterSlowStart(const Endpoint& endpoint,
+                                            const ChoiceRequest& request,
+                                            core::TimePoint now) const;
+  /// @brief When the endpoint may get a request of this entry with regard to
+  /// its slow start; the clock's epoch if it is in none.
+  [[nodiscard]] core::TimePoint NextSlowStartSend(const Endpoint& endpoint,
+                                                  core::TimePoint now) const;
+  /// @brief Limit of a service; null if its endpoints have none.
+  [[nodiscard]] const config::SlowStart* SlowStartOf(
+      const std::string& service) const;
+  /// @brief Begins the slow start of an incarnation whose state is not known.
+  void BeginSlowStart(Endpoint& endpoint, core::TimePoint now) const;
+  /// @brief Applies what the endpoint itself states in its row.
+  /// @param known what its previous row stated; none if this is the first row
+  /// of the incarnation.
+  void ApplySlowStart(Endpoint& endpoint, const EndpointRow* known,
+                      core::TimePoint now) const;
   /// @brief Whether the endpoint's row has been missing beyond its grace
   /// period.
   [[nodiscard]] static bool IsExpired(const Endpoint& endpoint,
@@ -437,19 +494,19 @@
                             const ChoiceRequest& request,
                             const Prediction& prediction,
                             core::TimePoint now) const;
-  /// @param in_subset whether to choose from the subset or from the others.
   [[nodiscard]] std::optional<EndpointChoice> ChooseFrom(
-      const ChoiceRequest& request, bool in_subset, core::TimePoint now);
+      const ChoiceRequest& request, Candidates candidates, core::TimePoint now);
   void UpdateSubset();
   [[nodiscard]] std::vector<core::InstanceId> SelectSubset(
       const std::string& service);
   /// @brief Resets the state that belongs to one incarnation, because another
   /// one begins.
-  void BeginIncarnation(Endpoint& endpoint, EndpointRow row);
+  void BeginIncarnation(Endpoint& endpoint, EndpointRow row,
+                        core::TimePoint now);
   void RememberDraining(const EndpointIncarnation& incarnation);
   [[nodiscard]] bool HasAnnouncedDraining(
       const EndpointIncarnation& incarnation) const;
-  void ApplyRow(EndpointRow row);
+  void ApplyRow(EndpointRow row, core::TimePoint now);
   void EraseMissing(core::Duration grace, core::TimePoint now);
   /// @brief Erases announced endpoints that would be listed by now if they had
   /// not terminated.
@@ -458,8 +515,13 @@
   void Erase(const std::vector<core::InstanceId>& ids);
   void Erase(const core::InstanceId& id);
 
+  [[nodiscard]] bool IsEvacuated(const core::FailureDomainId& domain) const {
+    return evacuated_.contains(domain) && !faults_.ignore_evacuations_;
+  }
+
   EndpointTableSettings settings_;
   std::mt19937_64 random_;
+  EndpointTableFaults faults_;
   std::map<core::InstanceId, Endpoint> endpoints_;
   IncarnationTable incarnations_;
   /// Incarnations removed from the list, newest last; at most kMaxRemembered.
@@ -475,6 +537,13 @@
   core::TimePoint as_of_;
   /// Time of the newest report of any endpoint.
   core::TimePoint latest_report_;
+  std::set<core::FailureDomainId> evacuated_;
+  /// By service.
+  std::map<std::string, config::SlowStart> slow_starts_;
+  std::size_t entries_ = 1;
+  bool entries_known_ = true;
+  /// Endpoints from which the subset was selected, by service.
+  std::map<std::string, std::size_t> candidate_counts_;
   /// Whether inputs of the subset have changed since it was selected.
   bool subset_outdated_ = false;
 };
--- a/packages/chalkwell/src/chalkwell/routing/fwd.hpp
+++ b/packages/chalkwell/src/chalkwell/routing/fwd.hpp
@@ -14,6 +14,8 @@
 class SlotQueue;
 class AffinityChooser;
 class EndpointTable;
+class SlowStartState;
+struct SlowStartSharers;
 struct EndpointSubsetSettings;
 struct PendingAttempt;
 class IncarnationTable;
--- a/packages/chalkwell/src/chalkwell/routing/stream_admission.cpp
+++ b/packages/chalkwell/src/chalkwell/routing/stream_admission.cpp
@@ -58,7 +58,8 @@
   constraints.on_time_ = decision.on_time_;
   decision.choice_ = endpoints.Choose(constraints, now);
   if (!decision.choice_) {
-    decision.retry_after_ = kNoEndpointRetryDelay;
+    decision.retry_after_ = endpoints.SlowStartWait(constraints, now)
+                                .value_or(kNoEndpointRetryDelay);
     return decision;
   }
   const auto& engine = *constraints.engine_;
--- a/packages/daemon/src/daemon/direct/direct_agent.cpp
+++ b/packages/daemon/src/daemon/direct/direct_agent.cpp
@@ -189,6 +189,7 @@
 
 void DirectAgent::SendReports(LoadMessage load, bool changed, bool urgent,
                               core::TimePoint now) {
+  load.subscribers_ = static_cast<std::uint32_t>(subscribers_.size());
   load.sent_ms_ = static_cast<std::uint64_t>(
       std::chrono::duration_cast<milliseconds>(now.time_since_epoch()).count());
   for (const auto& entry : subscribers_.CollectDue(changed, urgent, now)) {
--- a/packages/daemon/src/daemon/direct/direct_entry.cpp
+++ b/packages/daemon/src/daemon/direct/direct_entry.cpp
@@ -46,6 +46,11 @@
 /// Interval of the check for due subscriptions; bounds the delay until a newly
 /// used endpoint's agent is subscribed to.
 constexpr auto kSubscribeTick = milliseconds(100);
+/// Time from its start in which an entry discovers the others.
+constexpr auto kDiscoveryTime = milliseconds(1000);
+/// The number of entries that share the endpoints is the largest of this time:
+/// entries beyond a network partition may still send to them.
+constexpr auto kEntryCountWindow = std::chrono::seconds(60);
 /// Source of values that were read from the store itself, as logged.
 constexpr std::string_view kStoreSource = "store";
 /// Limit of a peer's request body, which holds only a few revisions. Responses
@@ -163,7 +168,12 @@
                    known[model] = bound.newest();
                  }
                  return known;
-               }}),
+               },
+           .on_evacuations_ =
+               [this](const std::vector<config::Evacuation>& evacuations) {
+                 ApplyAnnouncedEvacuations(evacuations);
+               },
+           .evacuations_ = [this] { return evacuations_.States(); }}),
       quarantine_(process.loop(), endpoints_, mesh_, process.log(),
                   process.metrics()),
       endpoint_list_(process.loop(), endpoints_, mesh_, process.log(),
@@ -183,6 +193,8 @@
              [this](Section section, const StoreSnapshot& snapshot) {
                ApplyPublished(section, snapshot, "peer");
              }),
+      entry_count_(kEntryCountWindow),
+      started_at_(process.loop().Now()),
       stop_timer_(process.loop()),
       relay_timer_(process.loop()),
       subscribe_timer_(process.loop()) {}
@@ -243,7 +255,10 @@
   process_.OnResume([this] { mesh_.QuerySeed(); });
   mesh_.Start();
   rules_manager_.Start();
-  subscribe_timer_.Every(kSubscribeTick, [this] { Subscribe(); });
+  subscribe_timer_.Every(kSubscribeTick, [this] {
+    UpdateEntryCount();
+    Subscribe();
+  });
   reader_.Poll(
       Section::kEndpoints, [this] { return endpoint_list_.Interval(); },
       [this] { endpoint_list_.OnReadFailed(); });
@@ -290,12 +305,11 @@
 }
 
 void DirectEntry::OnPublished(Section section, const StoreSnapshot& snapshot) {
-  if (section == Section::kRules) {
-    rules_manager_.OnPublished(snapshot);
-    return;
-  }
   relay_.Store(section, snapshot);
   ApplyPublished(section, snapshot, std::string(kStoreSource));
+  // Last, because rules are announced together with the versions and
+  // evacuations that were published before them.
+  rules_manager_.OnPublished(section, snapshot);
 }
 
 void DirectEntry::ReadFromPeersIfStoreUnreachable() {
@@ -311,11 +325,60 @@
   for (const auto& weights : snapshot.weights_) {
     ApplyTargetVersion(weights, source == kStoreSource);
   }
+  if (section == Section::kOperations) {
+    ApplyEvacuations(snapshot);
+  }
   if (section == Section::kEndpoints) {
     endpoint_list_.ApplyRead(snapshot, source == kStoreSource);
   }
 }
 
+void DirectEntry::ApplyEvacuations(const StoreSnapshot& snapshot) {
+  bool changed = false;
+  if (snapshot.whole_) {
+    changed = evacuations_.ApplyAll(snapshot.evacuations_, snapshot.revision_);
+  }
+  for (const auto& evacuation : snapshot.evacuations_) {
+    changed = evacuations_.Apply(evacuation) || changed;
+  }
+  if (changed) {
+    OnEvacuationsChanged(std::string(kStoreSource));
+    mesh_.AnnounceVersions();
+  }
+}
+
+void DirectEntry::ApplyAnnouncedEvacuations(
+    const std::vector<config::Evacuation>& evacuations) {
+  bool changed = false;
+  for (const auto& evacuation : evacuations) {
+    changed = evacuations_.Apply(evacuation) || changed;
+  }
+  if (!changed) {
+    return;
+  }
+  OnEvacuationsChanged("peer");
+  if (rules_manager_.is_watcher()) {
+    mesh_.AnnounceVersions();
+  }
+}
+
+void DirectEntry::OnEvacuationsChanged(const std::string& source) {
+  const auto active = evacuations_.Active();
+  if (active == evacuated_) {
+    return;
+  }
+  std::string domains;
+  for (const auto& domain : active) {
+    domains += (domains.empty() ? "" : ",") + domain.value();
+  }
+  process_.log().Write(core::EventNumber::kEvacuationChanged,
+                       {{"domains", domains}, {"source", source}});
+  process_.metrics().Set("evacuated_domains", {},
+                         static_cast<double>(active.size()));
+  evacuated_ = active;
+  endpoints_.SetEvacuated(active, process_.loop().Now());
+}
+
 void DirectEntry::OnPeerCall(const PeerCallPtr& call) {
   const bool handled =
       rules_manager_.HandleCall(call) || relay_.HandleCall(call) ||
@@ -336,6 +399,11 @@
                         {"source", source}});
   process_.metrics().Set("rules_version", {},
                          static_cast<double>(rules.version_));
+  std::map<std::string, config::SlowStart> slow_starts;
+  for (const auto& service : rules.services_) {
+    slow_starts[service.name_] = service.slow_start_;
+  }
+  endpoints_.SetSlowStarts(std::move(slow_starts));
 }
 
 void DirectEntry::ApplyTargetVersion(const TargetVersion& weights,
@@ -356,6 +424,13 @@
   Subscribe();
 }
 
+void DirectEntry::UpdateEntryCount() {
+  const auto now = process_.loop().Now();
+  entry_count_.Add(mesh_.EntryCount(), now);
+  endpoints_.SetEntryCount(entry_count_.Get(now),
+                           now - started_at_ >= kDiscoveryTime);
+}
+
 void DirectEntry::Subscribe() {
   const auto now = process_.loop().Now();
   std::map<std::string, core::TimePoint> subscribed;
@@ -512,6 +587,15 @@
            refusal->retry_after_);
     return;
   }
+  if (request.allowed_domains_ && request.allowed_domains_->empty()) {
+    // It can be served only after the rules have changed.
+    Refuse(*exchange, request.caller_, kUnavailable,
+           core::EventNumber::kRequestRefused,
+           "no region may process the request: its route and its account "
+           "allow different regions",
+           std::nullopt);
+    return;
+  }
   std::string reason;
   if (const auto wait = CheckAdmission(request, now, reason)) {
     Refuse(*exchange, request.caller_, kUnavailable,
--- a/packages/daemon/src/daemon/direct/direct_entry.hpp
+++ b/packages/daemon/src/daemon/direct/direct_entry.hpp
@@ -5,10 +5,13 @@
 
 #include <map>
 #include <memory>
+#include <set>
 #include <string>
 #include <vector>
 
+#include "chalkwell/config/evacuation_table.hpp"
 #include "chalkwell/config/traffic_rules.hpp"
+#include "chalkwell/core/window_maximum.hpp"
 #include "chalkwell/membership/message_order.hpp"
 #include "chalkwell/membership/path_delay.hpp"
 #include "chalkwell/rollout/version_bound.hpp"
@@ -55,6 +58,14 @@
   /// @param source "store", or "peer" when another entry read it.
   void ApplyPublished(Section section, const StoreSnapshot& snapshot,
                       const std::string& source);
+  /// @brief Applies the evacuations that this process read from the store.
+  void ApplyEvacuations(const StoreSnapshot& snapshot);
+  /// @brief Applies the evacuations that another process announced.
+  void ApplyAnnouncedEvacuations(
+      const std::vector<config::Evacuation>& evacuations);
+  /// @brief Applies the evacuated failure domains to the endpoint table.
+  void OnEvacuationsChanged(const std::string& source);
+  void UpdateEntryCount();
   /// @brief Queries a peer if the store has been unreachable for some time.
   void ReadFromPeersIfStoreUnreachable();
   void OnLoadReport(const LoadMessage& message);
@@ -110,6 +121,11 @@
   EndpointList endpoint_list_;
   RulesManager rules_manager_;
   PublishedRelay relay_;
+  config::EvacuationTable evacuations_;
+  /// The evacuations in force in the endpoint table.
+  std::set<core::FailureDomainId> evacuated_;
+  core::WindowMaximum entry_count_;
+  core::TimePoint started_at_;
   std::unique_ptr<PeerServer> peer_server_;
   std::unique_ptr<Http1Server> caller_server_;
   std::unique_ptr<Http1Server> readiness_server_;
--- a/packages/daemon/src/daemon/direct/mesh_messages.cpp
+++ b/packages/daemon/src/daemon/direct/mesh_messages.cpp
@@ -34,8 +34,7 @@
 }
 
 EvacuationMessage ToMessage(const config::Evacuation& evacuation) {
-  return {evacuation.domain_.value(), evacuation.active_,
-          evacuation.revision_};
+  return {evacuation.domain_.value(), evacuation.active_, evacuation.revision_};
 }
 
 config::Evacuation ToEvacuation(const EvacuationMessage& message) {
@@ -95,17 +94,17 @@
   message.full_ = change.full_;
   message.complete_ = change.complete_;
   for (const auto& row : change.rows_) {
-    message.rows_.push_back({.id_ = row.id_.value(),
-                             .service_ = row.service_,
-                             .address_ = row.address_,
-                             .domain_ = row.domain_.value(),
-                             .slots_ = row.slots_,
-                             .leaving_ = row.leaving_,
-                             .version_ = row.weights_version_.value_or(0),
-                             .created_revision_ = row.created_revision_,
-                             .started_ms_ = ToMs(row.started_),
-                             .slow_start_left_ms_ =
-                                 ToRemainingMs(row.slow_start_left_)});
+    message.rows_.push_back(
+        {.id_ = row.id_.value(),
+         .service_ = row.service_,
+         .address_ = row.address_,
+         .domain_ = row.domain_.value(),
+         .slots_ = row.slots_,
+         .leaving_ = row.leaving_,
+         .version_ = row.weights_version_.value_or(0),
+         .created_revision_ = row.created_revision_,
+         .started_ms_ = ToMs(row.started_),
+         .slow_start_left_ms_ = ToRemainingMs(row.slow_start_left_)});
   }
   for (const auto& id : change.removed_) {
     message.removed_.push_back(id.value());
@@ -181,6 +180,7 @@
   report.queued_ = message.queued_;
   report.accepting_ = message.accepting_;
   report.slowdown_ = message.slowdown_ / kSlowdownUnit;
+  report.subscribers_ = message.subscribers_;
   if (message.version_ > 0) {
     report.weights_version_ = message.version_;
   }
--- a/packages/daemon/src/daemon/direct/mesh_messages.hpp
+++ b/packages/daemon/src/daemon/direct/mesh_messages.hpp
@@ -65,8 +65,10 @@
   std::string instance_id_;
   /// Start time of the engine; 0 when unknown.
   std::int64_t started_ms_ = 0;
+  /// Number of subscribers; 0 when unknown.
+  std::uint32_t subscribers_ = 0;
   MSGPACK_DEFINE(endpoint_, active_, queued_, accepting_, version_, slowdown_,
-                 sent_ms_, inbound_ms_, instance_id_, started_ms_)
+                 sent_ms_, inbound_ms_, instance_id_, started_ms_, subscribers_)
 };
 
 /// @brief Chunks of a version that an agent can serve to its peers.
@@ -215,8 +217,7 @@
 /// A slowdown is encoded in thousandths.
 constexpr double kSlowdownUnit = 1000;
 
-[[nodiscard]] EvacuationMessage ToMessage(
-    const config::Evacuation& evacuation);
+[[nodiscard]] EvacuationMessage ToMessage(const config::Evacuation& evacuation);
 [[nodiscard]] config::Evacuation ToEvacuation(const EvacuationMessage& message);
 [[nodiscard]] MemberMessage ToMessage(const membership::Member& member);
 [[nodiscard]] membership::Member ToMember(const MemberMessage& message);
--- a/packages/daemon/src/daemon/settings.cpp
+++ b/packages/daemon/src/daemon/settings.cpp
@@ -208,8 +208,7 @@
   }
   const bool repeatable = setting->type_ == SettingType::kKeys ||
                           setting->type_ == SettingType::kPairs;
-  if (repeatable && values.contains(name) &&
-      IsValid(*setting, line.value_)) {
+  if (repeatable && values.contains(name) && IsValid(*setting, line.value_)) {
     values[name] += "," + line.value_;
     return "";
   }
--- a/packages/daemon/src/daemon/settings_table.cpp
+++ b/packages/daemon/src/daemon/settings_table.cpp
@@ -50,7 +50,8 @@
      "Processes to contact at the start; only the IP addresses are used."},
     {kDirectEntry, "routing", "region", kPairs, "", true, kUnused, kUnused, "",
      "pairs",
-     "Region of a failure domain, as DOMAIN:REGION; one line per domain. A request whose route or "
+     "Region of a failure domain, as DOMAIN:REGION; one line per domain. A "
+     "request whose route or "
      "account restricts regions is sent only to domains listed here."},
     {kDirect, "mesh", "interval_ms", kReal, "1000", false, 50, kDayMs, "", "ms",
      "Interval between gossip rounds."},
--- a/tests/config/evacuation_table_test.cpp
+++ b/tests/config/evacuation_table_test.cpp
@@ -50,7 +50,8 @@
     bool active_;
   };
   // A read is older than an evacuation that another process announced since.
-  const auto row = GENERATE(Row{5, 9, false}, Row{5, 5, false}, Row{5, 4, true});
+  const auto row =
+      GENERATE(Row{5, 9, false}, Row{5, 5, false}, Row{5, 4, true});
   EvacuationTable table;
   CHECK(table.Apply(State("a", true, row.published_)));
   CHECK(table.ApplyAll({}, row.read_) != row.active_);
@@ -71,8 +72,8 @@
     std::mt19937 random(seed);
     std::vector<Evacuation> published;
     for (std::uint64_t revision = 1; revision <= 12; ++revision) {
-      published.push_back(State(random() % 2 == 0 ? "a" : "b",
-                                random() % 2 == 0, revision));
+      published.push_back(
+          State(random() % 2 == 0 ? "a" : "b", random() % 2 == 0, revision));
     }
     EvacuationTable in_order;
     for (const auto& state : published) {
--- a/tests/daemon/settings_test.cpp
+++ b/tests/daemon/settings_test.cpp
@@ -75,11 +75,11 @@
     std::size_t domains_;
     bool valid_;
   };
-  const auto row = GENERATE(
-      Row{"", 0, true}, Row{"a:north", 1, true},
-      Row{"a:north, b:north,c:south", 3, true},
-      Row{"a:north\nregion = b:south", 2, true}, Row{"a", 0, false},
-      Row{"a:", 0, false}, Row{":north", 0, false}, Row{"a:b:c", 0, false});
+  const auto row = GENERATE(Row{"", 0, true}, Row{"a:north", 1, true},
+                            Row{"a:north, b:north,c:south", 3, true},
+                            Row{"a:north\nregion = b:south", 2, true},
+                            Row{"a", 0, false}, Row{"a:", 0, false},
+                            Row{":north", 0, false}, Row{"a:b:c", 0, false});
   const std::string text =
       "[instance]\nid = a\ndomain = b\n[listen]\npeer = 127.0.0.1:2\n"
       "admin = 127.0.0.1:3\ncaller = 127.0.0.1:4\nready = 127.0.0.1:5\n"
@@ -87,13 +87,13 @@
       row.text_ + "\n";
   CAPTURE(row.text_);
   if (!row.valid_) {
-    CHECK_THROWS_WITH(Settings::Parse(text, "f", UsedBy::kDirectEntry),
-                      Catch::Contains("[routing] region") &&
-                          Catch::Contains("NAME:NAME"));
+    CHECK_THROWS_WITH(
+        Settings::Parse(text, "f", UsedBy::kDirectEntry),
+        Catch::Contains("[routing] region") && Catch::Contains("NAME:NAME"));
     return;
   }
   const auto settings = Settings::Parse(text, "f", UsedBy::kDirectEntry);
-  CHECK(settings.Pairs("routing", "regions").size() == row.domains_);
+  CHECK(settings.Pairs("routing", "region").size() == row.domains_);
 }
 
 TEST_CASE("settings that the platform computes accept fractions", "[daemon]") {
--- a/tests/platform/deployment.cpp
+++ b/tests/platform/deployment.cpp
@@ -97,6 +97,7 @@
                 limits_.request_timeout_ms_),
       MakeRoute("/stream/", "streaming", "plain", limits_.request_timeout_ms_),
       MakeRoute("/model/", "idempotent", "pool", limits_.request_timeout_ms_)};
+  routes[0]["allowedRegions"] = safe_route_regions_;
   for (std::size_t i = 0; i < extra_routes_; ++i) {
     routes.push_back(MakeRoute("/more" + std::to_string(i) + "/", "idempotent",
                                "plain", limits_.request_timeout_ms_));
@@ -121,7 +122,11 @@
          {"maxBodyBytes", limits_.body_bytes_},
          {"headerTimeoutMs", limits_.header_timeout_ms_},
          {"idleTimeoutMs", 3000}}},
-       {"tenants", {{{"name", "acct"}, {"apiKeys", keys}, {"priority", 2}}}}});
+       {"tenants",
+        {{{"name", "acct"},
+          {"apiKeys", keys},
+          {"priority", 2},
+          {"allowedRegions", account_regions_}}}}});
 }
 
 void Deployment::PutRows() { PutRows(store_); }
@@ -150,6 +155,7 @@
       << "\n[platform]\naddress = " << store
       << "\npoll_ms = 100\nwatch_wait_ms = 60000\n[mesh]\nseeds = "
       << SeedsSetting(options)
+      << "\n[routing]\nregion = z1:north\nregion = z2:south"
       << "\n[requests]\nretry_share = 0.2\n"
          "retry_reserve = 100\n[stop]\ndrain_ms = 5000\n";
   node.child_ = Child(
--- a/tests/platform/deployment.hpp
+++ b/tests/platform/deployment.hpp
@@ -106,6 +106,10 @@
   CallerLimits limits_;
   /// Routes in addition to the five that tests use, to make the rules large.
   std::size_t extra_routes_ = 0;
+  /// Regions that the route "/safe/" and the client account allow; empty for
+  /// all. Failure domain z1 lies in region "north", z2 in "south".
+  std::vector<std::string> safe_route_regions_;
+  std::vector<std::string> account_regions_;
   /// Environment of processes started from now on, as "NAME=VALUE".
   std::vector<std::string> environment_;
 };
--- a/tests/platform/shared_reads_test.cpp
+++ b/tests/platform/shared_reads_test.cpp
@@ -31,10 +31,18 @@
 
 using namespace std::chrono_literals;
 
+/// Prefix of everything that operators publish, which entries watch.
+constexpr auto kOperationsPrefix = "op/";
 constexpr auto kRulesKey = "op/config";
 /// About 1.3 MB as published.
 constexpr std::size_t kManyRoutes = 4250;
 
+/// Responses of the store that contained the rules.
+int ReadsOfRules(const Deployment& deployment) {
+  return deployment.store_.ResponsesWithValues(kOperationsPrefix) +
+         deployment.store_.ResponsesWithValues(kRulesKey);
+}
+
 bool KnowsMember(const Deployment& deployment, const std::string& name,
                  const std::string& other) {
   return deployment.Log(name).find("member=\"" + other + "\"") !=
@@ -60,9 +68,10 @@
            KnowsMember(deployment, "e2", "e3") &&
            KnowsMember(deployment, "e3", "e2");
   }));
-  CHECK(Eventually(
-      [&] { return deployment.store_.WaitingWatches(kRulesKey) == 1; }));
-  const auto before = deployment.store_.ResponsesWithValues(kRulesKey);
+  CHECK(Eventually([&] {
+    return deployment.store_.WaitingWatches(kOperationsPrefix) == 1;
+  }));
+  const auto before = ReadsOfRules(deployment);
   deployment.PutRules(9, {"k1"});
   for (const auto* entry : {&first, &second, &third}) {
     CHECK(Eventually([&] {
@@ -71,17 +80,17 @@
     CHECK(Status(SendRequest(*entry, RequestText("/more4249/x", "k1"))) ==
           "200");
   }
-  CHECK(deployment.store_.ResponsesWithValues(kRulesKey) - before == 1);
+  CHECK(ReadsOfRules(deployment) - before == 1);
 }
 
 TEST_CASE("an agent that starts reads no rules from the store", "[platform]") {
   Deployment deployment;
   const auto entry = deployment.StartEntry("e1", deployment.store_.address());
   REQUIRE(Eventually([&] { return entry.Ready(); }));
-  const auto before = deployment.store_.ResponsesWithValues(kRulesKey);
+  const auto before = ReadsOfRules(deployment);
   const auto agent = deployment.StartAgent("a1", NodeOptions{&entry, 2});
   REQUIRE(Eventually([&] { return deployment.engine_.version() == 1; }));
-  CHECK(deployment.store_.ResponsesWithValues(kRulesKey) - before == 0);
+  CHECK(ReadsOfRules(deployment) - before == 0);
 }
 
 TEST_CASE("requests to an origin that responds 503 back off", "[platform]") {
--- a/tests/platform/standins.cpp
+++ b/tests/platform/standins.cpp
@@ -146,6 +146,7 @@
 void StoreStandin::Put(const std::string& key, const nlohmann::json& value) {
   thread_.RunAndWait([&] {
     items_[key] = {value.dump(), ++revision_};
+    removed_.erase(key);
     NotifyWatches();
   });
 }
@@ -153,7 +154,8 @@
 void StoreStandin::Remove(const std::string& key) {
   thread_.RunAndWait([&] {
     items_.erase(key);
-    ++revision_;
+    removed_[key] = ++revision_;
+    NotifyWatches();
   });
 }
 
@@ -257,6 +259,11 @@
                         {"rev", item.revision_}});
     }
   }
+  for (const auto& [key, revision] : removed_) {
+    if (key.starts_with(watch.prefix_) && revision > watch.after_) {
+      events.push_back({{"tlsKey", key}, {"rev", revision}, {"removed", true}});
+    }
+  }
   if (events.empty()) {
     return false;
   }
--- a/tests/platform/standins.hpp
+++ b/tests/platform/standins.hpp
@@ -64,7 +64,8 @@
   /// @brief Sets a value under a new revision and responds to the watches of
   /// its prefix.
   void Put(const std::string& key, const nlohmann::json& value);
-  /// @brief Removes a value under a new revision; watches keep waiting.
+  /// @brief Removes a value under a new revision and responds to the watches of
+  /// its prefix.
   void Remove(const std::string& key);
   /// @brief While true, every call gets 503.
   void SetBusy(bool busy) { busy_ = busy; }
@@ -106,6 +107,8 @@
   LoopThread& thread_;
   std::size_t page_size_;
   std::map<std::string, Item> items_;
+  /// Revisions at which keys were removed.
+  std::map<std::string, std::uint64_t> removed_;
   std::uint64_t revision_ = 0;
   std::vector<Watch> watches_;
   /// Watches that never get a response.
--- a/tests/routing/data_residency_test.cpp
+++ b/tests/routing/data_residency_test.cpp
@@ -35,19 +35,18 @@
     Names account_;
     Names domains_;
   };
-  const auto row = GENERATE(
-      Row{{"north"}, {}, {"n1", "n2"}}, Row{{}, {"south"}, {"s1"}},
-      Row{{"north", "south"}, {"south", "east"}, {"s1"}},
-      Row{{"north"}, {"south"}, {}}, Row{{"unknown"}, {}, {}});
-  const auto allowed = AllowedDomainsOf(Regions(row.route_),
-                                        Regions(row.account_), kRegions);
+  const auto row =
+      GENERATE(Row{{"north"}, {}, {"n1", "n2"}}, Row{{}, {"south"}, {"s1"}},
+               Row{{"north", "south"}, {"south", "east"}, {"s1"}},
+               Row{{"north"}, {"south"}, {}}, Row{{"unknown"}, {}, {}});
+  const auto allowed =
+      AllowedDomainsOf(Regions(row.route_), Regions(row.account_), kRegions);
   REQUIRE(allowed);
   CHECK(*allowed == Domains(row.domains_));
   CHECK_FALSE(Allows(allowed, core::FailureDomainId("region-not-known")));
 }
 
-TEST_CASE("without restrictions a request is processed anywhere",
-          "[routing]") {
+TEST_CASE("without restrictions a request is processed anywhere", "[routing]") {
   const auto allowed = AllowedDomainsOf({}, {}, kRegions);
   CHECK_FALSE(allowed);
   CHECK(Allows(allowed, core::FailureDomainId("region-not-known")));
--- /dev/null
+++ b/tests/routing/placement_property_test.cpp
@@ -0,0 +1,287 @@
+// Many entries send to endpoints that restart, return together, and are
+// evacuated. Whatever each entry knows and when, a request stays in its allowed
+// failure domains, an evacuated domain gets none, and an endpoint in slow start
+// gets no more than it bears.
+#include <algorithm>
+#include <catch2/catch.hpp>
+#include <deque>
+#include <functional>
+#include <memory>
+#include <random>
+
+#include "chalkwell/routing/endpoint_table.hpp"
+
+namespace chalkwell::routing {
+namespace {
+
+using namespace std::chrono_literals;
+
+const core::TimePoint kStart{1000s};
+constexpr auto kStep = 10ms;
+constexpr auto kEnd = 20s;
+constexpr config::SlowStart kSlowStart{3s, 5};
+/// Requests that an endpoint bears in any second of its slow start.
+constexpr std::size_t kMaxPerSecond = 12;
+constexpr auto kRunTime = 700ms;
+/// Longest time until an entry knows of a change.
+constexpr int kMaxKnownAfterMs = 800;
+constexpr auto kEvacuationBound = 1000ms;
+constexpr double kLoadPerEndpoint = 11;
+
+struct WorldSize {
+  std::size_t entries_per_domain_;
+  std::size_t endpoints_per_domain_;
+};
+
+struct Findings {
+  std::size_t outside_allowed_ = 0;
+  std::size_t after_evacuation_ = 0;
+  std::size_t over_slow_start_ = 0;
+  std::size_t sent_ = 0;
+};
+
+class World {
+ public:
+  World(std::uint64_t seed, WorldSize size, EndpointTableFaults faults)
+      : size_(size), random_(seed) {
+    const auto entries = kDomains * size.entries_per_domain_;
+    for (std::size_t i = 0; i < entries; ++i) {
+      EndpointTableSettings settings;
+      settings.domain_ = Domain(i % kDomains);
+      settings.entry_ = core::InstanceId("entry-" + std::to_string(i));
+      auto table = std::make_unique<EndpointTable>(settings, seed + i, faults);
+      table->SetSlowStarts({{"pool", kSlowStart}});
+      table->SetEntryCount(entries, true);
+      entries_.push_back(std::move(table));
+    }
+    std::vector<EndpointRow> rows;
+    for (std::size_t i = 0; i < kDomains * size.endpoints_per_domain_; ++i) {
+      endpoints_.push_back(
+          {.row_ = Row(i), .slow_until_ = {}, .arrivals_ = {}});
+      endpoints_.back().row_.slow_start_left_ = core::Duration{};
+      rows.push_back(endpoints_.back().row_);
+    }
+    for (auto& entry : entries_) {
+      entry->ApplyList(rows, 1, true, kStart);
+    }
+    engine_.slots_ = 16;
+    engine_.step_time_ = 10ms;
+    engine_.prefill_tokens_per_second_ = 20'000;
+    engine_.mean_prompt_tokens_ = 1000;
+    engine_.mean_output_tokens_ = 90;
+  }
+
+  Findings Run() {
+    At(kStart + 3s, [this] { RestartDomain(1); });
+    At(kStart + 8s, [this] { Evacuate(2); });
+    At(kStart + 14s, [this] { Withdraw(2); });
+    for (int i = 0; i < 6; ++i) {
+      At(kStart + std::chrono::milliseconds(Draw(0, 18000)),
+         [this] { Restart(Draw(0, static_cast<int>(endpoints_.size()) - 1)); });
+    }
+    for (now_ = kStart; now_ < kStart + kEnd; now_ += kStep) {
+      RunDueActions();
+      SendRequests();
+    }
+    return findings_;
+  }
+
+ private:
+  static constexpr std::size_t kDomains = 4;
+
+  struct Endpoint {
+    EndpointRow row_;
+    /// End of its slow start.
+    core::TimePoint slow_until_;
+    /// Arrivals of the last second.
+    std::deque<core::TimePoint> arrivals_;
+  };
+
+  static core::FailureDomainId Domain(std::size_t number) {
+    return core::FailureDomainId("d" + std::to_string(number));
+  }
+
+  EndpointRow Row(std::size_t host) {
+    EndpointRow row;
+    row.id_ = core::InstanceId("i-" + std::to_string(++last_id_));
+    row.service_ = "pool";
+    row.address_ = std::to_string(host) + ":1";
+    row.domain_ = Domain(host % kDomains);
+    row.slots_ = 16;
+    row.weights_version_ = 1;
+    return row;
+  }
+
+  int Draw(int least, int most) {
+    return std::uniform_int_distribution(least, most)(random_);
+  }
+
+  void At(core::TimePoint time, std::function<void()> action) {
+    actions_.emplace(time, std::move(action));
+  }
+
+  void RunDueActions() {
+    while (!actions_.empty() && actions_.begin()->first <= now_) {
+      const auto action = std::move(actions_.begin()->second);
+      actions_.erase(actions_.begin());
+      action();
+    }
+  }
+
+  /// Publishes a change, which each entry receives at a time of its own.
+  void Publish(const std::function<void(EndpointTable&)>& change) {
+    for (auto& entry : entries_) {
+      At(now_ + std::chrono::milliseconds(Draw(0, kMaxKnownAfterMs)),
+         [change, table = entry.get()] { change(*table); });
+    }
+  }
+
+  /// Another incarnation starts at the host, in slow start.
+  void Restart(std::size_t host) {
+    auto& endpoint = endpoints_[host];
+    const auto previous = endpoint.row_.incarnation();
+    endpoint.row_ = Row(host);
+    endpoint.slow_until_ = now_ + kSlowStart.duration_;
+    endpoint.arrivals_.clear();
+    // An agent's announcement does not state the remaining time.
+    const bool announced = Draw(0, 1) == 0;
+    auto row = endpoint.row_;
+    row.slow_start_left_ = kSlowStart.duration_;
+    Publish([this, announced, row, previous](EndpointTable& table) {
+      table.MarkTerminated(previous);
+      if (announced) {
+        table.ApplyAnnouncement(row, now_);
+        table.MarkVersion(row.id_, 1);
+      } else {
+        table.ApplyChange({.from_ = 1,
+                           .to_ = ++revision_,
+                           .rows_ = {row},
+                           .removed_ = {},
+                           .as_of_ = now_ - 1s},
+                          now_);
+      }
+    });
+  }
+
+  void RestartDomain(std::size_t domain) {
+    for (auto host = domain; host < endpoints_.size(); host += kDomains) {
+      Restart(host);
+    }
+  }
+
+  void Evacuate(std::size_t domain) {
+    evacuated_.insert(Domain(domain));
+    evacuated_at_ = now_;
+    Publish([this, domains = evacuated_](EndpointTable& table) {
+      table.SetEvacuated(domains, now_);
+    });
+  }
+
+  void Withdraw(std::size_t domain) {
+    evacuated_.erase(Domain(domain));
+    for (auto host = domain; host < endpoints_.size(); host += kDomains) {
+      endpoints_[host].slow_until_ = now_ + kSlowStart.duration_;
+    }
+    Publish([this, domains = evacuated_](EndpointTable& table) {
+      table.SetEvacuated(domains, now_);
+    });
+  }
+
+  void SendRequests() {
+    const auto per_step = kLoadPerEndpoint *
+                          static_cast<double>(endpoints_.size()) *
+                          std::chrono::duration<double>(kStep).count();
+    const auto count = std::poisson_distribution<int>(per_step)(random_);
+    for (int i = 0; i < count; ++i) {
+      Send(*entries_[Draw(0, static_cast<int>(entries_.size()) - 1)]);
+    }
+  }
+
+  void Send(EndpointTable& entry) {
+    ChoiceRequest request{.service_ = "pool", .engine_ = &engine_};
+    request.prompt_tokens_ = engine_.mean_prompt_tokens_;
+    if (Draw(0, 3) == 0) {
+      request.allowed_domains_.emplace({Domain(Draw(0, 1)), Domain(3)});
+    }
+    const auto choice = entry.Choose(request, now_);
+    if (!choice) {
+      return;
+    }
+    ++findings_.sent_;
+    const auto& row = choice->row_;
+    findings_.outside_allowed_ +=
+        Allows(request.allowed_domains_, row.domain_) ? 0 : 1;
+    findings_.after_evacuation_ +=
+        evacuated_.contains(row.domain_) &&
+                now_ - evacuated_at_ > kEvacuationBound
+            ? 1
+            : 0;
+    entry.OnSent(row.id_, request.prompt_tokens_, now_);
+    At(now_ + kRunTime, [this, &entry, id = row.id_, sent_at = now_] {
+      entry.OnEnded(id, engine_.mean_prompt_tokens_, sent_at, false,
+                    EndpointOutcome::kAnswered, now_);
+    });
+    RecordArrival(row.id_);
+  }
+
+  void RecordArrival(const core::InstanceId& id) {
+    const auto found = std::ranges::find_if(
+        endpoints_,
+        [&](const auto& endpoint) { return endpoint.row_.id_ == id; });
+    if (found == endpoints_.end()) {
+      return;  // It has ended.
+    }
+    auto& arrivals = found->arrivals_;
+    arrivals.push_back(now_);
+    while (now_ - arrivals.front() > 1s) {
+      arrivals.pop_front();
+    }
+    const bool over =
+        now_ < found->slow_until_ && arrivals.size() > kMaxPerSecond;
+    findings_.over_slow_start_ += over ? 1 : 0;
+  }
+
+  WorldSize size_;
+  std::mt19937_64 random_;
+  core::TimePoint now_ = kStart;
+  std::vector<std::unique_ptr<EndpointTable>> entries_;
+  std::vector<Endpoint> endpoints_;
+  std::multimap<core::TimePoint, std::function<void()>> actions_;
+  std::set<core::FailureDomainId> evacuated_;
+  core::TimePoint evacuated_at_;
+  std::uint64_t last_id_ = 0;
+  std::uint64_t revision_ = 1;
+  config::EngineProfile engine_;
+  Findings findings_;
+};
+
+TEST_CASE("requests respect residency, evacuations and slow starts",
+          "[routing]") {
+  const auto size = GENERATE(WorldSize{1, 2}, WorldSize{8, 10},
+                             WorldSize{20, 10}, WorldSize{4, 20});
+  for (std::uint64_t seed = 1; seed <= 3; ++seed) {
+    const auto findings = World(seed, size, {}).Run();
+    CAPTURE(seed, size.entries_per_domain_, size.endpoints_per_domain_,
+            findings.sent_);
+    CHECK(findings.sent_ > 100);
+    CHECK(findings.outside_allowed_ == 0);
+    CHECK(findings.after_evacuation_ == 0);
+    CHECK(findings.over_slow_start_ == 0);
+  }
+}
+
+TEST_CASE("the checks of placement detect injected faults", "[routing]") {
+  const WorldSize size{8, 10};
+  EndpointTableFaults residency;
+  residency.ignore_allowed_domains_ = true;
+  CHECK(World(1, size, residency).Run().outside_allowed_ > 0);
+  EndpointTableFaults evacuation;
+  evacuation.ignore_evacuations_ = true;
+  CHECK(World(1, size, evacuation).Run().after_evacuation_ > 0);
+  EndpointTableFaults slow_start;
+  slow_start.ignore_slow_start_ = true;
+  CHECK(World(1, size, slow_start).Run().over_slow_start_ > 0);
+}
+
+}  // namespace
+}  // namespace chalkwell::routing
