Exchange the endpoint list between entries and read the store less

Calls to the store grew with the processes: at a start each entry read rules, weights and list, and a change of more than 250 rows made every entry read the list, as does each start of a fleet of 271 endpoints.

An entry that missed a change, or whose sender could not fit it into a datagram, fetches the list from the sender. Tests: 600 changed rows and a first start without a read of the store.

--- a/packages/chalkwell/src/chalkwell/config/evacuation_table.cpp
+++ b/packages/chalkwell/src/chalkwell/config/evacuation_table.cpp
@@ -27,12 +27,17 @@
   return true;
 }
 
-bool EvacuationTable::ApplyAll(const std::vector<Evacuation>& active,
-                               std::uint64_t revision) {
+bool EvacuationTable::Apply(const std::vector<Evacuation>& evacuations) {
   bool changed = false;
-  for (const auto& evacuation : active) {
+  for (const auto& evacuation : evacuations) {
     changed = Apply(evacuation) || changed;
   }
+  return changed;
+}
+
+bool EvacuationTable::ApplyAll(const std::vector<Evacuation>& active,
+                               std::uint64_t revision) {
+  bool changed = Apply(active);
   for (const auto& known : States()) {
     const bool listed = std::ranges::find(active, known.domain_,
                                           &Evacuation::domain_) != active.end();
--- a/packages/chalkwell/src/chalkwell/config/evacuation_table.hpp
+++ b/packages/chalkwell/src/chalkwell/config/evacuation_table.hpp
@@ -34,6 +34,9 @@
   /// @brief Applies a state, published or received from another process.
   /// @return whether it is newer than the known one.
   bool Apply(const Evacuation& evacuation);
+  /// @brief Applies several states.
+  /// @return whether any of them is newer than the known one.
+  bool Apply(const std::vector<Evacuation>& evacuations);
   /// @brief Applies a read of all active evacuations: known ones that it lacks
   /// were withdrawn, unless they are newer than the read.
   /// @return whether anything changed.
--- a/packages/chalkwell/src/chalkwell/routing/endpoint_table.cpp
+++ b/packages/chalkwell/src/chalkwell/routing/endpoint_table.cpp
@@ -503,6 +503,16 @@
   return rows;
 }
 
+std::vector<EndpointRow> EndpointTable::ListedRows() const {
+  std::vector<EndpointRow> rows;
+  for (const auto& [id, endpoint] : endpoints_) {
+    if (endpoint.listed_) {
+      rows.push_back(endpoint.row_);
+    }
+  }
+  return rows;
+}
+
 std::uint64_t EndpointTable::NewestVersion(const std::string& service) const {
   std::uint64_t newest = 0;
   for (const auto& [id, endpoint] : endpoints_) {
--- a/packages/chalkwell/src/chalkwell/routing/endpoint_table.hpp
+++ b/packages/chalkwell/src/chalkwell/routing/endpoint_table.hpp
@@ -340,6 +340,8 @@
                                      core::TimePoint now) const;
   /// @brief All known rows, for status pages and peers.
   [[nodiscard]] std::vector<EndpointRow> Rows() const;
+  /// @brief The rows of the list, without endpoints that were only announced.
+  [[nodiscard]] std::vector<EndpointRow> ListedRows() const;
   /// @brief Newest weights version that any endpoint of a service holds; 0 for
   /// none.
   [[nodiscard]] std::uint64_t NewestVersion(const std::string& service) const;
--- a/packages/daemon/src/daemon/direct/direct_agent.cpp
+++ b/packages/daemon/src/daemon/direct/direct_agent.cpp
@@ -152,23 +152,27 @@
     return;
   }
   const auto waited = now - started_at_;
-  const auto wait =
-      process_.settings().Milliseconds("endpoint", "facts_wait_ms");
+  const auto wait = FactsWait();
   if (!requested && waited >= wait && !std::exchange(small_read_tried_, true)) {
     // Entries may start after their agents. After a power loss of all machines
     // the first message from an entry came 0.4 s later, and engines started to
     // serve that much later.
     reader_.ReadNow(Section::kRules, kSmallReadTimeout);
   }
-  if (waited >= kFactsTimeout && rules_backoff_.IsReady(now)) {
+  if (waited >= wait + kFactsTimeout && rules_backoff_.IsReady(now)) {
     rules_backoff_.OnFailure(now);
     reader_.ReadNow(Section::kRules);
   }
   facts_timer_.Once(kFactsInterval, [this] { RefreshFacts(); });
 }
 
+core::Duration DirectAgent::FactsWait() const {
+  return process_.settings().Milliseconds("endpoint", "facts_wait_ms");
+}
+
 void DirectAgent::ReadWithoutEntries(core::TimePoint now) {
-  const auto last_contact = std::max(subscribers_.last_renewed(), started_at_);
+  const auto last_contact =
+      std::max(subscribers_.last_renewed(), started_at_ + FactsWait());
   if (now - last_contact < kEntryTimeout || !store_backoff_.IsReady(now)) {
     return;
   }
--- a/packages/daemon/src/daemon/direct/direct_agent.hpp
+++ b/packages/daemon/src/daemon/direct/direct_agent.hpp
@@ -34,6 +34,8 @@
   /// @brief Requests the facts of the engine's service and the list of agents,
   /// and schedules the next request.
   void RefreshFacts();
+  /// @brief Time after the start in which entries are expected to respond.
+  [[nodiscard]] core::Duration FactsWait() const;
   /// @brief Reads the target version and the agents from the store while no
   /// entry sends them.
   void ReadWithoutEntries(core::TimePoint now);
--- a/packages/daemon/src/daemon/direct/direct_entry.cpp
+++ b/packages/daemon/src/daemon/direct/direct_entry.cpp
@@ -148,6 +148,9 @@
                [this](const membership::Member& member, std::uint64_t version,
                       bool watches) {
                  rules_manager_.OnVersionAnnounced(member, version, watches);
+                 if (version > 0) {
+                   endpoint_list_.OnPeerReady(member);
+                 }
                },
            .on_crashes_ =
                [this](const membership::Member& sender,
@@ -254,17 +257,29 @@
   process_.OnReload([this] { ApplySettings(); });
   process_.OnResume([this] { mesh_.QuerySeed(); });
   mesh_.Start();
-  rules_manager_.Start();
+  endpoint_list_.WaitForPeers(FirstReadWait());
+  rules_manager_.Start(FirstReadWait());
   subscribe_timer_.Every(kSubscribeTick, [this] {
     UpdateEntryCount();
     Subscribe();
   });
   reader_.Poll(
       Section::kEndpoints, [this] { return endpoint_list_.Interval(); },
-      [this] { endpoint_list_.OnReadFailed(); });
+      [this] { endpoint_list_.OnReadFailed(); }, FirstReadWait());
   process_.Run([this] { BeginStop(); });
 }
 
+core::Duration DirectEntry::FirstReadWait() const {
+  const auto& settings = process_.settings();
+  const auto own = ParseAddress(settings.Text("listen", "peer"));
+  const auto seeds = MeshSettingsOf(settings).seeds_;
+  const bool is_seed =
+      std::ranges::find(seeds, own.ip_, &Address::ip_) != seeds.end();
+  return is_seed || seeds.empty()
+             ? core::Duration{}
+             : settings.Milliseconds("platform", "first_read_wait_ms");
+}
+
 void DirectEntry::BeginStop() {
   mesh_.AnnounceLeaving();
   caller_server_->CloseAfterResponses();
@@ -334,13 +349,10 @@
 }
 
 void DirectEntry::ApplyEvacuations(const StoreSnapshot& snapshot) {
-  bool changed = false;
-  if (snapshot.whole_) {
-    changed = evacuations_.ApplyAll(snapshot.evacuations_, snapshot.revision_);
-  }
-  for (const auto& evacuation : snapshot.evacuations_) {
-    changed = evacuations_.Apply(evacuation) || changed;
-  }
+  const bool changed =
+      snapshot.whole_
+          ? evacuations_.ApplyAll(snapshot.evacuations_, snapshot.revision_)
+          : evacuations_.Apply(snapshot.evacuations_);
   if (changed) {
     OnEvacuationsChanged(std::string(kStoreSource));
     mesh_.AnnounceVersions();
@@ -349,11 +361,7 @@
 
 void DirectEntry::ApplyAnnouncedEvacuations(
     const std::vector<config::Evacuation>& evacuations) {
-  bool changed = false;
-  for (const auto& evacuation : evacuations) {
-    changed = evacuations_.Apply(evacuation) || changed;
-  }
-  if (!changed) {
+  if (!evacuations_.Apply(evacuations)) {
     return;
   }
   OnEvacuationsChanged("peer");
@@ -382,6 +390,7 @@
 void DirectEntry::OnPeerCall(const PeerCallPtr& call) {
   const bool handled =
       rules_manager_.HandleCall(call) || relay_.HandleCall(call) ||
+      endpoint_list_.HandleCall(call) ||
       HandleFactsCall(call, rules_.rules(), endpoints_.Rows(), mesh_);
   if (!handled) {
     call->Respond(kNotFound, "");
--- a/packages/daemon/src/daemon/direct/direct_entry.hpp
+++ b/packages/daemon/src/daemon/direct/direct_entry.hpp
@@ -99,6 +99,9 @@
   [[nodiscard]] routing::AllowedDomains AllowedDomains(
       const config::TrafficRoute& route,
       const core::ClientAccountId& account) const;
+  /// @brief Time to wait for the published documents from other entries; zero
+  /// for a seed, which reads them for the others.
+  [[nodiscard]] core::Duration FirstReadWait() const;
   void BeginStop();
   [[nodiscard]] std::string Status() const;
 
--- a/packages/daemon/src/daemon/direct/endpoint_list.cpp
+++ b/packages/daemon/src/daemon/direct/endpoint_list.cpp
@@ -15,8 +15,8 @@
 /// rest is for the read, a pause of the process, and a request's way to the
 /// endpoint.
 constexpr double kMaxAgeShare = 0.6;
-/// Rows that one datagram carries at most, some 25 KB. Larger changes are not
-/// published; every entry reads them from the store.
+/// Rows that one datagram carries at most, some 25 KB. Entries fetch larger
+/// changes from the sender.
 constexpr std::size_t kMaxDeltaRows = 250;
 /// Hash key of the priority order of failure domains; any constant text.
 constexpr std::string_view kReadOrder = "read-list";
@@ -47,7 +47,8 @@
       hooks_(std::move(hooks)),
       settings_(settings),
       reader_role_(mesh.self().id_, ReaderSettings(settings)),
-      outage_({.renewal_interval_ = settings.renewal_interval_}) {}
+      outage_({.renewal_interval_ = settings.renewal_interval_}),
+      exchange_(loop) {}
 
 void EndpointList::RemoveUnknownServices(
     std::vector<routing::EndpointRow>& rows) {
@@ -121,10 +122,58 @@
   auto change = history_.OnRead(snapshot.revision_, snapshot.endpoints_,
                                 complete, loop_.Now());
   change.as_of_ = snapshot.as_of_;
-  if (reader_role_.IsReader(loop_.Now()) &&
-      change.rows_.size() <= kMaxDeltaRows) {
-    mesh_.PublishList(ToMessage(change, loop_.Now()));
+  if (!reader_role_.IsReader(loop_.Now())) {
+    return;
+  }
+  const bool large =
+      change.rows_.size() + change.removed_.size() > kMaxDeltaRows;
+  if (large) {
+    change.rows_.clear();
+    change.removed_.clear();
+  }
+  auto message = ToMessage(change, loop_.Now());
+  message.fetch_ = large;
+  mesh_.PublishList(message);
+}
+
+EndpointListMessage EndpointList::FullList() const {
+  routing::EndpointListChange list;
+  list.to_ = endpoints_.revision();
+  list.rows_ = endpoints_.ListedRows();
+  list.full_ = true;
+  list.complete_ = !outage_.LeasesMayHaveExpired(loop_.Now());
+  list.as_of_ = endpoints_.as_of();
+  return ToMessage(list, loop_.Now());
+}
+
+bool EndpointList::HandleCall(const PeerCallPtr& call) const {
+  return exchange_.HandleCall(call, [this] { return FullList(); });
+}
+
+void EndpointList::OnPeerReady(const membership::Member& peer) {
+  if (endpoints_.has_list() || loop_.Now() >= wait_until_) {
+    return;
   }
+  exchange_.Fetch(peer.address_,
+                  [this, peer](const std::optional<EndpointListMessage>& list,
+                               core::TimePoint requested_at) {
+                    if (list && list->to_ > 0) {
+                      (void)ApplyMessage(peer, *list, requested_at);
+                    }
+                  });
+}
+
+void EndpointList::FetchFrom(const membership::Member& peer) {
+  exchange_.Fetch(peer.address_,
+                  [this, peer](const std::optional<EndpointListMessage>& list,
+                               core::TimePoint requested_at) {
+                    const bool applied =
+                        list && list->to_ > 0 &&
+                        ApplyMessage(peer, *list, requested_at);
+                    if (!applied) {
+                      hooks_.read_();
+                    }
+                  });
 }
 
 void EndpointList::OnReadFailed() {
@@ -146,6 +195,20 @@
     outage_.OnReadFailed();
     return;
   }
+  const bool known = endpoints_.revision() >= message.to_;
+  if (message.fetch_ && !known) {
+    FetchFrom(sender);
+    return;
+  }
+  if (!ApplyMessage(sender, message, sent_at)) {
+    // An earlier change was lost.
+    FetchFrom(sender);
+  }
+}
+
+bool EndpointList::ApplyMessage(const membership::Member& sender,
+                                const EndpointListMessage& message,
+                                core::TimePoint sent_at) {
   const auto before = endpoints_.Rows();
   auto change = ToChange(message, sent_at);
   // A sender that started during an outage does not know of it, and marks the
@@ -153,10 +216,9 @@
   outage_.OnListReceived(change.as_of_, loop_.Now());
   change.complete_ =
       change.complete_ && !outage_.LeasesMayHaveExpired(loop_.Now());
-  if (!endpoints_.ApplyChange(change, loop_.Now())) {
-    // An earlier delta was lost.
-    hooks_.read_();
-    return;
+  // The rows of a change that is to be fetched are known already.
+  if (!message.fetch_ && !endpoints_.ApplyChange(change, loop_.Now())) {
+    return false;
   }
   endpoints_.ConfirmAsOf(change.as_of_);
   reader_role_.OnPeerRead(change.as_of_);
@@ -164,6 +226,7 @@
     LogChange(sender.id_.value());
   }
   RunWaitingIfFresh();
+  return true;
 }
 
 void EndpointList::LogChange(const std::string& source) {
--- a/packages/daemon/src/daemon/direct/endpoint_list.hpp
+++ b/packages/daemon/src/daemon/direct/endpoint_list.hpp
@@ -13,6 +13,7 @@
 #include "chalkwell/routing/endpoint_table.hpp"
 #include "chalkwell/routing/list_history.hpp"
 #include "daemon/direct/adapter.hpp"
+#include "daemon/direct/list_exchange.hpp"
 #include "daemon/direct/mesh_node.hpp"
 #include "daemon/event_log.hpp"
 
@@ -57,6 +58,15 @@
   void OnListMessage(const membership::Member& sender,
                      const EndpointListMessage& message,
                      core::TimePoint sent_at);
+  /// @brief Sets how long this process waits at its start to receive the list
+  /// from other entries.
+  void WaitForPeers(core::Duration wait) { wait_until_ = loop_.Now() + wait; }
+  /// @brief An entry that knows the rules sent a message. While this process
+  /// waits for its first list, it fetches the list from that entry.
+  void OnPeerReady(const membership::Member& peer);
+  /// @brief Responds to a peer's call.
+  /// @return false when the call is not a request for the list.
+  bool HandleCall(const PeerCallPtr& call) const;
   /// @brief A read of the store failed.
   void OnReadFailed();
   /// @brief An entry published draining or removed endpoints.
@@ -69,6 +79,17 @@
   [[nodiscard]] core::Duration Interval();
 
  private:
+  /// @brief Applies a list or a change of it, received from a peer.
+  /// @param sent_at not later than its sending, by the local clock.
+  /// @return false if the change starts after the known revision.
+  bool ApplyMessage(const membership::Member& sender,
+                    const EndpointListMessage& message,
+                    core::TimePoint sent_at);
+  /// @brief Fetches the full list from a peer, or reads it from the store if
+  /// that fails.
+  void FetchFrom(const membership::Member& peer);
+  /// @brief The list as last published, for peers.
+  [[nodiscard]] EndpointListMessage FullList() const;
   /// @brief Publishes a read of this process if it is the designated reader.
   /// @param complete false when leases may have expired during a store outage.
   void PublishRead(const StoreSnapshot& snapshot, bool complete);
@@ -98,6 +119,8 @@
   core::TimePoint read_failure_published_at_;
   membership::ReaderRole reader_role_;
   membership::StoreOutage outage_;
+  ListExchange exchange_;
+  core::TimePoint wait_until_;
   /// Tasks of WhenFresh() that wait for a read.
   std::vector<std::function<void()>> waiting_tasks_;
   /// Lists that this process read from the store.
--- a/packages/daemon/src/daemon/direct/mesh_messages.hpp
+++ b/packages/daemon/src/daemon/direct/mesh_messages.hpp
@@ -129,8 +129,11 @@
   bool read_failed_ = false;
   /// Time since the store was queried, at the time of sending.
   std::uint64_t age_ms_ = 0;
+  /// The change is too large for a datagram: it has no rows, and the receiver
+  /// fetches the list from the sender.
+  bool fetch_ = false;
   MSGPACK_DEFINE(from_, to_, rows_, removed_, full_, complete_, read_failed_,
-                 age_ms_)
+                 age_ms_, fetch_)
 };
 
 /// @brief Wire form of an endpoint incarnation: instance id and start time.
--- a/packages/daemon/src/daemon/direct/published_reader.cpp
+++ b/packages/daemon/src/daemon/direct/published_reader.cpp
@@ -103,11 +103,17 @@
 
 void PublishedReader::Poll(Section section,
                            std::function<core::Duration()> interval,
-                           std::function<void()> on_failed) {
+                           std::function<void()> on_failed,
+                           core::Duration first_wait) {
   auto& task = TaskFor(section, false);
   task.interval_ = std::move(interval);
   task.on_failed_ = std::move(on_failed);
-  StartCall(task);
+  if (first_wait <= core::Duration{}) {
+    StartCall(task);
+    return;
+  }
+  task.requested_at_ = loop_.Now();
+  task.timer_.Once(first_wait, [this, &task] { PollWhenDue(task); });
 }
 
 PublishedReader::Task& PublishedReader::TaskFor(Section section, bool watched) {
--- a/packages/daemon/src/daemon/direct/published_reader.hpp
+++ b/packages/daemon/src/daemon/direct/published_reader.hpp
@@ -56,8 +56,10 @@
   /// @param interval supplies the interval between two reads; it is evaluated
   /// anew at each check, also while reads fail.
   /// @param on_failed called for each read that found the store unreachable.
+  /// @param first_wait time until the first read, unless the section is
+  /// received from elsewhere and `interval` has become longer.
   void Poll(Section section, std::function<core::Duration()> interval,
-            std::function<void()> on_failed);
+            std::function<void()> on_failed, core::Duration first_wait);
   /// @brief Reads a section once, immediately, also while it is watched, since
   /// the connection of a watch may have gone silent. At most one such read per
   /// section is in flight.
--- a/packages/daemon/src/daemon/direct/rules_manager.cpp
+++ b/packages/daemon/src/daemon/direct/rules_manager.cpp
@@ -37,9 +37,14 @@
       exchange_(loop, metrics),
       tick_(loop) {}
 
-void RulesManager::Start() {
-  watcher_role_.OnFirstReadStarted(loop_.Now());
-  reader_.Watch(Section::kOperations);
+void RulesManager::Start(core::Duration first_read_wait) {
+  const auto now = loop_.Now();
+  watcher_role_.OnFirstReadStarted(now);
+  wait_until_ = now + first_read_wait;
+  is_watcher_ = first_read_wait <= core::Duration{};
+  if (is_watcher_) {
+    reader_.Watch(Section::kOperations);
+  }
   tick_.Every(kRoleCheckInterval, [this] { Tick(); });
 }
 
@@ -93,6 +98,9 @@
 }
 
 void RulesManager::UpdateRole(core::TimePoint now) {
+  if (version_ == 0 && now < wait_until_) {
+    return;
+  }
   std::vector<core::InstanceId> members{mesh_.self().id_};
   const auto local_members = mesh_.LocalEntries();
   for (const auto& member : local_members) {
--- a/packages/daemon/src/daemon/direct/rules_manager.hpp
+++ b/packages/daemon/src/daemon/direct/rules_manager.hpp
@@ -31,7 +31,9 @@
                MeshNode& mesh, EventLog& log, Metrics& metrics,
                Handler handler);
 
-  void Start();
+  /// @param first_read_wait time to wait for the rules from other entries
+  /// before the store is read.
+  void Start(core::Duration first_read_wait);
   /// @brief The reader received a section that may hold the rules.
   void OnPublished(Section section, const StoreSnapshot& snapshot);
   /// @brief A member announced the version of its active rules.
@@ -75,6 +77,8 @@
   RulesExchange exchange_;
   std::uint64_t version_ = 0;
   bool is_watcher_ = true;
+  /// Until then the store is not read, unless the rules are known.
+  core::TimePoint wait_until_;
   /// When this entry, as a watcher, last announced its versions.
   core::TimePoint announced_at_;
   /// When the rules were last read because a newer version was overdue.
--- a/packages/daemon/src/daemon/settings_table.cpp
+++ b/packages/daemon/src/daemon/settings_table.cpp
@@ -45,6 +45,12 @@
      "Interval at which an endpoint renews its row in the store; set by the "
      "platform. No outage of the store that is shorter than this ends a "
      "lease."},
+    {kDirectEntry, "platform", "first_read_wait_ms", kReal, "0", false, 0,
+     60'000, "", "ms",
+     "Time for which an entry that is not a seed waits to receive the "
+     "published "
+     "documents from other entries before it reads the store itself; for the "
+     "first start of a deployment, which is not urgent."},
     {kDirect, "mesh", "seeds", kAddresses, "", true, kUnused, kUnused, "",
      "addresses",
      "Processes to contact at the start; only the IP addresses are used."},
--- a/tests/platform/deployment.cpp
+++ b/tests/platform/deployment.cpp
@@ -153,6 +153,7 @@
       << "\npeer = " << PeerAddress(node, options)
       << "\nadmin = " << LocalAddress(node.admin_port_)
       << "\n[platform]\naddress = " << store
+      << "\nfirst_read_wait_ms = " << options.first_read_wait_ms_
       << "\npoll_ms = 100\nwatch_wait_ms = 60000\n[mesh]\nseeds = "
       << SeedsSetting(options)
       << "\n[routing]\nregion = z1:north\nregion = z2:south"
--- a/tests/platform/deployment.hpp
+++ b/tests/platform/deployment.hpp
@@ -62,6 +62,8 @@
   int host_number_ = 2;
   /// Address of an agent's engine; empty for Deployment::engine_.
   std::string engine_address_;
+  /// Setting platform.first_read_wait_ms of an entry.
+  int first_read_wait_ms_ = 0;
 };
 
 /// @brief Store, weights origin, two endpoints of service "plain" and one
--- a/tests/platform/shared_reads_test.cpp
+++ b/tests/platform/shared_reads_test.cpp
@@ -93,6 +93,45 @@
   CHECK(ReadsOfRules(deployment) - before == 0);
 }
 
+TEST_CASE("at a first start an entry receives everything from a seed",
+          "[platform]") {
+  Deployment deployment;
+  const auto seed = deployment.StartEntry("e1", deployment.store_.address());
+  REQUIRE(Eventually([&] { return seed.Ready(); }));
+  const StoreStandin unused(deployment.thread_);
+  NodeOptions options{&seed, 2};
+  options.first_read_wait_ms_ = 60'000;
+  const auto entry = deployment.StartEntry("e2", unused.address(), options);
+  REQUIRE(Eventually([&] { return entry.Ready(); }));
+  CHECK(Status(SendRequest(entry, RequestText("/safe/x"))) == "200");
+  CHECK(unused.calls() == 0);
+}
+
+TEST_CASE("a change of any number of rows reaches entries without the store",
+          "[platform]") {
+  // A change of more rows than a datagram holds was not published: each entry
+  // read the whole list from the store.
+  constexpr int kRows = 600;
+  Deployment deployment;
+  const auto seed = deployment.StartEntry("e1", deployment.store_.address());
+  REQUIRE(Eventually([&] { return seed.Ready(); }));
+  // A read of the list from this store would return a row.
+  StoreStandin unused(deployment.thread_);
+  unused.Put("servers/i-unused", deployment.first_.Row("plain", "z1"));
+  NodeOptions options{&seed, 2};
+  options.first_read_wait_ms_ = 60'000;
+  const auto entry = deployment.StartEntry("e2", unused.address(), options);
+  REQUIRE(Eventually([&] { return entry.Ready(); }));
+  for (int i = 0; i < kRows; ++i) {
+    deployment.store_.Put("servers/i-more" + std::to_string(i),
+                          deployment.first_.Row("plain", "z1"));
+  }
+  CHECK(Eventually([&] {
+    return deployment.Log("e2").find("endpoints=\"603\"") != std::string::npos;
+  }));
+  CHECK(unused.ResponsesWithValues("servers/") == 0);
+}
+
 TEST_CASE("requests to an origin that responds 503 back off", "[platform]") {
   Deployment deployment;
   deployment.origin_.SetDown(true);
