--- a/packages/daemon/src/daemon/direct/endpoint_list.hpp
+++ b/packages/daemon/src/daemon/direct/endpoint_list.hpp
@@ -66,7 +66,7 @@
   void OnPeerReady(const membership::Member& peer);
   /// @brief Responds to a peer's call.
   /// @return false when the call is not a request for the list.
-  bool HandleCall(const PeerCallPtr& call) const;
+  [[nodiscard]] bool HandleCall(const PeerCallPtr& call) const;
   /// @brief A read of the store failed.
   void OnReadFailed();
   /// @brief An entry published draining or removed endpoints.
