Close connections to peers that are idle

Entries kept a connection to each peer from which they ever fetched rules or lists.

PeerConnections closes a connection 5 s after its last call; a burst of changes still uses one.

--- a/packages/daemon/src/daemon/direct/list_exchange.cpp
+++ b/packages/daemon/src/daemon/direct/list_exchange.cpp
@@ -49,12 +49,8 @@
   if (std::exchange(call_pending_, true)) {
     return;
   }
-  auto& connection = connections_[address];
-  if (connection == nullptr) {
-    connection = std::make_unique<PeerConnection>(loop_, ParseAddress(address));
-  }
-  connection->Fetch(
-      std::string(kListPath), "",
+  connections_.Fetch(
+      address, std::string(kListPath), "",
       [this, address, requested_at = loop_.Now(), done = std::move(done)](
           PeerEnd end, int status, const std::string& body) {
         call_pending_ = false;
--- a/packages/daemon/src/daemon/direct/list_exchange.hpp
+++ b/packages/daemon/src/daemon/direct/list_exchange.hpp
@@ -3,13 +3,11 @@
 #pragma once
 
 #include <functional>
-#include <map>
-#include <memory>
 #include <optional>
 #include <string>
 
 #include "daemon/direct/mesh_messages.hpp"
-#include "daemon/peer_connection.hpp"
+#include "daemon/direct/peer_connections.hpp"
 #include "daemon/peer_server.hpp"
 
 namespace chalkwell::daemon::direct {
@@ -23,7 +21,7 @@
   using Done = std::function<void(std::optional<EndpointListMessage> list,
                                   core::TimePoint requested_at)>;
 
-  explicit ListExchange(Loop& loop) : loop_(loop) {}
+  explicit ListExchange(Loop& loop) : loop_(loop), connections_(loop) {}
 
   /// @brief Responds to a peer's call with the full list.
   /// @return false when the call is not a request for the list.
@@ -35,8 +33,7 @@
 
  private:
   Loop& loop_;
-  /// By address.
-  std::map<std::string, std::unique_ptr<PeerConnection>> connections_;
+  PeerConnections connections_;
   bool call_pending_ = false;
 };
 
--- a/packages/daemon/src/daemon/direct/rules_exchange.cpp
+++ b/packages/daemon/src/daemon/direct/rules_exchange.cpp
@@ -54,7 +54,7 @@
 }  // namespace
 
 RulesExchange::RulesExchange(Loop& loop, Metrics& metrics)
-    : loop_(loop), metrics_(metrics) {}
+    : metrics_(metrics), connections_(loop) {}
 
 void RulesExchange::Add(RulesDocument document) {
   const auto digest = core::Digest::Of(document.text_);
@@ -114,26 +114,22 @@
 }
 
 void RulesExchange::Fetch(const std::string& address, Done done) {
-  auto& connection = connections_[address];
-  if (connection == nullptr) {
-    connection = std::make_unique<PeerConnection>(loop_, ParseAddress(address));
-  }
   RulesRequest request;
   if (!documents_.empty()) {
     request.version_ = documents_.front().document_.version_;
     request.digest_ = ToBytes(documents_.front().digest_);
   }
-  connection->Fetch(std::string(kRulesPath), Pack(request),
-                    [this, done = std::move(done)](PeerEnd end, int status,
-                                                   const std::string& body) {
-                      if (end != PeerEnd::kComplete || status != kOk) {
-                        done(std::nullopt);
-                        return;
-                      }
-                      metrics_.Count("rules_peer_bytes_total", {{"way", "in"}},
-                                     static_cast<double>(body.size()));
-                      done(Apply(Unpack<RulesResponse>(body, "peer")));
-                    });
+  connections_.Fetch(address, std::string(kRulesPath), Pack(request),
+                     [this, done = std::move(done)](PeerEnd end, int status,
+                                                    const std::string& body) {
+                       if (end != PeerEnd::kComplete || status != kOk) {
+                         done(std::nullopt);
+                         return;
+                       }
+                       metrics_.Count("rules_peer_bytes_total", {{"way", "in"}},
+                                      static_cast<double>(body.size()));
+                       done(Apply(Unpack<RulesResponse>(body, "peer")));
+                     });
 }
 
 std::optional<RulesDocument> RulesExchange::Apply(
--- a/packages/daemon/src/daemon/direct/rules_exchange.hpp
+++ b/packages/daemon/src/daemon/direct/rules_exchange.hpp
@@ -12,8 +12,8 @@
 #include <string>
 
 #include "chalkwell/core/digest.hpp"
+#include "daemon/direct/peer_connections.hpp"
 #include "daemon/metrics.hpp"
-#include "daemon/peer_connection.hpp"
 #include "daemon/peer_server.hpp"
 
 namespace chalkwell::daemon::direct {
@@ -81,14 +81,13 @@
   [[nodiscard]] std::optional<RulesDocument> Apply(
       const RulesResponse& response) const;
 
-  Loop& loop_;
   Metrics& metrics_;
   /// Newest first.
   std::deque<StoredDocument> documents_;
   /// Packed responses with the newest document, by digest of the base. They are
   /// cached because the members of a failure domain request the same ones.
   std::map<std::string, std::string> responses_;
-  std::map<std::string, std::unique_ptr<PeerConnection>> connections_;
+  PeerConnections connections_;
 };
 
 }  // namespace chalkwell::daemon::direct
--- a/tests/daemon/peer_test.cpp
+++ b/tests/daemon/peer_test.cpp
@@ -1,6 +1,7 @@
 // HTTP/2 streams between processes: check of the protocol version.
 #include <catch2/catch.hpp>
 
+#include "daemon/direct/peer_connections.hpp"
 #include "daemon/h2_session.hpp"
 #include "daemon/peer_server.hpp"
 
@@ -46,6 +47,38 @@
   return status;
 }
 
+TEST_CASE("connections for occasional calls are closed when they are idle",
+          "[daemon]") {
+  Loop loop;
+  const PeerServer server(
+      loop, {"127.0.0.1", 0}, 1000,
+      [](const PeerCallPtr& call) { call->Respond(200, call->path()); });
+  const auto address = Address{"127.0.0.1", server.port()}.ToString();
+  direct::PeerConnections connections(loop, std::chrono::milliseconds(20));
+  std::string responses;
+  const auto call = [&](const std::string& path, std::function<void()> next) {
+    connections.Fetch(address, path, "",
+                      [&responses, next = std::move(next)](
+                          PeerEnd end, int, const std::string& body) {
+                        CHECK(end == PeerEnd::kComplete);
+                        responses += body;
+                        next();
+                      });
+  };
+  // The second call is made while the first one ends.
+  call("/a", [&] {
+    call("/b", [&] {
+      CHECK(connections.size() == 1);
+      loop.After(std::chrono::milliseconds(100), [&] {
+        CHECK(connections.size() == 0);
+        call("/c", [&] { loop.Stop(); });
+      });
+    });
+  });
+  loop.Run();
+  CHECK(responses == "/a/b/c");
+}
+
 TEST_CASE("a peer with another or no protocol version gets status 426",
           "[daemon]") {
   struct Row {
