Log the rate limits that endpoints state

The adapter decodes the limit into ResponseHead; EndpointRateLimits keeps the newest statement of each incarnation; 616 endpoint-rate-limit logs when one begins, changes or ends, request-sent names the known limit, and rate_limited_endpoints counts. No decision depends on it yet.

--- a/packages/chalkwell/src/chalkwell/core/event.cpp
+++ b/packages/chalkwell/src/chalkwell/core/event.cpp
@@ -190,6 +190,10 @@
      "A request was refused because endpoints crashed while running similar "
      "ones.",
      "None; request-standing says why."},
+    {kRateLimitChanged, kInfo, "endpoint-rate-limit",
+     "An endpoint stated a rate limit, another one, or none any more; or an "
+     "invalid one, which has no effect.",
+     "If it persists, check the endpoint or add capacity."},
 });
 
 }  // namespace
--- a/packages/chalkwell/src/chalkwell/core/event.hpp
+++ b/packages/chalkwell/src/chalkwell/core/event.hpp
@@ -72,6 +72,7 @@
   kEndpointCrashed = 613,
   kRequestSuspicionChanged = 614,
   kRequestQuarantined = 615,
+  kRateLimitChanged = 616,
 };
 
 enum class Severity : std::uint8_t { kDebug, kInfo, kWarning, kError };
--- a/packages/chalkwell/src/chalkwell/routing/endpoint_choice.cpp
+++ b/packages/chalkwell/src/chalkwell/routing/endpoint_choice.cpp
@@ -334,6 +334,8 @@
   choice.row_.weights_version_ = selection.best_->version();
   choice.time_to_first_byte_ = selection.prediction_.time_to_first_byte_;
   choice.requests_ahead_ = selection.prediction_.requests_ahead_;
+  choice.rate_limit_ =
+      rate_limits_.RateOf(selection.best_->row_.incarnation(), now);
   choice.reported_ = selection.best_->report_.has_value();
   if (choice.reported_) {
     choice.report_age_ = now - selection.best_->reported_at_;
--- /dev/null
+++ b/packages/chalkwell/src/chalkwell/routing/endpoint_rate_limits.hpp
@@ -0,0 +1,64 @@
+// Rate limits that endpoints state in their responses. A limit applies to the
+// requests of all entries together, for as long as the endpoint states it: a
+// later response without one lifts it.
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string_view>
+
+#include "chalkwell/core/fwd.hpp"
+#include "chalkwell/core/identifier.hpp"
+#include "chalkwell/routing/endpoint_incarnation.hpp"
+
+namespace chalkwell::routing {
+
+/// @brief What an incarnation of an endpoint stated in a response.
+struct RateLimitStatement {
+  EndpointIncarnation endpoint_;
+  /// Requests per second from all entries together; none for no limit.
+  std::optional<double> requests_per_second_;
+  /// When the response arrived at the entry that received it.
+  core::TimePoint stated_at_;
+};
+
+/// @brief Effect of a statement on the known limits.
+enum class RateLimitChange : std::uint8_t {
+  kNone,
+  /// The known limit was stated again.
+  kConfirmed,
+  /// A limit was stated where none was known, or another one.
+  kLimited,
+  /// A known limit no longer applies.
+  kLifted,
+};
+
+[[nodiscard]] std::string_view ToString(RateLimitChange change) noexcept;
+
+/// @brief The newest statements of endpoints, as known to one entry.
+class EndpointRateLimits {
+ public:
+  /// @brief Applies what a response to a request of this entry stated.
+  /// @param sent_at when the request was sent. A response without a limit lifts
+  /// only one that was stated before: responses on different connections may
+  /// overtake each other.
+  RateLimitChange OnResponse(const RateLimitStatement& statement,
+                             core::TimePoint sent_at);
+
+  /// @brief Limit of an incarnation; none if it has none.
+  [[nodiscard]] std::optional<double> RateOf(
+      const EndpointIncarnation& endpoint, core::TimePoint now) const;
+  /// @brief Number of endpoints with a limit.
+  [[nodiscard]] std::size_t LimitedCount(core::TimePoint now) const;
+  /// @brief Forgets statements that no longer apply.
+  void Expire(core::TimePoint now);
+
+ private:
+  RateLimitChange Store(const RateLimitStatement& statement);
+
+  /// By id of the endpoint; at most kMaxStatements.
+  std::map<core::InstanceId, RateLimitStatement> statements_;
+};
+
+}  // namespace chalkwell::routing
--- a/packages/chalkwell/src/chalkwell/routing/endpoint_table.hpp
+++ b/packages/chalkwell/src/chalkwell/routing/endpoint_table.hpp
@@ -19,6 +19,7 @@
 #include "chalkwell/core/identifier.hpp"
 #include "chalkwell/routing/data_residency.hpp"
 #include "chalkwell/routing/endpoint_incarnation.hpp"
+#include "chalkwell/routing/endpoint_rate_limits.hpp"
 #include "chalkwell/routing/fwd.hpp"
 #include "chalkwell/routing/incarnation_table.hpp"
 #include "chalkwell/routing/slow_start.hpp"
@@ -163,6 +164,9 @@
   /// the log.
   core::Duration report_age_{};
   bool reported_ = false;
+  /// Requests per second that the endpoint accepts from all entries together;
+  /// none if it stated no limit.
+  std::optional<double> rate_limit_;
 };
 
 /// @brief Versions of the weights that a request may start on.
@@ -326,6 +330,11 @@
   /// reports from.
   [[nodiscard]] std::vector<EndpointRow> Subset();
 
+  /// @brief The rate limits that endpoints stated in their responses.
+  [[nodiscard]] EndpointRateLimits& rate_limits() noexcept {
+    return rate_limits_;
+  }
+
   /// @brief Whether an endpoint is unresponsive while others send reports.
   [[nodiscard]] bool IsUnresponsive(const core::InstanceId& id) const;
 
@@ -526,6 +535,7 @@
   EndpointTableFaults faults_;
   std::map<core::InstanceId, Endpoint> endpoints_;
   IncarnationTable incarnations_;
+  EndpointRateLimits rate_limits_;
   /// Incarnations removed from the list, newest last; at most kMaxRemembered.
   /// An agent that still announces one does not add it again.
   std::deque<EndpointIncarnation> removed_;
--- a/packages/daemon/src/daemon/direct/adapter.hpp
+++ b/packages/daemon/src/daemon/direct/adapter.hpp
@@ -61,6 +61,11 @@
   /// Signed by the endpoint. Without it, something else on the path may have
   /// sent the response.
   bool signed_ = false;
+  /// Requests per second that the endpoint accepts from all entries together;
+  /// none if it states no limit.
+  std::optional<double> rate_limit_;
+  /// A stated limit that could not be decoded; empty if there is none.
+  std::string invalid_rate_limit_;
 };
 
 /// @brief Translates requests and responses.
--- a/packages/daemon/src/daemon/direct/direct_entry.cpp
+++ b/packages/daemon/src/daemon/direct/direct_entry.cpp
@@ -97,6 +97,7 @@
           budget_,
           retry_jitter_,
           quarantine_,
+          rate_limits_,
           process.log(),
           process.metrics(),
           process.tracer(),
@@ -179,6 +180,8 @@
            .evacuations_ = [this] { return evacuations_.States(); }}),
       quarantine_(process.loop(), endpoints_, mesh_, process.log(),
                   process.metrics()),
+      rate_limits_(process.loop(), endpoints_.rate_limits(), process.log(),
+                   process.metrics()),
       endpoint_list_(process.loop(), endpoints_, mesh_, process.log(),
                      EndpointListSettingsOf(process.settings()),
                      {.read_ = [this] { reader_.ReadNow(Section::kEndpoints); },
@@ -218,7 +221,11 @@
       loop, ParseAddress(settings.Text("listen", "admin")), process_.metrics(),
       {.not_ready_reason_ = [this] { return NotReadyReason(); },
        .status_json_ = [this] { return Status(); },
-       .update_gauges_ = [this] { quarantine_.RefreshMetrics(); },
+       .update_gauges_ =
+           [this] {
+             quarantine_.RefreshMetrics();
+             rate_limits_.RefreshMetrics();
+           },
        .lift_quarantine_ =
            [this](const std::string& content) {
              const auto request = routing::RequestDigest::FromHex(content);
--- a/packages/daemon/src/daemon/direct/direct_entry.hpp
+++ b/packages/daemon/src/daemon/direct/direct_entry.hpp
@@ -26,6 +26,7 @@
 #include "daemon/direct/published_reader.hpp"
 #include "daemon/direct/published_relay.hpp"
 #include "daemon/direct/quarantine_manager.hpp"
+#include "daemon/direct/rate_limit_manager.hpp"
 #include "daemon/direct/rules_manager.hpp"
 #include "daemon/http1_server.hpp"
 #include "daemon/process_base.hpp"
@@ -121,6 +122,7 @@
   PublishedReader reader_;
   MeshNode mesh_;
   QuarantineManager quarantine_;
+  RateLimitManager rate_limits_;
   EndpointList endpoint_list_;
   RulesManager rules_manager_;
   PublishedRelay relay_;
--- a/packages/daemon/src/daemon/direct/direct_request.cpp
+++ b/packages/daemon/src/daemon/direct/direct_request.cpp
@@ -209,6 +209,7 @@
        {"list_age_ms", Millis(now - context_.endpoints_.as_of())},
        {"weights", std::to_string(row.weights_version_.value_or(0))},
        {"occupied", std::to_string(attempt_.choice_.requests_ahead_)},
+       {"rate_limit", RateText(attempt_.choice_.rate_limit_)},
        {"report_age_ms", attempt_.choice_.reported_
                              ? Millis(attempt_.choice_.report_age_)
                              : std::string("none")},
@@ -304,6 +305,8 @@
   context_.endpoints_.OnFirstByte(
       attempt_.choice_.row_.id_, request_.caller_.prompt_tokens_,
       attempt_.sent_at_, attempt_.choice_.time_to_first_byte_, now);
+  context_.rate_limits_.OnResponse(attempt_.choice_.row_,
+                                   attempt_.response_head_, attempt_.sent_at_);
   if (attempt_.response_head_.signed_) {
     context_.quarantine_.OnAnswered(attempt_.choice_.row_);
   }
--- a/packages/daemon/src/daemon/direct/direct_request.hpp
+++ b/packages/daemon/src/daemon/direct/direct_request.hpp
@@ -18,6 +18,7 @@
 #include "chalkwell/routing/retry_jitter.hpp"
 #include "daemon/direct/adapter.hpp"
 #include "daemon/direct/quarantine_manager.hpp"
+#include "daemon/direct/rate_limit_manager.hpp"
 #include "daemon/event_log.hpp"
 #include "daemon/metrics.hpp"
 #include "daemon/tracer.hpp"
@@ -33,6 +34,7 @@
   routing::RetryBudget& budget_;
   routing::RetryJitter& retry_jitter_;
   QuarantineManager& quarantine_;
+  RateLimitManager& rate_limits_;
   EventLog& log_;
   Metrics& metrics_;
   Tracer& tracer_;
--- a/tests/platform/codec_test.cpp
+++ b/tests/platform/codec_test.cpp
@@ -120,6 +120,30 @@
   CHECK(facts.signed_ == row.signed_);
 }
 
+TEST_CASE("the rate limit of a response is decoded, or reported as invalid",
+          "[platform]") {
+  struct Row {
+    std::vector<std::string> stated_;
+    std::optional<double> limit_;
+    std::string invalid_;
+  };
+  const auto row = GENERATE(
+      Row{{}, std::nullopt, ""}, Row{{"2.1"}, 2.1, ""}, Row{{"0"}, 0, ""},
+      Row{{"1e300"}, 1e300, ""}, Row{{"-1"}, std::nullopt, "-1"},
+      Row{{"nan"}, std::nullopt, "nan"}, Row{{"inf"}, std::nullopt, "inf"},
+      Row{{"1e999"}, std::nullopt, "1e999"}, Row{{""}, std::nullopt, "empty"},
+      Row{{"2, 3"}, std::nullopt, "2, 3"}, Row{{"3", "2"}, 2, ""},
+      Row{{"x", "2"}, 2, "x"},
+      Row{{std::string(99, 'x')}, std::nullopt, std::string(32, 'x')});
+  HttpHeaders headers{{"response-seal", "s"}};
+  for (const auto& text : row.stated_) {
+    headers.emplace_back("server-limit", text);
+  }
+  const auto head = MakeRequestCodec().read_response_(200, headers);
+  CHECK(head.rate_limit_ == row.limit_);
+  CHECK(head.invalid_rate_limit_ == row.invalid_);
+}
+
 TEST_CASE("a response of the entry itself states when to retry", "[platform]") {
   const auto headers = MakeRequestCodec().own_headers_("a1", 350ms);
   CHECK(FindHeader(headers, "retry-after") == "0.35");
--- a/tests/platform/names_test.cpp
+++ b/tests/platform/names_test.cpp
@@ -12,33 +12,25 @@
 namespace {
 
 /// Headers, paths, keys and fields that no other folder may contain.
-constexpr auto kPlatformNames =
-    std::to_array<const char*>({"attempt-id",       "Attempt-Id",
-                                "response-seal",    "Response-Seal",
-                                "expect-instance",  "Expect-Instance",
-                                "expect-version",   "Expect-Version",
-                                "not-executed",     "Not-Executed",
-                                "token-counts",     "Token-Counts",
-                                "prompt-prefix",    "Prompt-Prefix",
-                                "weight-versions",  "Weight-Versions",
-                                "length-hint",      "Length-Hint",
-                                "at-server",        "At-Server",
-                                "request-priority", "Request-Priority",
-                                "deadline-ms",      "Deadline-Ms",
-                                "instance-id",      "Instance-Id",
-                                "kv-range",         "kv-watch",
-                                "kv-key",           "stage-put",
-                                "stage-get",        "sampleSize",
-                                "tlsKey",           "asOf",
-                                "morePages",        "afterRev",
-                                "busySlots",        "coldLeftMs",
-                                "targetLatencyMs",  "targetGapMs",
-                                "trafficSplit",     "pathPrefix",
-                                "apiKeys",          "maxAttempts",
-                                "maxConns",         "op/config",
-                                "op/version",       "op/evacuate",
-                                "allowedRegions",   "coldPerS",
-                                "servers/"});
+constexpr auto kPlatformNames = std::to_array<const char*>(
+    {"attempt-id",      "Attempt-Id",       "response-seal",
+     "Response-Seal",   "expect-instance",  "Expect-Instance",
+     "expect-version",  "Expect-Version",   "not-executed",
+     "Not-Executed",    "token-counts",     "Token-Counts",
+     "prompt-prefix",   "Prompt-Prefix",    "weight-versions",
+     "Weight-Versions", "server-limit",     "Server-Limit",
+     "length-hint",     "Length-Hint",      "at-server",
+     "At-Server",       "request-priority", "Request-Priority",
+     "deadline-ms",     "Deadline-Ms",      "instance-id",
+     "Instance-Id",     "kv-range",         "kv-watch",
+     "kv-key",          "stage-put",        "stage-get",
+     "sampleSize",      "tlsKey",           "asOf",
+     "morePages",       "afterRev",         "busySlots",
+     "coldLeftMs",      "targetLatencyMs",  "targetGapMs",
+     "trafficSplit",    "pathPrefix",       "apiKeys",
+     "maxAttempts",     "maxConns",         "op/config",
+     "op/version",      "op/evacuate",      "allowedRegions",
+     "coldPerS",        "servers/"});
 
 /// Whether a text contains a name other than as the product's own "x-" header
 /// or command-line option.
