--- a/tests/platform/standins.cpp
+++ b/tests/platform/standins.cpp
@@ -309,6 +309,26 @@
   return running;
 }
 
+void EndpointStandin::SetRateLimit(const std::string& text) {
+  thread_.RunAndWait([&] { rate_limit_ = text; });
+}
+
+HttpHeaders EndpointStandin::ResponseHeaders(
+    const std::string& request_id) const {
+  HttpHeaders headers{{"attempt-id", request_id}};
+  if (!rate_limit_.empty()) {
+    headers.emplace_back("server-limit", rate_limit_);
+  }
+  return headers;
+}
+
+HttpHeaders EndpointStandin::SignedHeaders(
+    const std::string& request_id) const {
+  auto headers = ResponseHeaders(request_id);
+  headers.emplace_back("response-seal", "s." + id_);
+  return headers;
+}
+
 void EndpointStandin::OnArrival(
     std::function<void(const std::string& request)> handler) {
   thread_.RunAndWait([&] { on_arrival_ = std::move(handler); });
@@ -433,8 +453,9 @@
     on_arrival_(request_id);
   }
   if (behaviour == Behaviour::kShed) {
-    exchange->Respond(503, {{"not-executed", "1"}, {"attempt-id", request_id}},
-                      "");
+    auto headers = ResponseHeaders(request_id);
+    headers.emplace_back("not-executed", "1");
+    exchange->Respond(503, headers, "");
     return;
   }
   const auto run_delay = run_delay_.load();
@@ -464,8 +485,7 @@
     Crash(exchange);
     return;
   }
-  HttpHeaders headers{{"attempt-id", request_id},
-                      {"response-seal", "s." + id_}};
+  auto headers = SignedHeaders(request_id);
   switch (behaviour) {
     case Behaviour::kReset:
       exchange->End(false);
@@ -528,9 +548,9 @@
   const std::string request_id(FindHeader(headers, "attempt-id"));
   const auto last =
       NumberOr(std::string(FindHeader(headers, "last-event-id")), 0);
-  exchange->Start(200, {{"content-type", "text/event-stream"},
-                        {"attempt-id", request_id},
-                        {"response-seal", "s." + id_}});
+  auto response_headers = SignedHeaders(request_id);
+  response_headers.emplace_back("content-type", "text/event-stream");
+  exchange->Start(200, response_headers);
   const auto end = truncate ? kStreamEvents / 2 : kStreamEvents;
   for (auto id = last + 1; id <= end; ++id) {
     exchange->Write(FormatEvent(id));
--- a/tests/platform/standins.hpp
+++ b/tests/platform/standins.hpp
@@ -182,6 +182,9 @@
   void SetRunDelay(std::chrono::milliseconds run_delay) {
     run_delay_ = run_delay;
   }
+  /// @brief Sets the rate limit that all responses to requests state; empty for
+  /// none.
+  void SetRateLimit(const std::string& text);
   /// @brief Sets a handler that is called on the loop, with the attempt id,
   /// when a request arrives that expects this instance id and weights version.
   void OnArrival(std::function<void(const std::string& request)> handler);
@@ -216,6 +219,12 @@
  private:
   void OnCall(const daemon::HttpExchangePtr& exchange);
   void HandleRequest(const daemon::HttpExchangePtr& exchange);
+  /// @brief Headers of a response to a request, without its signature.
+  [[nodiscard]] daemon::HttpHeaders ResponseHeaders(
+      const std::string& request_id) const;
+  /// @brief Headers of a response to a request that ran.
+  [[nodiscard]] daemon::HttpHeaders SignedHeaders(
+      const std::string& request_id) const;
   void RunRequest(const daemon::HttpExchangePtr& exchange);
   void RespondWithStream(const daemon::HttpExchangePtr& exchange,
                          bool truncate);
@@ -232,6 +241,7 @@
   std::atomic<std::uint64_t> start_time_ms_{0};
   std::atomic<std::chrono::milliseconds> run_delay_{};
   std::function<void(const std::string&)> on_arrival_;
+  std::string rate_limit_;
   std::string crash_text_;
   std::function<void(const std::string&)> on_crash_;
   std::atomic<int> crashes_{0};
