Keep to the rate limits that endpoints state

Cause: the limit in a response was no input of any decision, and a limit on the sum of all entries can't be kept by each entry alone: on the record no entry sent more than 12 requests in 4 s, their sum was 22 (18 allowed).

Change: EndpointTable skips an endpoint until its limit allows a request of this entry. RateLimitSenders selects by rendezvous hashing 3 entries of the endpoint's failure domain, and one more per request a second; each sends at a fixed interval, and the others use other endpoints. In 4 s they send at most one request each beyond the limit, at any size of the fleet. What can't be sent is refused at once with the time until the next possible request.

Ruled out: equal intervals for all entries, as for slow starts.

--- a/packages/chalkwell/src/chalkwell/routing/endpoint_choice.cpp
+++ b/packages/chalkwell/src/chalkwell/routing/endpoint_choice.cpp
@@ -147,15 +147,38 @@
       interval, SlowStartOffset(settings_.entry_, endpoint.row_.id_, interval));
 }
 
-std::optional<core::Duration> EndpointTable::SlowStartWait(
+core::TimePoint EndpointTable::NextRateLimitedSend(const Endpoint& endpoint,
+                                                   core::TimePoint now) const {
+  const auto& row = endpoint.row_;
+  const auto rate = rate_limits_.RateOf(row.incarnation(), now);
+  if (!rate) {
+    return {};
+  }
+  const auto interval =
+      rate_limit_senders_.IntervalFor({row.id_, row.domain_, *rate});
+  return interval ? endpoint.slow_start_.last_sent() + *interval
+                  : now + MeanRequestInterval(*rate);
+}
+
+core::TimePoint EndpointTable::NextSend(const Endpoint& endpoint,
+                                        core::TimePoint now) const {
+  const auto by_slow_start = faults_.ignore_slow_start_
+                                 ? core::TimePoint{}
+                                 : NextSlowStartSend(endpoint, now);
+  const auto by_rate_limit = faults_.ignore_rate_limits_
+                                 ? core::TimePoint{}
+                                 : NextRateLimitedSend(endpoint, now);
+  return std::max(by_slow_start, by_rate_limit);
+}
+
+std::optional<core::Duration> EndpointTable::SendWait(
     const ChoiceRequest& request, core::TimePoint now) const {
   std::optional<core::Duration> wait;
   for (const auto& [id, endpoint] : endpoints_) {
-    if (endpoint.slow_start_.Active(now) &&
-        IsUsableAfterSlowStart(endpoint, request, now)) {
-      const auto next = std::max<core::Duration>(
-          NextSlowStartSend(endpoint, now) - now, core::Duration{});
-      wait = std::min(wait.value_or(next), next);
+    const auto next = NextSend(endpoint, now);
+    if (next != core::TimePoint{} && IsUsable(endpoint, request, now)) {
+      const auto left = std::max<core::Duration>(next - now, {});
+      wait = std::min(wait.value_or(left), left);
     }
   }
   return wait;
@@ -164,14 +187,6 @@
 bool EndpointTable::IsUsable(const Endpoint& endpoint,
                              const ChoiceRequest& request,
                              core::TimePoint now) const {
-  return IsUsableAfterSlowStart(endpoint, request, now) &&
-         (now >= NextSlowStartSend(endpoint, now) ||
-          faults_.ignore_slow_start_);
-}
-
-bool EndpointTable::IsUsableAfterSlowStart(const Endpoint& endpoint,
-                                           const ChoiceRequest& request,
-                                           core::TimePoint now) const {
   // Expired rows are skipped here because they are erased only when a list is
   // applied.
   const auto& row = endpoint.row_;
@@ -292,6 +307,7 @@
 
 std::optional<EndpointChoice> EndpointTable::ChooseFrom(
     const ChoiceRequest& request, Candidates candidates, core::TimePoint now) {
+  std::size_t deferred = 0;
   // One for the local failure domain and one for the remote ones.
   std::array<Selection, 2> selections;
   const double late_share = request.on_time_ ? LateShare() : 0;
@@ -303,6 +319,10 @@
     if (!is_candidate || !IsUsable(endpoint, request, now)) {
       continue;
     }
+    if (now < NextSend(endpoint, now)) {
+      ++deferred;
+      continue;
+    }
     Prediction prediction;
     prediction.requests_ahead_ = RequestsAhead(endpoint, late_share, now);
     prediction.time_to_first_byte_ =
@@ -334,6 +354,7 @@
   choice.row_.weights_version_ = selection.best_->version();
   choice.time_to_first_byte_ = selection.prediction_.time_to_first_byte_;
   choice.requests_ahead_ = selection.prediction_.requests_ahead_;
+  choice.deferred_ = deferred;
   choice.rate_limit_ =
       rate_limits_.RateOf(selection.best_->row_.incarnation(), now);
   choice.reported_ = selection.best_->report_.has_value();
--- a/packages/chalkwell/src/chalkwell/routing/endpoint_table.cpp
+++ b/packages/chalkwell/src/chalkwell/routing/endpoint_table.cpp
@@ -24,7 +24,10 @@
 
 EndpointTable::EndpointTable(EndpointTableSettings settings, std::uint64_t seed,
                              EndpointTableFaults faults)
-    : settings_(std::move(settings)), random_(seed), faults_(faults) {}
+    : settings_(std::move(settings)),
+      random_(seed),
+      faults_(faults),
+      rate_limit_senders_({settings_.entry_, settings_.domain_}) {}
 
 EndpointTable::Endpoint* EndpointTable::Find(const core::InstanceId& id) {
   const auto found = endpoints_.find(id);
--- a/packages/chalkwell/src/chalkwell/routing/endpoint_table.hpp
+++ b/packages/chalkwell/src/chalkwell/routing/endpoint_table.hpp
@@ -22,6 +22,7 @@
 #include "chalkwell/routing/endpoint_rate_limits.hpp"
 #include "chalkwell/routing/fwd.hpp"
 #include "chalkwell/routing/incarnation_table.hpp"
+#include "chalkwell/routing/rate_limit_senders.hpp"
 #include "chalkwell/routing/slow_start.hpp"
 
 namespace chalkwell::routing {
@@ -151,6 +152,7 @@
   bool ignore_allowed_domains_ = false;
   bool ignore_evacuations_ = false;
   bool ignore_slow_start_ = false;
+  bool ignore_rate_limits_ = false;
 };
 
 /// @brief An endpoint chosen for a request, with its predicted response time.
@@ -167,6 +169,9 @@
   /// Requests per second that the endpoint accepts from all entries together;
   /// none if it stated no limit.
   std::optional<double> rate_limit_;
+  /// Number of candidates that were skipped because their slow start or their
+  /// rate limit allows no request of this entry yet.
+  std::size_t deferred_ = 0;
 };
 
 /// @brief Versions of the weights that a request may start on.
@@ -275,6 +280,10 @@
     entries_ = entries;
     entries_known_ = known;
   }
+  /// @brief The entries among which a rate limit is shared.
+  [[nodiscard]] RateLimitSenders& rate_limit_senders() noexcept {
+    return rate_limit_senders_;
+  }
   /// @brief Sets the evacuated failure domains, whose endpoints get no further
   /// request. Endpoints of a domain that is no longer evacuated begin a slow
   /// start, since they may have been restarted meanwhile.
@@ -305,9 +314,10 @@
   /// @return none if no known endpoint is usable.
   [[nodiscard]] std::optional<EndpointChoice> Choose(
       const ChoiceRequest& request, core::TimePoint now);
-  /// @brief Time until an endpoint in slow start may get a request for which
-  /// Choose() found none; none if no endpoint is in slow start.
-  [[nodiscard]] std::optional<core::Duration> SlowStartWait(
+  /// @brief Time until an endpoint may get a request for which Choose() found
+  /// none; none if no endpoint is only prevented by its slow start or its rate
+  /// limit.
+  [[nodiscard]] std::optional<core::Duration> SendWait(
       const ChoiceRequest& request, core::TimePoint now) const;
 
   /// @brief Whether an incarnation accepts requests, as far as is known: it is
@@ -435,15 +445,20 @@
   };
 
   [[nodiscard]] Endpoint* Find(const core::InstanceId& id);
+  /// @brief Whether the endpoint may get a request, apart from its slow start
+  /// and its rate limit.
   [[nodiscard]] bool IsUsable(const Endpoint& endpoint,
                               const ChoiceRequest& request,
                               core::TimePoint now) const;
-  /// @brief Whether the endpoint may get a request, apart from its slow start.
-  [[nodiscard]] bool IsUsableAfterSlowStart(const Endpoint& endpoint,
-                                            const ChoiceRequest& request,
-                                            core::TimePoint now) const;
   /// @brief When the endpoint may get a request of this entry with regard to
-  /// its slow start; the clock's epoch if it is in none.
+  /// its slow start and its rate limit; the clock's epoch if it has neither.
+  [[nodiscard]] core::TimePoint NextSend(const Endpoint& endpoint,
+                                         core::TimePoint now) const;
+  /// @brief NextSend() with regard to its rate limit only. If only other
+  /// entries send to the endpoint, it is the time of their next request.
+  [[nodiscard]] core::TimePoint NextRateLimitedSend(const Endpoint& endpoint,
+                                                    core::TimePoint now) const;
+  /// @brief NextSend() with regard to its slow start only.
   [[nodiscard]] core::TimePoint NextSlowStartSend(const Endpoint& endpoint,
                                                   core::TimePoint now) const;
   /// @brief Limit of a service; null if its endpoints have none.
@@ -536,6 +551,7 @@
   std::map<core::InstanceId, Endpoint> endpoints_;
   IncarnationTable incarnations_;
   EndpointRateLimits rate_limits_;
+  RateLimitSenders rate_limit_senders_;
   /// Incarnations removed from the list, newest last; at most kMaxRemembered.
   /// An agent that still announces one does not add it again.
   std::deque<EndpointIncarnation> removed_;
--- /dev/null
+++ b/packages/chalkwell/src/chalkwell/routing/rate_limit_senders.cpp
@@ -0,0 +1,84 @@
+// Senders are selected by the same scores as the subsets of endpoints, so that
+// the endpoint is in the subset of nearly all of its senders.
+#include "chalkwell/routing/rate_limit_senders.hpp"
+
+#include <algorithm>
+#include <chrono>
+#include <cmath>
+#include <utility>
+
+#include "chalkwell/core/digest.hpp"
+#include "chalkwell/core/milliseconds.hpp"
+#include "chalkwell/routing/endpoint_subset.hpp"
+
+namespace chalkwell::routing {
+namespace {
+
+constexpr double kMinRequestsPerSecond = 0.1;
+/// Senders in addition to one per request a second: several, so that the
+/// endpoint gets its requests while one of them fails or has no callers.
+constexpr double kMinSenders = 3;
+constexpr double kMsPerSecond = 1000;
+
+}  // namespace
+
+core::Duration MeanRequestInterval(double requests_per_second) {
+  return core::FromMs(kMsPerSecond /
+                      std::max(requests_per_second, kMinRequestsPerSecond));
+}
+
+std::size_t SenderCount(double requests_per_second, std::size_t entries) {
+  const auto senders = kMinSenders + std::floor(requests_per_second);
+  return senders < static_cast<double>(entries)
+             ? static_cast<std::size_t>(senders)
+             : entries;
+}
+
+RateLimitSenders::RateLimitSenders(EntryLocation self)
+    : self_(std::move(self)), local_{self_.id_}, domains_{self_.domain_} {}
+
+void RateLimitSenders::SetEntries(const std::vector<EntryLocation>& others,
+                                  bool complete) {
+  complete_ = complete;
+  local_ = {self_.id_};
+  domains_ = {self_.domain_};
+  for (const auto& entry : others) {
+    if (entry.domain_ == self_.domain_) {
+      local_.push_back(entry.id_);
+    } else if (std::ranges::find(domains_, entry.domain_) == domains_.end()) {
+      domains_.push_back(entry.domain_);
+    }
+  }
+}
+
+core::FailureDomainId RateLimitSenders::SenderDomain(
+    const RateLimitedEndpoint& endpoint) const {
+  if (std::ranges::find(domains_, endpoint.domain_) != domains_.end()) {
+    return endpoint.domain_;
+  }
+  return *std::ranges::max_element(
+      domains_, {}, [&endpoint](const core::FailureDomainId& domain) {
+        return core::RendezvousScore(endpoint.id_.value(), domain.value());
+      });
+}
+
+std::optional<core::Duration> RateLimitSenders::IntervalFor(
+    const RateLimitedEndpoint& endpoint) const {
+  if (!complete_ || SenderDomain(endpoint) != self_.domain_) {
+    return std::nullopt;
+  }
+  const auto senders =
+      SenderCount(endpoint.requests_per_second_, local_.size());
+  const auto own_score = SubsetScore(self_.id_, endpoint.id_);
+  const auto rank =
+      std::ranges::count_if(local_, [&](const core::InstanceId& entry) {
+        return SubsetScore(entry, endpoint.id_) > own_score;
+      });
+  if (static_cast<std::size_t>(rank) >= senders) {
+    return std::nullopt;
+  }
+  return MeanRequestInterval(endpoint.requests_per_second_) *
+         static_cast<std::int64_t>(senders);
+}
+
+}  // namespace chalkwell::routing
--- /dev/null
+++ b/packages/chalkwell/src/chalkwell/routing/rate_limit_senders.hpp
@@ -0,0 +1,72 @@
+// Entries share the rate limit of an endpoint without messages about each
+// request: only a few entries send to it, each at a fixed interval. With all
+// entries as senders, a first request of each would exceed the limit in a large
+// deployment, and a share of the rate that is lost at an entry without callers
+// could not be used by the others.
+#pragma once
+
+#include <cstddef>
+#include <optional>
+#include <vector>
+
+#include "chalkwell/core/fwd.hpp"
+#include "chalkwell/core/identifier.hpp"
+
+namespace chalkwell::routing {
+
+/// @brief An entry and the failure domain that it is in.
+struct EntryLocation {
+  core::InstanceId id_;
+  core::FailureDomainId domain_;
+};
+
+/// @brief A rate-limited endpoint.
+struct RateLimitedEndpoint {
+  core::InstanceId id_;
+  core::FailureDomainId domain_;
+  /// Requests per second from all entries together.
+  double requests_per_second_ = 0;
+};
+
+/// @brief Mean interval of requests from all entries together. Very low limits
+/// still allow a request at times, so that the end of the limit is noticed.
+[[nodiscard]] core::Duration MeanRequestInterval(double requests_per_second);
+
+/// @brief Number of entries that send to an endpoint. In a window of t seconds
+/// they send at most one request each beyond t times the limit.
+/// @param entries entries that can be senders, at least 1.
+[[nodiscard]] std::size_t SenderCount(double requests_per_second,
+                                      std::size_t entries);
+
+/// @brief Determines, at one entry, whether it sends to an endpoint and how
+/// often. Entries that know the same members agree on the senders.
+class RateLimitSenders {
+ public:
+  explicit RateLimitSenders(EntryLocation self);
+
+  /// @brief Sets the other live entries: all of the local failure domain, and
+  /// at least one of each remote one that has any.
+  /// @param complete false while this entry may not know all of them; it is no
+  /// sender until then.
+  void SetEntries(const std::vector<EntryLocation>& others, bool complete);
+
+  /// @brief Minimum interval between two requests of this entry to an endpoint;
+  /// none if only other entries send to it. The senders are entries of the
+  /// endpoint's failure domain, or of another one if that has no entries.
+  [[nodiscard]] std::optional<core::Duration> IntervalFor(
+      const RateLimitedEndpoint& endpoint) const;
+
+ private:
+  /// @brief Failure domain whose entries send to the endpoint.
+  [[nodiscard]] core::FailureDomainId SenderDomain(
+      const RateLimitedEndpoint& endpoint) const;
+
+  EntryLocation self_;
+  bool complete_ = true;
+  /// Entries of the local failure domain, including this one.
+  std::vector<core::InstanceId> local_;
+  /// Failure domains with entries, each once.
+  std::vector<core::FailureDomainId> domains_;
+};
+
+}  // namespace chalkwell::routing
--- a/packages/chalkwell/src/chalkwell/routing/stream_admission.cpp
+++ b/packages/chalkwell/src/chalkwell/routing/stream_admission.cpp
@@ -27,8 +27,8 @@
 /// sum with kLatePriorityOffset may exceed 9; the platform's request codec
 /// limits it.
 constexpr std::uint32_t kDefaultPriority = 5;
-/// Shortest retry delay while endpoints are in slow start.
-constexpr auto kMinSlowStartRetryDelay = milliseconds(100);
+/// Shortest retry delay while endpoints are in slow start or rate-limited.
+constexpr auto kMinSendRetryDelay = milliseconds(100);
 /// Retry delay when no endpoint accepts work and it is unknown when one will.
 constexpr auto kNoEndpointRetryDelay = milliseconds(500);
 
@@ -60,9 +60,9 @@
   constraints.on_time_ = decision.on_time_;
   decision.choice_ = endpoints.Choose(constraints, now);
   if (!decision.choice_) {
-    const auto wait = endpoints.SlowStartWait(constraints, now);
+    const auto wait = endpoints.SendWait(constraints, now);
     decision.retry_after_ =
-        wait ? std::max<core::Duration>(*wait, kMinSlowStartRetryDelay)
+        wait ? std::max<core::Duration>(*wait, kMinSendRetryDelay)
              : core::Duration(kNoEndpointRetryDelay);
     return decision;
   }
--- a/packages/daemon/src/daemon/direct/direct_entry.cpp
+++ b/packages/daemon/src/daemon/direct/direct_entry.cpp
@@ -22,6 +22,8 @@
 constexpr int kUnavailable = 503;
 /// Retry-After sent to a caller when no better estimate is available.
 constexpr auto kRetryAfter = milliseconds(500);
+/// Shortest Retry-After while endpoints are in slow start or rate-limited.
+constexpr auto kMinSendWait = milliseconds(100);
 /// A request with less time left than this is refused.
 constexpr auto kMinTimeLeft = milliseconds(30);
 /// Fraction of the fleet-wide retry reserve that the entries share. It is below
@@ -64,11 +66,15 @@
   return std::to_string(std::chrono::duration_cast<milliseconds>(span).count());
 }
 
-std::string NoEndpointReason(const AdmittedDirectRequest& request) {
+/// @param deferred whether an endpoint is only prevented by its slow start or
+/// its rate limit.
+std::string NoEndpointReason(const AdmittedDirectRequest& request,
+                             bool deferred) {
   const std::string where =
       request.allowed_domains_ ? " in its allowed regions" : "";
   return "no endpoint of service " + request.service_ + where +
-         " can take work";
+         " can take work" +
+         (deferred ? ", some are in slow start or at their rate limit" : "");
 }
 
 membership::Member SelfOf(ProcessBase& process) {
@@ -267,7 +273,7 @@
   endpoint_list_.WaitForPeers(FirstReadWait());
   rules_manager_.Start(FirstReadWait());
   subscribe_timer_.Every(kSubscribeTick, [this] {
-    UpdateEntryCount();
+    UpdateEntries();
     Subscribe();
   });
   reader_.Poll(
@@ -440,11 +446,16 @@
   Subscribe();
 }
 
-void DirectEntry::UpdateEntryCount() {
+void DirectEntry::UpdateEntries() {
   const auto now = process_.loop().Now();
+  const bool known = now - started_at_ >= kDiscoveryTime;
   entry_count_.Add(mesh_.EntryCount(), now);
-  endpoints_.SetEntryCount(entry_count_.Get(now),
-                           now - started_at_ >= kDiscoveryTime);
+  endpoints_.SetEntryCount(entry_count_.Get(now), known);
+  std::vector<routing::EntryLocation> others;
+  for (const auto& member : mesh_.LiveMembers()) {
+    others.push_back({member.id_, member.domain_});
+  }
+  endpoints_.rate_limit_senders().SetEntries(others, known);
 }
 
 void DirectEntry::Subscribe() {
@@ -573,8 +584,9 @@
     if (endpoints_.Choose(choice_request, now)) {
       return std::nullopt;
     }
-    reason = NoEndpointReason(request);
-    return kRetryAfter;
+    const auto wait = endpoints_.SendWait(choice_request, now);
+    reason = NoEndpointReason(request, wait.has_value());
+    return wait ? std::max<core::Duration>(*wait, kMinSendWait) : kRetryAfter;
   }
   const routing::StreamRequest stream{request.route_.target_latency_,
                                       request.age_};
@@ -582,7 +594,8 @@
       routing::DecideStream(endpoints_, choice_request, stream, now);
   request.on_time_ = decision.on_time_;
   if (!decision.choice_) {
-    reason = NoEndpointReason(request);
+    reason = NoEndpointReason(
+        request, endpoints_.SendWait(choice_request, now).has_value());
   } else if (decision.retry_after_) {
     reason = "its first event is expected after " +
              Millis(decision.choice_->time_to_first_byte_) + " ms, target " +
--- a/packages/daemon/src/daemon/direct/direct_entry.hpp
+++ b/packages/daemon/src/daemon/direct/direct_entry.hpp
@@ -66,7 +66,8 @@
       const std::vector<config::Evacuation>& evacuations);
   /// @brief Applies the evacuated failure domains to the endpoint table.
   void OnEvacuationsChanged(const std::string& source);
-  void UpdateEntryCount();
+  /// @brief Applies the known live entries to the limits that they share.
+  void UpdateEntries();
   /// @brief Queries a peer if the store has been unreachable for some time.
   void ReadFromPeersIfStoreUnreachable();
   void OnLoadReport(const LoadMessage& message);
--- a/packages/daemon/src/daemon/direct/direct_request.cpp
+++ b/packages/daemon/src/daemon/direct/direct_request.cpp
@@ -210,6 +210,7 @@
        {"weights", std::to_string(row.weights_version_.value_or(0))},
        {"occupied", std::to_string(attempt_.choice_.requests_ahead_)},
        {"rate_limit", RateText(attempt_.choice_.rate_limit_)},
+       {"deferred", std::to_string(attempt_.choice_.deferred_)},
        {"report_age_ms", attempt_.choice_.reported_
                              ? Millis(attempt_.choice_.report_age_)
                              : std::string("none")},
--- a/tests/routing/placement_property_test.cpp
+++ b/tests/routing/placement_property_test.cpp
@@ -1,7 +1,7 @@
 // Many entries send to endpoints that restart, return together, and are
 // evacuated. Whatever each entry knows and when, a request stays in its allowed
 // failure domains, an evacuated domain gets none, and an endpoint in slow start
-// gets no more than it bears.
+// or with a stated rate limit gets no more than it accepts.
 #include <algorithm>
 #include <catch2/catch.hpp>
 #include <deque>
@@ -27,6 +27,16 @@
 constexpr int kMaxKnownAfterMs = 800;
 constexpr auto kEvacuationBound = 1000ms;
 constexpr double kLoadPerEndpoint = 11;
+/// Requests per second that a limited endpoint states.
+constexpr double kStatedLimit = 2;
+/// Window in which the requests to a limited endpoint are counted, and how many
+/// the platform allows in it.
+constexpr auto kLimitWindow = 4s;
+constexpr std::size_t kMaxInLimitWindow = 17;
+/// Time from the first statement of a limit until it must be kept, and from a
+/// response that states it until the entry that got it must keep it.
+constexpr auto kLimitBound = 3s;
+constexpr auto kEntryLimitBound = 500ms;
 
 struct WorldSize {
   std::size_t entries_per_domain_;
@@ -37,6 +47,9 @@
   std::size_t outside_allowed_ = 0;
   std::size_t after_evacuation_ = 0;
   std::size_t over_slow_start_ = 0;
+  std::size_t over_limit_ = 0;
+  /// Requests that limited endpoints got.
+  std::size_t within_limit_ = 0;
   std::size_t sent_ = 0;
 };
 
@@ -52,12 +65,12 @@
       auto table = std::make_unique<EndpointTable>(settings, seed + i, faults);
       table->SetSlowStarts({{"pool", kSlowStart}});
       table->SetEntryCount(entries, true);
+      table->rate_limit_senders().SetEntries(OtherEntries(i, entries), true);
       entries_.push_back(std::move(table));
     }
     std::vector<EndpointRow> rows;
     for (std::size_t i = 0; i < kDomains * size.endpoints_per_domain_; ++i) {
-      endpoints_.push_back(
-          {.row_ = Row(i), .slow_until_ = {}, .arrivals_ = {}});
+      endpoints_.emplace_back().row_ = Row(i);
       endpoints_.back().row_.slow_start_left_ = core::Duration{};
       rows.push_back(endpoints_.back().row_);
     }
@@ -75,6 +88,13 @@
     At(kStart + 3s, [this] { RestartDomain(1); });
     At(kStart + 8s, [this] { Evacuate(2); });
     At(kStart + 14s, [this] { Withdraw(2); });
+    for (int i = 0; i < 3; ++i) {
+      const auto host = Draw(0, static_cast<int>(endpoints_.size()) - 1);
+      const auto begin = kStart + std::chrono::milliseconds(Draw(0, 8000));
+      At(begin, [this, host] { endpoints_[host].limited_since_ = now_; });
+      At(begin + 10s,
+         [this, host] { endpoints_[host].limited_since_.reset(); });
+    }
     for (int i = 0; i < 6; ++i) {
       At(kStart + std::chrono::milliseconds(Draw(0, 18000)),
          [this] { Restart(Draw(0, static_cast<int>(endpoints_.size()) - 1)); });
@@ -95,12 +115,30 @@
     core::TimePoint slow_until_;
     /// Arrivals of the last second.
     std::deque<core::TimePoint> arrivals_;
+    /// When it began to state a rate limit.
+    std::optional<core::TimePoint> limited_since_;
+    /// When each entry first got a response with the limit.
+    std::map<const EndpointTable*, core::TimePoint> informed_;
+    /// Arrivals in the last kLimitWindow from entries that must keep the limit.
+    std::deque<core::TimePoint> limited_arrivals_;
   };
 
   static core::FailureDomainId Domain(std::size_t number) {
     return core::FailureDomainId("d" + std::to_string(number));
   }
 
+  static std::vector<EntryLocation> OtherEntries(std::size_t self,
+                                                 std::size_t entries) {
+    std::vector<EntryLocation> others;
+    for (std::size_t i = 0; i < entries; ++i) {
+      if (i != self) {
+        others.push_back({core::InstanceId("entry-" + std::to_string(i)),
+                          Domain(i % kDomains)});
+      }
+    }
+    return others;
+  }
+
   EndpointRow Row(std::size_t host) {
     EndpointRow row;
     row.id_ = core::InstanceId("i-" + std::to_string(++last_id_));
@@ -143,6 +181,8 @@
     endpoint.row_ = Row(host);
     endpoint.slow_until_ = now_ + kSlowStart.duration_;
     endpoint.arrivals_.clear();
+    endpoint.informed_.clear();
+    endpoint.limited_arrivals_.clear();
     // An agent's announcement does not state the remaining time.
     const bool announced = Draw(0, 1) == 0;
     auto row = endpoint.row_;
@@ -217,20 +257,66 @@
             ? 1
             : 0;
     entry.OnSent(row.id_, request.prompt_tokens_, now_);
+    At(now_ + kRunTime / 2, [this, &entry, row, sent_at = now_] {
+      Respond(entry, row.incarnation(), sent_at);
+    });
     At(now_ + kRunTime, [this, &entry, id = row.id_, sent_at = now_] {
       entry.OnEnded(id, engine_.mean_prompt_tokens_, sent_at, false,
                     EndpointOutcome::kAnswered, now_);
     });
-    RecordArrival(row.id_);
+    RecordArrival(entry, row.id_);
   }
 
-  void RecordArrival(const core::InstanceId& id) {
+  Endpoint* Find(const core::InstanceId& id) {
     const auto found = std::ranges::find_if(
         endpoints_,
         [&](const auto& endpoint) { return endpoint.row_.id_ == id; });
-    if (found == endpoints_.end()) {
+    return found == endpoints_.end() ? nullptr : &*found;
+  }
+
+  /// The response head of an endpoint arrives at the entry.
+  void Respond(EndpointTable& entry, const EndpointIncarnation& incarnation,
+               core::TimePoint sent_at) {
+    auto* endpoint = Find(incarnation.id_);
+    if (endpoint == nullptr) {
+      return;  // It has ended.
+    }
+    const auto limit =
+        endpoint->limited_since_ ? std::optional(kStatedLimit) : std::nullopt;
+    if (limit) {
+      endpoint->informed_.try_emplace(&entry, now_);
+    }
+    entry.rate_limits().OnResponse({incarnation, limit, now_}, sent_at);
+  }
+
+  void RecordLimitedArrival(Endpoint& endpoint, const EndpointTable& entry) {
+    if (!endpoint.limited_since_) {
+      endpoint.informed_.clear();
+      endpoint.limited_arrivals_.clear();
+      return;
+    }
+    const auto informed = endpoint.informed_.find(&entry);
+    if (informed == endpoint.informed_.end() ||
+        now_ - informed->second < kEntryLimitBound) {
+      return;
+    }
+    auto& arrivals = endpoint.limited_arrivals_;
+    arrivals.push_back(now_);
+    while (now_ - arrivals.front() > kLimitWindow) {
+      arrivals.pop_front();
+    }
+    ++findings_.within_limit_;
+    const bool over = now_ - *endpoint.limited_since_ > kLimitBound &&
+                      arrivals.size() > kMaxInLimitWindow;
+    findings_.over_limit_ += over ? 1 : 0;
+  }
+
+  void RecordArrival(const EndpointTable& entry, const core::InstanceId& id) {
+    auto* found = Find(id);
+    if (found == nullptr) {
       return;  // It has ended.
     }
+    RecordLimitedArrival(*found, entry);
     auto& arrivals = found->arrivals_;
     arrivals.push_back(now_);
     while (now_ - arrivals.front() > 1s) {
@@ -255,7 +341,7 @@
   Findings findings_;
 };
 
-TEST_CASE("requests respect residency, evacuations and slow starts",
+TEST_CASE("requests respect residency, evacuations, slow starts and limits",
           "[routing]") {
   const auto size = GENERATE(WorldSize{1, 2}, WorldSize{8, 10},
                              WorldSize{20, 10}, WorldSize{4, 20});
@@ -267,6 +353,8 @@
     CHECK(findings.outside_allowed_ == 0);
     CHECK(findings.after_evacuation_ == 0);
     CHECK(findings.over_slow_start_ == 0);
+    CHECK(findings.over_limit_ == 0);
+    CHECK(findings.within_limit_ > 0);
   }
 }
 
@@ -281,6 +369,9 @@
   EndpointTableFaults slow_start;
   slow_start.ignore_slow_start_ = true;
   CHECK(World(1, size, slow_start).Run().over_slow_start_ > 0);
+  EndpointTableFaults rate_limit;
+  rate_limit.ignore_rate_limits_ = true;
+  CHECK(World(1, size, rate_limit).Run().over_limit_ > 0);
 }
 
 }  // namespace
--- /dev/null
+++ b/tests/routing/rate_limit_senders_test.cpp
@@ -0,0 +1,191 @@
+// How entries share the rate limit of an endpoint.
+#include "chalkwell/routing/rate_limit_senders.hpp"
+
+#include <algorithm>
+#include <catch2/catch.hpp>
+#include <deque>
+#include <random>
+#include <string>
+
+namespace chalkwell::routing {
+namespace {
+
+using namespace std::chrono_literals;
+
+/// Window in which an endpoint's requests are counted, in seconds.
+constexpr double kWindowSeconds = 4;
+const core::FailureDomainId kDomain("d0");
+
+/// Requests that the platform allows in a window.
+double AllowedInWindow(double requests_per_second) {
+  return 1.5 * requests_per_second * kWindowSeconds + 5;
+}
+
+core::InstanceId EntryId(std::size_t number) {
+  return core::InstanceId("entry-" + std::to_string(number));
+}
+
+/// Entries of the local failure domain and one of a remote one, each with the
+/// same knowledge.
+std::vector<RateLimitSenders> MakeEntries(std::size_t count) {
+  std::vector<RateLimitSenders> entries;
+  for (std::size_t self = 0; self < count; ++self) {
+    std::vector<EntryLocation> others{
+        {core::InstanceId("remote"), core::FailureDomainId("d1")}};
+    for (std::size_t other = 0; other < count; ++other) {
+      if (other != self) {
+        others.push_back({EntryId(other), kDomain});
+      }
+    }
+    entries.emplace_back(EntryLocation{EntryId(self), kDomain});
+    entries.back().SetEntries(others, true);
+  }
+  return entries;
+}
+
+TEST_CASE("senders together keep to the limit at any size", "[routing]") {
+  const std::size_t entries = GENERATE(1, 2, 7, 65, 640);
+  const double rate = GENERATE(0, 0.1, 0.4, 1.8, 2.1, 5.7, 20, 300, 1e300);
+  CAPTURE(entries, rate);
+  const RateLimitedEndpoint endpoint{core::InstanceId("i-1"), kDomain, rate};
+  std::size_t senders = 0;
+  double sum_of_rates = 0;
+  for (const auto& entry : MakeEntries(entries)) {
+    if (const auto interval = entry.IntervalFor(endpoint)) {
+      ++senders;
+      sum_of_rates += 1 / std::chrono::duration<double>(*interval).count();
+    }
+  }
+  CHECK(senders == SenderCount(rate, entries));
+  CHECK(sum_of_rates >= 0.999 * rate);
+  if (rate < 1e9) {
+    CHECK(sum_of_rates <= 1.001 * std::max(rate, 0.1));
+    CHECK(static_cast<double>(senders) + kWindowSeconds * sum_of_rates <=
+          AllowedInWindow(rate));
+  }
+}
+
+TEST_CASE("senders are entries of the endpoint's failure domain if it has any",
+          "[routing]") {
+  struct Row {
+    std::string name_;
+    std::string endpoint_domain_;
+    std::vector<std::string> other_domains_;
+    bool complete_;
+    bool sends_;
+  };
+  const auto row =
+      GENERATE(Row{"local endpoint", "d0", {"d1"}, true, true},
+               Row{"remote endpoint", "d1", {"d1"}, true, false},
+               Row{"no entries at the endpoint", "d9", {}, true, true},
+               Row{"others may be unknown", "d0", {}, false, false});
+  CAPTURE(row.name_);
+  RateLimitSenders senders({EntryId(0), kDomain});
+  std::vector<EntryLocation> others;
+  for (const auto& domain : row.other_domains_) {
+    others.push_back({EntryId(1), core::FailureDomainId(domain)});
+  }
+  senders.SetEntries(others, row.complete_);
+  CHECK(senders
+            .IntervalFor({core::InstanceId("i-1"),
+                          core::FailureDomainId(row.endpoint_domain_), 2})
+            .has_value() == row.sends_);
+}
+
+TEST_CASE("entries agree on the domain that sends if the endpoint's has none",
+          "[routing]") {
+  constexpr std::size_t kDomains = 5;
+  std::vector<EntryLocation> all;
+  for (std::size_t i = 0; i < kDomains; ++i) {
+    all.push_back({EntryId(i), core::FailureDomainId("d" + std::to_string(i))});
+  }
+  std::size_t senders = 0;
+  for (const auto& self : all) {
+    auto others = all;
+    std::erase_if(others,
+                  [&](const auto& entry) { return entry.id_ == self.id_; });
+    RateLimitSenders entry(self);
+    entry.SetEntries(others, true);
+    senders += entry.IntervalFor(
+                   {core::InstanceId("i-1"), core::FailureDomainId("other"), 2})
+                   ? 1
+                   : 0;
+  }
+  CHECK(senders == 1);
+}
+
+struct Load {
+  std::size_t entries_;
+  double limit_;
+  /// Requests per second of all entries, any of which may use the endpoint.
+  double offered_;
+  /// Whether half of the requests go to a tenth of the entries.
+  bool skewed_;
+};
+
+/// Requests that an endpoint got while entries used it whenever they could.
+struct Usage {
+  /// Share of the limit that was used.
+  double share_ = 0;
+  std::size_t most_in_window_ = 0;
+};
+
+Usage Simulate(const Load& load, std::uint64_t seed) {
+  constexpr double kSeconds = 200;
+  std::mt19937_64 random(seed);
+  const auto entries = MakeEntries(load.entries_);
+  const auto busy = std::max<std::size_t>(load.entries_ / 10, 1);
+  std::vector<double> weights(load.entries_, 1);
+  if (load.skewed_ && load.entries_ > busy) {
+    std::fill_n(
+        weights.begin(), busy,
+        static_cast<double>(load.entries_ - busy) / static_cast<double>(busy));
+  }
+  std::discrete_distribution<std::size_t> entry_of(weights.begin(),
+                                                   weights.end());
+  std::exponential_distribution<> pause(load.offered_);
+  const RateLimitedEndpoint endpoint{
+      core::InstanceId("i-" + std::to_string(seed)), kDomain, load.limit_};
+  std::vector<double> next(load.entries_, 0);
+  std::deque<double> window;
+  Usage usage;
+  std::size_t sent = 0;
+  for (double now = pause(random); now < kSeconds; now += pause(random)) {
+    const auto entry = entry_of(random);
+    const auto interval = entries[entry].IntervalFor(endpoint);
+    if (!interval || now < next[entry]) {
+      continue;
+    }
+    next[entry] = now + std::chrono::duration<double>(*interval).count();
+    ++sent;
+    window.push_back(now);
+    while (now - window.front() >= kWindowSeconds) {
+      window.pop_front();
+    }
+    usage.most_in_window_ = std::max(usage.most_in_window_, window.size());
+  }
+  usage.share_ = static_cast<double>(sent) / (kSeconds * load.limit_);
+  return usage;
+}
+
+TEST_CASE("entries with uneven load keep to the limit and use it",
+          "[routing]") {
+  const auto load = GENERATE(
+      Load{2, 2.1, 40, false}, Load{3, 1.8, 60, true}, Load{7, 2.1, 150, true},
+      Load{45, 2, 600, true}, Load{65, 0.4, 107, false},
+      Load{65, 0.4, 107, true}, Load{65, 2, 107, true},
+      Load{640, 2, 1600, true}, Load{640, 20, 1600, false});
+  for (std::uint64_t seed = 1; seed <= 3; ++seed) {
+    const auto usage = Simulate(load, seed);
+    CAPTURE(load.entries_, load.limit_, load.offered_, load.skewed_, seed,
+            usage.share_, usage.most_in_window_);
+    CHECK(usage.most_in_window_ <= AllowedInWindow(load.limit_));
+    CHECK(static_cast<double>(usage.most_in_window_) <=
+          kWindowSeconds * load.limit_ +
+              static_cast<double>(SenderCount(load.limit_, load.entries_)));
+    CHECK(usage.share_ > 0.5);
+  }
+}
+
+}  // namespace
+}  // namespace chalkwell::routing
