Share the rate limits of endpoints between entries

An entry that had no response of an endpoint since it stated a limit went on sending at the usual rate until one arrived. Each of n entries did so once, so an endpoint in need got n requests or more before its limit was known to all.

Statements are published like crash records: to the local failure domain and the delegates of the remote ones when a limit begins, changes or ends, and by gossip and replies for entries that missed it or have just started.

--- a/packages/chalkwell/src/chalkwell/routing/endpoint_rate_limits.cpp
+++ b/packages/chalkwell/src/chalkwell/routing/endpoint_rate_limits.cpp
@@ -64,26 +64,47 @@
   return lifts ? Store(statement) : RateLimitChange::kNone;
 }
 
+RateLimitChange EndpointRateLimits::Merge(const RateLimitStatement& statement) {
+  const auto known = statements_.find(statement.endpoint_.id_);
+  if (known != statements_.end() &&
+      known->second.stated_at_ >= statement.stated_at_) {
+    return RateLimitChange::kNone;
+  }
+  return Store(statement);
+}
+
+std::vector<RateLimitStatement> EndpointRateLimits::Sample(std::size_t limit) {
+  std::vector<RateLimitStatement> sample;
+  auto next = statements_.upper_bound(last_sampled_);
+  while (sample.size() < std::min(limit, statements_.size())) {
+    if (next == statements_.end()) {
+      next = statements_.begin();
+    }
+    sample.push_back(next->second);
+    last_sampled_ = next->first;
+    ++next;
+  }
+  return sample;
+}
+
 RateLimitChange EndpointRateLimits::Store(const RateLimitStatement& statement) {
   const auto [known, added] =
       statements_.try_emplace(statement.endpoint_.id_, statement);
-  auto change = RateLimitChange::kLimited;
-  if (!statement.requests_per_second_) {
-    change = RateLimitChange::kLifted;
-  } else if (!added &&
-             known->second.requests_per_second_ ==
-                 statement.requests_per_second_ &&
-             MayBeSameIncarnation(known->second.endpoint_,
-                                  statement.endpoint_)) {
-    change = RateLimitChange::kConfirmed;
-  }
+  const bool repeated =
+      !added &&
+      known->second.requests_per_second_ == statement.requests_per_second_ &&
+      MayBeSameIncarnation(known->second.endpoint_, statement.endpoint_);
   known->second = statement;
   if (statements_.size() > kMaxStatements) {
     statements_.erase(std::ranges::min_element(
         statements_, {},
         [](const auto& entry) { return entry.second.stated_at_; }));
   }
-  return change;
+  if (repeated) {
+    return RateLimitChange::kConfirmed;
+  }
+  return statement.requests_per_second_ ? RateLimitChange::kLimited
+                                        : RateLimitChange::kLifted;
 }
 
 std::optional<double> EndpointRateLimits::RateOf(
--- a/packages/chalkwell/src/chalkwell/routing/endpoint_rate_limits.hpp
+++ b/packages/chalkwell/src/chalkwell/routing/endpoint_rate_limits.hpp
@@ -7,6 +7,7 @@
 #include <map>
 #include <optional>
 #include <string_view>
+#include <vector>
 
 #include "chalkwell/core/fwd.hpp"
 #include "chalkwell/core/identifier.hpp"
@@ -26,7 +27,7 @@
 /// @brief Effect of a statement on the known limits.
 enum class RateLimitChange : std::uint8_t {
   kNone,
-  /// The known limit was stated again.
+  /// The known limit, or its end, was stated again.
   kConfirmed,
   /// A limit was stated where none was known, or another one.
   kLimited,
@@ -45,6 +46,12 @@
   /// overtake each other.
   RateLimitChange OnResponse(const RateLimitStatement& statement,
                              core::TimePoint sent_at);
+  /// @brief Applies a statement that another entry received, unless a newer one
+  /// is known.
+  RateLimitChange Merge(const RateLimitStatement& statement);
+  /// @brief Selects statements to send to another entry; successive calls
+  /// return all of them in turn.
+  [[nodiscard]] std::vector<RateLimitStatement> Sample(std::size_t limit);
 
   /// @brief Limit of an incarnation; none if it has none.
   [[nodiscard]] std::optional<double> RateOf(
@@ -59,6 +66,8 @@
 
   /// By id of the endpoint; at most kMaxStatements.
   std::map<core::InstanceId, RateLimitStatement> statements_;
+  /// Endpoint of the last statement that Sample() returned.
+  core::InstanceId last_sampled_;
 };
 
 }  // namespace chalkwell::routing
--- a/packages/chalkwell/src/chalkwell/routing/endpoint_table.hpp
+++ b/packages/chalkwell/src/chalkwell/routing/endpoint_table.hpp
@@ -344,6 +344,9 @@
   [[nodiscard]] EndpointRateLimits& rate_limits() noexcept {
     return rate_limits_;
   }
+  [[nodiscard]] const EndpointRateLimits& rate_limits() const noexcept {
+    return rate_limits_;
+  }
 
   /// @brief Whether an endpoint is unresponsive while others send reports.
   [[nodiscard]] bool IsUnresponsive(const core::InstanceId& id) const;
--- a/packages/daemon/src/daemon/direct/direct_entry.cpp
+++ b/packages/daemon/src/daemon/direct/direct_entry.cpp
@@ -169,6 +169,16 @@
                [this](std::size_t max_records) {
                  return quarantine_.Sample(max_records);
                },
+           .on_rate_limits_ =
+               [this](const membership::Member& sender,
+                      const std::vector<RateLimitMessage>& limits,
+                      core::TimePoint sent_at) {
+                 rate_limits_.OnLimits(sender, limits, sent_at);
+               },
+           .rate_limits_ =
+               [this](std::size_t max_limits) {
+                 return rate_limits_.Sample(max_limits);
+               },
            .rules_version_ = [this] { return rules_manager_.version(); },
            .watches_rules_ = [this] { return rules_manager_.is_watcher(); },
            .weights_ =
@@ -186,8 +196,8 @@
            .evacuations_ = [this] { return evacuations_.States(); }}),
       quarantine_(process.loop(), endpoints_, mesh_, process.log(),
                   process.metrics()),
-      rate_limits_(process.loop(), endpoints_.rate_limits(), process.log(),
-                   process.metrics()),
+      rate_limits_(process.loop(), endpoints_.rate_limits(), mesh_,
+                   process.log(), process.metrics()),
       endpoint_list_(process.loop(), endpoints_, mesh_, process.log(),
                      EndpointListSettingsOf(process.settings()),
                      {.read_ = [this] { reader_.ReadNow(Section::kEndpoints); },
@@ -699,6 +709,8 @@
                     {"leaving", row.leaving_},
                     {"version", row.weights_version_.value_or(0)},
                     {"weights", ""},
+                    {"rate_limit", RateText(endpoints_.rate_limits().RateOf(
+                                       row.incarnation(), now))},
                     {"load", endpoints_.LoadOf(row.id_, now)}});
   }
   const nlohmann::json status{{"id", process_.id().value()},
--- a/packages/daemon/src/daemon/direct/mesh_messages.cpp
+++ b/packages/daemon/src/daemon/direct/mesh_messages.cpp
@@ -2,6 +2,7 @@
 #include "daemon/direct/mesh_messages.hpp"
 
 #include <algorithm>
+#include <cmath>
 
 namespace chalkwell::daemon::direct {
 namespace {
@@ -9,6 +10,7 @@
 /// Larger ages are clamped to this: data of this age is never used.
 constexpr auto kMaxAge = std::chrono::hours(1);
 constexpr std::int64_t kUnknownRemaining = -1;
+constexpr double kNoRateLimit = -1;
 
 std::int64_t ToRemainingMs(const std::optional<core::Duration>& left) {
   return left ? static_cast<std::int64_t>(ToAgeMs(*left)) : kUnknownRemaining;
@@ -173,6 +175,27 @@
   return record;
 }
 
+RateLimitMessage ToMessage(const routing::RateLimitStatement& statement,
+                           core::TimePoint now) {
+  return {.endpoint_ = ToMessage(statement.endpoint_),
+          .requests_per_second_ =
+              statement.requests_per_second_.value_or(kNoRateLimit),
+          .age_ms_ = ToAgeMs(now - statement.stated_at_)};
+}
+
+std::optional<routing::RateLimitStatement> ToStatement(
+    const RateLimitMessage& message, core::TimePoint sent_at) {
+  const auto rate = message.requests_per_second_;
+  const bool limited = rate != kNoRateLimit;
+  if (limited && !(std::isfinite(rate) && rate >= 0)) {
+    return std::nullopt;
+  }
+  return routing::RateLimitStatement{
+      .endpoint_ = ToIncarnation(message.endpoint_),
+      .requests_per_second_ = limited ? std::optional(rate) : std::nullopt,
+      .stated_at_ = sent_at - ToAge(message.age_ms_)};
+}
+
 routing::LoadReport ToReport(const LoadMessage& message,
                              core::Duration outbound) {
   routing::LoadReport report;
--- a/packages/daemon/src/daemon/direct/mesh_messages.hpp
+++ b/packages/daemon/src/daemon/direct/mesh_messages.hpp
@@ -180,6 +180,16 @@
   MSGPACK_DEFINE(request_, crashes_, trial_ms_)
 };
 
+/// @brief Wire form of a rate limit that an endpoint stated.
+struct RateLimitMessage {
+  IncarnationMessage endpoint_;
+  /// Requests per second from all entries together; -1 for no limit.
+  double requests_per_second_ = -1;
+  /// Time since the statement, at the time of sending.
+  std::uint64_t age_ms_ = 0;
+  MSGPACK_DEFINE(endpoint_, requests_per_second_, age_ms_)
+};
+
 /// @brief Wire form of the state of an evacuation.
 struct EvacuationMessage {
   std::string domain_;
@@ -212,9 +222,10 @@
   std::vector<CrashRecordMessage> crashes_;
   /// States of all evacuations known to the sender.
   std::vector<EvacuationMessage> evacuations_;
+  std::vector<RateLimitMessage> rate_limits_;
   MSGPACK_DEFINE(sender_, rows_, held_chunks_, weights_, requests_reply_,
                  subscribes_, departed_, sent_ms_, list_, rules_version_,
-                 watches_rules_, crashes_, evacuations_)
+                 watches_rules_, crashes_, evacuations_, rate_limits_)
 };
 
 /// A slowdown is encoded in thousandths.
@@ -247,6 +258,12 @@
 /// @return nothing when the message holds no valid request digest.
 [[nodiscard]] std::optional<routing::CrashRecord> ToRecord(
     const CrashRecordMessage& message, core::TimePoint sent_at);
+[[nodiscard]] RateLimitMessage ToMessage(
+    const routing::RateLimitStatement& statement, core::TimePoint now);
+/// @param sent_at when the message was sent, by the local clock.
+/// @return nothing when the message holds no valid limit.
+[[nodiscard]] std::optional<routing::RateLimitStatement> ToStatement(
+    const RateLimitMessage& message, core::TimePoint sent_at);
 /// @brief Decodes a load report.
 /// @param outbound queueing delay of the agent's link for outbound traffic, as
 /// observed for this report. The path delay of an endpoint is the sum of both
--- a/packages/daemon/src/daemon/direct/mesh_node.cpp
+++ b/packages/daemon/src/daemon/direct/mesh_node.cpp
@@ -20,10 +20,10 @@
 /// Member rows of a reply: more than gossip carries, since a new member knows
 /// no others.
 constexpr std::size_t kReplyRows = 24;
-/// Crash records that a gossip message and a reply carry. An entry that missed
-/// their publication receives them within a few rounds.
-constexpr std::size_t kGossipCrashRecords = 8;
-constexpr std::size_t kReplyCrashRecords = 24;
+/// Crash records, and rate limits, that a gossip message and a reply carry. An
+/// entry that missed their publication receives them within a few rounds.
+constexpr std::size_t kGossipRecords = 8;
+constexpr std::size_t kReplyRecords = 24;
 /// Rounds at the start that query a seed, whether or not the seeds reply.
 constexpr unsigned kStartupRounds = 6;
 constexpr auto kStartupInterval = std::chrono::milliseconds(150);
@@ -100,7 +100,7 @@
       SendTo(TrafficKind::kGossip, {unresponsive}, message);
     }
     for (const auto& target : table_.GossipTargets(kGossipTargets)) {
-      auto message = MakeGossipMessage(kGossipCrashRecords);
+      auto message = MakeGossipMessage(kGossipRecords);
       for (const auto& row : table_.Sample(kGossipRows, target.domain_)) {
         message.rows_.push_back(ToMessage(row));
       }
@@ -156,10 +156,13 @@
   return message;
 }
 
-MeshMessage MeshNode::MakeGossipMessage(std::size_t crash_records) const {
+MeshMessage MeshNode::MakeGossipMessage(std::size_t records) const {
   auto message = MakeMessage();
   if (hooks_.crashes_) {
-    message.crashes_ = hooks_.crashes_(crash_records);
+    message.crashes_ = hooks_.crashes_(records);
+  }
+  if (hooks_.rate_limits_) {
+    message.rate_limits_ = hooks_.rate_limits_(records);
   }
   return message;
 }
@@ -230,7 +233,7 @@
 void MeshNode::Reply(const membership::Member& requester) {
   table_.RaiseHeartbeat();
   const bool to_entry = requester.kind_ == membership::MemberKind::kEntry;
-  auto reply = to_entry ? MakeGossipMessage(kReplyCrashRecords) : MakeMessage();
+  auto reply = to_entry ? MakeGossipMessage(kReplyRecords) : MakeMessage();
   if (IsEntry()) {
     for (const auto& row : table_.Sample(kReplyRows, requester.domain_)) {
       reply.rows_.push_back(ToMessage(row));
@@ -303,6 +306,9 @@
   if (hooks_.on_crashes_ && !message.crashes_.empty()) {
     hooks_.on_crashes_(sender, message.crashes_, loop_.Now() - delay);
   }
+  if (hooks_.on_rate_limits_ && !message.rate_limits_.empty()) {
+    hooks_.on_rate_limits_(sender, message.rate_limits_, loop_.Now() - delay);
+  }
   if (hooks_.on_evacuations_ && !message.evacuations_.empty()) {
     std::vector<config::Evacuation> evacuations;
     for (const auto& evacuation : message.evacuations_) {
@@ -361,9 +367,7 @@
 void MeshNode::PublishDeparted(const DepartedMessage& departed) {
   auto message = MakeMessage();
   message.departed_ = departed;
-  SendTo(TrafficKind::kDeparted,
-         Plan().AnnounceTargets(membership::DelegateFanout::kTwoDelegates),
-         message);
+  Publish(TrafficKind::kDeparted, message);
 }
 
 void MeshNode::PublishList(const EndpointListMessage& list) {
@@ -375,12 +379,16 @@
          message);
 }
 
+void MeshNode::Publish(TrafficKind kind, const MeshMessage& message) {
+  SendTo(kind,
+         Plan().AnnounceTargets(membership::DelegateFanout::kTwoDelegates),
+         message);
+}
+
 void MeshNode::PublishCrashes(const std::vector<CrashRecordMessage>& records) {
   auto message = MakeMessage();
   message.crashes_ = records;
-  SendTo(TrafficKind::kCrashes,
-         Plan().AnnounceTargets(membership::DelegateFanout::kTwoDelegates),
-         message);
+  Publish(TrafficKind::kCrashes, message);
 }
 
 void MeshNode::ForwardCrashes(const core::FailureDomainId& from,
@@ -390,6 +398,19 @@
   SendTo(TrafficKind::kCrashes, Plan().ForwardTargets(from), message);
 }
 
+void MeshNode::PublishRateLimits(const std::vector<RateLimitMessage>& limits) {
+  auto message = MakeMessage();
+  message.rate_limits_ = limits;
+  Publish(TrafficKind::kRateLimits, message);
+}
+
+void MeshNode::ForwardRateLimits(const core::FailureDomainId& from,
+                                 const std::vector<RateLimitMessage>& limits) {
+  auto message = MakeMessage();
+  message.rate_limits_ = limits;
+  SendTo(TrafficKind::kRateLimits, Plan().ForwardTargets(from), message);
+}
+
 void MeshNode::PublishReadFailure() {
   auto message = MakeMessage();
   message.list_.read_failed_ = true;
--- a/packages/daemon/src/daemon/direct/mesh_node.hpp
+++ b/packages/daemon/src/daemon/direct/mesh_node.hpp
@@ -75,6 +75,15 @@
   /// Supplies crash records for another entry, up to a limit.
   std::function<std::vector<CrashRecordMessage>(std::size_t max_records)>
       crashes_;
+  /// A member published rate limits that endpoints stated.
+  /// @param sent_at when they were sent, by the local clock.
+  std::function<void(const membership::Member& sender,
+                     const std::vector<RateLimitMessage>& limits,
+                     core::TimePoint sent_at)>
+      on_rate_limits_;
+  /// Supplies rate limits for another entry, up to a number of them.
+  std::function<std::vector<RateLimitMessage>(std::size_t max_limits)>
+      rate_limits_;
   /// Version of the local active rules; 0 for none.
   std::function<std::uint64_t()> rules_version_;
   /// Whether this process watches the rules in the store.
@@ -139,6 +148,11 @@
   /// delegate of the local one.
   void ForwardCrashes(const core::FailureDomainId& from,
                       const std::vector<CrashRecordMessage>& records);
+  /// @brief Publishes rate limits like PublishCrashes().
+  void PublishRateLimits(const std::vector<RateLimitMessage>& limits);
+  /// @brief Forwards rate limits like ForwardCrashes().
+  void ForwardRateLimits(const core::FailureDomainId& from,
+                         const std::vector<RateLimitMessage>& limits);
   /// @brief Announces the known versions of rules and weights, and the
   /// evacuations, to some members.
   void AnnounceVersions(const std::vector<membership::Member>& members);
@@ -190,8 +204,11 @@
   /// @brief A message with the sender, its send time and the versions that it
   /// announces.
   [[nodiscard]] MeshMessage MakeMessage() const;
-  /// @brief A message with up to a number of crash records.
-  [[nodiscard]] MeshMessage MakeGossipMessage(std::size_t crash_records) const;
+  /// @brief A message with up to a number of crash records and rate limits.
+  [[nodiscard]] MeshMessage MakeGossipMessage(std::size_t records) const;
+  /// @brief Sends a message to the local failure domain and to the delegates of
+  /// the remote ones.
+  void Publish(TrafficKind kind, const MeshMessage& message);
   [[nodiscard]] membership::PropagationPlan Plan() const;
   [[nodiscard]] bool IsEntry() const noexcept {
     return self().kind_ == membership::MemberKind::kEntry;
--- a/packages/daemon/src/daemon/direct/rate_limit_manager.cpp
+++ b/packages/daemon/src/daemon/direct/rate_limit_manager.cpp
@@ -15,6 +15,11 @@
 /// Endpoints whose invalid limits are remembered, so that each is logged once.
 constexpr std::size_t kMaxInvalid = 512;
 
+bool IsChange(RateLimitChange change) {
+  return change == RateLimitChange::kLimited ||
+         change == RateLimitChange::kLifted;
+}
+
 }  // namespace
 
 std::string RateText(const std::optional<double>& requests_per_second) {
@@ -29,9 +34,11 @@
 
 RateLimitManager::RateLimitManager(Loop& loop,
                                    routing::EndpointRateLimits& limits,
-                                   EventLog& log, Metrics& metrics)
+                                   MeshNode& mesh, EventLog& log,
+                                   Metrics& metrics)
     : loop_(loop),
       limits_(limits),
+      mesh_(mesh),
       log_(log),
       metrics_(metrics),
       expiry_timer_(loop) {
@@ -54,10 +61,39 @@
   const routing::RateLimitStatement statement{
       endpoint.incarnation(), response.rate_limit_, loop_.Now()};
   const auto change = limits_.OnResponse(statement, sent_at);
-  if (change == RateLimitChange::kLimited ||
-      change == RateLimitChange::kLifted) {
-    LogChange(statement, change);
+  if (IsChange(change)) {
+    LogChange(statement, change, "response");
+    mesh_.PublishRateLimits({ToMessage(statement, loop_.Now())});
+  }
+}
+
+void RateLimitManager::OnLimits(const membership::Member& sender,
+                                const std::vector<RateLimitMessage>& limits,
+                                core::TimePoint sent_at) {
+  std::vector<RateLimitMessage> forwarded;
+  for (const auto& message : limits) {
+    const auto statement = ToStatement(message, sent_at);
+    if (!statement) {
+      metrics_.Count("rate_limits_invalid_total", {});
+      continue;
+    }
+    const auto change = limits_.Merge(*statement);
+    if (IsChange(change)) {
+      LogChange(*statement, change, sender.id_.value());
+      forwarded.push_back(ToMessage(*statement, loop_.Now()));
+    }
+  }
+  if (!forwarded.empty()) {
+    mesh_.ForwardRateLimits(sender.domain_, forwarded);
+  }
+}
+
+std::vector<RateLimitMessage> RateLimitManager::Sample(std::size_t max_limits) {
+  std::vector<RateLimitMessage> messages;
+  for (const auto& statement : limits_.Sample(max_limits)) {
+    messages.push_back(ToMessage(statement, loop_.Now()));
   }
+  return messages;
 }
 
 void RateLimitManager::LogInvalid(const routing::EndpointRow& endpoint,
@@ -75,11 +111,14 @@
 }
 
 void RateLimitManager::LogChange(const routing::RateLimitStatement& statement,
-                                 RateLimitChange change) {
+                                 RateLimitChange change,
+                                 const std::string& source) {
   log_.Write(
       core::EventNumber::kRateLimitChanged,
       {{"endpoint", statement.endpoint_.id_.value()},
        {"change", std::string(ToString(change))},
+       {"source", source},
+       {"age_ms", std::to_string(ToAgeMs(loop_.Now() - statement.stated_at_))},
        {"requests_per_second", RateText(statement.requests_per_second_)}});
 }
 
--- a/packages/daemon/src/daemon/direct/traffic_counter.cpp
+++ b/packages/daemon/src/daemon/direct/traffic_counter.cpp
@@ -35,6 +35,8 @@
       return "held";
     case TrafficKind::kCrashes:
       return "crashes";
+    case TrafficKind::kRateLimits:
+      return "rate-limits";
   }
   return "";
 }
--- a/packages/daemon/src/daemon/direct/traffic_counter.hpp
+++ b/packages/daemon/src/daemon/direct/traffic_counter.hpp
@@ -24,6 +24,7 @@
   kDeparted,
   kHeldChunks,
   kCrashes,
+  kRateLimits,
 };
 
 [[nodiscard]] std::string_view ToString(TrafficKind kind);
@@ -47,7 +48,7 @@
     std::uint64_t datagrams_ = 0;
     std::uint64_t bytes_ = 0;
   };
-  static constexpr std::size_t kKinds = 9;
+  static constexpr std::size_t kKinds = 10;
   /// IP and UDP headers. Load reports are hardly larger than these, so leaving
   /// them out would understate the traffic.
   static constexpr std::size_t kHeaderBytes = 28;
--- a/tests/daemon/mesh_messages_test.cpp
+++ b/tests/daemon/mesh_messages_test.cpp
@@ -3,6 +3,7 @@
 #include "daemon/direct/mesh_messages.hpp"
 
 #include <catch2/catch.hpp>
+#include <limits>
 
 #include "daemon/messages.hpp"
 
@@ -66,6 +67,36 @@
         std::max(change.as_of_, sent_at + 1500us - 1h));
 }
 
+TEST_CASE("a rate limit keeps its age, and an invalid one is dropped",
+          "[daemon]") {
+  struct Row {
+    double sent_;
+    bool valid_;
+    std::optional<double> rate_;
+  };
+  const auto row = GENERATE(
+      Row{2.1, true, 2.1}, Row{0, true, 0}, Row{-1, true, std::nullopt},
+      Row{-2, false, std::nullopt},
+      Row{std::numeric_limits<double>::quiet_NaN(), false, std::nullopt},
+      Row{std::numeric_limits<double>::infinity(), false, std::nullopt});
+  CAPTURE(row.sent_);
+  const core::TimePoint sent_at(5h);
+  const RateLimitMessage message{.endpoint_ = {"i-1", 7},
+                                 .requests_per_second_ = row.sent_,
+                                 .age_ms_ = 30};
+  const auto statement =
+      ToStatement(Unpack<RateLimitMessage>(Pack(message), "peer"), sent_at);
+  REQUIRE(statement.has_value() == row.valid_);
+  if (!statement) {
+    return;
+  }
+  CHECK(statement->requests_per_second_ == row.rate_);
+  CHECK(statement->stated_at_ == sent_at - 30ms);
+  const auto forwarded = ToMessage(*statement, sent_at + 5ms);
+  CHECK(forwarded.age_ms_ == 35);
+  CHECK(forwarded.requests_per_second_ == row.sent_);
+}
+
 TEST_CASE("incomplete weights are reported as no version", "[daemon]") {
   CHECK_FALSE(ToReport(LoadMessage{}, 0ms).weights_version_.has_value());
 }
--- a/tests/platform/rate_limit_test.cpp
+++ b/tests/platform/rate_limit_test.cpp
@@ -3,6 +3,7 @@
 #include <catch2/catch.hpp>
 #include <chrono>
 #include <mutex>
+#include <sstream>
 #include <thread>
 #include <vector>
 
@@ -117,5 +118,77 @@
   CHECK(callers.failed() == 0);
 }
 
+/// Whether an entry logged a change of a rate limit.
+/// @param source "response", or the entry that it learned it from.
+bool LoggedChange(const Deployment& deployment, const std::string& entry,
+                  const std::string& change, const std::string& source) {
+  std::stringstream log(deployment.Log(entry));
+  for (std::string line; std::getline(log, line);) {
+    const auto has = [&line](const std::string& text) {
+      return line.find(text) != std::string::npos;
+    };
+    if (has("endpoint-rate-limit") && has("change=\"" + change + "\"") &&
+        has("source=\"" + source + "\"")) {
+      return true;
+    }
+  }
+  return false;
+}
+
+TEST_CASE("an entry does not learn of a rate limit that others know",
+          "[platform][limit]") {
+  Deployment deployment;
+  const auto first = deployment.StartEntry("e1", deployment.store_.address());
+  const auto second = deployment.StartEntry("e2", deployment.store_.address(),
+                                            NodeOptions{&first, 2});
+  REQUIRE(Eventually([&] { return first.Ready() && second.Ready(); }));
+  deployment.first_.SetRateLimit("2");
+  const Callers callers({&first});
+  CHECK(Eventually(
+      [&] { return LoggedChange(deployment, "e2", "limited", "e1"); }));
+  const auto third = deployment.StartEntry("e3", deployment.store_.address(),
+                                           NodeOptions{&first, 3});
+  CHECK(Eventually([&] {
+    return LoggedChange(deployment, "e3", "limited", "e1") ||
+           LoggedChange(deployment, "e3", "limited", "e2");
+  }));
+}
+
+TEST_CASE("an endpoint stays limited at some entries after its limit ended",
+          "[platform][limit]") {
+  Deployment deployment;
+  const auto first = deployment.StartEntry("e1", deployment.store_.address());
+  const auto second = deployment.StartEntry("e2", deployment.store_.address(),
+                                            NodeOptions{&first, 2});
+  REQUIRE(Eventually([&] { return first.Ready() && second.Ready(); }));
+  deployment.first_.SetRateLimit("2");
+  const Callers callers({&first});
+  REQUIRE(Eventually(
+      [&] { return LoggedChange(deployment, "e2", "limited", "e1"); }));
+  deployment.first_.SetRateLimit("");
+  CHECK(Eventually(
+      [&] { return LoggedChange(deployment, "e2", "lifted", "e1"); }));
+  // More than 2 a second would allow within the time limit of Eventually().
+  const auto runs = deployment.first_.runs();
+  CHECK(Eventually([&] { return deployment.first_.runs() > runs + 60; }));
+}
+
+TEST_CASE("a request waits at an entry whose endpoints all reached their limit",
+          "[platform][limit]") {
+  Deployment deployment;
+  const auto entry = deployment.StartEntry("e1", deployment.store_.address());
+  REQUIRE(Eventually([&] { return entry.Ready(); }));
+  deployment.first_.SetRateLimit("0.2");
+  deployment.second_.SetRateLimit("0.2");
+  std::string response;
+  REQUIRE(Eventually([&] {
+    response = SendRequest(entry, RequestText("/safe/x"));
+    return Status(response) != "200";
+  }));
+  CHECK(Status(response) == "503");
+  CHECK(response.find("at their rate limit") != std::string::npos);
+  CHECK(response.find("retry-after") != std::string::npos);
+}
+
 }  // namespace
 }  // namespace chalkwell::platform_tests
--- a/tests/routing/endpoint_rate_limits_test.cpp
+++ b/tests/routing/endpoint_rate_limits_test.cpp
@@ -62,6 +62,54 @@
   CHECK(limits.LimitedCount(kNow + 5s) == (row.rate_ ? 1 : 0));
 }
 
+TEST_CASE("the newest statement of any entry applies", "[routing]") {
+  struct Row {
+    std::string name_;
+    std::optional<double> rate_;
+    core::Duration stated_;
+    RateLimitChange change_;
+    std::optional<double> result_;
+  };
+  const auto row = GENERATE(
+      Row{"older", 3, -1s, RateLimitChange::kNone, 2},
+      Row{"the same", 2, 0s, RateLimitChange::kNone, 2},
+      Row{"confirmed", 2, 1s, RateLimitChange::kConfirmed, 2},
+      Row{"changed", 3, 1s, RateLimitChange::kLimited, 3},
+      Row{"lifted", std::nullopt, 1s, RateLimitChange::kLifted, std::nullopt},
+      Row{"lifted before", std::nullopt, -1s, RateLimitChange::kNone, 2});
+  CAPTURE(row.name_);
+  EndpointRateLimits limits;
+  limits.OnResponse({kEndpoint, 2, kNow}, kNow);
+  CHECK(limits.Merge({kEndpoint, row.rate_, kNow + row.stated_}) ==
+        row.change_);
+  CHECK(limits.RateOf(kEndpoint, kNow + 1s) == row.result_);
+}
+
+TEST_CASE("a lifted limit is not restored by an older statement", "[routing]") {
+  EndpointRateLimits limits;
+  limits.OnResponse({kEndpoint, 2, kNow}, kNow);
+  limits.OnResponse({kEndpoint, std::nullopt, kNow + 2s}, kNow + 1s);
+  limits.Expire(kNow + 20s);
+  CHECK(limits.Merge({kEndpoint, 2, kNow + 1s}) == RateLimitChange::kNone);
+  CHECK_FALSE(limits.RateOf(kEndpoint, kNow + 2s));
+}
+
+TEST_CASE("samples return all statements in turn", "[routing]") {
+  EndpointRateLimits limits;
+  CHECK(limits.Sample(8).empty());
+  for (const auto* id : {"i-1", "i-2", "i-3"}) {
+    limits.OnResponse({{core::InstanceId(id), std::nullopt}, 2, kNow}, kNow);
+  }
+  std::string order;
+  for (int i = 0; i < 3; ++i) {
+    for (const auto& statement : limits.Sample(2)) {
+      order += statement.endpoint_.id_.value() + " ";
+    }
+  }
+  CHECK(order == "i-1 i-2 i-3 i-1 i-2 i-3 ");
+  CHECK(limits.Sample(8).size() == 3);
+}
+
 TEST_CASE("a limit applies to the incarnation that stated it", "[routing]") {
   struct Row {
     std::optional<core::StartTime> stated_;
--- a/tests/routing/placement_property_test.cpp
+++ b/tests/routing/placement_property_test.cpp
@@ -286,7 +286,14 @@
     if (limit) {
       endpoint->informed_.try_emplace(&entry, now_);
     }
-    entry.rate_limits().OnResponse({incarnation, limit, now_}, sent_at);
+    const RateLimitStatement statement{incarnation, limit, now_};
+    const auto change = entry.rate_limits().OnResponse(statement, sent_at);
+    if (change == RateLimitChange::kLimited ||
+        change == RateLimitChange::kLifted) {
+      Publish([statement](EndpointTable& table) {
+        table.rate_limits().Merge(statement);
+      });
+    }
   }
 
   void RecordLimitedArrival(Endpoint& endpoint, const EndpointTable& entry) {
