--- a/packages/emulator/src/emulator/fleet.cpp
+++ b/packages/emulator/src/emulator/fleet.cpp
@@ -86,6 +86,8 @@
     events_.push({at, ++sequence_, std::move(action)});
   }
   void StartEntries();
+  [[nodiscard]] std::vector<routing::EntryLocation> OtherEntries(
+      std::size_t self) const;
   void OnArrival(std::size_t request_class);
   /// @brief Current requests per second of a class.
   [[nodiscard]] double RateOf(std::size_t request_class) const;
@@ -100,6 +102,8 @@
   void ReportLoad(std::size_t engine);
   void StartOutage(const Outage& outage);
   void OnFirstEvent(std::uint64_t id, core::TimePoint now);
+  /// @brief Applies the rate limit that a response states, if any.
+  void ReadRateLimit(const Call& call, core::TimePoint now);
   void OnEnd(std::uint64_t id, core::TimePoint now);
   void RecordOutcome(std::uint64_t id, std::uint32_t SecondStats::*outcome);
   static core::InstanceId IdOf(std::size_t engine) {
@@ -155,9 +159,23 @@
     }
     entries_.emplace_back(std::move(settings), random_());
     entries_.back().endpoints_->ApplyList(rows, 1, true, now_);
+    entries_.back().endpoints_->rate_limit_senders().SetEntries(
+        OtherEntries(entry), true);
   }
 }
 
+std::vector<routing::EntryLocation> Simulation::OtherEntries(
+    std::size_t self) const {
+  std::vector<routing::EntryLocation> others;
+  for (std::size_t entry = 0; entry < spec_.entries_; ++entry) {
+    if (entry != self) {
+      others.push_back({core::InstanceId("entry-" + std::to_string(entry)),
+                        DomainOf(entry)});
+    }
+  }
+  return others;
+}
+
 double Simulation::RateOf(std::size_t request_class) const {
   double factor = 1;
   for (const auto& step : spec_.load_steps_) {
@@ -295,6 +313,29 @@
   entries_[call.entry_].endpoints_->OnFirstByte(
       IdOf(call.engine_), call.prompt_tokens_, call.sent_at_,
       call.predicted_time_to_first_byte_, now);
+  ReadRateLimit(call, now);
+}
+
+void Simulation::ReadRateLimit(const Call& call, core::TimePoint now) {
+  const auto limit = std::ranges::find_if(
+      spec_.rate_limits_, [&](const StatedRateLimit& stated) {
+        return stated.engine_ == call.engine_ && now - kStart >= stated.at_;
+      });
+  if (limit == spec_.rate_limits_.end()) {
+    return;
+  }
+  const routing::RateLimitStatement statement{
+      {IdOf(call.engine_), std::nullopt}, limit->requests_per_second_, now};
+  const auto change =
+      entries_[call.entry_].endpoints_->rate_limits().OnResponse(statement,
+                                                                 call.sent_at_);
+  if (change == routing::RateLimitChange::kLimited) {
+    Schedule(now_ + spec_.report_delay_, [this, statement] {
+      for (auto& entry : entries_) {
+        entry.endpoints_->rate_limits().Merge(statement);
+      }
+    });
+  }
 }
 
 void Simulation::OnEnd(std::uint64_t id, core::TimePoint now) {
--- a/packages/emulator/src/emulator/fleet.hpp
+++ b/packages/emulator/src/emulator/fleet.hpp
@@ -51,6 +51,13 @@
   double factor_ = 1;
 };
 
+/// @brief An engine that states a rate limit in its responses from a time on.
+struct StatedRateLimit {
+  std::size_t engine_ = 0;
+  core::Duration at_{};
+  double requests_per_second_ = 0;
+};
+
 /// @brief A simulated deployment and its load.
 struct FleetSpec {
   config::EngineProfile engine_;
@@ -63,6 +70,7 @@
   std::size_t engine_queue_limit_ = 32;
   std::vector<RequestClass> classes_;
   std::vector<Outage> outages_;
+  std::vector<StatedRateLimit> rate_limits_;
   /// Ordered by time; the factor is 1 before the first.
   std::vector<LoadStep> load_steps_;
   /// Amplitude of the sinusoidal variation of the request rate, as a share of
