Reject numbers in headers that are not finite

A deadline of 1e300, inf or nan was converted to an integer out of range, which is undefined; token counts of nan and inf went into predictions. With the earlier codec the three new rows of the test fail.

--- a/tests/platform/codec_test.cpp
+++ b/tests/platform/codec_test.cpp
@@ -36,6 +36,13 @@
           0,
           0},
       Row{{{"deadline-ms", "-5"}, {"token-counts", "12"}}, "", 0ms, 0, 0},
+      Row{{{"deadline-ms", "1e300"}, {"token-counts", "nan,inf"}},
+          "",
+          24h,
+          0,
+          0},
+      Row{{{"deadline-ms", "inf"}}, "", std::nullopt, 0, 0},
+      Row{{{"deadline-ms", "nan"}}, "", std::nullopt, 0, 0},
       Row{{{"token-counts", "x,y"}}, "", std::nullopt, 0, 0},
       Row{{}, "", std::nullopt, 0, 0});
   const auto caller =
