Announce only clear changes of an endpoint's rate limit

An endpoint that states a slightly different limit in every response had each of them logged at all entries and sent to the whole failure domain, which at the size of the whole fleet is hundreds of announcements a second. Limits within a tenth of each other count as confirmed: they apply at once where they are read, and reach the other entries by gossip.

--- a/packages/chalkwell/src/chalkwell/routing/endpoint_rate_limits.cpp
+++ b/packages/chalkwell/src/chalkwell/routing/endpoint_rate_limits.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <chrono>
+#include <cmath>
 
 #include "chalkwell/core/milliseconds.hpp"
 
@@ -17,6 +18,18 @@
 constexpr double kMinExpiryRequests = 4;
 constexpr auto kMaxExpiry = std::chrono::seconds(40);
 
+/// Relative difference up to which two limits are close to each other. Entries
+/// announce larger ones only: an endpoint may state another limit in every
+/// response.
+constexpr double kCloseLimits = 0.1;
+
+bool AreClose(const std::optional<double>& left,
+              const std::optional<double>& right) {
+  return left && right ? std::abs(*left - *right) <=
+                             kCloseLimits * std::max(*left, *right)
+                       : left.has_value() == right.has_value();
+}
+
 core::Duration ExpiryOf(const RateLimitStatement& statement) {
   // A lifted limit is remembered for as long as an older statement of it may
   // still arrive from another entry.
@@ -92,7 +105,8 @@
       statements_.try_emplace(statement.endpoint_.id_, statement);
   const bool repeated =
       !added &&
-      known->second.requests_per_second_ == statement.requests_per_second_ &&
+      AreClose(known->second.requests_per_second_,
+               statement.requests_per_second_) &&
       MayBeSameIncarnation(known->second.endpoint_, statement.endpoint_);
   known->second = statement;
   if (statements_.size() > kMaxStatements) {
--- a/packages/chalkwell/src/chalkwell/routing/endpoint_rate_limits.hpp
+++ b/packages/chalkwell/src/chalkwell/routing/endpoint_rate_limits.hpp
@@ -27,9 +27,9 @@
 /// @brief Effect of a statement on the known limits.
 enum class RateLimitChange : std::uint8_t {
   kNone,
-  /// The known limit, or its end, was stated again.
+  /// The known limit or one close to it was stated again, or its end.
   kConfirmed,
-  /// A limit was stated where none was known, or another one.
+  /// A limit was stated where none was known, or a clearly different one.
   kLimited,
   /// A known limit no longer applies.
   kLifted,
