Play the stated rates of the senders' test

GENERATE took the type of its first value, an integer: 0.1, 0.4, 1.8, 2.1 and 5.7 were played as 0, 0, 1, 2 and 5, and 1e300 as an arbitrary integer.

--- a/tests/routing/rate_limit_senders_test.cpp
+++ b/tests/routing/rate_limit_senders_test.cpp
@@ -6,6 +6,7 @@
 #include <deque>
 #include <random>
 #include <string>
+#include <vector>
 
 namespace chalkwell::routing {
 namespace {
@@ -45,7 +46,8 @@
 
 TEST_CASE("senders together keep to the limit at any size", "[routing]") {
   const std::size_t entries = GENERATE(1, 2, 7, 65, 640);
-  const double rate = GENERATE(0, 0.1, 0.4, 1.8, 2.1, 5.7, 20, 300, 1e300);
+  const double rate =
+      GENERATE(as<double>{}, 0, 0.1, 0.4, 1.8, 2.1, 5.7, 20, 300, 1e300);
   CAPTURE(entries, rate);
   const RateLimitedEndpoint endpoint{core::InstanceId("i-1"), kDomain, rate};
   std::size_t senders = 0;
@@ -133,8 +135,20 @@
   std::size_t most_in_window_ = 0;
 };
 
+/// Duration of a simulation, in seconds.
+constexpr double kSeconds = 200;
+
+/// Times of requests at random intervals, in seconds.
+std::vector<double> DrawTimes(double per_second, std::mt19937_64& random) {
+  std::exponential_distribution<> pause(per_second);
+  std::vector<double> times{pause(random)};
+  while (times.back() < kSeconds) {
+    times.push_back(times.back() + pause(random));
+  }
+  return times;
+}
+
 Usage Simulate(const Load& load, std::uint64_t seed) {
-  constexpr double kSeconds = 200;
   std::mt19937_64 random(seed);
   const auto entries = MakeEntries(load.entries_);
   const auto busy = std::max<std::size_t>(load.entries_ / 10, 1);
@@ -146,14 +160,13 @@
   }
   std::discrete_distribution<std::size_t> entry_of(weights.begin(),
                                                    weights.end());
-  std::exponential_distribution<> pause(load.offered_);
   const RateLimitedEndpoint endpoint{
       core::InstanceId("i-" + std::to_string(seed)), kDomain, load.limit_};
   std::vector<std::deque<double>> sent_at(load.entries_);
   std::deque<double> window;
   Usage usage;
   std::size_t sent = 0;
-  for (double now = pause(random); now < kSeconds; now += pause(random)) {
+  for (const auto now : DrawTimes(load.offered_, random)) {
     const auto entry = entry_of(random);
     const auto share = entries[entry].ShareOf(endpoint);
     if (!share) {
