Log how responses were framed and how their connection ended

Callers got streams that had broken off as complete ones. The lines of such requests showed 'answered' and status 200, and nothing from which the cause could be told: whether the endpoint's response had a length, chunks or neither, how its connection ended, and whether the stream ended inside an event.

609 and 610 now carry framing and partial_event, 610 also connection, and unframed_responses_total counts responses without a length by how they ended. The HTTP client states the framing of a response from its head on; a table test holds that.

--- a/packages/daemon/src/daemon/direct/direct_request.cpp
+++ b/packages/daemon/src/daemon/direct/direct_request.cpp
@@ -50,6 +50,11 @@
   return end ? std::string(ToString(*end)) : "closed by this process";
 }
 
+/// How a response was framed, as logged.
+std::string FramingText(const std::optional<HttpFraming>& framing) {
+  return framing ? std::string(ToString(*framing)) : "none";
+}
+
 }  // namespace
 
 DirectRequest::DirectRequest(RequestContext& context, HttpExchangePtr exchange,
@@ -299,6 +304,7 @@
   }
   const auto now = context_.loop_.Now();
   attempt_.status_ = status;
+  attempt_.framing_ = attempt_.call_->framing();
   attempt_.headers_ = headers;
   attempt_.response_head_ =
       context_.adapter_.requests_.read_response_(status, headers);
@@ -384,6 +390,9 @@
   attempt_.call_ = nullptr;
   attempt_.call_end_ = end;
   response_timer_.Cancel();
+  if (attempt_.framing_ == HttpFraming::kConnectionEnd) {
+    CountUnframedResponse(end);
+  }
   if (end == HttpEnd::kNotSent) {
     EndAttempt(routing::AttemptEnd::kNeverSent,
                routing::EndpointOutcome::kFailed);
@@ -436,6 +445,16 @@
   }
 }
 
+void DirectRequest::CountUnframedResponse(HttpEnd end) {
+  std::string state = "broken";
+  if (end == HttpEnd::kCloseDelimited) {
+    state = events_.partial_event().empty() ? "closed" : "inside event";
+  }
+  context_.metrics_.Count(
+      "unframed_responses_total",
+      {{"kind", attempt_.streaming_ ? "stream" : "buffered"}, {"end", state}});
+}
+
 void DirectRequest::CountAttemptEnded(routing::EndpointOutcome outcome) {
   if (std::exchange(attempt_.counted_in_flight_, false)) {
     context_.endpoints_.OnEnded(attempt_.choice_.row_.id_,
@@ -452,16 +471,19 @@
   const auto now = context_.loop_.Now();
   CountAttemptEnded(outcome);
   if (end != routing::AttemptEnd::kComplete) {
-    context_.log_.Write(core::EventNumber::kAttemptEnded,
-                        {{"request", request_.caller_.id_},
-                         {"content", request_.digest_.ToHex()},
-                         {"attempt", std::to_string(attempt_.number_)},
-                         {"endpoint", attempt_.choice_.row_.id_.value()},
-                         {"end", std::string(routing::ToString(end))},
-                         {"connection", ConnectionEnd(attempt_.call_end_)},
-                         {"status", std::to_string(attempt_.status_)},
-                         {"given_up", std::string(attempt_.abandon_reason_)},
-                         {"after_ms", Millis(now - attempt_.sent_at_)}});
+    context_.log_.Write(
+        core::EventNumber::kAttemptEnded,
+        {{"request", request_.caller_.id_},
+         {"content", request_.digest_.ToHex()},
+         {"attempt", std::to_string(attempt_.number_)},
+         {"endpoint", attempt_.choice_.row_.id_.value()},
+         {"end", std::string(routing::ToString(end))},
+         {"connection", ConnectionEnd(attempt_.call_end_)},
+         {"framing", FramingText(attempt_.framing_)},
+         {"partial_event", std::to_string(events_.partial_event().size())},
+         {"status", std::to_string(attempt_.status_)},
+         {"given_up", std::string(attempt_.abandon_reason_)},
+         {"after_ms", Millis(now - attempt_.sent_at_)}});
     context_.metrics_.Count("attempts_ended_total",
                             {{"end", std::string(routing::ToString(end))}});
     events_.DiscardPartialEvent();
@@ -555,13 +577,17 @@
   const auto elapsed = now - request_.received_at_;
   const std::string outcome(routing::ToString(finish.outcome_));
   context_.metrics_.Observe("request_seconds", {{"outcome", outcome}}, elapsed);
-  context_.log_.Write(core::EventNumber::kRequestEnded,
-                      {{"request", request_.caller_.id_},
-                       {"outcome", outcome},
-                       {"status", std::to_string(attempt_.status_)},
-                       {"attempts", std::to_string(tracker_.attempt())},
-                       {"past_deadline", past_deadline_ ? "yes" : "no"},
-                       {"took_ms", Millis(elapsed)}});
+  context_.log_.Write(
+      core::EventNumber::kRequestEnded,
+      {{"request", request_.caller_.id_},
+       {"outcome", outcome},
+       {"status", std::to_string(attempt_.status_)},
+       {"connection", ConnectionEnd(attempt_.call_end_)},
+       {"framing", FramingText(attempt_.framing_)},
+       {"partial_event", std::to_string(events_.partial_event().size())},
+       {"attempts", std::to_string(tracker_.attempt())},
+       {"past_deadline", past_deadline_ ? "yes" : "no"},
+       {"took_ms", Millis(elapsed)}});
   context_.tracer_.End(span_, completed);
   exchange_.reset();
   const auto done = std::move(done_);
--- a/packages/daemon/src/daemon/direct/direct_request.hpp
+++ b/packages/daemon/src/daemon/direct/direct_request.hpp
@@ -104,6 +104,8 @@
     bool delivered_ = false;
     /// The response is a stream, forwarded event by event.
     bool streaming_ = false;
+    /// What shows the end of the response; none before its head.
+    std::optional<HttpFraming> framing_;
     /// The response gave no length; the end of the connection ends it.
     bool unframed_ = false;
     /// The endpoint table counts the attempt as in flight.
@@ -141,6 +143,8 @@
   /// was delivered to it.
   [[nodiscard]] bool RemovedBeforeDelivery();
   void ArmEventTimeout();
+  /// @brief Counts a response without a length or chunks that has ended.
+  void CountUnframedResponse(HttpEnd end);
   void CountAttemptEnded(routing::EndpointOutcome outcome);
   /// @brief Reports the end of an attempt to the quarantine, as evidence for or
   /// against the request.
--- a/packages/daemon/src/daemon/http_client.cpp
+++ b/packages/daemon/src/daemon/http_client.cpp
@@ -159,6 +159,10 @@
            (stream_ != nullptr && stream_->has_unacknowledged_data());
   }
 
+  [[nodiscard]] HttpFraming framing() const override {
+    return parser_.framing();
+  }
+
   void SetReading(bool reading) override {
     if (busy() && stream_ != nullptr) {
       stream_->SetReading(reading);
--- a/packages/daemon/src/daemon/http_client.hpp
+++ b/packages/daemon/src/daemon/http_client.hpp
@@ -10,6 +10,7 @@
 #include <string_view>
 
 #include "daemon/address.hpp"
+#include "daemon/http_parser.hpp"
 #include "daemon/http_server.hpp"
 #include "daemon/loop.hpp"
 
@@ -72,6 +73,11 @@
   /// @brief Whether some of the request is not yet acknowledged by the server's
   /// TCP; false when the local system cannot tell.
   [[nodiscard]] virtual bool has_unacknowledged_data() const { return false; }
+  /// @brief What shows the end of the response; valid from
+  /// HttpCallbacks::on_headers_ on.
+  [[nodiscard]] virtual HttpFraming framing() const {
+    return HttpFraming::kLength;
+  }
   /// @brief Pauses or resumes reading the response, for a slow consumer. No
   /// timeout runs while paused.
   virtual void SetReading(bool /*reading*/) {}
--- a/packages/daemon/src/daemon/http_parser.cpp
+++ b/packages/daemon/src/daemon/http_parser.cpp
@@ -143,6 +143,18 @@
   }
 };
 
+std::string_view ToString(HttpFraming framing) noexcept {
+  switch (framing) {
+    case HttpFraming::kLength:
+      return "length";
+    case HttpFraming::kChunked:
+      return "chunks";
+    case HttpFraming::kConnectionEnd:
+      return "connection end";
+  }
+  return "connection end";
+}
+
 HttpParser::HttpParser(Kind kind, const HttpLimits& limits)
     : state_(std::make_unique<State>()) {
   state_->kind_ = kind;
@@ -230,6 +242,16 @@
   });
 }
 
+HttpFraming HttpParser::framing() const {
+  return state_->WithParser([](const auto& parser) {
+    if (parser.chunked()) {
+      return HttpFraming::kChunked;
+    }
+    return parser.need_eof() ? HttpFraming::kConnectionEnd
+                             : HttpFraming::kLength;
+  });
+}
+
 bool HttpParser::http_1_0() const noexcept {
   return state_->message_.version_ < 11;
 }
--- a/packages/daemon/src/daemon/http_parser.hpp
+++ b/packages/daemon/src/daemon/http_parser.hpp
@@ -31,6 +31,19 @@
   kBodyTooLarge,
 };
 
+/// @brief What shows the end of a message.
+enum class HttpFraming : std::uint8_t {
+  /// Its length, or that it has no body.
+  kLength,
+  /// The last chunk.
+  kChunked,
+  /// The end of the connection, which does not show whether it is complete.
+  kConnectionEnd,
+};
+
+/// @brief Text of a framing in logs.
+[[nodiscard]] std::string_view ToString(HttpFraming framing) noexcept;
+
 /// @brief Parses the messages of one connection, one after the other.
 class HttpParser {
  public:
@@ -68,6 +81,9 @@
   /// @brief Whether the connection may carry another message after this one;
   /// false before the headers are parsed.
   [[nodiscard]] bool keep_alive() const noexcept;
+  /// @brief What shows the end of the message; valid once its headers are
+  /// parsed.
+  [[nodiscard]] HttpFraming framing() const;
   /// @brief Whether the version of the message is HTTP/1.0.
   [[nodiscard]] bool http_1_0() const noexcept;
   [[nodiscard]] int status() const noexcept;
--- a/tests/daemon/http_client_test.cpp
+++ b/tests/daemon/http_client_test.cpp
@@ -109,6 +109,39 @@
   }
 }
 
+TEST_CASE("the framing of a response is known with its head", "[daemon]") {
+  struct Row {
+    std::string head_;
+    HttpFraming framing_;
+  };
+  const auto row = GENERATE(
+      Row{"HTTP/1.1 200 OK\r\ncontent-length: 3", HttpFraming::kLength},
+      Row{"HTTP/1.1 204 No Content", HttpFraming::kLength},
+      Row{"HTTP/1.1 200 OK\r\ntransfer-encoding: chunked",
+          HttpFraming::kChunked},
+      Row{"HTTP/1.1 200 OK", HttpFraming::kConnectionEnd},
+      Row{"HTTP/1.0 200 OK\r\nconnection: close", HttpFraming::kConnectionEnd});
+  CAPTURE(row.head_);
+  Fixture fixture;
+  std::thread server([&] {
+    auto peer = fixture.listener_.Accept();
+    (void)peer.ReadUntil(kHeadEnd);
+    peer.Send(row.head_ + kHeadEnd);
+  });
+  std::optional<HttpFraming> framing;
+  std::shared_ptr<HttpCall> call;
+  HttpCallbacks callbacks;
+  callbacks.on_headers_ = [&](int, const HttpHeaders&) {
+    framing = call->framing();
+  };
+  callbacks.on_end_ = [&](HttpEnd) { fixture.loop_.Stop(); };
+  call = fixture.client_.Send({"127.0.0.1", fixture.listener_.port()},
+                              {.method_ = "GET", .path_ = "/"}, callbacks);
+  fixture.loop_.Run();
+  server.join();
+  CHECK(framing == row.framing_);
+}
+
 TEST_CASE("a late response to an earlier request is discarded", "[daemon]") {
   Fixture fixture;
   std::thread server([&] {
