--- a/tests/daemon/raw_socket.hpp
+++ b/tests/daemon/raw_socket.hpp
@@ -50,12 +50,15 @@
     while (text.empty() || received.find(text) == std::string::npos) {
       const auto size = ::recv(descriptor_, buffer, sizeof(buffer), 0);
       if (size <= 0) {
+        reset_ = size < 0;
         break;
       }
       received.append(buffer, static_cast<std::size_t>(size));
     }
     return received;
   }
+  /// @brief Whether the last ReadUntil ended with a reset of the connection.
+  [[nodiscard]] bool reset() const { return reset_; }
   void Close() {
     if (descriptor_ >= 0) {
       ::close(descriptor_);
@@ -75,6 +78,7 @@
 
   int descriptor_;
   bool connected_ = false;
+  mutable bool reset_ = false;
 };
 
 /// @brief A blocking listener on a free port of 127.0.0.1.
--- a/tests/platform/standins.cpp
+++ b/tests/platform/standins.cpp
@@ -491,7 +491,7 @@
       exchange->End(false);
       return;
     case Behaviour::kFail:
-      exchange->Respond(500, headers, "failed");
+      Respond(exchange, 500, headers, "failed");
       return;
     case Behaviour::kWrongAttemptId:
       headers[0].second = "another";
@@ -510,10 +510,33 @@
   if (request.path_.starts_with("/stream/")) {
     RespondWithStream(exchange, behaviour == Behaviour::kTruncateStream);
   } else {
-    exchange->Respond(200, headers, "answer to " + request.body_);
+    Respond(exchange, 200, headers,
+            body_size_ > 0 ? std::string(body_size_, 'x')
+                           : "answer to " + request.body_);
   }
 }
 
+void EndpointStandin::Start(const HttpExchangePtr& exchange, int status,
+                            const HttpHeaders& headers) const {
+  if (framing_ == Framing::kConnectionEnd) {
+    exchange->StartCloseDelimited(status, headers);
+  } else {
+    exchange->Start(status, headers);
+  }
+}
+
+void EndpointStandin::Respond(const HttpExchangePtr& exchange, int status,
+                              const HttpHeaders& headers,
+                              const std::string& body) const {
+  if (framing_ == Framing::kMessage) {
+    exchange->Respond(status, headers, body);
+    return;
+  }
+  exchange->StartCloseDelimited(status, headers);
+  exchange->Write(body);
+  exchange->End(true);
+}
+
 void EndpointStandin::Crash(const HttpExchangePtr& exchange) {
   const auto& headers = exchange->request().headers_;
   const std::string request_id(FindHeader(headers, "attempt-id"));
@@ -550,16 +573,23 @@
       NumberOr(std::string(FindHeader(headers, "last-event-id")), 0);
   auto response_headers = SignedHeaders(request_id);
   response_headers.emplace_back("content-type", "text/event-stream");
-  exchange->Start(200, response_headers);
-  const auto end = truncate ? kStreamEvents / 2 : kStreamEvents;
-  for (auto id = last + 1; id <= end; ++id) {
-    exchange->Write(FormatEvent(id));
+  Start(exchange, 200, response_headers);
+  const auto cut = last > 0 ? resumed_stream_cut_.load() : stream_cut_.load();
+  const bool halve = truncate || cut != StreamCut::kNone;
+  const auto end = halve ? kStreamEvents / 2 : kStreamEvents;
+  if (cut != StreamCut::kBeforeFirstEvent) {
+    for (auto id = last + 1; id <= end; ++id) {
+      exchange->Write(FormatEvent(id));
+    }
+  }
+  const bool inside_event = truncate || cut == StreamCut::kInsideEvent;
+  if (inside_event) {
+    exchange->Write("id: " + std::to_string(end + 1) + "\nda");
   }
   if (!truncate) {
     exchange->End(true);
     return;
   }
-  exchange->Write("id: " + std::to_string(end + 1) + "\nda");
   // Leaves time for the bytes to arrive: a reset drops what is not delivered.
   thread_.loop().After(std::chrono::milliseconds(40),
                        [exchange] { exchange->End(false); });
--- a/tests/platform/standins.hpp
+++ b/tests/platform/standins.hpp
@@ -146,6 +146,23 @@
   kHang,
 };
 
+/// @brief How the responses of an endpoint to requests are framed.
+enum class Framing : std::uint8_t {
+  /// By a length, streams by chunks.
+  kMessage,
+  /// By the end of the connection.
+  kConnectionEnd,
+};
+
+/// @brief Where an endpoint cuts its streams off; the connection is closed, not
+/// reset.
+enum class StreamCut : std::uint8_t {
+  kNone,
+  kBeforeFirstEvent,
+  kInsideEvent,
+  kBetweenEvents,
+};
+
 /// @brief Fake of an endpoint: a model engine, which also stages weights chunks
 /// and takes orders from its agent, or a plain service.
 class EndpointStandin {
@@ -182,6 +199,16 @@
   void SetRunDelay(std::chrono::milliseconds run_delay) {
     run_delay_ = run_delay;
   }
+  void SetFraming(Framing framing) { framing_ = framing; }
+  /// @brief Sets where streams are cut off.
+  /// @param resumed the same for streams that resume an earlier one.
+  void SetStreamCut(StreamCut cut, StreamCut resumed = StreamCut::kNone) {
+    stream_cut_ = cut;
+    resumed_stream_cut_ = resumed;
+  }
+  /// @brief Sets the size of the body of successful responses that are no
+  /// streams; 0 for a short text.
+  void SetBodySize(std::size_t size) { body_size_ = size; }
   /// @brief Sets the rate limit that all responses to requests state; empty for
   /// none.
   void SetRateLimit(const std::string& text);
@@ -226,6 +253,11 @@
   [[nodiscard]] daemon::HttpHeaders SignedHeaders(
       const std::string& request_id) const;
   void RunRequest(const daemon::HttpExchangePtr& exchange);
+  void Start(const daemon::HttpExchangePtr& exchange, int status,
+             const daemon::HttpHeaders& headers) const;
+  void Respond(const daemon::HttpExchangePtr& exchange, int status,
+               const daemon::HttpHeaders& headers,
+               const std::string& body) const;
   void RespondWithStream(const daemon::HttpExchangePtr& exchange,
                          bool truncate);
   void Crash(const daemon::HttpExchangePtr& exchange);
@@ -246,6 +278,10 @@
   std::function<void(const std::string&)> on_crash_;
   std::atomic<int> crashes_{0};
   std::atomic<Behaviour> behaviour_{Behaviour::kServe};
+  std::atomic<Framing> framing_{Framing::kMessage};
+  std::atomic<StreamCut> stream_cut_{StreamCut::kNone};
+  std::atomic<StreamCut> resumed_stream_cut_{StreamCut::kNone};
+  std::atomic<std::size_t> body_size_{0};
   std::atomic<std::uint64_t> version_{0};
   std::atomic<std::uint64_t> orders_{0};
   std::atomic<int> runs_{0};
--- /dev/null
+++ b/tests/platform/unframed_response_test.cpp
@@ -0,0 +1,134 @@
+// Responses of endpoints that only the end of their connection delimits, with a
+// real entry: callers must be able to tell a truncated one from a complete one.
+#include <catch2/catch.hpp>
+#include <string>
+
+#include "../daemon/raw_socket.hpp"
+#include "deployment.hpp"
+
+namespace chalkwell::platform_tests {
+namespace {
+
+using daemon::RawSocket;
+using standins::Behaviour;
+using standins::Framing;
+using standins::StreamCut;
+
+constexpr int kEvents = 6;
+/// More than an entry buffers of a response that is no stream.
+constexpr std::size_t kLargeBody = 100'000;
+
+/// What ends a response at the caller.
+enum class End : std::uint8_t { kLength, kLastChunk, kClose, kReset };
+
+struct CallerResponse {
+  std::string status_;
+  /// Events that it holds in order, counted up to the first missing one.
+  int events_ = 0;
+  End end_ = End::kReset;
+};
+
+std::string EventText(int id) {
+  return "id: " + std::to_string(id) + "\ndata: token-" + std::to_string(id) +
+         "\n\n";
+}
+
+int CountEvents(const std::string& response) {
+  std::size_t at = 0;
+  int count = 0;
+  while (count < kEvents) {
+    const auto event = EventText(count + 1);
+    const auto found = response.find(event, at);
+    if (found == std::string::npos) {
+      break;
+    }
+    at = found + event.size();
+    ++count;
+  }
+  return count;
+}
+
+End EndOf(const std::string& response, bool reset) {
+  const auto head = response.substr(0, response.find("\r\n\r\n"));
+  if (head.find("content-length:") != std::string::npos) {
+    return End::kLength;
+  }
+  if (head.find("transfer-encoding: chunked") != std::string::npos) {
+    return response.ends_with("0\r\n\r\n") ? End::kLastChunk : End::kReset;
+  }
+  return reset ? End::kReset : End::kClose;
+}
+
+CallerResponse Send(const Node& entry, const std::string& path) {
+  const RawSocket caller(entry.caller_port_);
+  caller.Send(RequestText(path));
+  const auto response = caller.ReadUntil();
+  return {.status_ = Status(response),
+          .events_ = CountEvents(response),
+          .end_ = EndOf(response, caller.reset())};
+}
+
+TEST_CASE("a truncated stream without a length does not look complete",
+          "[platform][unframed]") {
+  struct Row {
+    std::string name_;
+    StreamCut cut_;
+    StreamCut resumed_cut_;
+    std::string status_;
+    int events_;
+    End end_;
+  };
+  const auto row = GENERATE(
+      Row{"complete", StreamCut::kNone, StreamCut::kNone, "200", 6,
+          End::kClose},
+      Row{"cut inside an event, then resumed", StreamCut::kInsideEvent,
+          StreamCut::kNone, "200", 6, End::kClose},
+      Row{"cut inside an event twice", StreamCut::kInsideEvent,
+          StreamCut::kInsideEvent, "200", 3, End::kReset},
+      Row{"cut before the first event twice", StreamCut::kBeforeFirstEvent,
+          StreamCut::kNone, "502", 0, End::kLength},
+      Row{"cut between two events, like a complete one",
+          StreamCut::kBetweenEvents, StreamCut::kNone, "200", 3, End::kClose});
+  CAPTURE(row.name_);
+  Deployment deployment;
+  for (auto* endpoint : {&deployment.first_, &deployment.second_}) {
+    endpoint->SetFraming(Framing::kConnectionEnd);
+    endpoint->SetStreamCut(row.cut_, row.resumed_cut_);
+  }
+  const auto entry = deployment.StartEntry("e1", deployment.store_.address());
+  REQUIRE(Eventually([&] { return entry.Ready(); }));
+  const auto response = Send(entry, "/stream/x");
+  CHECK(response.status_ == row.status_);
+  CHECK(response.events_ == row.events_);
+  CHECK(response.end_ == row.end_);
+}
+
+TEST_CASE("a response without a length gets none on the way to the caller",
+          "[platform][unframed]") {
+  struct Row {
+    std::string path_;
+    Behaviour behaviour_;
+    std::size_t body_size_;
+    std::string status_;
+  };
+  const auto row =
+      GENERATE(Row{"/safe/x", Behaviour::kServe, 0, "200"},
+               Row{"/safe/x", Behaviour::kServe, kLargeBody, "200"},
+               Row{"/once/x", Behaviour::kFail, 0, "500"},
+               Row{"/safe/x", Behaviour::kFail, 0, "500"});
+  CAPTURE(row.path_, static_cast<int>(row.behaviour_), row.body_size_);
+  Deployment deployment;
+  for (auto* endpoint : {&deployment.first_, &deployment.second_}) {
+    endpoint->SetFraming(Framing::kConnectionEnd);
+    endpoint->SetBehaviour(row.behaviour_);
+    endpoint->SetBodySize(row.body_size_);
+  }
+  const auto entry = deployment.StartEntry("e1", deployment.store_.address());
+  REQUIRE(Eventually([&] { return entry.Ready(); }));
+  const auto response = Send(entry, row.path_);
+  CHECK(response.status_ == row.status_);
+  CHECK(response.end_ == End::kClose);
+}
+
+}  // namespace
+}  // namespace chalkwell::platform_tests
