Do not complete streams that end with their connection inside an event

Callers got a truncated stream with a last chunk, as a complete one, when the endpoint's response had neither a length nor chunks. The entry took the end of the connection for the end of the response, and sent streams on in chunks whatever the endpoint's framing was.

A stream that ends with its connection inside an event, or before its first one, now counts as lost: it is resumed elsewhere or the caller's connection is reset. A stream that the caller already gets in chunks is not completed by an attempt without a length.

--- a/packages/daemon/src/daemon/direct/direct_request.cpp
+++ b/packages/daemon/src/daemon/direct/direct_request.cpp
@@ -366,9 +366,14 @@
     context_.metrics_.Observe("first_byte_seconds",
                               {{"service", request_.service_}},
                               context_.loop_.Now() - request_.received_at_);
-    exchange_->Start(
-        attempt_.status_,
-        context_.adapter_.requests_.forwarded_headers_(attempt_.headers_));
+    response_unframed_ = attempt_.unframed();
+    const auto headers =
+        context_.adapter_.requests_.forwarded_headers_(attempt_.headers_);
+    if (response_unframed_) {
+      exchange_->StartCloseDelimited(attempt_.status_, headers);
+    } else {
+      exchange_->Start(attempt_.status_, headers);
+    }
   }
   exchange_->Write(bytes);
   if (exchange_->pending() > kMaxPendingBytes && attempt_.call_ != nullptr) {
@@ -396,14 +401,25 @@
   if (end == HttpEnd::kNotSent) {
     EndAttempt(routing::AttemptEnd::kNeverSent,
                routing::EndpointOutcome::kFailed);
-  } else if (end == HttpEnd::kBroken) {
+  } else if (end == HttpEnd::kBroken || IsTruncated()) {
     EndAttempt(routing::AttemptEnd::kLost, routing::EndpointOutcome::kFailed);
   } else {
-    attempt_.unframed_ = end == HttpEnd::kCloseDelimited;
     EndResponse();
   }
 }
 
+bool DirectRequest::IsTruncated() const {
+  if (!attempt_.streaming_ || !attempt_.unframed()) {
+    return false;
+  }
+  const bool has_events = tracker_.forwarded();
+  const bool inside_event = !events_.partial_event().empty();
+  // The caller's response has a framing of its own if an earlier attempt had
+  // one; its end would state that this stream is complete.
+  const bool end_is_stated = response_started_ && !response_unframed_;
+  return !has_events || inside_event || end_is_stated;
+}
+
 routing::AttemptEnd DirectRequest::ClassifyResponse() const {
   const auto status = attempt_.status_;
   if (attempt_.response_head_.not_run_ || attempt_.response_head_.mismatched_) {
@@ -434,7 +450,7 @@
       EndAttempt(end, routing::EndpointOutcome::kRefused);
       return;
     case routing::AttemptEnd::kFailedRan:
-      last_failure_ = HttpResponse{.end_ = HttpEnd::kComplete,
+      last_failure_ = HttpResponse{.end_ = *attempt_.call_end_,
                                    .status_ = attempt_.status_,
                                    .headers_ = attempt_.headers_,
                                    .body_ = attempt_.body_};
@@ -503,7 +519,7 @@
   }
   // A response without a length looks complete even if the endpoint crashed in
   // the middle of it, so it does not count as a completed run.
-  if (end == routing::AttemptEnd::kComplete && !attempt_.unframed_) {
+  if (end == routing::AttemptEnd::kComplete && !attempt_.unframed()) {
     context_.quarantine_.OnCompleted(request_.digest_);
   }
 }
@@ -570,7 +586,10 @@
     }
     exchange_->End(completed);
   } else if (completed) {
-    ForwardBufferedResponse();
+    RespondWith({.end_ = *attempt_.call_end_,
+                 .status_ = attempt_.status_,
+                 .headers_ = attempt_.headers_,
+                 .body_ = std::move(attempt_.body_)});
   } else {
     RespondFailure(finish);
   }
@@ -594,26 +613,22 @@
   done();
 }
 
-void DirectRequest::ForwardBufferedResponse() {
+void DirectRequest::RespondWith(HttpResponse response) {
   const auto headers =
-      context_.adapter_.requests_.forwarded_headers_(attempt_.headers_);
-  if (!attempt_.unframed_) {
-    exchange_->Respond(attempt_.status_, headers, std::move(attempt_.body_));
+      context_.adapter_.requests_.forwarded_headers_(response.headers_);
+  if (response.end_ != HttpEnd::kCloseDelimited) {
+    exchange_->Respond(response.status_, headers, std::move(response.body_));
     return;
   }
-  // The endpoint gave no length, so its response may be cut off; the caller
-  // gets it without a length, too.
-  exchange_->StartCloseDelimited(attempt_.status_, headers);
-  exchange_->Write(attempt_.body_);
+  exchange_->StartCloseDelimited(response.status_, headers);
+  exchange_->Write(response.body_);
   exchange_->End(true);
 }
 
 void DirectRequest::RespondFailure(const routing::FinishRequest& finish) {
   const auto& codec = context_.adapter_.requests_;
   if (finish.outcome_ == routing::Outcome::kFailedRan && last_failure_) {
-    exchange_->Respond(last_failure_->status_,
-                       codec.forwarded_headers_(last_failure_->headers_),
-                       std::move(last_failure_->body_));
+    RespondWith(*std::move(last_failure_));
     return;
   }
   if (finish.outcome_ == routing::Outcome::kRefusedNotRun) {
--- a/packages/daemon/src/daemon/direct/direct_request.hpp
+++ b/packages/daemon/src/daemon/direct/direct_request.hpp
@@ -106,8 +106,6 @@
     bool streaming_ = false;
     /// What shows the end of the response; none before its head.
     std::optional<HttpFraming> framing_;
-    /// The response gave no length; the end of the connection ends it.
-    bool unframed_ = false;
     /// The endpoint table counts the attempt as in flight.
     bool counted_in_flight_ = false;
     /// Why this process abandoned the attempt; empty if it did not.
@@ -115,6 +113,11 @@
     /// How the call ended; none while it is in flight or if this process
     /// cancelled it.
     std::optional<HttpEnd> call_end_;
+
+    /// Only the end of the connection ends the response.
+    [[nodiscard]] bool unframed() const noexcept {
+      return framing_ == HttpFraming::kConnectionEnd;
+    }
   };
 
   void Perform(const routing::RequestActions& actions);
@@ -133,10 +136,16 @@
   void OnCallerDisconnected();
   void EndAttempt(routing::AttemptEnd end, routing::EndpointOutcome outcome);
   void EndResponse();
+  /// @brief Whether a response that ended with its connection is treated as
+  /// truncated: a stream that ends inside an event or before the first one, or
+  /// that resumes one whose end the caller expects to be stated.
+  [[nodiscard]] bool IsTruncated() const;
   [[nodiscard]] routing::AttemptEnd ClassifyResponse() const;
   void Forward(std::string_view bytes);
   void Finish(const routing::FinishRequest& finish);
-  void ForwardBufferedResponse();
+  /// @brief Sends a buffered response to the caller. One without a length gets
+  /// none, since it may be truncated.
+  void RespondWith(HttpResponse response);
   void RespondFailure(const routing::FinishRequest& finish);
   void ArmFirstByteTimeout();
   /// @brief Whether the endpoint was removed from the list before the request
@@ -169,6 +178,8 @@
   std::optional<std::uint64_t> stream_version_;
   routing::EventSplitter events_;
   bool response_started_ = false;
+  /// The response that was started for the caller ends with its connection.
+  bool response_unframed_ = false;
   bool ended_ = false;
   bool past_deadline_ = false;
   /// The last attempt if the endpoint may have run the request: its connection
--- a/tests/platform/standins.cpp
+++ b/tests/platform/standins.cpp
@@ -516,15 +516,6 @@
   }
 }
 
-void EndpointStandin::Start(const HttpExchangePtr& exchange, int status,
-                            const HttpHeaders& headers) const {
-  if (framing_ == Framing::kConnectionEnd) {
-    exchange->StartCloseDelimited(status, headers);
-  } else {
-    exchange->Start(status, headers);
-  }
-}
-
 void EndpointStandin::Respond(const HttpExchangePtr& exchange, int status,
                               const HttpHeaders& headers,
                               const std::string& body) const {
@@ -573,20 +564,26 @@
       NumberOr(std::string(FindHeader(headers, "last-event-id")), 0);
   auto response_headers = SignedHeaders(request_id);
   response_headers.emplace_back("content-type", "text/event-stream");
-  Start(exchange, 200, response_headers);
-  const auto cut = last > 0 ? resumed_stream_cut_.load() : stream_cut_.load();
-  const bool halve = truncate || cut != StreamCut::kNone;
-  const auto end = halve ? kStreamEvents / 2 : kStreamEvents;
-  if (cut != StreamCut::kBeforeFirstEvent) {
-    for (auto id = last + 1; id <= end; ++id) {
-      exchange->Write(FormatEvent(id));
-    }
+  auto form = last > 0 ? resumed_stream_form_.load() : stream_form_.load();
+  if (truncate) {
+    form.cut_ = StreamCut::kInsideEvent;
+  }
+  const bool cut = form.cut_ != StreamCut::kNone;
+  const bool framed = form.framing_ == Framing::kMessage;
+  if (framed) {
+    exchange->Start(200, response_headers);
+  } else {
+    exchange->StartCloseDelimited(200, response_headers);
+  }
+  const auto end = cut ? kStreamEvents / 2 : kStreamEvents;
+  for (auto id = last + 1;
+       id <= end && form.cut_ != StreamCut::kBeforeFirstEvent; ++id) {
+    exchange->Write(FormatEvent(id));
   }
-  const bool inside_event = truncate || cut == StreamCut::kInsideEvent;
-  if (inside_event) {
+  if (form.cut_ == StreamCut::kInsideEvent) {
     exchange->Write("id: " + std::to_string(end + 1) + "\nda");
   }
-  if (!truncate) {
+  if (!framed || !cut) {
     exchange->End(true);
     return;
   }
--- a/tests/platform/standins.hpp
+++ b/tests/platform/standins.hpp
@@ -154,8 +154,7 @@
   kConnectionEnd,
 };
 
-/// @brief Where an endpoint cuts its streams off; the connection is closed, not
-/// reset.
+/// @brief Where an endpoint cuts its streams off.
 enum class StreamCut : std::uint8_t {
   kNone,
   kBeforeFirstEvent,
@@ -163,6 +162,13 @@
   kBetweenEvents,
 };
 
+/// @brief How an endpoint sends a stream. One without a length is cut off by
+/// closing the connection, one in chunks by resetting it.
+struct StreamForm {
+  Framing framing_ = Framing::kMessage;
+  StreamCut cut_ = StreamCut::kNone;
+};
+
 /// @brief Fake of an endpoint: a model engine, which also stages weights chunks
 /// and takes orders from its agent, or a plain service.
 class EndpointStandin {
@@ -199,12 +205,13 @@
   void SetRunDelay(std::chrono::milliseconds run_delay) {
     run_delay_ = run_delay;
   }
+  /// @brief Sets the framing of responses that are no streams.
   void SetFraming(Framing framing) { framing_ = framing; }
-  /// @brief Sets where streams are cut off.
-  /// @param resumed the same for streams that resume an earlier one.
-  void SetStreamCut(StreamCut cut, StreamCut resumed = StreamCut::kNone) {
-    stream_cut_ = cut;
-    resumed_stream_cut_ = resumed;
+  /// @brief Sets the form of streams.
+  /// @param resumed form of those that resume an earlier one.
+  void SetStreamForm(StreamForm form, StreamForm resumed) {
+    stream_form_ = form;
+    resumed_stream_form_ = resumed;
   }
   /// @brief Sets the size of the body of successful responses that are no
   /// streams; 0 for a short text.
@@ -253,8 +260,6 @@
   [[nodiscard]] daemon::HttpHeaders SignedHeaders(
       const std::string& request_id) const;
   void RunRequest(const daemon::HttpExchangePtr& exchange);
-  void Start(const daemon::HttpExchangePtr& exchange, int status,
-             const daemon::HttpHeaders& headers) const;
   void Respond(const daemon::HttpExchangePtr& exchange, int status,
                const daemon::HttpHeaders& headers,
                const std::string& body) const;
@@ -279,8 +284,8 @@
   std::atomic<int> crashes_{0};
   std::atomic<Behaviour> behaviour_{Behaviour::kServe};
   std::atomic<Framing> framing_{Framing::kMessage};
-  std::atomic<StreamCut> stream_cut_{StreamCut::kNone};
-  std::atomic<StreamCut> resumed_stream_cut_{StreamCut::kNone};
+  std::atomic<StreamForm> stream_form_{};
+  std::atomic<StreamForm> resumed_stream_form_{};
   std::atomic<std::size_t> body_size_{0};
   std::atomic<std::uint64_t> version_{0};
   std::atomic<std::uint64_t> orders_{0};
--- a/tests/platform/unframed_response_test.cpp
+++ b/tests/platform/unframed_response_test.cpp
@@ -13,6 +13,7 @@
 using standins::Behaviour;
 using standins::Framing;
 using standins::StreamCut;
+using standins::StreamForm;
 
 constexpr int kEvents = 6;
 /// More than an entry buffers of a response that is no stream.
@@ -70,30 +71,63 @@
 
 TEST_CASE("a truncated stream without a length does not look complete",
           "[platform][unframed]") {
+  constexpr auto kNoLength = Framing::kConnectionEnd;
+  constexpr auto kChunks = Framing::kMessage;
   struct Row {
     std::string name_;
-    StreamCut cut_;
-    StreamCut resumed_cut_;
+    StreamForm form_;
+    StreamForm resumed_form_;
     std::string status_;
     int events_;
     End end_;
   };
-  const auto row = GENERATE(
-      Row{"complete", StreamCut::kNone, StreamCut::kNone, "200", 6,
-          End::kClose},
-      Row{"cut inside an event, then resumed", StreamCut::kInsideEvent,
-          StreamCut::kNone, "200", 6, End::kClose},
-      Row{"cut inside an event twice", StreamCut::kInsideEvent,
-          StreamCut::kInsideEvent, "200", 3, End::kReset},
-      Row{"cut before the first event twice", StreamCut::kBeforeFirstEvent,
-          StreamCut::kNone, "502", 0, End::kLength},
-      Row{"cut between two events, like a complete one",
-          StreamCut::kBetweenEvents, StreamCut::kNone, "200", 3, End::kClose});
+  const auto row =
+      GENERATE_COPY(Row{"complete",
+                        {kNoLength, StreamCut::kNone},
+                        {},
+                        "200",
+                        kEvents,
+                        End::kClose},
+                    Row{"cut inside an event, then resumed",
+                        {kNoLength, StreamCut::kInsideEvent},
+                        {kNoLength, StreamCut::kNone},
+                        "200",
+                        kEvents,
+                        End::kClose},
+                    Row{"cut inside an event, then resumed in chunks",
+                        {kNoLength, StreamCut::kInsideEvent},
+                        {kChunks, StreamCut::kNone},
+                        "200",
+                        kEvents,
+                        End::kClose},
+                    Row{"in chunks, cut, then resumed without a length",
+                        {kChunks, StreamCut::kInsideEvent},
+                        {kNoLength, StreamCut::kNone},
+                        "200",
+                        kEvents,
+                        End::kReset},
+                    Row{"cut inside an event twice",
+                        {kNoLength, StreamCut::kInsideEvent},
+                        {kNoLength, StreamCut::kInsideEvent},
+                        "200",
+                        kEvents / 2,
+                        End::kReset},
+                    Row{"cut before the first event twice",
+                        {kNoLength, StreamCut::kBeforeFirstEvent},
+                        {},
+                        "502",
+                        0,
+                        End::kLength},
+                    Row{"cut between two events, like a complete one",
+                        {kNoLength, StreamCut::kBetweenEvents},
+                        {},
+                        "200",
+                        kEvents / 2,
+                        End::kClose});
   CAPTURE(row.name_);
   Deployment deployment;
   for (auto* endpoint : {&deployment.first_, &deployment.second_}) {
-    endpoint->SetFraming(Framing::kConnectionEnd);
-    endpoint->SetStreamCut(row.cut_, row.resumed_cut_);
+    endpoint->SetStreamForm(row.form_, row.resumed_form_);
   }
   const auto entry = deployment.StartEntry("e1", deployment.store_.address());
   REQUIRE(Eventually([&] { return entry.Ready(); }));
