Soak: endpoints that cut off streams without a length

A new kind, truncated-streams: a third of the endpoints send streams that end with their connection, inside an event or between two, for a while. Callers report each stream that was not broken off, and the checker finds those that end inside an event, or that are stated as complete and lack events.

--- a/tests/platform/standins.cpp
+++ b/tests/platform/standins.cpp
@@ -20,7 +20,6 @@
 using daemon::HttpHeaders;
 using daemon::HttpLimits;
 
-constexpr std::uint64_t kStreamEvents = 6;
 /// From sending the response head of a request that crashes its endpoint to the
 /// crash.
 constexpr std::chrono::milliseconds kCrashDelay(20);
@@ -81,6 +80,19 @@
 
 }  // namespace
 
+std::uint64_t CountEvents(const std::string& response) {
+  std::size_t at = 0;
+  for (std::uint64_t id = 1; id <= kStreamEvents; ++id) {
+    const auto event = FormatEvent(id);
+    const auto found = response.find(event, at);
+    if (found == std::string::npos) {
+      return id - 1;
+    }
+    at = found + event.size();
+  }
+  return kStreamEvents;
+}
+
 LoopThread::LoopThread() {
   // Writing to a peer that was killed must not end this process.
   std::signal(SIGPIPE, SIG_IGN);
--- a/tests/platform/standins.hpp
+++ b/tests/platform/standins.hpp
@@ -127,6 +127,13 @@
   std::shared_ptr<int> alive_ = std::make_shared<int>();
 };
 
+/// Events of a stream that an endpoint completes.
+inline constexpr std::uint64_t kStreamEvents = 6;
+
+/// @brief Events of a stream that a response holds in order, counted up to the
+/// first missing one.
+[[nodiscard]] std::uint64_t CountEvents(const std::string& response);
+
 /// @brief How an endpoint handles requests.
 enum class Behaviour : std::uint8_t {
   kServe,
--- a/tests/platform/unframed_response_test.cpp
+++ b/tests/platform/unframed_response_test.cpp
@@ -15,7 +15,7 @@
 using standins::StreamCut;
 using standins::StreamForm;
 
-constexpr int kEvents = 6;
+constexpr auto kEvents = standins::kStreamEvents;
 /// More than an entry buffers of a response that is no stream.
 constexpr std::size_t kLargeBody = 100'000;
 
@@ -25,30 +25,10 @@
 struct CallerResponse {
   std::string status_;
   /// Events that it holds in order, counted up to the first missing one.
-  int events_ = 0;
+  std::uint64_t events_ = 0;
   End end_ = End::kReset;
 };
 
-std::string EventText(int id) {
-  return "id: " + std::to_string(id) + "\ndata: token-" + std::to_string(id) +
-         "\n\n";
-}
-
-int CountEvents(const std::string& response) {
-  std::size_t at = 0;
-  int count = 0;
-  while (count < kEvents) {
-    const auto event = EventText(count + 1);
-    const auto found = response.find(event, at);
-    if (found == std::string::npos) {
-      break;
-    }
-    at = found + event.size();
-    ++count;
-  }
-  return count;
-}
-
 End EndOf(const std::string& response, bool reset) {
   const auto head = response.substr(0, response.find("\r\n\r\n"));
   if (head.find("content-length:") != std::string::npos) {
@@ -65,7 +45,7 @@
   caller.Send(RequestText(path));
   const auto response = caller.ReadUntil();
   return {.status_ = Status(response),
-          .events_ = CountEvents(response),
+          .events_ = standins::CountEvents(response),
           .end_ = EndOf(response, caller.reset())};
 }
 
@@ -78,7 +58,7 @@
     StreamForm form_;
     StreamForm resumed_form_;
     std::string status_;
-    int events_;
+    std::uint64_t events_;
     End end_;
   };
   const auto row =
--- a/tests/soak/callers.cpp
+++ b/tests/soak/callers.cpp
@@ -115,8 +115,12 @@
   options.keep_alive_ = true;
   http_->Fetch(
       daemon::ParseAddress(target.address_), request,
-      [this, id](const daemon::HttpResponse& response) {
+      [this, id, stream = path.starts_with("/stream/")](
+          const daemon::HttpResponse& response) {
         const bool complete = response.end_ == daemon::HttpEnd::kComplete;
+        if (stream && response.ok()) {
+          checker_.OnStream(id, response.body_, complete);
+        }
         checker_.OnResponse(id, complete ? response.status_ : 0,
                             response.body_);
       },
--- a/tests/soak/checker.cpp
+++ b/tests/soak/checker.cpp
@@ -3,6 +3,8 @@
 
 #include <algorithm>
 
+#include "platform/standins.hpp"
+
 namespace chalkwell::soak {
 namespace {
 
@@ -148,6 +150,19 @@
   }
 }
 
+void Checker::OnStream(const std::string& request, const std::string& body,
+                       bool end_stated) {
+  const auto events = standins::CountEvents(body);
+  const bool inside_event = !body.empty() && !body.ends_with("\n\n");
+  const bool truncated = end_stated && events < standins::kStreamEvents;
+  const std::lock_guard lock(mutex_);
+  unframed_streams_ += end_stated ? 0 : 1;
+  if (inside_event || truncated) {
+    findings_.push_back(
+        {"truncated stream looks complete", "", request, milliseconds(0)});
+  }
+}
+
 void Checker::OnResponse(const std::string& request, int status,
                          const std::string& body) {
   const std::lock_guard lock(mutex_);
@@ -188,6 +203,11 @@
   return arrivals_after_departure_;
 }
 
+std::uint64_t Checker::unframed_streams() const {
+  const std::lock_guard lock(mutex_);
+  return unframed_streams_;
+}
+
 std::map<std::string, std::vector<CrashRecord>> Checker::crashes() const {
   const std::lock_guard lock(mutex_);
   return crashes_;
--- a/tests/soak/checker.hpp
+++ b/tests/soak/checker.hpp
@@ -96,6 +96,11 @@
   /// @brief A request crashed an endpoint.
   /// @param request "ENTRY/NAME/NUMBER", where NAME begins with kCrashMark.
   void OnCrash(const std::string& request);
+  /// @brief A caller got a successful stream that was not broken off.
+  /// @param end_stated whether the entry stated that it was complete; else it
+  /// ended with its connection.
+  void OnStream(const std::string& request, const std::string& body,
+                bool end_stated);
   /// @brief The attempt of a caller ended.
   /// @param status 0 if no complete response arrived.
   void OnResponse(const std::string& request, int status,
@@ -105,6 +110,8 @@
   /// @brief Number of responses by status, 0 for none.
   [[nodiscard]] std::map<int, std::uint64_t> responses() const;
   [[nodiscard]] std::uint64_t arrivals() const;
+  /// @brief Number of streams that ended with their connection.
+  [[nodiscard]] std::uint64_t unframed_streams() const;
   /// @brief How long after a departure was acknowledged requests of undisturbed
   /// entries still arrived.
   [[nodiscard]] DurationSample arrivals_after_departure() const;
@@ -142,6 +149,7 @@
   /// `Bounds::max_attempts_after_quarantine_`.
   std::map<std::string, std::size_t> attempts_after_quarantine_;
   std::uint64_t refused_as_suspected_ = 0;
+  std::uint64_t unframed_streams_ = 0;
   std::vector<Finding> findings_;
 };
 
--- a/tests/soak/fault_injector.cpp
+++ b/tests/soak/fault_injector.cpp
@@ -65,6 +65,7 @@
       {"path-held-back",
        [this] { HoldEndpointPath(fleet::Direction::kFromTarget); }},
       {"path-reset", [this] { ResetEndpointConnections(); }},
+      {"truncated-streams", [this] { TruncateStreams(); }},
       {"store-fails-some",
        [this] { RejectStoreCalls(150, DrawBetween(2000, 8000)); }},
       {"store-down",
@@ -335,6 +336,22 @@
   }
 }
 
+void FaultInjector::TruncateStreams() {
+  using standins::Framing;
+  using standins::StreamCut;
+  const auto duration = DrawBetween(500, 4000);
+  for (auto& host : deployment_.hosts()) {
+    if (random_() % 3 != 0) {
+      continue;
+    }
+    const auto cut = random_() % 2 == 0 ? StreamCut::kInsideEvent
+                                        : StreamCut::kBetweenEvents;
+    host.endpoint_->SetStreamForm({Framing::kConnectionEnd, cut},
+                                  {Framing::kConnectionEnd, StreamCut::kNone});
+    Schedule(duration, [&host] { host.endpoint_->SetStreamForm({}, {}); });
+  }
+}
+
 // A store that rejects only some calls does not count as a disturbance.
 void FaultInjector::RejectStoreCalls(unsigned per_mille,
                                      milliseconds duration) {
--- a/tests/soak/fault_injector.hpp
+++ b/tests/soak/fault_injector.hpp
@@ -98,6 +98,8 @@
   void HoldPath(EndpointHost& host, fleet::Direction direction,
                 milliseconds duration);
   void ResetEndpointConnections();
+  /// Some endpoints cut off their streams, which have no length, for a while.
+  void TruncateStreams();
   /// @param per_mille share of the store's calls that get 503.
   void RejectStoreCalls(unsigned per_mille, milliseconds duration);
   void DelayStore();
--- a/tests/soak/soak.cpp
+++ b/tests/soak/soak.cpp
@@ -97,6 +97,7 @@
   result.findings_ = checker.findings();
   result.responses_ = checker.responses();
   result.arrivals_ = checker.arrivals();
+  result.unframed_streams_ = checker.unframed_streams();
   result.arrivals_after_departure_ = checker.arrivals_after_departure();
   result.crashes_ = checker.crashes();
   result.refused_as_suspected_ = checker.refused_as_suspected();
@@ -112,7 +113,8 @@
   for (const auto& [status, count] : result.responses_) {
     out << " " << status << ":" << count;
   }
-  out << "\ninjected faults";
+  out << "; streams that ended with their connection "
+      << result.unframed_streams_ << "\ninjected faults";
   for (const auto& [kind, count] : result.injected_) {
     out << " " << kind << ":" << count;
   }
--- a/tests/soak/soak.hpp
+++ b/tests/soak/soak.hpp
@@ -25,6 +25,7 @@
   std::map<int, std::uint64_t> responses_;
   std::map<std::string, unsigned> injected_;
   std::uint64_t arrivals_ = 0;
+  std::uint64_t unframed_streams_ = 0;
   DurationSample arrivals_after_departure_;
   std::map<std::string, std::vector<CrashRecord>> crashes_;
   std::uint64_t refused_as_suspected_ = 0;
--- a/tests/soak/soak_test.cpp
+++ b/tests/soak/soak_test.cpp
@@ -38,6 +38,18 @@
   CHECK(result.findings_.empty());
 }
 
+TEST_CASE("truncated streams do not look complete, whatever happens meanwhile",
+          "[soak]") {
+  const auto result =
+      Run(SmallRun(5, "truncated-streams,path-reset,kill,crashing-request"));
+  std::ostringstream text;
+  Print(result, text);
+  INFO(text.str());
+  CHECK(result.started_);
+  CHECK(result.unframed_streams_ > 0);
+  CHECK(result.findings_.empty());
+}
+
 TEST_CASE("endpoints that left get no work, whatever happens meanwhile",
           "[soak]") {
   struct Row {
