--- a/packages/daemon/src/daemon/direct/adapter.hpp
+++ b/packages/daemon/src/daemon/direct/adapter.hpp
@@ -31,6 +31,9 @@
   /// Tokens of the prompt, and limit of the output tokens; 0 if not given.
   double prompt_tokens_ = 0;
   double max_output_tokens_ = 0;
+  /// Ids of the parts of the prompt that other requests may share: all but the
+  /// last one.
+  std::vector<std::string> shared_prompt_parts_;
 };
 
 /// @brief What an attempt requires of its endpoint.
--- a/packages/daemon/src/daemon/direct/direct_request.cpp
+++ b/packages/daemon/src/daemon/direct/direct_request.cpp
@@ -50,6 +50,15 @@
   return end ? std::string(ToString(*end)) : "closed by this process";
 }
 
+/// Ids separated by commas.
+std::string Join(const std::vector<std::string>& ids) {
+  std::string text;
+  for (const auto& id : ids) {
+    text += (text.empty() ? "" : ",") + id;
+  }
+  return text;
+}
+
 /// How a response was framed, as logged.
 std::string FramingText(const std::optional<HttpFraming>& framing) {
   return framing ? std::string(ToString(*framing)) : "none";
@@ -206,6 +215,7 @@
       core::EventNumber::kRequestSent,
       {{"request", request_.caller_.id_},
        {"content", request_.digest_.ToHex()},
+       {"parts", Join(request_.caller_.shared_prompt_parts_)},
        {"attempt", std::to_string(number)},
        {"endpoint", row.id_.value()},
        {"service", request_.service_},
--- a/tests/platform/codec_test.cpp
+++ b/tests/platform/codec_test.cpp
@@ -53,6 +53,31 @@
   CHECK(caller.max_output_tokens_ == row.max_output_tokens_);
 }
 
+TEST_CASE("all parts of a prompt but the last are decoded as shared",
+          "[platform]") {
+  struct Row {
+    std::string text_;
+    std::vector<std::string> shared_;
+  };
+  std::string many;
+  for (int i = 0; i < 100; ++i) {
+    many += std::to_string(i) + ":1,";
+  }
+  const auto row = GENERATE_COPY(
+      Row{"5c1e07a2:800,91bd3f06:410,e4402b7d:250", {"5c1e07a2", "91bd3f06"}},
+      Row{"5c1e07a2:800, 91bd3f06:410, e4402b7d:250", {"5c1e07a2", "91bd3f06"}},
+      Row{"5c1e07a2:800", {}}, Row{"", {}}, Row{"a:1,a:1,b:1", {"a"}},
+      Row{"a,b:,:5,,c:1", {"a", "b"}});
+  CAPTURE(row.text_);
+  const auto codec = MakeRequestCodec();
+  const auto decode = [&](const std::string& text) {
+    return codec.read_request_({.headers_ = {{"prompt-prefix", text}}})
+        .shared_prompt_parts_;
+  };
+  CHECK(decode(row.text_) == row.shared_);
+  CHECK(decode(many).size() == 32);
+}
+
 TEST_CASE(
     "an attempt drops forged and hop-by-hop headers and adds its own terms",
     "[platform]") {
