--- a/tests/platform/crashing_request_test.cpp
+++ b/tests/platform/crashing_request_test.cpp
@@ -111,6 +111,49 @@
   }
 }
 
+/// A request whose body, and last prompt part, no other one has.
+std::string PromptRequest(const std::string& path, int number,
+                          const std::string& shared_parts) {
+  const auto own = std::to_string(1000 + number);
+  return RequestText(path, "k1",
+                     "prompt-prefix: " + shared_parts + "," + own + ":20\r\n",
+                     own);
+}
+
+TEST_CASE("a prompt part that crashes endpoints is refused in any request",
+          "[platform][crash]") {
+  const auto path =
+      GENERATE(as<std::string>{}, "/safe/x", "/once/x", "/stream/x");
+  CAPTURE(path);
+  Deployment deployment;
+  CrashingEndpoints endpoints(deployment);
+  for (auto& endpoint : endpoints.all()) {
+    endpoint.CrashOn("deadbeef");
+  }
+  const auto first = deployment.StartEntry("e1", deployment.store_.address());
+  const auto second =
+      deployment.StartEntry("e2", deployment.store_.address(), &first);
+  REQUIRE(Eventually([&] { return first.Ready() && second.Ready(); }));
+  REQUIRE(Eventually([&] {
+    return KnowsMember(deployment, "e1", "e2") &&
+           KnowsMember(deployment, "e2", "e1");
+  }));
+  std::string last;
+  for (int i = 0; i < kAttempts; ++i) {
+    const auto& entry = i % 2 == 0 ? first : second;
+    std::this_thread::sleep_for(kRetryPause);
+    last =
+        SendRequest(entry, PromptRequest(path, i, "aa:40,deadbeef:100,cc:60"));
+    // Sound requests of the same account share the other parts.
+    for (const auto* parts : {"aa:40", "aa:40,cc:60", "cc:60,aa:40"}) {
+      CHECK(Status(SendRequest(entry, PromptRequest(path, i, parts))) == "200");
+    }
+  }
+  CHECK(endpoints.crashes() == kCrashLimit);
+  CHECK(Status(last) == "503");
+  CHECK(last.find("retry-after") != std::string::npos);
+}
+
 TEST_CASE("an entry that starts later refuses a request that crashed endpoints",
           "[platform][crash]") {
   Deployment deployment;
--- a/tests/platform/standins.cpp
+++ b/tests/platform/standins.cpp
@@ -492,8 +492,10 @@
     const std::lock_guard lock(mutex_);
     requests_.push_back(request);
   }
-  if (!crash_text_.empty() &&
-      request.body_.find(crash_text_) != std::string::npos) {
+  const auto parts = FindHeader(request.headers_, "prompt-prefix");
+  const bool crashes = request.body_.find(crash_text_) != std::string::npos ||
+                       parts.find(crash_text_) != std::string_view::npos;
+  if (!crash_text_.empty() && crashes) {
     Crash(exchange);
     return;
   }
--- a/tests/platform/standins.hpp
+++ b/tests/platform/standins.hpp
@@ -230,7 +230,7 @@
   /// when a request arrives that expects this instance id and weights version.
   void OnArrival(std::function<void(const std::string& request)> handler);
   /// @brief From now on the endpoint crashes when it runs a request whose body
-  /// contains this text; empty for never.
+  /// or prompt parts contain this text; empty for never.
   void CrashOn(const std::string& text);
   /// @brief Sets a handler that is called on the loop, with the attempt id, at
   /// each crash.
