Quarantine parts of prompts that crash endpoints

Each part of a prompt but the last is now a key of the same table as the content, with the same counting, trials, spreading and terms. Parts that many requests share are cleared as these complete.

--- a/packages/chalkwell/src/chalkwell/core/event.cpp
+++ b/packages/chalkwell/src/chalkwell/core/event.cpp
@@ -182,7 +182,8 @@
      "An endpoint's process ended while requests were in flight there.",
      "Check the endpoint, unless request-standing names a suspected request."},
     {kRequestSuspicionChanged, kWarning, "request-standing",
-     "A request was suspected of crashing endpoints, quarantined, or cleared; "
+     "A request, or a part that prompts share, was suspected of crashing "
+     "endpoints, quarantined, or cleared; "
      "the field `crashes` lists each crash with the entry that observed it.",
      "Find its caller by the field `content` of the request-sent lines; lift a "
      "wrong quarantine with `chalkwell quarantine`."},
--- a/packages/chalkwell/src/chalkwell/routing/crash_detector.cpp
+++ b/packages/chalkwell/src/chalkwell/routing/crash_detector.cpp
@@ -8,9 +8,10 @@
 namespace {
 
 bool Contains(const std::vector<LostAttempt>& attempts,
-              const RequestDigest& request) {
-  return std::ranges::find(attempts, request, &LostAttempt::request_) !=
-         attempts.end();
+              const RequestDigest& content) {
+  return std::ranges::any_of(attempts, [&](const LostAttempt& attempt) {
+    return attempt.request_.content_ == content;
+  });
 }
 
 /// Whether an attempt that was lost now had been sent by a point in time.
@@ -81,7 +82,7 @@
 
 void CrashDetector::AddAttempt(Record& record, const LostAttempt& attempt) {
   auto& attempts = record.crash_.attempts_;
-  if (!Contains(attempts, attempt.request_) &&
+  if (!Contains(attempts, attempt.request_.content_) &&
       attempts.size() < settings_.max_requests_) {
     attempts.push_back(attempt);
   }
@@ -124,10 +125,10 @@
   return waiting;
 }
 
-bool CrashDetector::ProbePending(const RequestDigest& request) const {
+bool CrashDetector::ProbePending(const RequestDigest& content) const {
   return std::ranges::any_of(records_, [&](const Record& record) {
     return record.state_ == State::kProbing &&
-           Contains(record.crash_.attempts_, request);
+           Contains(record.crash_.attempts_, content);
   });
 }
 
--- a/packages/chalkwell/src/chalkwell/routing/crash_detector.hpp
+++ b/packages/chalkwell/src/chalkwell/routing/crash_detector.hpp
@@ -31,7 +31,7 @@
 /// @brief An attempt that may have run and ended without a complete response,
 /// as when its connection broke.
 struct LostAttempt {
-  RequestDigest request_;
+  RequestIdentity request_;
   /// Time from sending it to its end.
   core::Duration elapsed_{};
 };
@@ -90,9 +90,9 @@
   /// @brief Losses whose probe was inconclusive, to be checked against the
   /// published list.
   [[nodiscard]] std::vector<SuspectedCrash> Unconfirmed(core::TimePoint now);
-  /// @brief Whether a probe of any endpoint at which the request was lost is in
-  /// flight.
-  [[nodiscard]] bool ProbePending(const RequestDigest& request) const;
+  /// @brief Whether a probe of any endpoint at which a request of this content
+  /// was lost is in flight.
+  [[nodiscard]] bool ProbePending(const RequestDigest& content) const;
 
  private:
   enum class State : std::uint8_t { kProbing, kInconclusive, kCrashed };
--- a/packages/chalkwell/src/chalkwell/routing/fwd.hpp
+++ b/packages/chalkwell/src/chalkwell/routing/fwd.hpp
@@ -29,6 +29,7 @@
 class RequestAgeEstimator;
 class RequestDigest;
 struct RequestContent;
+struct RequestIdentity;
 class RequestQuarantine;
 class CrashDetector;
 struct CrashRecord;
--- a/packages/chalkwell/src/chalkwell/routing/request_digest.cpp
+++ b/packages/chalkwell/src/chalkwell/routing/request_digest.cpp
@@ -9,6 +9,8 @@
 namespace chalkwell::routing {
 namespace {
 
+constexpr std::string_view kPromptPartField = "prompt part";
+
 void Update(crypto_generichash_state& state, std::string_view field) {
   const std::uint64_t size = field.size();
   crypto_generichash_update(
@@ -33,6 +35,17 @@
   return digest;
 }
 
+// The serialization has fewer fields than that of any content.
+RequestDigest RequestDigest::OfPromptPart(std::string_view id) {
+  RequestDigest digest;
+  crypto_generichash_state state;
+  crypto_generichash_init(&state, nullptr, 0, kSize);
+  Update(state, kPromptPartField);
+  Update(state, id);
+  crypto_generichash_final(&state, digest.bytes_.data(), kSize);
+  return digest;
+}
+
 std::optional<RequestDigest> RequestDigest::FromBytes(std::string_view bytes) {
   if (bytes.size() != kSize) {
     return std::nullopt;
@@ -64,4 +77,29 @@
   return text;
 }
 
+RequestIdentity RequestIdentity::Of(
+    const RequestContent& content,
+    const std::vector<std::string>& shared_part_ids) {
+  RequestIdentity identity{.content_ = RequestDigest::Of(content),
+                           .shared_parts_ = {}};
+  for (const auto& id : shared_part_ids) {
+    identity.shared_parts_.push_back({id, RequestDigest::OfPromptPart(id)});
+  }
+  return identity;
+}
+
+std::vector<RequestDigest> RequestIdentity::Digests() const {
+  std::vector<RequestDigest> digests{content_};
+  for (const auto& part : shared_parts_) {
+    digests.push_back(part.digest_);
+  }
+  return digests;
+}
+
+bool RequestIdentity::Has(const RequestDigest& digest) const {
+  return content_ == digest ||
+         std::ranges::find(shared_parts_, digest, &PromptPart::digest_) !=
+             shared_parts_.end();
+}
+
 }  // namespace chalkwell::routing
--- a/packages/chalkwell/src/chalkwell/routing/request_digest.hpp
+++ b/packages/chalkwell/src/chalkwell/routing/request_digest.hpp
@@ -1,5 +1,5 @@
-// Identifies a request by its content: the digest is the same in each retry and
-// at each entry.
+// Identifies a request by its content and by the prompt parts that it shares
+// with others: the digests are the same in each retry and at each entry.
 #pragma once
 
 #include <array>
@@ -8,6 +8,7 @@
 #include <optional>
 #include <string>
 #include <string_view>
+#include <vector>
 
 #include "chalkwell/core/identifier.hpp"
 
@@ -24,7 +25,8 @@
   std::string_view body_;
 };
 
-/// @brief A 128-bit digest of a request's content.
+/// @brief A 128-bit digest of a request's content, or of the id of a prompt
+/// part.
 ///
 /// It is collision resistant, since a caller must not be able to construct a
 /// request with the digest of another account's request.
@@ -35,6 +37,8 @@
   constexpr RequestDigest() = default;
 
   [[nodiscard]] static RequestDigest Of(const RequestContent& content);
+  /// @brief Digest of a prompt part; no content has the same one.
+  [[nodiscard]] static RequestDigest OfPromptPart(std::string_view id);
   /// @return none if the size is not kSize.
   [[nodiscard]] static std::optional<RequestDigest> FromBytes(
       std::string_view bytes);
@@ -52,4 +56,24 @@
   std::array<std::uint8_t, kSize> bytes_{};
 };
 
+/// @brief A part of a prompt that other requests may share.
+struct PromptPart {
+  std::string id_;
+  RequestDigest digest_;
+};
+
+/// @brief What may make a request crash endpoints: its whole content, or one of
+/// the prompt parts that it shares with other requests.
+struct RequestIdentity {
+  RequestDigest content_;
+  std::vector<PromptPart> shared_parts_;
+
+  [[nodiscard]] static RequestIdentity Of(
+      const RequestContent& content,
+      const std::vector<std::string>& shared_part_ids);
+  /// @brief The digest of the content, then those of the shared parts.
+  [[nodiscard]] std::vector<RequestDigest> Digests() const;
+  [[nodiscard]] bool Has(const RequestDigest& digest) const;
+};
+
 }  // namespace chalkwell::routing
--- a/packages/chalkwell/src/chalkwell/routing/request_quarantine.cpp
+++ b/packages/chalkwell/src/chalkwell/routing/request_quarantine.cpp
@@ -13,6 +13,13 @@
                                  : record.crashes_.back().crashed_at_;
 }
 
+bool HasCrashAt(const std::vector<EndpointCrash>& crashes,
+                const EndpointIncarnation& endpoint) {
+  return std::ranges::any_of(crashes, [&](const EndpointCrash& crash) {
+    return MayBeSameIncarnation(crash.endpoint_, endpoint);
+  });
+}
+
 }  // namespace
 
 std::string_view ToString(Standing standing) noexcept {
@@ -104,7 +111,7 @@
                                  const EndpointCrash& crash) {
   auto& row = RowOf(request);
   auto added = crash;
-  added.cleared_ = added.cleared_ || CompletedAfter(request, crash);
+  added.cleared_ = added.cleared_ || IsInnocent(request, crash);
   if (!Insert(row, added)) {
     return false;
   }
@@ -116,11 +123,10 @@
 MergeResult RequestQuarantine::Merge(const CrashRecord& record) {
   MergeResult result;
   for (const auto& crash : record.crashes_) {
+    const bool cleared = !crash.cleared_ && IsInnocent(record.request_, crash);
     if (AddCrash(record.request_, crash)) {
       result.changed_ = true;
-      result.cleared_ =
-          result.cleared_ ||
-          (!crash.cleared_ && CompletedAfter(record.request_, crash));
+      result.cleared_ = result.cleared_ || cleared;
     }
   }
   return result;
@@ -143,6 +149,54 @@
   return attributed;
 }
 
+bool RequestQuarantine::IsExplained(const RequestDigest& request,
+                                    const EndpointCrash& crash) const {
+  if (!completions_.contains(request)) {
+    return false;
+  }
+  return std::ranges::any_of(table_, [&](const auto& row) {
+    const auto& [other, entry] = row;
+    const auto& crashes = entry.record_.crashes_;
+    return other != request &&
+           crashes.size() >= settings_.quarantined_crashes_ &&
+           HasCrashAt(crashes, crash.endpoint_) &&
+           !completions_.contains(other) &&
+           QuarantinedUntil(other) > crash.crashed_at_;
+  });
+}
+
+bool RequestQuarantine::ClearShared(Row& row, const CrashRecord& other) {
+  bool changed = false;
+  for (auto& crash : row.record_.crashes_) {
+    if (!crash.cleared_ && HasCrashAt(other.crashes_, crash.endpoint_)) {
+      crash.cleared_ = true;
+      changed = true;
+    }
+  }
+  if (changed) {
+    row.times_selected_ = 0;
+    row.trial_until_ = {};
+  }
+  return changed;
+}
+
+std::vector<RequestDigest> RequestQuarantine::ClearExplainedBy(
+    const RequestDigest& quarantined, core::TimePoint now) {
+  ExpireCompletions(now);
+  std::vector<RequestDigest> cleared;
+  const auto* cause = Find(quarantined);
+  if (cause == nullptr || completions_.contains(quarantined)) {
+    return cleared;
+  }
+  for (auto& [request, row] : table_) {
+    if (request != quarantined && completions_.contains(request) &&
+        ClearShared(row, *cause)) {
+      cleared.push_back(request);
+    }
+  }
+  return cleared;
+}
+
 void RequestQuarantine::Expire(core::TimePoint now) {
   std::erase_if(table_, [&](const auto& row) {
     return now - LastCrash(row.second.record_) >= settings_.record_retention_;
--- a/packages/chalkwell/src/chalkwell/routing/request_quarantine.hpp
+++ b/packages/chalkwell/src/chalkwell/routing/request_quarantine.hpp
@@ -1,5 +1,6 @@
-// Quarantine of requests that crash endpoints. A request that was in flight at
-// several endpoints when they crashed is suspected, then refused. The table is
+// Quarantine of requests that crash endpoints. What was in flight at several
+// endpoints when they crashed is suspected, then refused: the content of a
+// request, or a prompt part that requests share. The table is
 // replicated between entries: merging is commutative and idempotent, so records
 // may arrive in any order, repeatedly and late.
 #pragma once
@@ -35,7 +36,8 @@
   bool cleared_ = false;
 };
 
-/// @brief Crashes recorded for one request.
+/// @brief Crashes recorded for one content or prompt part. The functions below
+/// call either a request.
 struct CrashRecord {
   RequestDigest request_;
   /// Ordered by time; one per endpoint incarnation.
@@ -115,6 +117,12 @@
   /// those that are reported later.
   /// @return whether any crash was not cleared before.
   bool OnCompleted(const RequestDigest& request, core::TimePoint now);
+  /// @brief Clears other requests of the crashes that a quarantined request
+  /// explains: those at the same endpoints, if the other request completed here
+  /// within `completion_retention_` and the quarantined one did not.
+  /// @return the requests of which a crash was not cleared before.
+  std::vector<RequestDigest> ClearExplainedBy(const RequestDigest& quarantined,
+                                              core::TimePoint now);
   /// @brief Clears the request of all its crashes, as when an operator lifts
   /// the quarantine.
   /// @return whether any crash was not cleared before.
@@ -164,6 +172,19 @@
   bool Insert(Row& row, const EndpointCrash& crash);
   [[nodiscard]] Row& RowOf(const RequestDigest& request);
   void EvictIfFull();
+  /// @brief Clears a record of the crashes that also belong to another one.
+  /// @return whether any of them was not cleared before.
+  static bool ClearShared(Row& row, const CrashRecord& other);
+  /// @brief Whether a quarantined request explains a crash of another one; see
+  /// ClearExplainedBy().
+  [[nodiscard]] bool IsExplained(const RequestDigest& request,
+                                 const EndpointCrash& crash) const;
+  /// @brief Whether a crash of a request that is reported now is known not to
+  /// be caused by it.
+  [[nodiscard]] bool IsInnocent(const RequestDigest& request,
+                                const EndpointCrash& crash) const {
+    return CompletedAfter(request, crash) || IsExplained(request, crash);
+  }
   /// @brief Whether a run of the request completed after the crash.
   [[nodiscard]] bool CompletedAfter(const RequestDigest& request,
                                     const EndpointCrash& crash) const;
--- a/packages/daemon/src/daemon/direct/direct_entry.cpp
+++ b/packages/daemon/src/daemon/direct/direct_entry.cpp
@@ -564,11 +564,13 @@
         request_ages_.AddAndEstimate(route->name_, *caller.time_left_);
   }
   request.rules_version_ = rules_.rules().version_;
-  request.digest_ = routing::RequestDigest::Of({.account_ = request.account_,
-                                                .method_ = http.method_,
-                                                .host_ = caller.host_,
-                                                .path_ = http.path_,
-                                                .body_ = http.body_});
+  request.identity_ =
+      routing::RequestIdentity::Of({.account_ = request.account_,
+                                    .method_ = http.method_,
+                                    .host_ = caller.host_,
+                                    .path_ = http.path_,
+                                    .body_ = http.body_},
+                                   caller.shared_prompt_parts_);
   request.route_ = *route;
   request.caller_ = std::move(caller);
   Admit(exchange, std::move(request));
@@ -619,11 +621,10 @@
 void DirectEntry::Admit(const HttpExchangePtr& exchange,
                         AdmittedDirectRequest request) {
   const auto now = process_.loop().Now();
-  if (const auto refusal = quarantine_.RefusalOf(request.digest_)) {
+  if (const auto refusal = quarantine_.RefusalOf(request.identity_)) {
     Refuse(*exchange, request.caller_, kUnavailable,
            core::EventNumber::kRequestQuarantined,
-           "content " + request.digest_.ToHex() + " " + refusal->reason_,
-           refusal->retry_after_);
+           refusal->subject_ + " " + refusal->reason_, refusal->retry_after_);
     return;
   }
   if (request.allowed_domains_ && request.allowed_domains_->empty()) {
--- a/packages/daemon/src/daemon/direct/direct_request.cpp
+++ b/packages/daemon/src/daemon/direct/direct_request.cpp
@@ -91,7 +91,7 @@
       "entry.request", FindHeader(exchange_->request().headers_, kTraceparent));
   context_.budget_.OnRequest(now);
   quarantine_token_ = context_.quarantine_.OnAdmitted(
-      request_.digest_, request_.deadline_, [weak = weak_from_this()] {
+      request_.identity_, request_.deadline_, [weak = weak_from_this()] {
         if (const auto self = weak.lock()) {
           self->OnQuarantined();
         }
@@ -184,7 +184,7 @@
                        incarnation = row.incarnation()] {
     return context_.endpoints_.AcceptsRequests(incarnation,
                                                context_.loop_.Now()) &&
-           context_.quarantine_.MaySend(request_.digest_, std::nullopt);
+           context_.quarantine_.MaySend(request_.identity_, std::nullopt);
   };
   options.matches_request_ =
       [this, self = shared_from_this()](const HttpHeaders& headers) {
@@ -214,7 +214,7 @@
   context_.log_.Write(
       core::EventNumber::kRequestSent,
       {{"request", request_.caller_.id_},
-       {"content", request_.digest_.ToHex()},
+       {"content", request_.identity_.content_.ToHex()},
        {"parts", Join(request_.caller_.shared_prompt_parts_)},
        {"attempt", std::to_string(number)},
        {"endpoint", row.id_.value()},
@@ -500,7 +500,7 @@
     context_.log_.Write(
         core::EventNumber::kAttemptEnded,
         {{"request", request_.caller_.id_},
-         {"content", request_.digest_.ToHex()},
+         {"content", request_.identity_.content_.ToHex()},
          {"attempt", std::to_string(attempt_.number_)},
          {"endpoint", attempt_.choice_.row_.id_.value()},
          {"end", std::string(routing::ToString(end))},
@@ -519,7 +519,7 @@
 }
 
 void DirectRequest::ReportToQuarantine(routing::AttemptEnd end) {
-  const routing::LostAttempt attempt{request_.digest_,
+  const routing::LostAttempt attempt{request_.identity_,
                                      context_.loop_.Now() - attempt_.sent_at_};
   const bool may_have_run = end == routing::AttemptEnd::kLost ||
                             end == routing::AttemptEnd::kFailedRan;
@@ -530,12 +530,12 @@
   // A response without a length looks complete even if the endpoint crashed in
   // the middle of it, so it does not count as a completed run.
   if (end == routing::AttemptEnd::kComplete && !attempt_.unframed()) {
-    context_.quarantine_.OnCompleted(request_.digest_);
+    context_.quarantine_.OnCompleted(request_.identity_);
   }
 }
 
 bool DirectRequest::MayRetry(routing::RetryKind kind, core::TimePoint now) {
-  return context_.quarantine_.MaySend(request_.digest_, last_possible_run_) &&
+  return context_.quarantine_.MaySend(request_.identity_, last_possible_run_) &&
          context_.budget_.TryConsume(kind, now);
 }
 
@@ -642,7 +642,7 @@
     return;
   }
   if (finish.outcome_ == routing::Outcome::kRefusedNotRun) {
-    const auto refusal = context_.quarantine_.RefusalOf(request_.digest_);
+    const auto refusal = context_.quarantine_.RefusalOf(request_.identity_);
     auto wait =
         refusal ? std::optional(refusal->retry_after_) : finish.retry_after_;
     if (!refusal && wait) {
--- a/packages/daemon/src/daemon/direct/direct_request.hpp
+++ b/packages/daemon/src/daemon/direct/direct_request.hpp
@@ -56,8 +56,8 @@
   CallerRequest caller_;
   config::TrafficRoute route_;
   core::ClientAccountId account_;
-  /// Identifies the content of the request across attempts and entries.
-  routing::RequestDigest digest_;
+  /// Identifies the request across attempts and entries.
+  routing::RequestIdentity identity_;
   std::optional<std::uint32_t> priority_;
   /// Failure domains in which it may be processed, by the rules under which it
   /// was admitted.
--- a/packages/daemon/src/daemon/direct/quarantine_manager.cpp
+++ b/packages/daemon/src/daemon/direct/quarantine_manager.cpp
@@ -11,6 +11,7 @@
 namespace {
 
 using routing::RequestDigest;
+using routing::RequestIdentity;
 using routing::Standing;
 using std::chrono::milliseconds;
 
@@ -73,6 +74,24 @@
   tick_timer_.Every(kTickInterval, [this] { Tick(); });
 }
 
+std::optional<QuarantineRefusal> QuarantineManager::RefusalOf(
+    const RequestIdentity& request) const {
+  auto refusal = RefusalOf(request.content_);
+  if (refusal) {
+    refusal->subject_ = "content " + request.content_.ToHex();
+    return refusal;
+  }
+  for (const auto& part : request.shared_parts_) {
+    refusal = RefusalOf(part.digest_);
+    if (refusal) {
+      refusal->subject_ =
+          "part " + part.id_ + ", content " + part.digest_.ToHex();
+      return refusal;
+    }
+  }
+  return std::nullopt;
+}
+
 std::optional<QuarantineRefusal> QuarantineManager::RefusalOf(
     const RequestDigest& request) const {
   const auto now = loop_.Now();
@@ -84,25 +103,27 @@
                        " endpoints crashed under it";
   if (standing == Standing::kQuarantined) {
     const auto left = quarantine_.QuarantinedUntil(request) - now;
-    return QuarantineRefusal{"quarantined: " + crashes, left};
+    return QuarantineRefusal{"", "quarantined: " + crashes, left};
   }
   if (quarantine_.TrialActive(request, now) || InFlightUntil(request)) {
     return QuarantineRefusal{
-        "suspected: " + crashes + ", and a trial is in flight",
+        "", "suspected: " + crashes + ", and a trial is in flight",
         kTrialRetryAfter};
   }
   return std::nullopt;
 }
 
 bool QuarantineManager::MaySend(
-    const RequestDigest& request,
+    const RequestIdentity& request,
     const std::optional<routing::LostAttempt>& last) const {
   const auto now = loop_.Now();
-  if (quarantine_.StandingOf(request, now) == Standing::kQuarantined) {
-    return false;
-  }
-  if (!last) {
-    return true;
+  const auto digests = request.Digests();
+  const bool quarantined =
+      std::ranges::any_of(digests, [&](const RequestDigest& digest) {
+        return quarantine_.StandingOf(digest, now) == Standing::kQuarantined;
+      });
+  if (quarantined || !last) {
+    return !quarantined;
   }
   // Until its probe is finished, the endpoint of the last attempt counts as
   // crashed.
@@ -111,18 +132,22 @@
       .reporter_ = {},
       .crashed_at_ = now,
       .elapsed_ = last->elapsed_,
-      .cleared_ = !crash_detector_.ProbePending(request)};
-  return quarantine_.AttributedCrashesWith(request, crash) <
-         quarantine_.suspected_crashes();
+      .cleared_ = !crash_detector_.ProbePending(request.content_)};
+  return std::ranges::all_of(digests, [&](const RequestDigest& digest) {
+    return quarantine_.AttributedCrashesWith(digest, crash) <
+           quarantine_.suspected_crashes();
+  });
 }
 
 QuarantineManager::Token QuarantineManager::OnAdmitted(
-    const RequestDigest& request, core::TimePoint deadline,
+    const RequestIdentity& request, core::TimePoint deadline,
     std::function<void()> abandon) {
   in_flight_[++last_token_] = {request, deadline, std::move(abandon)};
-  if (quarantine_.StandingOf(request, loop_.Now()) == Standing::kSuspected) {
-    own_trials_.insert(request);
-    Publish(request);
+  for (const auto& digest : request.Digests()) {
+    if (quarantine_.StandingOf(digest, loop_.Now()) == Standing::kSuspected) {
+      own_trials_.insert(digest);
+      Publish(digest);
+    }
   }
   return last_token_;
 }
@@ -132,10 +157,12 @@
   if (found == in_flight_.end()) {
     return;
   }
-  const auto request = found->second.request_;
+  const auto request = std::move(found->second.request_);
   in_flight_.erase(found);
-  if (!InFlightUntil(request) && own_trials_.contains(request)) {
-    Publish(request);
+  for (const auto& digest : request.Digests()) {
+    if (own_trials_.contains(digest) && !InFlightUntil(digest)) {
+      Publish(digest);
+    }
   }
 }
 
@@ -225,24 +252,35 @@
 void QuarantineManager::AddCrash(const routing::LostAttempt& attempt,
                                  const routing::EndpointIncarnation& endpoint,
                                  core::TimePoint at) {
-  const auto& request = attempt.request_;
-  const auto before = quarantine_.StandingOf(request, loop_.Now());
   const routing::EndpointCrash crash{.endpoint_ = endpoint,
                                      .reporter_ = mesh_.self().id_,
                                      .crashed_at_ = at,
                                      .elapsed_ = attempt.elapsed_,
                                      .cleared_ = false};
+  for (const auto& part : attempt.request_.shared_parts_) {
+    part_ids_[part.digest_] = part.id_;
+  }
+  for (const auto& digest : attempt.request_.Digests()) {
+    AddCrash(digest, crash);
+  }
+}
+
+void QuarantineManager::AddCrash(const RequestDigest& request,
+                                 const routing::EndpointCrash& crash) {
+  const auto before = quarantine_.StandingOf(request, loop_.Now());
   if (quarantine_.AddCrash(request, crash)) {
     Publish(request);
     OnChanged(request, before);
   }
 }
 
-void QuarantineManager::OnCompleted(const RequestDigest& request) {
+void QuarantineManager::OnCompleted(const RequestIdentity& request) {
   const auto now = loop_.Now();
-  const auto before = quarantine_.StandingOf(request, now);
-  if (quarantine_.OnCompleted(request, now)) {
-    OnCleared(request, before, "completed");
+  for (const auto& digest : request.Digests()) {
+    const auto before = quarantine_.StandingOf(digest, now);
+    if (quarantine_.OnCompleted(digest, now)) {
+      OnCleared(digest, before, "completed");
+    }
   }
 }
 
@@ -272,21 +310,38 @@
     own_trials_.insert(request);
     Publish(request);
   }
+  if (standing == Standing::kQuarantined) {
+    ClearExplainedBy(request);
+  }
   if (standing == Standing::kQuarantined && before != standing) {
     Abandon(request);
   }
 }
 
+void QuarantineManager::ClearExplainedBy(const RequestDigest& quarantined) {
+  const auto now = loop_.Now();
+  for (const auto& request : quarantine_.ClearExplainedBy(quarantined, now)) {
+    metrics_.Count("requests_cleared_total", {{"reason", "explained"}});
+    Publish(request);
+    LogStanding(request);
+  }
+}
+
 // Abandons the attempts in a later turn of the event loop, since the caller may
 // be in the middle of ending one of them.
 void QuarantineManager::Abandon(const RequestDigest& request) {
   for (const auto& [token, in_flight] : in_flight_) {
-    if (in_flight.request_ == request) {
+    if (in_flight.request_.Has(request)) {
       loop_.Post(in_flight.abandon_);
     }
   }
 }
 
+std::string QuarantineManager::PartIdOf(const RequestDigest& request) const {
+  const auto found = part_ids_.find(request);
+  return found == part_ids_.end() ? "" : found->second;
+}
+
 void QuarantineManager::LogStanding(const RequestDigest& request) {
   const auto now = loop_.Now();
   const auto standing = quarantine_.StandingOf(request, now);
@@ -295,6 +350,7 @@
   log_.Write(
       core::EventNumber::kRequestSuspicionChanged,
       {{"content", request.ToHex()},
+       {"part", PartIdOf(request)},
        {"standing", std::string(ToString(standing))},
        {"crashes", record == nullptr ? "" : Describe(*record, now)},
        {"until_ms", standing == Standing::kQuarantined ? Millis(until - now)
@@ -307,7 +363,7 @@
     const RequestDigest& request) const {
   std::optional<core::TimePoint> until;
   for (const auto& [token, in_flight] : in_flight_) {
-    if (in_flight.request_ == request) {
+    if (in_flight.request_.Has(request)) {
       until =
           std::max(until.value_or(in_flight.deadline_), in_flight.deadline_);
     }
@@ -411,6 +467,7 @@
     }
     const auto left = quarantine_.QuarantinedUntil(record.request_) - now;
     rows.push_back({{"content", record.request_.ToHex()},
+                    {"part", PartIdOf(record.request_)},
                     {"standing", ToString(standing)},
                     {"crashes", Describe(record, now)},
                     {"left_ms", std::max(0.0, core::ToMs(left))}});
@@ -435,6 +492,9 @@
 void QuarantineManager::Tick() {
   CheckReplacedEndpoints();
   quarantine_.Expire(loop_.Now());
+  std::erase_if(part_ids_, [this](const auto& part) {
+    return quarantine_.Find(part.first) == nullptr;
+  });
 }
 
 }  // namespace chalkwell::daemon::direct
--- a/packages/daemon/src/daemon/direct/quarantine_manager.hpp
+++ b/packages/daemon/src/daemon/direct/quarantine_manager.hpp
@@ -25,6 +25,9 @@
 
 /// @brief Why a request is refused, and the delay to retry after.
 struct QuarantineRefusal {
+  /// What is suspected or quarantined: "content DIGEST", or "part ID, content
+  /// DIGEST" with the digest of the part.
+  std::string subject_;
   std::string reason_;
   core::Duration retry_after_{};
 };
@@ -40,19 +43,19 @@
 
   /// @brief Why a request must not be sent now; nothing if it may be.
   [[nodiscard]] std::optional<QuarantineRefusal> RefusalOf(
-      const routing::RequestDigest& request) const;
+      const routing::RequestIdentity& request) const;
   /// @brief Whether an admitted request may be sent to an endpoint now, as a
   /// first attempt or as a retry.
   /// @param last the request's last attempt if the endpoint may have run it,
   /// none otherwise. It counts as a crash while the endpoint is being probed.
   [[nodiscard]] bool MaySend(
-      const routing::RequestDigest& request,
+      const routing::RequestIdentity& request,
       const std::optional<routing::LostAttempt>& last) const;
 
   /// @brief Registers an admitted request.
   /// @param abandon abandons its current attempt unless the response has
   /// started; called if the request is quarantined while it is in flight.
-  [[nodiscard]] Token OnAdmitted(const routing::RequestDigest& request,
+  [[nodiscard]] Token OnAdmitted(const routing::RequestIdentity& request,
                                  core::TimePoint deadline,
                                  std::function<void()> abandon);
   void OnEnded(Token token);
@@ -63,7 +66,7 @@
   /// @brief The endpoint itself responded, so that it was running.
   void OnAnswered(const routing::EndpointRow& endpoint);
   /// @brief An endpoint ran the request to completion.
-  void OnCompleted(const routing::RequestDigest& request);
+  void OnCompleted(const routing::RequestIdentity& request);
 
   /// @brief Merges records that another entry published, and forwards those
   /// that changed something.
@@ -84,7 +87,7 @@
 
  private:
   struct InFlightRequest {
-    routing::RequestDigest request_;
+    routing::RequestIdentity request_;
     core::TimePoint deadline_;
     std::function<void()> abandon_;
   };
@@ -99,9 +102,14 @@
   void OnEndpointCrashed(const routing::EndpointIncarnation& endpoint,
                          const std::string& evidence);
   void CheckReplacedEndpoints();
+  /// @brief Records a crash for the content and the shared parts of a request.
   void AddCrash(const routing::LostAttempt& attempt,
                 const routing::EndpointIncarnation& endpoint,
                 core::TimePoint at);
+  void AddCrash(const routing::RequestDigest& request,
+                const routing::EndpointCrash& crash);
+  [[nodiscard]] std::optional<QuarantineRefusal> RefusalOf(
+      const routing::RequestDigest& request) const;
   /// @brief Counts, publishes and logs that crashes are no longer attributed to
   /// a request.
   /// @param before the request's standing before.
@@ -112,15 +120,22 @@
   /// @param before the request's standing before.
   void OnChanged(const routing::RequestDigest& request,
                  routing::Standing before);
+  /// @brief Clears other requests of the crashes that a request explains which
+  /// was quarantined now.
+  void ClearExplainedBy(const routing::RequestDigest& quarantined);
   void Abandon(const routing::RequestDigest& request);
   void Publish(const routing::RequestDigest& request);
   void PublishPending();
   [[nodiscard]] CrashRecordMessage MakeMessage(
       const routing::RequestDigest& request);
-  /// @brief Latest deadline of the request's runs in flight at this entry;
-  /// nothing if there are none.
+  /// @brief Latest deadline of the runs in flight at this entry of requests
+  /// with this content or part; nothing if there are none.
   [[nodiscard]] std::optional<core::TimePoint> InFlightUntil(
       const routing::RequestDigest& request) const;
+  /// @brief Id of a prompt part; empty for a content, and for a part that this
+  /// entry lost no request with.
+  [[nodiscard]] std::string PartIdOf(
+      const routing::RequestDigest& request) const;
   void LogStanding(const routing::RequestDigest& request);
   void Tick();
 
@@ -135,6 +150,8 @@
   std::map<Token, InFlightRequest> in_flight_;
   /// Probes in progress, by endpoint id; at most one per endpoint.
   std::map<core::InstanceId, TcpStream::Ptr> probes_;
+  /// Ids of the prompt parts for which this entry holds a crash.
+  std::map<routing::RequestDigest, std::string> part_ids_;
   /// Requests whose records go into the next batch.
   std::set<routing::RequestDigest> pending_;
   /// Suspected requests whose trial at this entry was published to the others.
--- a/tests/routing/crash_detector_test.cpp
+++ b/tests/routing/crash_detector_test.cpp
@@ -12,9 +12,9 @@
 const EndpointIncarnation kEndpoint{core::InstanceId("i-1"), {}};
 constexpr auto kAddress = "10.0.0.1:80";
 
-RequestDigest Request(const std::string& body) {
-  return RequestDigest::Of(
-      {core::ClientAccountId("a"), "POST", "h", "/x", body});
+RequestIdentity Request(const std::string& body) {
+  return RequestIdentity::Of(
+      {core::ClientAccountId("a"), "POST", "h", "/x", body}, {});
 }
 
 TEST_CASE("one probe confirms all attempts lost in a crash", "[routing]") {
@@ -25,14 +25,14 @@
                         kStart + 1ms) == LossAction::kWait);
   CHECK(detector.OnLost({Request("x"), 1s}, kEndpoint, kAddress,
                         kStart + 2ms) == LossAction::kWait);
-  CHECK(detector.ProbePending(Request("x")));
+  CHECK(detector.ProbePending(Request("x").content_));
   const auto crash = detector.OnCrashed(kEndpoint);
   CHECK(crash.first_loss_at_ == kStart);
   REQUIRE(crash.attempts_.size() == 2);
-  CHECK(crash.attempts_[0].request_ == Request("x"));
-  CHECK(crash.attempts_[1].request_ == Request("y"));
+  CHECK(crash.attempts_[0].request_.content_ == Request("x").content_);
+  CHECK(crash.attempts_[1].request_.content_ == Request("y").content_);
   CHECK(crash.attempts_[1].elapsed_ == 2s);
-  CHECK_FALSE(detector.ProbePending(Request("x")));
+  CHECK_FALSE(detector.ProbePending(Request("x").content_));
   SECTION("it is reported once") {
     CHECK(detector.OnCrashed(kEndpoint).attempts_.empty());
   }
@@ -48,7 +48,7 @@
   (void)detector.OnLost({Request("x"), 1s}, kEndpoint, kAddress, kStart);
   CHECK(detector.Unconfirmed(kStart).empty());
   detector.OnInconclusive(kEndpoint);
-  CHECK_FALSE(detector.ProbePending(Request("x")));
+  CHECK_FALSE(detector.ProbePending(Request("x").content_));
   REQUIRE(detector.Unconfirmed(kStart + 1s).size() == 1);
   SECTION("it is confirmed") {
     CHECK(detector.OnCrashed(kEndpoint).attempts_.size() == 1);
@@ -70,7 +70,7 @@
   const auto crash = detector.OnCrashed(kEndpoint);
   CHECK(crash.first_loss_at_ == kStart + 1s);
   REQUIRE(crash.attempts_.size() == 1);
-  CHECK(crash.attempts_.front().request_ == Request("x"));
+  CHECK(crash.attempts_.front().request_.content_ == Request("x").content_);
 }
 
 TEST_CASE("a crash counts for the request that was in flight, not a later one",
@@ -87,7 +87,8 @@
     const auto crash = detector.OnCrashed(kEndpoint);
     CHECK(crash.first_loss_at_ == kStart);
     REQUIRE(crash.attempts_.size() == 1);
-    CHECK(crash.attempts_.front().request_ == Request("cause"));
+    CHECK(crash.attempts_.front().request_.content_ ==
+          Request("cause").content_);
     CHECK(detector.OnLost({Request("stale"), 5ms}, kEndpoint, kAddress,
                           kStart + 2s) == LossAction::kIgnore);
   }
--- a/tests/routing/request_digest_test.cpp
+++ b/tests/routing/request_digest_test.cpp
@@ -27,6 +27,21 @@
   CHECK(RequestDigest::Of(other) != RequestDigest::Of(Content()));
 }
 
+TEST_CASE("requests that share a prompt part share its digest only",
+          "[routing]") {
+  auto other_content = Content();
+  other_content.body_ = "another";
+  const auto one = RequestIdentity::Of(Content(), {"a", "b"});
+  const auto other = RequestIdentity::Of(other_content, {"b", "c"});
+  const auto part = RequestDigest::OfPromptPart("b");
+  CHECK(one.content_ == RequestDigest::Of(Content()));
+  CHECK(one.Digests().size() == 3);
+  CHECK(one.Has(part));
+  CHECK(other.Has(part));
+  CHECK_FALSE(one.Has(other.content_));
+  CHECK_FALSE(one.Has(RequestDigest::OfPromptPart("c")));
+}
+
 TEST_CASE("a request digest is unchanged by its binary and text encodings",
           "[routing]") {
   const auto digest = RequestDigest::Of(Content());
--- a/tests/routing/request_quarantine_test.cpp
+++ b/tests/routing/request_quarantine_test.cpp
@@ -104,6 +104,51 @@
   }
 }
 
+TEST_CASE("a quarantined request explains crashes of requests that completed",
+          "[routing]") {
+  struct Row {
+    std::string name_;
+    /// Endpoints that crashed under the other request, from 1 on; the cause is
+    /// present at the first three crashes.
+    int crashes_;
+    bool other_completed_;
+    bool cause_completed_;
+    std::size_t attributed_;
+  };
+  const auto row = GENERATE(
+      Row{"present at all crashes of the cause", 3, true, false, 0},
+      Row{"present at a further crash, without the cause", 4, true, false, 1},
+      Row{"not known to have completed", 3, false, false, 3},
+      Row{"the cause completed as well", 3, true, true, 3});
+  const bool cause_first = GENERATE(true, false);
+  CAPTURE(row.name_, cause_first);
+  RequestQuarantine quarantine;
+  const auto cause = RequestDigest::OfPromptPart("cause");
+  const auto other = RequestDigest::OfPromptPart("other");
+  if (row.other_completed_) {
+    (void)quarantine.OnCompleted(other, kStart - 1s);
+  }
+  if (row.cause_completed_) {
+    (void)quarantine.OnCompleted(cause, kStart - 1s);
+  }
+  const auto add = [&](const RequestDigest& request, int crashes) {
+    for (int i = 1; i <= crashes; ++i) {
+      (void)quarantine.AddCrash(request, Crash(i, i * 1s));
+    }
+  };
+  if (cause_first) {
+    add(cause, 3);
+    add(other, row.crashes_);
+  } else {
+    add(other, row.crashes_);
+    add(cause, 3);
+    const auto cleared = quarantine.ClearExplainedBy(cause, kStart + 3s);
+    CHECK(cleared.empty() == (row.attributed_ >= 3));
+  }
+  CHECK(quarantine.StandingOf(cause, kStart + 3s) == Standing::kQuarantined);
+  CHECK(quarantine.AttributedCrashes(other) == row.attributed_);
+}
+
 TEST_CASE("a quarantine lasts twice as long after each further crash",
           "[routing]") {
   struct Row {
