Count streams cut off by a crash that closes their connection as evidence

A crash may close connections instead of resetting them. A stream without a length that ended so was taken for complete before, and now counts as lost; but only attempts with a broken connection were reported to the quarantine, so that 16 of 20 endpoints crashed in ten tries of one request.

--- a/packages/daemon/src/daemon/direct/direct_request.cpp
+++ b/packages/daemon/src/daemon/direct/direct_request.cpp
@@ -524,7 +524,10 @@
   const bool may_have_run = end == routing::AttemptEnd::kLost ||
                             end == routing::AttemptEnd::kFailedRan;
   last_possible_run_ = may_have_run ? std::optional(attempt) : std::nullopt;
-  if (attempt_.call_end_ == HttpEnd::kBroken) {
+  // A crash resets connections or closes them.
+  const bool connection_lost = attempt_.call_end_ == HttpEnd::kBroken ||
+                               attempt_.call_end_ == HttpEnd::kCloseDelimited;
+  if (end == routing::AttemptEnd::kLost && connection_lost) {
     context_.quarantine_.OnAttemptLost(attempt, attempt_.choice_.row_);
   }
   // A response without a length looks complete even if the endpoint crashed in
--- a/tests/platform/crashing_request_test.cpp
+++ b/tests/platform/crashing_request_test.cpp
@@ -111,6 +111,23 @@
   }
 }
 
+TEST_CASE("a crash that closes a stream without a length counts as a crash",
+          "[platform][crash]") {
+  Deployment deployment;
+  CrashingEndpoints endpoints(deployment);
+  for (auto& endpoint : endpoints.all()) {
+    endpoint.SetFraming(standins::Framing::kConnectionEnd);
+  }
+  const auto entry = deployment.StartEntry("e1", deployment.store_.address());
+  REQUIRE(Eventually([&] { return entry.Ready(); }));
+  std::string last;
+  for (int i = 0; i < kAttempts; ++i) {
+    last = SendCrashingRequest(entry, "/stream/x");
+  }
+  CHECK(endpoints.crashes() == kCrashLimit);
+  CHECK(Status(last) == "503");
+}
+
 /// A request whose body, and last prompt part, no other one has.
 std::string PromptRequest(const std::string& path, int number,
                           const std::string& shared_parts) {
--- a/tests/platform/standins.cpp
+++ b/tests/platform/standins.cpp
@@ -545,17 +545,23 @@
 void EndpointStandin::Crash(const HttpExchangePtr& exchange) {
   const auto& headers = exchange->request().headers_;
   const std::string request_id(FindHeader(headers, "attempt-id"));
-  exchange->Start(200, {{"content-type", "text/event-stream"},
-                        {"attempt-id", request_id},
-                        {"response-seal", "s." + id_}});
+  const HttpHeaders response_headers{{"content-type", "text/event-stream"},
+                                     {"attempt-id", request_id},
+                                     {"response-seal", "s." + id_}};
+  const bool framed = framing_ == Framing::kMessage;
+  if (framed) {
+    exchange->Start(200, response_headers);
+  } else {
+    exchange->StartCloseDelimited(200, response_headers);
+  }
   // Leaves time for the response head to arrive before the connection closes.
-  thread_.loop().After(kCrashDelay, [this, exchange, request_id,
+  thread_.loop().After(kCrashDelay, [this, exchange, request_id, framed,
                                      alive = std::weak_ptr<int>(alive_)] {
     if (alive.expired() || server_ == nullptr) {
       return;
     }
     ++crashes_;
-    exchange->End(false);
+    exchange->End(!framed);
     if (on_crash_) {
       on_crash_(request_id);
     }
--- a/tests/platform/standins.hpp
+++ b/tests/platform/standins.hpp
@@ -212,7 +212,8 @@
   void SetRunDelay(std::chrono::milliseconds run_delay) {
     run_delay_ = run_delay;
   }
-  /// @brief Sets the framing of responses that are no streams.
+  /// @brief Sets the framing of responses that are no streams, and of those
+  /// that a crash cuts off: without a length, it closes their connection.
   void SetFraming(Framing framing) { framing_ = framing; }
   /// @brief Sets the form of streams.
   /// @param resumed form of those that resume an earlier one.
