Soak: requests with a prompt part in common that crash endpoints

A new kind, crashing-prompt-part: callers send requests whose bodies all differ and whose prompts share a part that ends each endpoint. All other requests have the first part in common with them and share thirty more, so that a wrong quarantine is a finding.

--- a/tests/soak/callers.cpp
+++ b/tests/soak/callers.cpp
@@ -15,6 +15,8 @@
 /// Upper bound of the pause between two attempts of a crashing request.
 constexpr unsigned kMaxCrashingPauseMs = 400;
 constexpr int kCrashingDeadlineMs = 6000;
+/// Prompt parts that requests share, apart from the one that all have.
+constexpr unsigned kPromptParts = 30;
 
 struct RequestKind {
   const char* path_;
@@ -63,12 +65,13 @@
   SendCrashing();
 }
 
-void Callers::StartCrashingSeries(std::chrono::milliseconds duration) {
+void Callers::StartCrashingSeries(Cause cause,
+                                  std::chrono::milliseconds duration) {
   thread_.RunAndWait([&] {
     const auto now = std::chrono::steady_clock::now();
     const auto* path = random_() % 2 == 0 ? "/stream/" : "/safe/";
-    series_.push_back({kCrashMark + std::to_string(++series_started_), path,
-                       now + duration, now});
+    series_.push_back({cause, kCrashMark + std::to_string(++series_started_),
+                       path, now + duration, now});
   });
 }
 
@@ -85,7 +88,10 @@
     const auto& target = RandomTarget();
     const auto id =
         target.name_ + "/" + series.name_ + "/" + std::to_string(++sent_);
-    Send(target, series.path_ + "x", kCrashingDeadlineMs, id, series.name_);
+    const bool by_body = series.cause_ == Cause::kBody;
+    Send(target, series.path_ + "x", kCrashingDeadlineMs, id,
+         by_body ? series.name_ : std::to_string(sent_),
+         RandomPart() + (by_body ? "" : "," + series.name_ + ":100"));
     ++crashing_sent_;
   }
 }
@@ -96,12 +102,16 @@
   // Half of the requests have the same body.
   const auto body = random_() % 2 == 0 ? "body" : "body " + number;
   Send(target, std::string(kind.path_) + "x", kind.deadline_ms_,
-       target.name_ + "/" + number, body);
+       target.name_ + "/" + number, body, RandomPart());
+}
+
+std::string Callers::RandomPart() {
+  return "all:40,p" + std::to_string(random_() % kPromptParts) + ":60";
 }
 
 void Callers::Send(const Target& target, const std::string& path,
                    int deadline_ms, const std::string& id,
-                   const std::string& body) {
+                   const std::string& body, const std::string& parts) {
   daemon::HttpRequest request;
   request.method_ = "POST";
   request.path_ = path;
@@ -109,7 +119,8 @@
                       {"attempt-id", id},
                       {"deadline-ms", std::to_string(deadline_ms)},
                       {"model", "m"},
-                      {"token-counts", "800,40"}};
+                      {"token-counts", "800,40"},
+                      {"prompt-prefix", parts + ",own:20"}};
   request.body_ = body;
   daemon::HttpSendOptions options;
   options.keep_alive_ = true;
--- a/tests/soak/callers.hpp
+++ b/tests/soak/callers.hpp
@@ -1,6 +1,7 @@
 // Callers of the soak on keep-alive connections: a constant rate of requests of
 // all kinds to random entries, half of them with the same body, and callers
-// that repeat a request that crashes endpoints.
+// whose requests crash endpoints: repetitions of one, or different ones with a
+// prompt part in common.
 #pragma once
 
 #include <atomic>
@@ -32,14 +33,18 @@
   Callers(const Callers&) = delete;
   Callers& operator=(const Callers&) = delete;
 
-  /// @brief Starts a series of attempts, at random entries, of a new request
-  /// that crashes each endpoint that runs it.
-  void StartCrashingSeries(std::chrono::milliseconds duration);
+  /// @brief What the requests of a crashing series have in common.
+  enum class Cause : std::uint8_t { kBody, kPromptPart };
+
+  /// @brief Starts a series of attempts, at random entries, of requests that
+  /// crash each endpoint that runs them.
+  void StartCrashingSeries(Cause cause, std::chrono::milliseconds duration);
 
  private:
-  /// Attempts of one request that crashes endpoints.
+  /// Attempts of requests that crash endpoints for one cause.
   struct CrashingSeries {
-    /// Begins with kCrashMark; it is the body of the request.
+    Cause cause_ = Cause::kBody;
+    /// Begins with kCrashMark; it is the body, or the id of the prompt part.
     std::string name_;
     std::string path_;
     std::chrono::steady_clock::time_point end_;
@@ -49,8 +54,11 @@
   void SendDue();
   void SendCrashing();
   void SendRegular(const Target& target);
+  /// The part that all prompts begin with, and one that some share.
+  [[nodiscard]] std::string RandomPart();
   void Send(const Target& target, const std::string& path, int deadline_ms,
-            const std::string& id, const std::string& body);
+            const std::string& id, const std::string& body,
+            const std::string& parts);
   [[nodiscard]] const Target& RandomTarget() {
     return targets_[random_() % targets_.size()];
   }
--- a/tests/soak/fault_injector.cpp
+++ b/tests/soak/fault_injector.cpp
@@ -54,7 +54,9 @@
            Suspend(*entry);
          }
        }},
-      {"crashing-request", [this] { CrashEndpoints(); }},
+      {"crashing-request", [this] { CrashEndpoints(Callers::Cause::kBody); }},
+      {"crashing-prompt-part",
+       [this] { CrashEndpoints(Callers::Cause::kPromptPart); }},
       {"freeze-domain", [this] { FreezeDomain(); }},
       {"kill", [this] { RestartEntry(SIGKILL); }},
       {"stop", [this] { RestartEntry(SIGTERM); }},
@@ -234,8 +236,8 @@
   });
 }
 
-void FaultInjector::CrashEndpoints() {
-  callers_.StartCrashingSeries(DrawBetween(4000, 9000));
+void FaultInjector::CrashEndpoints(Callers::Cause cause) {
+  callers_.StartCrashingSeries(cause, DrawBetween(4000, 9000));
 }
 
 void FaultInjector::RestartCrashed() {
--- a/tests/soak/fault_injector.hpp
+++ b/tests/soak/fault_injector.hpp
@@ -85,7 +85,7 @@
   /// @param suspended whether the machine is suspended: its steady clock does
   /// not count the pause.
   void PauseEntry(Entry& entry, bool suspended);
-  void CrashEndpoints();
+  void CrashEndpoints(Callers::Cause cause);
   /// Schedules the next incarnations of endpoints that crashed.
   void RestartCrashed();
   void RestartAfterCrash(EndpointHost& host);
--- a/tests/soak/soak_test.cpp
+++ b/tests/soak/soak_test.cpp
@@ -38,6 +38,17 @@
   CHECK(result.findings_.empty());
 }
 
+TEST_CASE("prompt parts that crash endpoints are quarantined, and no others",
+          "[soak]") {
+  const auto result = Run(SmallRun(6, "crashing-prompt-part,kill,path-reset"));
+  std::ostringstream text;
+  Print(result, text);
+  INFO(text.str());
+  CHECK(result.started_);
+  CHECK_FALSE(result.crashes_.empty());
+  CHECK(result.findings_.empty());
+}
+
 TEST_CASE("truncated streams do not look complete, whatever happens meanwhile",
           "[soak]") {
   const auto result =
