Test that a stream cut inside an event is recognized at any byte

Three events with LF and with CRLF, cut at each byte, and read whole or byte by byte: only a cut between two events leaves no partial event.

--- a/tests/routing/event_splitter_test.cpp
+++ b/tests/routing/event_splitter_test.cpp
@@ -3,7 +3,9 @@
 
 #include <rapidcheck.h>
 
+#include <algorithm>
 #include <catch2/catch.hpp>
+#include <vector>
 
 namespace chalkwell::routing {
 namespace {
@@ -62,5 +64,36 @@
   }));
 }
 
+TEST_CASE("a stream cut at any byte has a partial event unless cut between two",
+          "[routing]") {
+  const auto newline = GENERATE(as<std::string>{}, "\n", "\r\n");
+  const auto field = "data: caf\xc3\xa9" + newline;
+  const std::vector<std::string> events{
+      "id: 1" + newline + field + newline,
+      ": comment" + newline + "id: 2" + newline + field + newline,
+      "id: 3" + newline + field + field + newline};
+  std::string stream;
+  std::vector<std::size_t> boundaries{0};
+  for (const auto& event : events) {
+    stream += event;
+    boundaries.push_back(stream.size());
+  }
+  for (std::size_t cut = 0; cut <= stream.size(); ++cut) {
+    CAPTURE(cut);
+    EventSplitter whole;
+    const auto count = whole.Append(stream.substr(0, cut)).count_;
+    EventSplitter bytewise;
+    std::uint64_t bytewise_count = 0;
+    for (std::size_t i = 0; i < cut; ++i) {
+      bytewise_count += bytewise.Append(stream.substr(i, 1)).count_;
+    }
+    const bool at_boundary =
+        std::ranges::find(boundaries, cut) != boundaries.end();
+    CHECK(whole.partial_event().empty() == at_boundary);
+    CHECK(bytewise.partial_event() == whole.partial_event());
+    CHECK(bytewise_count == count);
+  }
+}
+
 }  // namespace
 }  // namespace chalkwell::routing
