--- a/packages/chalkwell/src/chalkwell/routing/request_quarantine.cpp
+++ b/packages/chalkwell/src/chalkwell/routing/request_quarantine.cpp
@@ -154,9 +154,9 @@
   if (!completions_.contains(request)) {
     return false;
   }
-  return std::ranges::any_of(table_, [&](const auto& row) {
-    const auto& [other, entry] = row;
-    const auto& crashes = entry.record_.crashes_;
+  return std::ranges::any_of(table_, [&](const auto& item) {
+    const auto& [other, row] = item;
+    const auto& crashes = row.record_.crashes_;
     return other != request &&
            crashes.size() >= settings_.quarantined_crashes_ &&
            HasCrashAt(crashes, crash.endpoint_) &&
