Close idle connections to peers when their timer fires early

Traced: a timer fires up to 0.9 ms early, since the event loop counts in whole milliseconds from a cached time; 114 of 300 timers of 20 ms did in a program that works between two of them. The connection had then been idle for too short a time, and nothing looked at it again until its next use.

It is looked at again once the rest of the idle time has passed.

--- a/packages/daemon/src/daemon/direct/peer_connections.cpp
+++ b/packages/daemon/src/daemon/direct/peer_connections.cpp
@@ -31,10 +31,16 @@
     return;
   }
   const auto& connection = found->second;
-  if (connection.calls_in_flight_ == 0 &&
-      loop_.Now() - connection.last_used_ >= idle_time_) {
+  if (connection.calls_in_flight_ > 0) {
+    return;
+  }
+  const auto idle = loop_.Now() - connection.last_used_;
+  if (idle >= idle_time_) {
     connections_.erase(found);
+    return;
   }
+  // Timers have a resolution of a millisecond and may fire early.
+  loop_.After(idle_time_ - idle, [this, address] { CloseWhenIdle(address); });
 }
 
 }  // namespace chalkwell::daemon::direct
