Play endpoints that state rate limits in the soak

Change: soak kind "rate-limits"; the checker counts, per endpoint in 4 s, the requests of entries that forwarded a response with the limit.

--- a/tests/soak/checker.cpp
+++ b/tests/soak/checker.cpp
@@ -86,6 +86,7 @@
   CheckDeparted(endpoint, request, now);
   CheckLateArrival(endpoint, request, now);
   CheckCrashing(endpoint, request, now);
+  CheckRateLimit(endpoint, request, now);
 }
 
 void Checker::CheckCrashing(const std::string& endpoint,
@@ -111,6 +112,22 @@
   }
 }
 
+void Checker::OnRateLimit(const std::string& endpoint, double per_second) {
+  const std::lock_guard lock(mutex_);
+  rate_limits_.OnStated(endpoint, per_second, Now());
+}
+
+void Checker::CheckRateLimit(const std::string& endpoint,
+                             const std::string& request, TimePoint now) {
+  const auto entry = EntryOf(request);
+  const auto after = rate_limits_.OnArrival(endpoint, request, entry,
+                                            !IsUndisturbed(entry, now), now);
+  if (after) {
+    findings_.push_back(
+        {"stated rate limit exceeded", endpoint, request, *after});
+  }
+}
+
 void Checker::OnCrash(const std::string& request) {
   const std::lock_guard lock(mutex_);
   auto seen = crashing_arrivals_[request];
@@ -174,7 +191,11 @@
           {"quarantined without a crash", "", request, milliseconds(0)});
     }
   }
-  responded_at_[request] = Now();
+  const auto now = Now();
+  responded_at_[request] = now;
+  if (status == 200) {
+    rate_limits_.OnResponse(request, now);
+  }
   ++responses_[status];
   if (status >= 400 && status < 500) {
     findings_.push_back(
@@ -213,6 +234,11 @@
   return crashes_;
 }
 
+std::uint64_t Checker::rate_limited_arrivals() const {
+  const std::lock_guard lock(mutex_);
+  return rate_limits_.checked();
+}
+
 std::uint64_t Checker::refused_as_suspected() const {
   const std::lock_guard lock(mutex_);
   return refused_as_suspected_;
--- a/tests/soak/checker.hpp
+++ b/tests/soak/checker.hpp
@@ -1,6 +1,7 @@
 // Checks what callers, endpoints and the store observed against the guarantees
-// for departing endpoints and for requests that crash endpoints. All times are
-// of the steady clock of the soak process.
+// for departing endpoints, for requests that crash endpoints and for rate
+// limits that endpoints state. All times are of the steady clock of the soak
+// process.
 #pragma once
 
 #include <chrono>
@@ -10,10 +11,9 @@
 #include <string>
 #include <vector>
 
-namespace chalkwell::soak {
+#include "soak/rate_limit_check.hpp"
 
-using TimePoint = std::chrono::steady_clock::time_point;
-using std::chrono::milliseconds;
+namespace chalkwell::soak {
 
 /// @brief Prefix of the names of requests that crash endpoints; body and id of
 /// such a request contain its name.
@@ -90,6 +90,9 @@
   /// @brief The path to an endpoint is held until `OnPathReleased`.
   void OnPathHeld(const std::string& endpoint);
   void OnPathReleased(const std::string& endpoint);
+  /// @brief From now on an endpoint states this rate limit.
+  /// @param per_second 0 if it states none any more.
+  void OnRateLimit(const std::string& endpoint, double per_second);
   /// @brief A request arrived at an endpoint.
   /// @param request "ENTRY/NUMBER", its attempt id.
   void OnArrival(const std::string& endpoint, const std::string& request);
@@ -119,6 +122,8 @@
   [[nodiscard]] std::map<std::string, std::vector<CrashRecord>> crashes() const;
   /// @brief Number of other requests refused while a crashing one was on trial.
   [[nodiscard]] std::uint64_t refused_as_suspected() const;
+  /// @brief Number of requests that arrived while a rate limit had to be kept.
+  [[nodiscard]] std::uint64_t rate_limited_arrivals() const;
 
  private:
   [[nodiscard]] bool IsUndisturbed(const std::string& entry,
@@ -131,6 +136,8 @@
                         TimePoint now);
   void CheckCrashing(const std::string& endpoint, const std::string& request,
                      TimePoint now);
+  void CheckRateLimit(const std::string& endpoint, const std::string& request,
+                      TimePoint now);
 
   Bounds bounds_;
   mutable std::mutex mutex_;
@@ -148,6 +155,7 @@
   /// Arrivals, by name of the crashing request, that count against
   /// `Bounds::max_attempts_after_quarantine_`.
   std::map<std::string, std::size_t> attempts_after_quarantine_;
+  RateLimitCheck rate_limits_;
   std::uint64_t refused_as_suspected_ = 0;
   std::uint64_t unframed_streams_ = 0;
   std::vector<Finding> findings_;
--- a/tests/soak/fault_injector.cpp
+++ b/tests/soak/fault_injector.cpp
@@ -16,6 +16,13 @@
 /// From the crash of an endpoint to its next incarnation.
 constexpr int kMinRestartDelayMs = 1500;
 constexpr int kMaxRestartDelayMs = 4500;
+constexpr int kRateLimitsPerInjection = 3;
+/// Requests per second.
+constexpr double kMinRateLimit = 0.5;
+constexpr double kMaxRateLimit = 4;
+/// Longer than entries have until they must keep a limit.
+constexpr int kMinRateLimitMs = 6000;
+constexpr int kMaxRateLimitMs = 12000;
 /// Longer than the drain time in the entries' settings.
 constexpr auto kEntryStopTimeout = std::chrono::seconds(9);
 
@@ -68,6 +75,7 @@
        [this] { HoldEndpointPath(fleet::Direction::kFromTarget); }},
       {"path-reset", [this] { ResetEndpointConnections(); }},
       {"truncated-streams", [this] { TruncateStreams(); }},
+      {"rate-limits", [this] { StateRateLimits(); }},
       {"store-fails-some",
        [this] { RejectStoreCalls(150, DrawBetween(2000, 8000)); }},
       {"store-down",
@@ -354,6 +362,29 @@
   }
 }
 
+void FaultInjector::StateRateLimits() {
+  for (int i = 0; i < kRateLimitsPerInjection; ++i) {
+    auto* host = PickIdleHost();
+    if (host != nullptr && host->is_engine_) {
+      StateRateLimit(*host);
+    }
+  }
+}
+
+void FaultInjector::StateRateLimit(EndpointHost& host) {
+  busy_[&host] = true;
+  const auto id = host.endpoint_->id();
+  const double per_second =
+      std::uniform_real_distribution(kMinRateLimit, kMaxRateLimit)(random_);
+  host.endpoint_->SetRateLimit(std::to_string(per_second));
+  checker_.OnRateLimit(id, per_second);
+  Schedule(DrawBetween(kMinRateLimitMs, kMaxRateLimitMs), [this, &host, id] {
+    host.endpoint_->SetRateLimit("");
+    checker_.OnRateLimit(id, 0);
+    busy_[&host] = false;
+  });
+}
+
 // A store that rejects only some calls does not count as a disturbance.
 void FaultInjector::RejectStoreCalls(unsigned per_mille,
                                      milliseconds duration) {
--- a/tests/soak/fault_injector.hpp
+++ b/tests/soak/fault_injector.hpp
@@ -100,6 +100,9 @@
   void ResetEndpointConnections();
   /// Some endpoints cut off their streams, which have no length, for a while.
   void TruncateStreams();
+  /// Some endpoints state a rate limit for a while.
+  void StateRateLimits();
+  void StateRateLimit(EndpointHost& host);
   /// @param per_mille share of the store's calls that get 503.
   void RejectStoreCalls(unsigned per_mille, milliseconds duration);
   void DelayStore();
--- a/tests/soak/soak.cpp
+++ b/tests/soak/soak.cpp
@@ -101,6 +101,7 @@
   result.arrivals_after_departure_ = checker.arrivals_after_departure();
   result.crashes_ = checker.crashes();
   result.refused_as_suspected_ = checker.refused_as_suspected();
+  result.rate_limited_arrivals_ = checker.rate_limited_arrivals();
   result.list_ages_ = ReadLogField(settings.deployment_.folder_, "list_age_ms");
   if (result.findings_.empty() && !HasUnexpectedCrashes(result)) {
     std::filesystem::remove_all(settings.deployment_.folder_);
@@ -114,7 +115,9 @@
     out << " " << status << ":" << count;
   }
   out << "; streams that ended with their connection "
-      << result.unframed_streams_ << "\ninjected faults";
+      << result.unframed_streams_
+      << "; arrivals while a stated rate limit applied "
+      << result.rate_limited_arrivals_ << "\ninjected faults";
   for (const auto& [kind, count] : result.injected_) {
     out << " " << kind << ":" << count;
   }
--- a/tests/soak/soak_test.cpp
+++ b/tests/soak/soak_test.cpp
@@ -61,6 +61,16 @@
   CHECK(result.findings_.empty());
 }
 
+TEST_CASE("stated rate limits are kept by all entries together", "[soak]") {
+  const auto result = Run(SmallRun(7, "rate-limits,kill,path-reset"));
+  std::ostringstream text;
+  Print(result, text);
+  INFO(text.str());
+  CHECK(result.started_);
+  CHECK(result.rate_limited_arrivals_ > 0);
+  CHECK(result.findings_.empty());
+}
+
 TEST_CASE("endpoints that left get no work, whatever happens meanwhile",
           "[soak]") {
   struct Row {
