Let emulated engines state rate limits that depend on their load

Change: LoadRateLimit in the emulator, in a module of its own with the fixed limits; a test that limits do not spread at half load.

--- a/packages/emulator/src/emulator/engine.hpp
+++ b/packages/emulator/src/emulator/engine.hpp
@@ -48,6 +48,10 @@
   /// @brief Runs the passes that start no later than `now`.
   void AdvanceTo(core::TimePoint now);
   [[nodiscard]] routing::LoadReport Report(core::TimePoint now) const;
+  /// @brief Number of requests, running and waiting.
+  [[nodiscard]] std::size_t requests() const noexcept {
+    return running_.size() + waiting_.size();
+  }
 
  private:
   struct Running {
--- a/packages/emulator/src/emulator/fleet.cpp
+++ b/packages/emulator/src/emulator/fleet.cpp
@@ -52,7 +52,11 @@
 class Simulation {
  public:
   explicit Simulation(const FleetSpec& spec)
-      : spec_(spec), random_(spec.seed_), retry_jitter_(spec.seed_) {
+      : spec_(spec),
+        random_(spec.seed_),
+        retry_jitter_(spec.seed_),
+        stated_limits_(spec.rate_limits_, spec.load_rate_limit_, spec.engines_,
+                       kStart) {
     for (std::size_t engine = 0; engine < spec_.engines_; ++engine) {
       engines_.emplace_back(
           spec_.engine_, spec_.engine_queue_limit_,
@@ -101,6 +105,7 @@
   void OnCallerTimeout(std::uint64_t id, core::TimePoint sent_at);
   void ReportLoad(std::size_t engine);
   void StartOutage(const Outage& outage);
+  void CountLimited(std::size_t second);
   void OnFirstEvent(std::uint64_t id, core::TimePoint now);
   /// @brief Applies the rate limit that a response states, if any.
   void ReadRateLimit(const Call& call, core::TimePoint now);
@@ -129,6 +134,7 @@
   const FleetSpec& spec_;
   std::mt19937_64 random_;
   routing::RetryJitter retry_jitter_;
+  StatedLimits stated_limits_;
   std::deque<Engine> engines_;
   std::vector<Entry> entries_;
   std::map<std::uint64_t, Call> calls_;
@@ -272,6 +278,8 @@
     return std::chrono::milliseconds(500);
   }
   call.in_flight_ = true;
+  stated_limits_.OnReceived(call.engine_, engines_[call.engine_].requests(),
+                            now_);
   endpoints.OnSent(chosen.row_.id_, call.prompt_tokens_, now_, call.on_time_);
   Schedule(now_ + spec_.caller_timeout_,
            [this, id, sent_at = now_] { OnCallerTimeout(id, sent_at); });
@@ -317,19 +325,15 @@
 }
 
 void Simulation::ReadRateLimit(const Call& call, core::TimePoint now) {
-  const auto limit = std::ranges::find_if(
-      spec_.rate_limits_, [&](const StatedRateLimit& stated) {
-        return stated.engine_ == call.engine_ && now - kStart >= stated.at_;
-      });
-  if (limit == spec_.rate_limits_.end()) {
-    return;
-  }
   const routing::RateLimitStatement statement{
-      {IdOf(call.engine_), std::nullopt}, limit->requests_per_second_, now};
+      {IdOf(call.engine_), std::nullopt},
+      stated_limits_.LimitOf(call.engine_, now),
+      now};
   const auto change =
       entries_[call.entry_].endpoints_->rate_limits().OnResponse(statement,
                                                                  call.sent_at_);
-  if (change == routing::RateLimitChange::kLimited) {
+  if (change == routing::RateLimitChange::kLimited ||
+      change == routing::RateLimitChange::kLifted) {
     Schedule(now_ + spec_.report_delay_, [this, statement] {
       for (auto& entry : entries_) {
         entry.endpoints_->rate_limits().Merge(statement);
@@ -402,9 +406,18 @@
   });
 }
 
+void Simulation::CountLimited(std::size_t second) {
+  seconds_[second].limited_engines_ =
+      static_cast<std::uint32_t>(stated_limits_.LimitedCount(now_));
+}
+
 std::vector<SecondStats> Simulation::Run() {
   seconds_.resize(
       static_cast<std::size_t>(spec_.duration_ / std::chrono::seconds(1)));
+  for (std::size_t second = 0; second < seconds_.size(); ++second) {
+    Schedule(kStart + std::chrono::seconds(second + 1),
+             [this, second] { CountLimited(second); });
+  }
   for (std::size_t engine = 0; engine < engines_.size(); ++engine) {
     Schedule(kStart + std::chrono::duration_cast<core::Duration>(
                           spec_.report_interval_ * Uniform()),
--- a/packages/emulator/src/emulator/fleet.hpp
+++ b/packages/emulator/src/emulator/fleet.hpp
@@ -6,6 +6,7 @@
 #include <cstdint>
 #include <map>
 #include <memory>
+#include <optional>
 #include <queue>
 #include <random>
 #include <string>
@@ -14,6 +15,7 @@
 #include "chalkwell/routing/endpoint_table.hpp"
 #include "chalkwell/routing/request_age_estimator.hpp"
 #include "emulator/engine.hpp"
+#include "emulator/stated_limits.hpp"
 
 namespace chalkwell::emulator {
 
@@ -51,13 +53,6 @@
   double factor_ = 1;
 };
 
-/// @brief An engine that states a rate limit in its responses from a time on.
-struct StatedRateLimit {
-  std::size_t engine_ = 0;
-  core::Duration at_{};
-  double requests_per_second_ = 0;
-};
-
 /// @brief A simulated deployment and its load.
 struct FleetSpec {
   config::EngineProfile engine_;
@@ -71,6 +66,7 @@
   std::vector<RequestClass> classes_;
   std::vector<Outage> outages_;
   std::vector<StatedRateLimit> rate_limits_;
+  std::optional<LoadRateLimit> load_rate_limit_;
   /// Ordered by time; the factor is 1 before the first.
   std::vector<LoadStep> load_steps_;
   /// Amplitude of the sinusoidal variation of the request rate, as a share of
@@ -104,6 +100,8 @@
   std::uint32_t first_attempts_refused_ = 0;
   /// Requests counted in `late_` that were admitted as on time.
   std::uint32_t late_admitted_on_time_ = 0;
+  /// Engines that stated a rate limit at the end of the second.
+  std::uint32_t limited_engines_ = 0;
 };
 
 /// @brief Highest request rate, per second, that the engines can serve with all
--- a/tests/emulator/rate_limit_test.cpp
+++ b/tests/emulator/rate_limit_test.cpp
@@ -36,6 +36,8 @@
 
 /// Outcomes of the requests between two seconds.
 struct Outcomes {
+  /// Most engines that stated a limit at the same time.
+  std::uint32_t limited_engines_ = 0;
   std::uint32_t requests_ = 0;
   std::uint32_t refused_ = 0;
   std::uint32_t within_target_ = 0;
@@ -48,6 +50,8 @@
     sum.requests_ += seconds[second].requests_;
     sum.refused_ += seconds[second].first_attempts_refused_;
     sum.within_target_ += seconds[second].within_target_;
+    sum.limited_engines_ =
+        std::max(sum.limited_engines_, seconds[second].limited_engines_);
   }
   return sum;
 }
@@ -81,5 +85,32 @@
   }
 }
 
+TEST_CASE("limits of a few engines make others state limits", "[emulator]") {
+  struct Row {
+    std::string name_;
+    /// Share of what the engines can serve.
+    double load_;
+    /// Requests at an engine of 16 slots from which on it states a limit.
+    std::size_t min_requests_;
+  };
+  const auto row =
+      GENERATE(Row{"half load, at a busy engine", 0.5, 14},
+               Row{"higher load, at an engine with a queue", 0.7, 18});
+  CAPTURE(row.name_);
+  for (std::uint64_t seed = 1; seed <= 3; ++seed) {
+    auto spec = SmallFleet(seed);
+    const double scale = row.load_ * MaxRequestRate(spec) / kRequestsPerSecond;
+    for (auto& request_class : spec.classes_) {
+      request_class.requests_per_second_ *= scale;
+    }
+    spec.rate_limits_ = {{0, 6s, 2}, {1, 6s, 2}};
+    spec.load_rate_limit_ = LoadRateLimit{row.min_requests_, 0.35, 60s};
+    const auto sum = Sum(Simulate(spec), 8, 18);
+    CAPTURE(seed, sum.requests_, sum.refused_);
+    CHECK(sum.limited_engines_ == spec.rate_limits_.size());
+    CHECK(sum.refused_ == 0);
+  }
+}
+
 }  // namespace
 }  // namespace chalkwell::emulator
