Log that an endpoint states in a response that it leaves

Neither logs nor metrics held the statement, so that 'not read', 'undone' and 'overrun' could not be told apart.

No decision uses it yet. EndpointStatements is the one place that gets what a response's head states; rate limits pass through it.

--- a/packages/chalkwell/src/chalkwell/core/event.cpp
+++ b/packages/chalkwell/src/chalkwell/core/event.cpp
@@ -197,6 +197,10 @@
      "An endpoint stated a rate limit, another one, or none any more; or an "
      "invalid one, which has no effect.",
      "If it persists, check the endpoint or add capacity."},
+    {kEndpointLeaving, kInfo, "endpoint-leaving",
+     "An endpoint stated in a response that it is draining; or its statement "
+     "was invalid and has no effect.",
+     "None, unless the endpoint is not meant to leave."},
 });
 
 }  // namespace
--- a/packages/chalkwell/src/chalkwell/core/event.hpp
+++ b/packages/chalkwell/src/chalkwell/core/event.hpp
@@ -73,6 +73,7 @@
   kRequestSuspicionChanged = 614,
   kRequestQuarantined = 615,
   kRateLimitChanged = 616,
+  kEndpointLeaving = 617,
 };
 
 enum class Severity : std::uint8_t { kDebug, kInfo, kWarning, kError };
--- a/packages/daemon/src/daemon/direct/adapter.hpp
+++ b/packages/daemon/src/daemon/direct/adapter.hpp
@@ -64,6 +64,11 @@
   /// Signed by the endpoint. Without it, something else on the path may have
   /// sent the response.
   bool signed_ = false;
+  /// The endpoint is draining: it accepts no new requests.
+  bool leaving_ = false;
+  /// A statement of that kind that could not be decoded; empty if there is
+  /// none.
+  std::string invalid_leaving_;
   /// Requests per second that the endpoint accepts from all entries together;
   /// none if it states no limit.
   std::optional<double> rate_limit_;
--- a/packages/daemon/src/daemon/direct/direct_entry.hpp
+++ b/packages/daemon/src/daemon/direct/direct_entry.hpp
@@ -127,6 +127,7 @@
   MeshNode mesh_;
   QuarantineManager quarantine_;
   RateLimitManager rate_limits_;
+  EndpointStatements statements_;
   EndpointList endpoint_list_;
   RulesManager rules_manager_;
   PublishedRelay relay_;
--- a/packages/daemon/src/daemon/direct/direct_request.cpp
+++ b/packages/daemon/src/daemon/direct/direct_request.cpp
@@ -322,8 +322,10 @@
   context_.endpoints_.OnFirstByte(
       attempt_.choice_.row_.id_, request_.caller_.prompt_tokens_,
       attempt_.sent_at_, attempt_.choice_.time_to_first_byte_, now);
-  context_.rate_limits_.OnResponse(attempt_.choice_.row_,
-                                   attempt_.response_head_, attempt_.sent_at_);
+  context_.statements_.OnResponse({.request_ = request_.caller_.id_,
+                                   .endpoint_ = attempt_.choice_.row_,
+                                   .sent_at_ = attempt_.sent_at_,
+                                   .head_ = attempt_.response_head_});
   if (attempt_.response_head_.signed_) {
     context_.quarantine_.OnAnswered(attempt_.choice_.row_);
   }
--- a/packages/daemon/src/daemon/direct/direct_request.hpp
+++ b/packages/daemon/src/daemon/direct/direct_request.hpp
@@ -17,8 +17,8 @@
 #include "chalkwell/routing/retry_budget.hpp"
 #include "chalkwell/routing/retry_jitter.hpp"
 #include "daemon/direct/adapter.hpp"
+#include "daemon/direct/endpoint_statements.hpp"
 #include "daemon/direct/quarantine_manager.hpp"
-#include "daemon/direct/rate_limit_manager.hpp"
 #include "daemon/event_log.hpp"
 #include "daemon/metrics.hpp"
 #include "daemon/tracer.hpp"
@@ -34,7 +34,7 @@
   routing::RetryBudget& budget_;
   routing::RetryJitter& retry_jitter_;
   QuarantineManager& quarantine_;
-  RateLimitManager& rate_limits_;
+  EndpointStatements& statements_;
   EventLog& log_;
   Metrics& metrics_;
   Tracer& tracer_;
--- /dev/null
+++ b/packages/daemon/src/daemon/direct/endpoint_statements.hpp
@@ -0,0 +1,48 @@
+// What endpoints state about themselves in the heads of their responses: logs
+// each change and hands it to the decision that uses it.
+#pragma once
+
+#include <map>
+#include <string>
+
+#include "chalkwell/routing/endpoint_table.hpp"
+#include "daemon/direct/adapter.hpp"
+#include "daemon/direct/rate_limit_manager.hpp"
+#include "daemon/event_log.hpp"
+#include "daemon/metrics.hpp"
+
+namespace chalkwell::daemon::direct {
+
+/// @brief A response whose head has arrived.
+struct StatedResponse {
+  /// Id of the caller's request.
+  std::string request_;
+  /// The endpoint to which the request was sent.
+  routing::EndpointRow endpoint_;
+  core::TimePoint sent_at_;
+  ResponseHead head_;
+};
+
+/// @brief Applies the statements of responses to requests of one entry.
+class EndpointStatements {
+ public:
+  EndpointStatements(routing::EndpointTable& endpoints,
+                     RateLimitManager& rate_limits, EventLog& log,
+                     Metrics& metrics);
+
+  void OnResponse(const StatedResponse& response);
+
+ private:
+  void OnLeaving(const StatedResponse& response);
+  void LogLeaving(const StatedResponse& response, const std::string& change);
+
+  routing::EndpointTable& endpoints_;
+  RateLimitManager& rate_limits_;
+  EventLog& log_;
+  Metrics& metrics_;
+  /// Statements about leaving that were logged, by endpoint; at most
+  /// kMaxLogged.
+  std::map<core::InstanceId, std::string> logged_;
+};
+
+}  // namespace chalkwell::daemon::direct
--- a/tests/platform/codec_test.cpp
+++ b/tests/platform/codec_test.cpp
@@ -152,6 +152,29 @@
   CHECK(facts.signed_ == row.signed_);
 }
 
+TEST_CASE("a response that states that its endpoint leaves is decoded",
+          "[platform]") {
+  struct Row {
+    int status_;
+    std::vector<std::string> stated_;
+    bool leaving_;
+    std::string invalid_;
+  };
+  const auto row = GENERATE(
+      Row{200, {}, false, ""}, Row{200, {"1"}, true, ""},
+      Row{500, {"1"}, true, ""}, Row{503, {"1"}, true, ""},
+      Row{421, {"1"}, true, ""}, Row{200, {""}, false, "empty"},
+      Row{200, {"0"}, false, "0"}, Row{200, {"1", "x"}, true, "x"},
+      Row{200, {std::string(99, 'x')}, false, std::string(32, 'x')});
+  HttpHeaders headers;
+  for (const auto& text : row.stated_) {
+    headers.emplace_back("server-leaving", text);
+  }
+  const auto head = MakeRequestCodec().read_response_(row.status_, headers);
+  CHECK(head.leaving_ == row.leaving_);
+  CHECK(head.invalid_leaving_ == row.invalid_);
+}
+
 TEST_CASE("the rate limit of a response is decoded, or reported as invalid",
           "[platform]") {
   struct Row {
