--- a/tests/platform/codec_test.cpp
+++ b/tests/platform/codec_test.cpp
@@ -160,12 +160,12 @@
     bool leaving_;
     std::string invalid_;
   };
-  const auto row = GENERATE(
-      Row{200, {}, false, ""}, Row{200, {"1"}, true, ""},
-      Row{500, {"1"}, true, ""}, Row{503, {"1"}, true, ""},
-      Row{421, {"1"}, true, ""}, Row{200, {""}, false, "empty"},
-      Row{200, {"0"}, false, "0"}, Row{200, {"1", "x"}, true, "x"},
-      Row{200, {std::string(99, 'x')}, false, std::string(32, 'x')});
+  const auto row =
+      GENERATE(Row{200, {}, false, ""}, Row{200, {"1"}, true, ""},
+               Row{500, {"1"}, true, ""}, Row{503, {"1"}, true, ""},
+               Row{421, {"1"}, true, ""}, Row{200, {""}, false, "empty"},
+               Row{200, {"0"}, false, "0"}, Row{200, {"1", "x"}, true, "x"},
+               Row{200, {std::string(99, 'x')}, false, std::string(32, 'x')});
   HttpHeaders headers;
   for (const auto& text : row.stated_) {
     headers.emplace_back("server-leaving", text);
--- a/tests/platform/endpoint_standin.cpp
+++ b/tests/platform/endpoint_standin.cpp
@@ -74,9 +74,14 @@
   thread_.RunAndWait([&] { rate_limit_ = text; });
 }
 
+HttpHeaders EndpointStandin::StatedHeaders() const {
+  return states_leaving_ ? HttpHeaders{{"server-leaving", "1"}} : HttpHeaders{};
+}
+
 HttpHeaders EndpointStandin::ResponseHeaders(
     const std::string& request_id) const {
-  HttpHeaders headers{{"attempt-id", request_id}};
+  auto headers = StatedHeaders();
+  headers.emplace_back("attempt-id", request_id);
   if (!rate_limit_.empty()) {
     headers.emplace_back("server-limit", rate_limit_);
   }
@@ -175,7 +180,9 @@
   if (start_time_ms_ > 0) {
     report["born"] = start_time_ms_.load();
   }
-  RespondJson(exchange, report);
+  auto headers = StatedHeaders();
+  headers.emplace_back("content-type", "application/json");
+  exchange->Respond(200, headers, report.dump());
 }
 
 void EndpointStandin::HandleOrder(const HttpExchangePtr& exchange) {
@@ -206,8 +213,10 @@
   const bool other_version =
       !version.empty() && version != std::to_string(version_.load());
   if (expected != id_ || other_version) {
-    exchange->Respond(421, {{"instance-id", id_}, {"attempt-id", request_id}},
-                      "");
+    auto headers = StatedHeaders();
+    headers.emplace_back("instance-id", id_);
+    headers.emplace_back("attempt-id", request_id);
+    exchange->Respond(421, headers, "");
     return;
   }
   if (on_arrival_) {
@@ -257,8 +266,7 @@
       Respond(exchange, 500, headers, "failed");
       return;
     case Behaviour::kWrongAttemptId:
-      headers[0].second = "another";
-      exchange->Respond(200, headers, "of another request");
+      exchange->Respond(200, SignedHeaders("another"), "of another request");
       return;
     case Behaviour::kUnsigned:
       exchange->Respond(200, {{"attempt-id", request_id}}, "not its own");
--- a/tests/platform/standins.hpp
+++ b/tests/platform/standins.hpp
@@ -227,6 +227,9 @@
   /// @brief Sets the rate limit that all responses to requests state; empty for
   /// none.
   void SetRateLimit(const std::string& text);
+  /// @brief Sets whether all responses, to its agent as well, state that the
+  /// endpoint is draining.
+  void SetStatesLeaving(bool leaving) { states_leaving_ = leaving; }
   /// @brief Sets a handler that is called on the loop, with the attempt id,
   /// when a request arrives that expects this instance id and weights version.
   void OnArrival(std::function<void(const std::string& request)> handler);
@@ -261,6 +264,8 @@
  private:
   void OnCall(const daemon::HttpExchangePtr& exchange);
   void HandleRequest(const daemon::HttpExchangePtr& exchange);
+  /// @brief Headers of any response: what the endpoint states of itself.
+  [[nodiscard]] daemon::HttpHeaders StatedHeaders() const;
   /// @brief Headers of a response to a request, without its signature.
   [[nodiscard]] daemon::HttpHeaders ResponseHeaders(
       const std::string& request_id) const;
@@ -295,6 +300,7 @@
   std::atomic<StreamForm> stream_form_{};
   std::atomic<StreamForm> resumed_stream_form_{};
   std::atomic<std::size_t> body_size_{0};
+  std::atomic<bool> states_leaving_{false};
   std::atomic<std::uint64_t> version_{0};
   std::atomic<std::uint64_t> orders_{0};
   std::atomic<int> runs_{0};
--- /dev/null
+++ b/tests/platform/stated_leaving_test.cpp
@@ -0,0 +1,63 @@
+// Endpoints that state in their responses that they are draining, while the
+// store is down and their rows still say that they are ready.
+#include <catch2/catch.hpp>
+
+#include "deployment.hpp"
+
+namespace chalkwell::platform_tests {
+namespace {
+
+using standins::Behaviour;
+
+/// Requests that are sent once the departure was stated; far more than it takes
+/// until each of two equal endpoints is chosen.
+constexpr int kLaterRequests = 40;
+
+/// Counts the requests that arrive at an endpoint.
+class ArrivalCount {
+ public:
+  explicit ArrivalCount(EndpointStandin& endpoint) {
+    endpoint.OnArrival([this](const std::string&) { ++count_; });
+  }
+  [[nodiscard]] int count() const { return count_; }
+
+ private:
+  std::atomic<int> count_{0};
+};
+
+/// Sends requests to an entry until the endpoint has responded to one.
+void SendUntilArrival(const Node& entry, const std::string& path,
+                      const ArrivalCount& arrivals) {
+  REQUIRE(Eventually([&] {
+    (void)SendRequest(entry, RequestText(path));
+    return arrivals.count() > 0;
+  }));
+}
+
+TEST_CASE("an endpoint gets requests after it stated that it leaves",
+          "[platform][leaving]") {
+  struct Row {
+    std::string path_;
+    Behaviour behaviour_;
+  };
+  const auto row = GENERATE(
+      Row{"/safe/x", Behaviour::kServe}, Row{"/once/x", Behaviour::kServe},
+      Row{"/stream/x", Behaviour::kServe}, Row{"/safe/x", Behaviour::kFail},
+      Row{"/safe/x", Behaviour::kShed});
+  Deployment deployment;
+  const auto entry = deployment.StartEntry("e1", deployment.store_.address());
+  REQUIRE(Eventually([&] { return entry.Ready(); }));
+  deployment.store_.SetBusy(true);
+  deployment.first_.SetBehaviour(row.behaviour_);
+  deployment.first_.SetStatesLeaving(true);
+  const ArrivalCount arrivals(deployment.first_);
+  SendUntilArrival(entry, row.path_, arrivals);
+  const auto arrivals_when_stated = arrivals.count();
+  for (int i = 0; i < kLaterRequests; ++i) {
+    CHECK(Status(SendRequest(entry, RequestText(row.path_))) == "200");
+  }
+  CHECK(arrivals.count() == arrivals_when_stated);
+}
+
+}  // namespace
+}  // namespace chalkwell::platform_tests
