Stop using endpoints that state in a response that they leave

Cause: the statement was no input of any decision; only the published list and other entries' reads of it marked an endpoint as leaving.

Why it works: the head of a response, of whatever status, marks the incarnation that sent it as draining in EndpointTable, which every choice, every connection that opens and every undelivered attempt asks already. A refusal of another incarnation at the address marks that one.

--- a/packages/chalkwell/src/chalkwell/routing/endpoint_table.cpp
+++ b/packages/chalkwell/src/chalkwell/routing/endpoint_table.cpp
@@ -356,7 +356,8 @@
   }
 }
 
-void EndpointTable::MarkLeaving(const EndpointIncarnation& incarnation) {
+bool EndpointTable::MarkLeaving(const EndpointIncarnation& incarnation) {
+  const bool known = IsLeavingOrRemoved(incarnation);
   RememberDraining(incarnation);
   auto* endpoint = Find(incarnation.id_);
   if (endpoint != nullptr &&
@@ -365,6 +366,7 @@
     endpoint->row_.leaving_ = true;
     subset_outdated_ = true;
   }
+  return !known;
 }
 
 void EndpointTable::MarkTerminated(const EndpointIncarnation& incarnation) {
--- a/packages/chalkwell/src/chalkwell/routing/endpoint_table.hpp
+++ b/packages/chalkwell/src/chalkwell/routing/endpoint_table.hpp
@@ -257,7 +257,8 @@
   void ApplyReport(const std::string& address, const LoadReport& report,
                    core::TimePoint reported_at);
   /// @brief Records that an incarnation announced that it is draining.
-  void MarkLeaving(const EndpointIncarnation& incarnation);
+  /// @return whether it was not known to be leaving or removed.
+  bool MarkLeaving(const EndpointIncarnation& incarnation);
   /// @brief Removes an incarnation that has terminated.
   void MarkTerminated(const EndpointIncarnation& incarnation);
   /// @brief Records that another incarnation responded at the endpoint's
--- a/packages/daemon/src/daemon/direct/endpoint_list.cpp
+++ b/packages/daemon/src/daemon/direct/endpoint_list.cpp
@@ -263,7 +263,7 @@
 
 void EndpointList::OnDeparted(const DepartedMessage& departed) {
   for (const auto& incarnation : departed.leaving_) {
-    endpoints_.MarkLeaving(ToIncarnation(incarnation));
+    (void)endpoints_.MarkLeaving(ToIncarnation(incarnation));
   }
   // An endpoint that returned is in the next list that is read.
   for (const auto& incarnation : departed.removed_) {
--- a/packages/daemon/src/daemon/direct/endpoint_statements.cpp
+++ b/packages/daemon/src/daemon/direct/endpoint_statements.cpp
@@ -1,5 +1,4 @@
-// A response of another incarnation than the one that the request was sent to
-// states nothing about the latter.
+// The library decides what follows from a statement.
 #include "daemon/direct/endpoint_statements.hpp"
 
 #include <utility>
@@ -7,8 +6,19 @@
 namespace chalkwell::daemon::direct {
 namespace {
 
-/// Endpoints whose statements are remembered, so that each is logged once.
-constexpr std::size_t kMaxLogged = 512;
+/// Endpoints whose invalid statements are remembered, so that each is logged
+/// once.
+constexpr std::size_t kMaxInvalid = 512;
+
+/// The incarnation that sent the response: another one than the request was
+/// sent to if it was refused as misdirected.
+routing::EndpointIncarnation Responder(const StatedResponse& response) {
+  const auto& head = response.head_;
+  const bool other = head.mismatched_ && !head.instance_id_.empty() &&
+                     head.instance_id_ != response.endpoint_.id_;
+  return other ? routing::EndpointIncarnation{head.instance_id_, std::nullopt}
+               : response.endpoint_.incarnation();
+}
 
 }  // namespace
 
@@ -29,31 +39,36 @@
 void EndpointStatements::OnLeaving(const StatedResponse& response) {
   const auto& head = response.head_;
   if (!head.invalid_leaving_.empty()) {
-    metrics_.Count("leaving_statements_total", {{"state", "invalid"}});
-    LogLeaving(response, "invalid: " + head.invalid_leaving_);
+    LogInvalid(response, head.invalid_leaving_);
   }
   if (!head.leaving_) {
     return;
   }
-  const bool known =
-      endpoints_.IsLeavingOrRemoved(response.endpoint_.incarnation());
+  const bool changed = endpoints_.MarkLeaving(Responder(response));
   metrics_.Count("leaving_statements_total",
-                 {{"state", known ? "known" : "new"}});
-  LogLeaving(response, known ? "known" : "stated");
+                 {{"state", changed ? "new" : "known"}});
+  if (changed) {
+    LogLeaving(response, "stated");
+  }
 }
 
 void EndpointStatements::LogLeaving(const StatedResponse& response,
                                     const std::string& change) {
-  if (logged_.size() >= kMaxLogged) {
-    logged_.clear();
+  log_.Write(core::EventNumber::kEndpointLeaving,
+             {{"request", response.request_},
+              {"endpoint", Responder(response).id_.value()},
+              {"change", change},
+              {"source", "response"}});
+}
+
+void EndpointStatements::LogInvalid(const StatedResponse& response,
+                                    const std::string& text) {
+  metrics_.Count("leaving_statements_total", {{"state", "invalid"}});
+  if (invalid_.size() >= kMaxInvalid) {
+    invalid_.clear();
   }
-  const auto& id = response.endpoint_.id_;
-  if (std::exchange(logged_[id], change) != change) {
-    log_.Write(core::EventNumber::kEndpointLeaving,
-               {{"request", response.request_},
-                {"endpoint", id.value()},
-                {"change", change},
-                {"source", "response"}});
+  if (std::exchange(invalid_[response.endpoint_.id_], text) != text) {
+    LogLeaving(response, "invalid: " + text);
   }
 }
 
--- a/packages/daemon/src/daemon/direct/endpoint_statements.hpp
+++ b/packages/daemon/src/daemon/direct/endpoint_statements.hpp
@@ -35,14 +35,14 @@
  private:
   void OnLeaving(const StatedResponse& response);
   void LogLeaving(const StatedResponse& response, const std::string& change);
+  void LogInvalid(const StatedResponse& response, const std::string& text);
 
   routing::EndpointTable& endpoints_;
   RateLimitManager& rate_limits_;
   EventLog& log_;
   Metrics& metrics_;
-  /// Statements about leaving that were logged, by endpoint; at most
-  /// kMaxLogged.
-  std::map<core::InstanceId, std::string> logged_;
+  /// Invalid statements that were logged, by endpoint.
+  std::map<core::InstanceId, std::string> invalid_;
 };
 
 }  // namespace chalkwell::daemon::direct
