Keep a leaving endpoint unused when its row returns

An endpoint whose row lapses while the store is down, and returns with an older state, was used again although it had announced that it leaves: ApplyRow did not ask what was remembered of the incarnation when it added the row.

Rows without a start time are left to say so themselves, since they may belong to another incarnation.

--- a/packages/chalkwell/src/chalkwell/routing/endpoint_table.cpp
+++ b/packages/chalkwell/src/chalkwell/routing/endpoint_table.cpp
@@ -182,7 +182,10 @@
     return;
   }
   // An incarnation that is draining does not become available again.
-  const bool draining = endpoint.row_.leaving_ || row.leaving_;
+  // One without a start time that is listed again may be another incarnation.
+  const bool draining =
+      endpoint.row_.leaving_ || row.leaving_ ||
+      (row.started_ && HasAnnouncedDraining(row.incarnation()));
   const auto started = row.started_ ? row.started_ : endpoint.row_.started_;
   const auto known = std::exchange(endpoint.row_, std::move(row));
   endpoint.row_.leaving_ = draining;
--- a/tests/routing/endpoint_incarnation_test.cpp
+++ b/tests/routing/endpoint_incarnation_test.cpp
@@ -188,6 +188,18 @@
   CHECK(engines.Chosen());
 }
 
+TEST_CASE("a leaving endpoint is used again when its row returns",
+          "[routing][incarnation]") {
+  // Rows lapse while the store is down, and return with an older state.
+  SingleEngineTable engines;
+  engines.table_.MarkLeaving({kId, At(1000)});
+  engines.List({}, 2);
+  engines.List({RowOf(1000)}, 3);
+  CHECK_FALSE(engines.Chosen());
+  engines.List({RowOf(2000)}, 4);
+  CHECK(engines.Chosen());
+}
+
 TEST_CASE("requests to an earlier incarnation do not affect the current one",
           "[routing]") {
   SingleEngineTable engines;
