Soak: endpoints that state in responses that they leave

Kind states-leaving: two endpoints state their departure while the store rejects every call for 4 to 7 s, then drain and end. StatedLeavingCheck finds requests that arrive later than the drain bound after the same entry forwarded such a response; pauses and restarts of the entry excuse it.

--- a/tests/soak/checker.cpp
+++ b/tests/soak/checker.cpp
@@ -45,11 +45,13 @@
 void Checker::OnListed(const std::string& endpoint) {
   const std::lock_guard lock(mutex_);
   departed_at_.erase(endpoint);
+  stated_leaving_.OnListed(endpoint);
 }
 
 void Checker::OnDisturbed(const std::string& entry) {
   const std::lock_guard lock(mutex_);
   disturbed_at_[entry] = Now();
+  stated_leaving_.OnDisturbed(entry);
 }
 
 void Checker::OnPathHeld(const std::string& endpoint) {
@@ -87,6 +89,7 @@
   CheckLateArrival(endpoint, request, now);
   CheckCrashing(endpoint, request, now);
   CheckRateLimit(endpoint, request, now);
+  CheckStatedLeaving(endpoint, request, now);
 }
 
 void Checker::CheckCrashing(const std::string& endpoint,
@@ -117,6 +120,21 @@
   rate_limits_.OnStated(endpoint, per_second, Now());
 }
 
+void Checker::OnStatesLeaving(const std::string& endpoint) {
+  const std::lock_guard lock(mutex_);
+  stated_leaving_.OnStated(endpoint);
+}
+
+void Checker::CheckStatedLeaving(const std::string& endpoint,
+                                 const std::string& request, TimePoint now) {
+  const auto after =
+      stated_leaving_.OnArrival(endpoint, request, EntryOf(request), now);
+  if (after && !IsPathHeld(endpoint, now)) {
+    findings_.push_back(
+        {"sent although it stated that it leaves", endpoint, request, *after});
+  }
+}
+
 void Checker::CheckRateLimit(const std::string& endpoint,
                              const std::string& request, TimePoint now) {
   const auto entry = EntryOf(request);
@@ -193,6 +211,9 @@
   }
   const auto now = Now();
   responded_at_[request] = now;
+  if (status != 0) {
+    stated_leaving_.OnResponse(request, now);
+  }
   if (status == 200) {
     rate_limits_.OnResponse(request, now);
   }
@@ -239,6 +260,11 @@
   return rate_limits_.checked();
 }
 
+std::size_t Checker::forwarded_departures() const {
+  const std::lock_guard lock(mutex_);
+  return stated_leaving_.forwarded();
+}
+
 std::uint64_t Checker::refused_as_suspected() const {
   const std::lock_guard lock(mutex_);
   return refused_as_suspected_;
--- a/tests/soak/checker.hpp
+++ b/tests/soak/checker.hpp
@@ -12,6 +12,7 @@
 #include <vector>
 
 #include "soak/rate_limit_check.hpp"
+#include "soak/stated_leaving_check.hpp"
 
 namespace chalkwell::soak {
 
@@ -77,7 +78,8 @@
 /// `Bounds::recovery_`, nor while the store was.
 class Checker {
  public:
-  explicit Checker(Bounds bounds) : bounds_(bounds) {}
+  explicit Checker(Bounds bounds)
+      : bounds_(bounds), stated_leaving_(bounds.drain_) {}
 
   /// @brief The store acknowledged that an endpoint is draining or that its row
   /// is removed.
@@ -93,6 +95,8 @@
   /// @brief From now on an endpoint states this rate limit.
   /// @param per_second 0 if it states none any more.
   void OnRateLimit(const std::string& endpoint, double per_second);
+  /// @brief From now on all responses of an endpoint state that it leaves.
+  void OnStatesLeaving(const std::string& endpoint);
   /// @brief A request arrived at an endpoint.
   /// @param request "ENTRY/NUMBER", its attempt id.
   void OnArrival(const std::string& endpoint, const std::string& request);
@@ -124,6 +128,9 @@
   [[nodiscard]] std::uint64_t refused_as_suspected() const;
   /// @brief Number of requests that arrived while a rate limit had to be kept.
   [[nodiscard]] std::uint64_t rate_limited_arrivals() const;
+  /// @brief Number of endpoints, by each entry, of which it forwarded the
+  /// statement that they leave.
+  [[nodiscard]] std::size_t forwarded_departures() const;
 
  private:
   [[nodiscard]] bool IsUndisturbed(const std::string& entry,
@@ -138,6 +145,8 @@
                      TimePoint now);
   void CheckRateLimit(const std::string& endpoint, const std::string& request,
                       TimePoint now);
+  void CheckStatedLeaving(const std::string& endpoint,
+                          const std::string& request, TimePoint now);
 
   Bounds bounds_;
   mutable std::mutex mutex_;
@@ -156,6 +165,7 @@
   /// `Bounds::max_attempts_after_quarantine_`.
   std::map<std::string, std::size_t> attempts_after_quarantine_;
   RateLimitCheck rate_limits_;
+  StatedLeavingCheck stated_leaving_;
   std::uint64_t refused_as_suspected_ = 0;
   std::uint64_t unframed_streams_ = 0;
   std::vector<Finding> findings_;
--- a/tests/soak/deployment.cpp
+++ b/tests/soak/deployment.cpp
@@ -168,6 +168,7 @@
                    "-" + std::to_string(host.incarnation_));
   }
   const auto now = std::chrono::system_clock::now().time_since_epoch();
+  endpoint.SetStatesLeaving(false);
   endpoint.SetStartTime(static_cast<std::uint64_t>(
       std::chrono::duration_cast<milliseconds>(now).count()));
   endpoint.OnArrival([this, id = endpoint.id()](const std::string& request) {
--- a/tests/soak/fault_injector.cpp
+++ b/tests/soak/fault_injector.cpp
@@ -23,6 +23,10 @@
 /// Longer than entries have until they must keep a limit.
 constexpr int kMinRateLimitMs = 6000;
 constexpr int kMaxRateLimitMs = 12000;
+constexpr int kLeavingPerInjection = 2;
+/// Longer than the drain bound.
+constexpr int kMinLeavingMs = 4000;
+constexpr int kMaxLeavingMs = 7000;
 /// Longer than the drain time in the entries' settings.
 constexpr auto kEntryStopTimeout = std::chrono::seconds(9);
 
@@ -76,6 +80,7 @@
       {"path-reset", [this] { ResetEndpointConnections(); }},
       {"truncated-streams", [this] { TruncateStreams(); }},
       {"rate-limits", [this] { StateRateLimits(); }},
+      {"states-leaving", [this] { StateLeaving(); }},
       {"store-fails-some",
        [this] { RejectStoreCalls(150, DrawBetween(2000, 8000)); }},
       {"store-down",
@@ -385,6 +390,23 @@
   });
 }
 
+void FaultInjector::StateLeaving() {
+  const auto duration = DrawBetween(kMinLeavingMs, kMaxLeavingMs);
+  for (int i = 0; i < kLeavingPerInjection; ++i) {
+    auto* host = PickIdleHost();
+    if (host == nullptr) {
+      continue;
+    }
+    busy_[host] = true;
+    host->endpoint_->SetStatesLeaving(true);
+    checker_.OnStatesLeaving(host->endpoint_->id());
+    Schedule(duration, [this, host, same_id = random_() % 2 == 0] {
+      Depart(*host, true, same_id);
+    });
+  }
+  RejectStoreCalls(1000, duration);
+}
+
 // A store that rejects only some calls does not count as a disturbance.
 void FaultInjector::RejectStoreCalls(unsigned per_mille,
                                      milliseconds duration) {
--- a/tests/soak/fault_injector.hpp
+++ b/tests/soak/fault_injector.hpp
@@ -103,6 +103,9 @@
   /// Some endpoints state a rate limit for a while.
   void StateRateLimits();
   void StateRateLimit(EndpointHost& host);
+  /// Some endpoints state that they leave while the store is down, and leave
+  /// when it is back.
+  void StateLeaving();
   /// @param per_mille share of the store's calls that get 503.
   void RejectStoreCalls(unsigned per_mille, milliseconds duration);
   void DelayStore();
--- a/tests/soak/soak.cpp
+++ b/tests/soak/soak.cpp
@@ -102,6 +102,7 @@
   result.crashes_ = checker.crashes();
   result.refused_as_suspected_ = checker.refused_as_suspected();
   result.rate_limited_arrivals_ = checker.rate_limited_arrivals();
+  result.forwarded_departures_ = checker.forwarded_departures();
   result.list_ages_ = ReadLogField(settings.deployment_.folder_, "list_age_ms");
   if (result.findings_.empty() && !HasUnexpectedCrashes(result)) {
     std::filesystem::remove_all(settings.deployment_.folder_);
@@ -117,7 +118,9 @@
   out << "; streams that ended with their connection "
       << result.unframed_streams_
       << "; arrivals while a stated rate limit applied "
-      << result.rate_limited_arrivals_ << "\ninjected faults";
+      << result.rate_limited_arrivals_
+      << "; forwarded statements that an endpoint leaves "
+      << result.forwarded_departures_ << "\ninjected faults";
   for (const auto& [kind, count] : result.injected_) {
     out << " " << kind << ":" << count;
   }
--- a/tests/soak/soak.hpp
+++ b/tests/soak/soak.hpp
@@ -30,6 +30,8 @@
   std::map<std::string, std::vector<CrashRecord>> crashes_;
   std::uint64_t refused_as_suspected_ = 0;
   std::uint64_t rate_limited_arrivals_ = 0;
+  /// See Checker::forwarded_departures().
+  std::size_t forwarded_departures_ = 0;
   /// Snapshot ages of the endpoint list when attempts were routed, as logged
   /// by the entries.
   DurationSample list_ages_;
