Publish to other entries that an endpoint states that it leaves

Each entry learned it from a response of its own only. With the store away an entry that had sent the endpoint nothing yet, or that started meanwhile, still chose it, although it ends without waiting for the store.

The first entry that gets such a response publishes it like a departure that it read; entries that know already publish nothing. Not measured at size: one message per leaving endpoint and learner, and learners are those that get a response within the messages' few milliseconds.

--- a/packages/chalkwell/src/chalkwell/core/event.cpp
+++ b/packages/chalkwell/src/chalkwell/core/event.cpp
@@ -198,8 +198,8 @@
      "invalid one, which has no effect.",
      "If it persists, check the endpoint or add capacity."},
     {kEndpointLeaving, kInfo, "endpoint-leaving",
-     "An endpoint stated in a response that it is draining; or its statement "
-     "was invalid and has no effect.",
+     "An endpoint stated in a response that it is draining, or another entry "
+     "published so; or its statement was invalid and has no effect.",
      "None, unless the endpoint is not meant to leave."},
 });
 
--- a/packages/daemon/src/daemon/direct/direct_entry.cpp
+++ b/packages/daemon/src/daemon/direct/direct_entry.cpp
@@ -143,8 +143,9 @@
                  rules_manager_.OnMemberLost(member);
                },
            .on_departed_ =
-               [this](const DepartedMessage& departed) {
-                 endpoint_list_.OnDeparted(departed);
+               [this](const membership::Member& sender,
+                      const DepartedMessage& departed) {
+                 endpoint_list_.OnDeparted(sender, departed);
                },
            .on_list_ =
                [this](const membership::Member& sender,
@@ -208,7 +209,8 @@
                   process.metrics()),
       rate_limits_(process.loop(), endpoints_.rate_limits(), mesh_,
                    process.log(), process.metrics()),
-      statements_(endpoints_, rate_limits_, process.log(), process.metrics()),
+      statements_(endpoints_, rate_limits_, mesh_, process.log(),
+                  process.metrics()),
       endpoint_list_(process.loop(), endpoints_, mesh_, process.log(),
                      EndpointListSettingsOf(process.settings()),
                      {.read_ = [this] { reader_.ReadNow(Section::kEndpoints); },
--- a/packages/daemon/src/daemon/direct/endpoint_list.cpp
+++ b/packages/daemon/src/daemon/direct/endpoint_list.cpp
@@ -261,9 +261,15 @@
   }
 }
 
-void EndpointList::OnDeparted(const DepartedMessage& departed) {
+void EndpointList::OnDeparted(const membership::Member& sender,
+                              const DepartedMessage& departed) {
   for (const auto& incarnation : departed.leaving_) {
-    (void)endpoints_.MarkLeaving(ToIncarnation(incarnation));
+    if (endpoints_.MarkLeaving(ToIncarnation(incarnation))) {
+      log_.Write(core::EventNumber::kEndpointLeaving,
+                 {{"endpoint", incarnation.id_},
+                  {"change", "received"},
+                  {"source", sender.id_.value()}});
+    }
   }
   // An endpoint that returned is in the next list that is read.
   for (const auto& incarnation : departed.removed_) {
--- a/packages/daemon/src/daemon/direct/endpoint_list.hpp
+++ b/packages/daemon/src/daemon/direct/endpoint_list.hpp
@@ -70,7 +70,8 @@
   /// @brief A read of the store failed.
   void OnReadFailed();
   /// @brief An entry published draining or removed endpoints.
-  void OnDeparted(const DepartedMessage& departed);
+  void OnDeparted(const membership::Member& sender,
+                  const DepartedMessage& departed);
   /// @brief Runs a task at once if the list is within its age limit, else after
   /// a read: a process that was suspended must not choose an endpoint by its
   /// outdated list. The task also runs when the read fails.
--- a/packages/daemon/src/daemon/direct/endpoint_statements.cpp
+++ b/packages/daemon/src/daemon/direct/endpoint_statements.cpp
@@ -24,9 +24,11 @@
 
 EndpointStatements::EndpointStatements(routing::EndpointTable& endpoints,
                                        RateLimitManager& rate_limits,
-                                       EventLog& log, Metrics& metrics)
+                                       MeshNode& mesh, EventLog& log,
+                                       Metrics& metrics)
     : endpoints_(endpoints),
       rate_limits_(rate_limits),
+      mesh_(mesh),
       log_(log),
       metrics_(metrics) {}
 
@@ -44,11 +46,13 @@
   if (!head.leaving_) {
     return;
   }
-  const bool changed = endpoints_.MarkLeaving(Responder(response));
+  const auto responder = Responder(response);
+  const bool changed = endpoints_.MarkLeaving(responder);
   metrics_.Count("leaving_statements_total",
                  {{"state", changed ? "new" : "known"}});
   if (changed) {
     LogLeaving(response, "stated");
+    mesh_.PublishDeparted({.leaving_ = {ToMessage(responder)}, .removed_ = {}});
   }
 }
 
--- a/packages/daemon/src/daemon/direct/endpoint_statements.hpp
+++ b/packages/daemon/src/daemon/direct/endpoint_statements.hpp
@@ -1,5 +1,6 @@
 // What endpoints state about themselves in the heads of their responses: logs
-// each change and hands it to the decision that uses it.
+// each change, hands it to the decision that uses it and, if other entries need
+// it, publishes it.
 #pragma once
 
 #include <map>
@@ -7,6 +8,7 @@
 
 #include "chalkwell/routing/endpoint_table.hpp"
 #include "daemon/direct/adapter.hpp"
+#include "daemon/direct/mesh_node.hpp"
 #include "daemon/direct/rate_limit_manager.hpp"
 #include "daemon/event_log.hpp"
 #include "daemon/metrics.hpp"
@@ -27,8 +29,8 @@
 class EndpointStatements {
  public:
   EndpointStatements(routing::EndpointTable& endpoints,
-                     RateLimitManager& rate_limits, EventLog& log,
-                     Metrics& metrics);
+                     RateLimitManager& rate_limits, MeshNode& mesh,
+                     EventLog& log, Metrics& metrics);
 
   void OnResponse(const StatedResponse& response);
 
@@ -39,6 +41,7 @@
 
   routing::EndpointTable& endpoints_;
   RateLimitManager& rate_limits_;
+  MeshNode& mesh_;
   EventLog& log_;
   Metrics& metrics_;
   /// Invalid statements that were logged, by endpoint.
--- a/packages/daemon/src/daemon/direct/mesh_node.cpp
+++ b/packages/daemon/src/daemon/direct/mesh_node.cpp
@@ -300,7 +300,7 @@
   const auto& departed = message.departed_;
   if (hooks_.on_departed_ &&
       !(departed.leaving_.empty() && departed.removed_.empty())) {
-    hooks_.on_departed_(departed);
+    hooks_.on_departed_(sender, departed);
   }
   const bool has_list = message.list_.to_ > 0 || message.list_.read_failed_;
   if (hooks_.on_list_ && has_list) {
--- a/packages/daemon/src/daemon/direct/mesh_node.hpp
+++ b/packages/daemon/src/daemon/direct/mesh_node.hpp
@@ -54,7 +54,9 @@
   /// The lease of a member expired.
   std::function<void(const membership::Member& member)> on_lost_;
   /// An entry published draining or removed endpoints.
-  std::function<void(const DepartedMessage& departed)> on_departed_;
+  std::function<void(const membership::Member& sender,
+                     const DepartedMessage& departed)>
+      on_departed_;
   /// @param sent_at when the list was sent, by the local clock. It may be well
   /// before the call: datagrams queue in the network, and in the socket while
   /// this process is suspended.
--- a/tests/platform/stated_leaving_test.cpp
+++ b/tests/platform/stated_leaving_test.cpp
@@ -59,5 +59,27 @@
   CHECK(arrivals.count() == arrivals_when_stated);
 }
 
+TEST_CASE("an entry does not learn that an endpoint states that it leaves",
+          "[platform][leaving]") {
+  Deployment deployment;
+  const auto first = deployment.StartEntry("e1", deployment.store_.address());
+  const auto second = deployment.StartEntry("e2", deployment.store_.address(),
+                                            NodeOptions{&first, 2});
+  REQUIRE(Eventually([&] { return first.Ready() && second.Ready(); }));
+  deployment.store_.SetBusy(true);
+  deployment.first_.SetStatesLeaving(true);
+  const ArrivalCount arrivals(deployment.first_);
+  SendUntilArrival(first, "/safe/x", arrivals);
+  REQUIRE(Eventually([&] {
+    return deployment.Log("e2").find("change=\"received\"") !=
+           std::string::npos;
+  }));
+  const auto arrivals_when_received = arrivals.count();
+  for (int i = 0; i < kLaterRequests; ++i) {
+    CHECK(Status(SendRequest(second, RequestText("/safe/x"))) == "200");
+  }
+  CHECK(arrivals.count() == arrivals_when_received);
+}
+
 }  // namespace
 }  // namespace chalkwell::platform_tests
