Log for how long a refusing endpoint asks for no requests

Logs held the status only, so that 'not read', 'no other endpoint' and 'overrun' could not be told apart.

No decision uses it yet.

--- a/packages/daemon/src/daemon/direct/adapter.hpp
+++ b/packages/daemon/src/daemon/direct/adapter.hpp
@@ -69,6 +69,12 @@
   /// A statement of that kind that could not be decoded; empty if there is
   /// none.
   std::string invalid_leaving_;
+  /// A refusal states that the endpoint accepts no request of this entry for so
+  /// long; none if it does not.
+  std::optional<core::Duration> retry_after_;
+  /// A statement of that kind that could not be decoded; empty if there is
+  /// none.
+  std::string invalid_retry_after_;
   /// Requests per second that the endpoint accepts from all entries together;
   /// none if it states no limit.
   std::optional<double> rate_limit_;
--- a/packages/daemon/src/daemon/direct/direct_request.cpp
+++ b/packages/daemon/src/daemon/direct/direct_request.cpp
@@ -64,6 +64,14 @@
   return framing ? std::string(ToString(*framing)) : "none";
 }
 
+/// For how long a refusal asked for no requests, as logged, in milliseconds.
+std::string RetryAfterText(const ResponseHead& head) {
+  if (!head.invalid_retry_after_.empty()) {
+    return "invalid: " + head.invalid_retry_after_;
+  }
+  return head.retry_after_ ? Millis(*head.retry_after_) : "none";
+}
+
 }  // namespace
 
 DirectRequest::DirectRequest(RequestContext& context, HttpExchangePtr exchange,
@@ -510,6 +518,7 @@
          {"framing", FramingText(attempt_.framing_)},
          {"partial_event", std::to_string(events_.partial_event().size())},
          {"status", std::to_string(attempt_.status_)},
+         {"retry_after_ms", RetryAfterText(attempt_.response_head_)},
          {"given_up", std::string(attempt_.abandon_reason_)},
          {"after_ms", Millis(now - attempt_.sent_at_)}});
     context_.metrics_.Count("attempts_ended_total",
--- a/packages/daemon/src/daemon/direct/endpoint_statements.cpp
+++ b/packages/daemon/src/daemon/direct/endpoint_statements.cpp
@@ -34,6 +34,7 @@
 
 void EndpointStatements::OnResponse(const StatedResponse& response) {
   OnLeaving(response);
+  OnRetryAfter(response);
   rate_limits_.OnResponse(response.endpoint_, response.head_,
                           response.sent_at_);
 }
@@ -56,6 +57,16 @@
   }
 }
 
+void EndpointStatements::OnRetryAfter(const StatedResponse& response) {
+  const auto& head = response.head_;
+  if (!head.invalid_retry_after_.empty()) {
+    metrics_.Count("retry_after_statements_total", {{"state", "invalid"}});
+  }
+  if (head.retry_after_) {
+    metrics_.Count("retry_after_statements_total", {{"state", "valid"}});
+  }
+}
+
 void EndpointStatements::LogLeaving(const StatedResponse& response,
                                     const std::string& change) {
   log_.Write(core::EventNumber::kEndpointLeaving,
--- a/packages/daemon/src/daemon/direct/endpoint_statements.hpp
+++ b/packages/daemon/src/daemon/direct/endpoint_statements.hpp
@@ -36,6 +36,7 @@
 
  private:
   void OnLeaving(const StatedResponse& response);
+  void OnRetryAfter(const StatedResponse& response);
   void LogLeaving(const StatedResponse& response, const std::string& change);
   void LogInvalid(const StatedResponse& response, const std::string& text);
 
--- a/tests/platform/codec_test.cpp
+++ b/tests/platform/codec_test.cpp
@@ -175,6 +175,32 @@
   CHECK(head.invalid_leaving_ == row.invalid_);
 }
 
+TEST_CASE("the time that a refusal asks for is decoded", "[platform]") {
+  struct Row {
+    int status_;
+    std::vector<std::string> stated_;
+    std::optional<core::Duration> time_;
+    std::string invalid_;
+  };
+  const auto row = GENERATE(
+      Row{503, {}, std::nullopt, ""}, Row{503, {"3"}, 3s, ""},
+      Row{503, {"0.25"}, 250ms, ""}, Row{503, {"0"}, 0s, ""},
+      Row{429, {"3"}, 3s, ""}, Row{500, {"3"}, std::nullopt, ""},
+      Row{421, {"3"}, std::nullopt, ""}, Row{200, {"3"}, std::nullopt, ""},
+      Row{503, {"1e9"}, 24h, ""}, Row{503, {"1", "3", "2"}, 3s, ""},
+      Row{503, {"x", "2"}, 2s, "x"}, Row{503, {""}, std::nullopt, "empty"},
+      Row{503, {"-1"}, std::nullopt, "-1"},
+      Row{503, {"inf"}, std::nullopt, "inf"},
+      Row{503, {"nan"}, std::nullopt, "nan"});
+  HttpHeaders headers;
+  for (const auto& text : row.stated_) {
+    headers.emplace_back("retry-after", text);
+  }
+  const auto head = MakeRequestCodec().read_response_(row.status_, headers);
+  CHECK(head.retry_after_ == row.time_);
+  CHECK(head.invalid_retry_after_ == row.invalid_);
+}
+
 TEST_CASE("the rate limit of a response is decoded, or reported as invalid",
           "[platform]") {
   struct Row {
