--- a/tests/platform/stated_leaving_test.cpp
+++ b/tests/platform/stated_leaving_test.cpp
@@ -2,6 +2,7 @@
 // store is down and their rows still say that they are ready.
 #include <catch2/catch.hpp>
 
+#include "arrival_count.hpp"
 #include "deployment.hpp"
 
 namespace chalkwell::platform_tests {
@@ -9,31 +10,6 @@
 
 using standins::Behaviour;
 
-/// Requests that are sent once the departure was stated; far more than it takes
-/// until each of two equal endpoints is chosen.
-constexpr int kLaterRequests = 40;
-
-/// Counts the requests that arrive at an endpoint.
-class ArrivalCount {
- public:
-  explicit ArrivalCount(EndpointStandin& endpoint) {
-    endpoint.OnArrival([this](const std::string&) { ++count_; });
-  }
-  [[nodiscard]] int count() const { return count_; }
-
- private:
-  std::atomic<int> count_{0};
-};
-
-/// Sends requests to an entry until the endpoint has responded to one.
-void SendUntilArrival(const Node& entry, const std::string& path,
-                      const ArrivalCount& arrivals) {
-  REQUIRE(Eventually([&] {
-    (void)SendRequest(entry, RequestText(path));
-    return arrivals.count() > 0;
-  }));
-}
-
 TEST_CASE("an endpoint gets requests after it stated that it leaves",
           "[platform][leaving]") {
   struct Row {
