--- a/tests/platform/endpoint_standin.cpp
+++ b/tests/platform/endpoint_standin.cpp
@@ -74,6 +74,10 @@
   thread_.RunAndWait([&] { rate_limit_ = text; });
 }
 
+void EndpointStandin::SetRetryAfter(const std::string& text) {
+  thread_.RunAndWait([&] { retry_after_ = text; });
+}
+
 HttpHeaders EndpointStandin::StatedHeaders() const {
   return states_leaving_ ? HttpHeaders{{"server-leaving", "1"}} : HttpHeaders{};
 }
@@ -225,6 +229,9 @@
   if (behaviour == Behaviour::kShed) {
     auto headers = ResponseHeaders(request_id);
     headers.emplace_back("not-executed", "1");
+    if (!retry_after_.empty()) {
+      headers.emplace_back("retry-after", retry_after_);
+    }
     exchange->Respond(503, headers, "");
     return;
   }
--- a/tests/platform/standins.hpp
+++ b/tests/platform/standins.hpp
@@ -230,6 +230,8 @@
   /// @brief Sets whether all responses, to its agent as well, state that the
   /// endpoint is draining.
   void SetStatesLeaving(bool leaving) { states_leaving_ = leaving; }
+  /// @brief Sets the time that refusals state, in seconds; empty for none.
+  void SetRetryAfter(const std::string& text);
   /// @brief Sets a handler that is called on the loop, with the attempt id,
   /// when a request arrives that expects this instance id and weights version.
   void OnArrival(std::function<void(const std::string& request)> handler);
@@ -292,6 +294,7 @@
   std::atomic<std::chrono::milliseconds> run_delay_{};
   std::function<void(const std::string&)> on_arrival_;
   std::string rate_limit_;
+  std::string retry_after_;
   std::string crash_text_;
   std::function<void(const std::string&)> on_crash_;
   std::atomic<int> crashes_{0};
