Send no requests to endpoints that refused with a Retry-After

Cause: the time was no input of any decision, and a refusal is no failure in the choice of an endpoint.

Ruled out: 'no other endpoint' (the eight others served all they got) and 'overrun' (it lasts 9 s).

Why it works: EndpointRetryTimes keeps the latest end per incarnation, apart from the rows, and NextSend asks it as it asks slow starts and rate limits: choice, Retry-After of callers and the skipped candidates in the logs follow. A connection that opens meanwhile asks again. Other entries are not told: it is stated to one entry, and each learns it by one request.

--- a/packages/chalkwell/src/chalkwell/routing/endpoint_choice.cpp
+++ b/packages/chalkwell/src/chalkwell/routing/endpoint_choice.cpp
@@ -172,7 +172,11 @@
   const auto by_rate_limit = faults_.ignore_rate_limits_
                                  ? core::TimePoint{}
                                  : NextRateLimitedSend(endpoint, now);
-  return std::max(by_slow_start, by_rate_limit);
+  const auto by_refusal =
+      faults_.ignore_retry_times_
+          ? core::TimePoint{}
+          : retry_times_.RetryAt(endpoint.row_.incarnation(), now);
+  return std::max({by_slow_start, by_rate_limit, by_refusal});
 }
 
 std::optional<core::Duration> EndpointTable::SendWait(
--- a/packages/chalkwell/src/chalkwell/routing/endpoint_table.hpp
+++ b/packages/chalkwell/src/chalkwell/routing/endpoint_table.hpp
@@ -20,6 +20,7 @@
 #include "chalkwell/routing/data_residency.hpp"
 #include "chalkwell/routing/endpoint_incarnation.hpp"
 #include "chalkwell/routing/endpoint_rate_limits.hpp"
+#include "chalkwell/routing/endpoint_retry_times.hpp"
 #include "chalkwell/routing/fwd.hpp"
 #include "chalkwell/routing/incarnation_table.hpp"
 #include "chalkwell/routing/rate_limit_senders.hpp"
@@ -153,6 +154,7 @@
   bool ignore_evacuations_ = false;
   bool ignore_slow_start_ = false;
   bool ignore_rate_limits_ = false;
+  bool ignore_retry_times_ = false;
 };
 
 /// @brief An endpoint chosen for a request, with its predicted response time.
@@ -169,8 +171,8 @@
   /// Requests per second that the endpoint accepts from all entries together;
   /// none if it stated no limit.
   std::optional<double> rate_limit_;
-  /// Number of candidates that were skipped because their slow start or their
-  /// rate limit allows no request of this entry yet.
+  /// Number of candidates that were skipped because their slow start, their
+  /// rate limit or their last refusal allows no request of this entry yet.
   std::size_t deferred_ = 0;
 };
 
@@ -316,8 +318,8 @@
   [[nodiscard]] std::optional<EndpointChoice> Choose(
       const ChoiceRequest& request, core::TimePoint now);
   /// @brief Time until an endpoint may get a request for which Choose() found
-  /// none; none if no endpoint is only prevented by its slow start or its rate
-  /// limit.
+  /// none; none if no endpoint is only prevented by its slow start, its rate
+  /// limit or its last refusal.
   [[nodiscard]] std::optional<core::Duration> SendWait(
       const ChoiceRequest& request, core::TimePoint now) const;
 
@@ -349,6 +351,14 @@
     return rate_limits_;
   }
 
+  /// @brief When endpoints that refused a request accept the next one.
+  [[nodiscard]] EndpointRetryTimes& retry_times() noexcept {
+    return retry_times_;
+  }
+  [[nodiscard]] const EndpointRetryTimes& retry_times() const noexcept {
+    return retry_times_;
+  }
+
   /// @brief Whether an endpoint is unresponsive while others send reports.
   [[nodiscard]] bool IsUnresponsive(const core::InstanceId& id) const;
 
@@ -452,13 +462,14 @@
   };
 
   [[nodiscard]] Endpoint* Find(const core::InstanceId& id);
-  /// @brief Whether the endpoint may get a request, apart from its slow start
-  /// and its rate limit.
+  /// @brief Whether the endpoint may get a request, apart from its slow start,
+  /// its rate limit and what it asked for in a refusal.
   [[nodiscard]] bool IsUsable(const Endpoint& endpoint,
                               const ChoiceRequest& request,
                               core::TimePoint now) const;
   /// @brief When the endpoint may get a request of this entry with regard to
-  /// its slow start and its rate limit; the clock's epoch if it has neither.
+  /// its slow start, its rate limit and what it asked for in a refusal; the
+  /// clock's epoch if none of them applies.
   [[nodiscard]] core::TimePoint NextSend(const Endpoint& endpoint,
                                          core::TimePoint now) const;
   /// @brief NextSend() with regard to its rate limit only. If only other
@@ -559,6 +570,7 @@
   IncarnationTable incarnations_;
   EndpointRateLimits rate_limits_;
   RateLimitSenders rate_limit_senders_;
+  EndpointRetryTimes retry_times_;
   /// Incarnations removed from the list, newest last; at most kMaxRemembered.
   /// An agent that still announces one does not add it again.
   std::deque<EndpointIncarnation> removed_;
--- a/packages/chalkwell/src/chalkwell/routing/fwd.hpp
+++ b/packages/chalkwell/src/chalkwell/routing/fwd.hpp
@@ -15,6 +15,7 @@
 class AffinityChooser;
 class EndpointTable;
 class EndpointRateLimits;
+class EndpointRetryTimes;
 class RateLimitSenders;
 struct EntryLocation;
 struct RateLimitedEndpoint;
--- a/packages/daemon/src/daemon/direct/direct_entry.cpp
+++ b/packages/daemon/src/daemon/direct/direct_entry.cpp
@@ -74,7 +74,9 @@
       request.allowed_domains_ ? " in its allowed regions" : "";
   return "no endpoint of service " + request.service_ + where +
          " can take work" +
-         (deferred ? ", some are in slow start or at their rate limit" : "");
+         (deferred ? ", some are in slow start, at their rate limit or refuse "
+                     "requests for a while"
+                   : "");
 }
 
 membership::Member SelfOf(ProcessBase& process) {
@@ -209,8 +211,8 @@
                   process.metrics()),
       rate_limits_(process.loop(), endpoints_.rate_limits(), mesh_,
                    process.log(), process.metrics()),
-      statements_(endpoints_, rate_limits_, mesh_, process.log(),
-                  process.metrics()),
+      statements_(process.loop(), endpoints_, rate_limits_, mesh_,
+                  process.log(), process.metrics()),
       endpoint_list_(process.loop(), endpoints_, mesh_, process.log(),
                      EndpointListSettingsOf(process.settings()),
                      {.read_ = [this] { reader_.ReadNow(Section::kEndpoints); },
@@ -254,6 +256,7 @@
            [this] {
              quarantine_.RefreshMetrics();
              rate_limits_.RefreshMetrics();
+             statements_.RefreshMetrics();
            },
        .lift_quarantine_ =
            [this](const std::string& content) {
--- a/packages/daemon/src/daemon/direct/direct_request.cpp
+++ b/packages/daemon/src/daemon/direct/direct_request.cpp
@@ -186,12 +186,13 @@
   options.connect_timeout_ = kConnectTimeout;
   options.idle_timeout_ = request_.deadline_ - now + milliseconds(1000);
   // While the connection is being opened, the endpoint may be removed from the
-  // list and the request may be quarantined. MayRetry() has already considered
-  // the last attempt, so none is passed here.
+  // list or refuse another request, and the request may be quarantined.
+  // MayRetry() has already considered the last attempt, so none is passed here.
   options.may_send_ = [this, self = shared_from_this(),
                        incarnation = row.incarnation()] {
-    return context_.endpoints_.AcceptsRequests(incarnation,
-                                               context_.loop_.Now()) &&
+    const auto now = context_.loop_.Now();
+    return context_.endpoints_.AcceptsRequests(incarnation, now) &&
+           !context_.endpoints_.retry_times().Defers(incarnation, now) &&
            context_.quarantine_.MaySend(request_.identity_, std::nullopt);
   };
   options.matches_request_ =
--- a/packages/daemon/src/daemon/direct/endpoint_statements.cpp
+++ b/packages/daemon/src/daemon/direct/endpoint_statements.cpp
@@ -22,11 +22,13 @@
 
 }  // namespace
 
-EndpointStatements::EndpointStatements(routing::EndpointTable& endpoints,
+EndpointStatements::EndpointStatements(Loop& loop,
+                                       routing::EndpointTable& endpoints,
                                        RateLimitManager& rate_limits,
                                        MeshNode& mesh, EventLog& log,
                                        Metrics& metrics)
-    : endpoints_(endpoints),
+    : loop_(loop),
+      endpoints_(endpoints),
       rate_limits_(rate_limits),
       mesh_(mesh),
       log_(log),
@@ -62,9 +64,20 @@
   if (!head.invalid_retry_after_.empty()) {
     metrics_.Count("retry_after_statements_total", {{"state", "invalid"}});
   }
-  if (head.retry_after_) {
-    metrics_.Count("retry_after_statements_total", {{"state", "valid"}});
+  if (!head.retry_after_) {
+    return;
   }
+  const auto now = loop_.Now();
+  const bool changed = endpoints_.retry_times().OnRefused(
+      Responder(response), now + *head.retry_after_, now);
+  metrics_.Count("retry_after_statements_total",
+                 {{"state", changed ? "new" : "known"}});
+}
+
+void EndpointStatements::RefreshMetrics() {
+  metrics_.Set(
+      "endpoints_deferred_by_refusal", {},
+      static_cast<double>(endpoints_.retry_times().DeferredCount(loop_.Now())));
 }
 
 void EndpointStatements::LogLeaving(const StatedResponse& response,
--- a/packages/daemon/src/daemon/direct/endpoint_statements.hpp
+++ b/packages/daemon/src/daemon/direct/endpoint_statements.hpp
@@ -11,6 +11,7 @@
 #include "daemon/direct/mesh_node.hpp"
 #include "daemon/direct/rate_limit_manager.hpp"
 #include "daemon/event_log.hpp"
+#include "daemon/loop.hpp"
 #include "daemon/metrics.hpp"
 
 namespace chalkwell::daemon::direct {
@@ -28,11 +29,13 @@
 /// @brief Applies the statements of responses to requests of one entry.
 class EndpointStatements {
  public:
-  EndpointStatements(routing::EndpointTable& endpoints,
+  EndpointStatements(Loop& loop, routing::EndpointTable& endpoints,
                      RateLimitManager& rate_limits, MeshNode& mesh,
                      EventLog& log, Metrics& metrics);
 
   void OnResponse(const StatedResponse& response);
+  /// @brief Updates the gauges.
+  void RefreshMetrics();
 
  private:
   void OnLeaving(const StatedResponse& response);
@@ -40,6 +43,7 @@
   void LogLeaving(const StatedResponse& response, const std::string& change);
   void LogInvalid(const StatedResponse& response, const std::string& text);
 
+  Loop& loop_;
   routing::EndpointTable& endpoints_;
   RateLimitManager& rate_limits_;
   MeshNode& mesh_;
--- a/tests/platform/retry_after_test.cpp
+++ b/tests/platform/retry_after_test.cpp
@@ -48,5 +48,24 @@
   }));
 }
 
+TEST_CASE(
+    "a request is held at an entry whose endpoints all refuse for a while",
+    "[platform][retry-after]") {
+  Deployment deployment;
+  const auto entry = deployment.StartEntry("e1", deployment.store_.address());
+  REQUIRE(Eventually([&] { return entry.Ready(); }));
+  for (auto* endpoint : {&deployment.first_, &deployment.second_}) {
+    endpoint->SetBehaviour(Behaviour::kShed);
+    endpoint->SetRetryAfter(kLongTime);
+  }
+  std::string response;
+  REQUIRE(Eventually([&] {
+    response = SendRequest(entry, RequestText("/once/x"));
+    return response.find("refuse requests for a while") != std::string::npos;
+  }));
+  CHECK(Status(response) == "503");
+  CHECK(response.find("retry-after") != std::string::npos);
+}
+
 }  // namespace
 }  // namespace chalkwell::platform_tests
