Soak: endpoints that refuse for a while and say for how long

Kind refuse-retry-after: two endpoints refuse everything for 2 to 8 s with a Retry-After of 0.8 to 4 s.

--- a/tests/soak/checker.cpp
+++ b/tests/soak/checker.cpp
@@ -52,6 +52,7 @@
   const std::lock_guard lock(mutex_);
   disturbed_at_[entry] = Now();
   stated_leaving_.OnDisturbed(entry);
+  retry_after_.OnDisturbed(entry);
 }
 
 void Checker::OnPathHeld(const std::string& endpoint) {
@@ -90,6 +91,7 @@
   CheckCrashing(endpoint, request, now);
   CheckRateLimit(endpoint, request, now);
   CheckStatedLeaving(endpoint, request, now);
+  CheckRetryAfter(endpoint, request, now);
 }
 
 void Checker::CheckCrashing(const std::string& endpoint,
@@ -125,6 +127,20 @@
   stated_leaving_.OnStated(endpoint);
 }
 
+void Checker::OnRefusing(const std::string& endpoint, milliseconds time) {
+  const std::lock_guard lock(mutex_);
+  retry_after_.OnRefusing(endpoint, time);
+}
+
+void Checker::CheckRetryAfter(const std::string& endpoint,
+                              const std::string& request, TimePoint now) {
+  const auto after = retry_after_.OnArrival(endpoint, EntryOf(request), now);
+  if (after && !IsPathHeld(endpoint, now)) {
+    findings_.push_back(
+        {"sent in the time of a refusal", endpoint, request, *after});
+  }
+}
+
 void Checker::CheckStatedLeaving(const std::string& endpoint,
                                  const std::string& request, TimePoint now) {
   const auto after =
@@ -265,6 +281,11 @@
   return stated_leaving_.forwarded();
 }
 
+std::size_t Checker::refusals() const {
+  const std::lock_guard lock(mutex_);
+  return retry_after_.refusals();
+}
+
 std::uint64_t Checker::refused_as_suspected() const {
   const std::lock_guard lock(mutex_);
   return refused_as_suspected_;
--- a/tests/soak/checker.hpp
+++ b/tests/soak/checker.hpp
@@ -12,6 +12,7 @@
 #include <vector>
 
 #include "soak/rate_limit_check.hpp"
+#include "soak/retry_after_check.hpp"
 #include "soak/stated_leaving_check.hpp"
 
 namespace chalkwell::soak {
@@ -97,6 +98,9 @@
   void OnRateLimit(const std::string& endpoint, double per_second);
   /// @brief From now on all responses of an endpoint state that it leaves.
   void OnStatesLeaving(const std::string& endpoint);
+  /// @brief From now on an endpoint refuses all requests for so long each; zero
+  /// if it accepts them again.
+  void OnRefusing(const std::string& endpoint, milliseconds time);
   /// @brief A request arrived at an endpoint.
   /// @param request "ENTRY/NUMBER", its attempt id.
   void OnArrival(const std::string& endpoint, const std::string& request);
@@ -131,6 +135,8 @@
   /// @brief Number of endpoints, by each entry, of which it forwarded the
   /// statement that they leave.
   [[nodiscard]] std::size_t forwarded_departures() const;
+  /// @brief Number of refusals whose time had to be kept.
+  [[nodiscard]] std::size_t refusals() const;
 
  private:
   [[nodiscard]] bool IsUndisturbed(const std::string& entry,
@@ -145,6 +151,8 @@
                      TimePoint now);
   void CheckRateLimit(const std::string& endpoint, const std::string& request,
                       TimePoint now);
+  void CheckRetryAfter(const std::string& endpoint, const std::string& request,
+                       TimePoint now);
   void CheckStatedLeaving(const std::string& endpoint,
                           const std::string& request, TimePoint now);
 
@@ -166,6 +174,7 @@
   std::map<std::string, std::size_t> attempts_after_quarantine_;
   RateLimitCheck rate_limits_;
   StatedLeavingCheck stated_leaving_;
+  RetryAfterCheck retry_after_;
   std::uint64_t refused_as_suspected_ = 0;
   std::uint64_t unframed_streams_ = 0;
   std::vector<Finding> findings_;
--- a/tests/soak/fault_injector.cpp
+++ b/tests/soak/fault_injector.cpp
@@ -23,6 +23,11 @@
 /// Longer than entries have until they must keep a limit.
 constexpr int kMinRateLimitMs = 6000;
 constexpr int kMaxRateLimitMs = 12000;
+constexpr int kRefusingPerInjection = 2;
+constexpr int kMinRetryAfterMs = 800;
+constexpr int kMaxRetryAfterMs = 4000;
+constexpr int kMinRefusingMs = 2000;
+constexpr int kMaxRefusingMs = 8000;
 constexpr int kLeavingPerInjection = 2;
 /// Longer than the drain bound.
 constexpr int kMinLeavingMs = 4000;
@@ -80,6 +85,7 @@
       {"path-reset", [this] { ResetEndpointConnections(); }},
       {"truncated-streams", [this] { TruncateStreams(); }},
       {"rate-limits", [this] { StateRateLimits(); }},
+      {"refuse-retry-after", [this] { RefuseForAWhile(); }},
       {"states-leaving", [this] { StateLeaving(); }},
       {"store-fails-some",
        [this] { RejectStoreCalls(150, DrawBetween(2000, 8000)); }},
@@ -390,6 +396,28 @@
   });
 }
 
+void FaultInjector::RefuseForAWhile() {
+  for (int i = 0; i < kRefusingPerInjection; ++i) {
+    auto* host = PickIdleHost();
+    if (host == nullptr) {
+      continue;
+    }
+    busy_[host] = true;
+    const auto id = host->endpoint_->id();
+    const auto time = DrawBetween(kMinRetryAfterMs, kMaxRetryAfterMs);
+    const std::chrono::duration<double> seconds = time;
+    host->endpoint_->SetRetryAfter(std::to_string(seconds.count()));
+    host->endpoint_->SetBehaviour(standins::Behaviour::kShed);
+    checker_.OnRefusing(id, time);
+    Schedule(DrawBetween(kMinRefusingMs, kMaxRefusingMs), [this, host, id] {
+      host->endpoint_->SetBehaviour(standins::Behaviour::kServe);
+      host->endpoint_->SetRetryAfter("");
+      checker_.OnRefusing(id, milliseconds(0));
+      busy_[host] = false;
+    });
+  }
+}
+
 void FaultInjector::StateLeaving() {
   const auto duration = DrawBetween(kMinLeavingMs, kMaxLeavingMs);
   for (int i = 0; i < kLeavingPerInjection; ++i) {
--- a/tests/soak/fault_injector.hpp
+++ b/tests/soak/fault_injector.hpp
@@ -103,6 +103,9 @@
   /// Some endpoints state a rate limit for a while.
   void StateRateLimits();
   void StateRateLimit(EndpointHost& host);
+  /// Some endpoints refuse all requests for a while, and state for how long
+  /// they accept none.
+  void RefuseForAWhile();
   /// Some endpoints state that they leave while the store is down, and leave
   /// when it is back.
   void StateLeaving();
--- a/tests/soak/soak.cpp
+++ b/tests/soak/soak.cpp
@@ -103,6 +103,7 @@
   result.refused_as_suspected_ = checker.refused_as_suspected();
   result.rate_limited_arrivals_ = checker.rate_limited_arrivals();
   result.forwarded_departures_ = checker.forwarded_departures();
+  result.refusals_ = checker.refusals();
   result.list_ages_ = ReadLogField(settings.deployment_.folder_, "list_age_ms");
   if (result.findings_.empty() && !HasUnexpectedCrashes(result)) {
     std::filesystem::remove_all(settings.deployment_.folder_);
@@ -120,7 +121,8 @@
       << "; arrivals while a stated rate limit applied "
       << result.rate_limited_arrivals_
       << "; forwarded statements that an endpoint leaves "
-      << result.forwarded_departures_ << "\ninjected faults";
+      << result.forwarded_departures_ << "; refusals with a Retry-After "
+      << result.refusals_ << "\ninjected faults";
   for (const auto& [kind, count] : result.injected_) {
     out << " " << kind << ":" << count;
   }
--- a/tests/soak/soak.hpp
+++ b/tests/soak/soak.hpp
@@ -32,6 +32,8 @@
   std::uint64_t rate_limited_arrivals_ = 0;
   /// See Checker::forwarded_departures().
   std::size_t forwarded_departures_ = 0;
+  /// See Checker::refusals().
+  std::size_t refusals_ = 0;
   /// Snapshot ages of the endpoint list when attempts were routed, as logged
   /// by the entries.
   DurationSample list_ages_;
--- a/tests/soak/soak_test.cpp
+++ b/tests/soak/soak_test.cpp
@@ -62,6 +62,12 @@
   CHECK(result.rate_limited_arrivals_ > 0);
 }
 
+TEST_CASE("endpoints that refuse for a while get no requests meanwhile",
+          "[soak]") {
+  const auto result = CheckedRun(9, "refuse-retry-after,kill,path-reset");
+  CHECK(result.refusals_ > 0);
+}
+
 TEST_CASE("endpoints that state that they leave get no further work",
           "[soak]") {
   const auto result = CheckedRun(8, "states-leaving,kill,path-reset");
