Let agents report that their engine states that it leaves

An entry learned it from a response to a request, or from an entry that got one. The agent beside the engine gets a response every 100 ms and read no statement of it, so that an engine that nobody sent a request went on being chosen while the store was away.

Load reports carry it; the first one marks the incarnation as draining and is logged (617, change reported). Entries that use the engine are the subscribers of its reports, so nothing is published further. stated_leaving_test fails without the field. Another of its tests waits until the first entry knows the second: what is published once does not reach later members.

--- a/packages/chalkwell/src/chalkwell/routing/endpoint_table.cpp
+++ b/packages/chalkwell/src/chalkwell/routing/endpoint_table.cpp
@@ -319,7 +319,7 @@
   }
 }
 
-void EndpointTable::ApplyReport(const std::string& address,
+bool EndpointTable::ApplyReport(const std::string& address,
                                 const LoadReport& report,
                                 core::TimePoint reported_at) {
   for (auto& [id, endpoint] : endpoints_) {
@@ -328,7 +328,7 @@
       continue;
     }
     if (endpoint.report_ && reported_at < endpoint.reported_at_) {
-      return;
+      return false;
     }
     if (StartTimesDiffer(endpoint.row_.started_, report.started_)) {
       // The report arrived before the row of this incarnation was read, or
@@ -355,8 +355,9 @@
     endpoint.version_reported_ = true;
     std::erase_if(endpoint.sent_since_report_,
                   [&](core::TimePoint sent) { return sent < reported_at; });
-    return;
+    return report.leaving_ && MarkLeaving(endpoint.row_.incarnation());
   }
+  return false;
 }
 
 bool EndpointTable::MarkLeaving(const EndpointIncarnation& incarnation) {
--- a/packages/chalkwell/src/chalkwell/routing/endpoint_table.hpp
+++ b/packages/chalkwell/src/chalkwell/routing/endpoint_table.hpp
@@ -84,6 +84,8 @@
   std::uint32_t queued_ = 0;
   /// False while it loads weights and accepts no new requests.
   bool accepting_ = true;
+  /// It states that it is draining.
+  bool leaving_ = false;
   std::optional<std::uint64_t> weights_version_;
   /// Duration of a step relative to the profile; above 1 the engine is slower.
   double slowdown_ = 1;
@@ -256,7 +258,8 @@
   /// @brief Applies a load report of the endpoint at an address; ignored if
   /// older than the last one. A report with another start time shows that its
   /// incarnation is the current one.
-  void ApplyReport(const std::string& address, const LoadReport& report,
+  /// @return whether it shows for the first time that the endpoint is leaving.
+  bool ApplyReport(const std::string& address, const LoadReport& report,
                    core::TimePoint reported_at);
   /// @brief Records that an incarnation announced that it is draining.
   /// @return whether it was not known to be leaving or removed.
--- a/packages/daemon/src/daemon/direct/direct_agent.cpp
+++ b/packages/daemon/src/daemon/direct/direct_agent.cpp
@@ -69,7 +69,8 @@
 bool SameLoad(const LoadMessage& left, const LoadMessage& right) {
   return left.active_ == right.active_ && left.queued_ == right.queued_ &&
          left.accepting_ == right.accepting_ &&
-         left.version_ == right.version_ && left.slowdown_ == right.slowdown_ &&
+         left.leaving_ == right.leaving_ && left.version_ == right.version_ &&
+         left.slowdown_ == right.slowdown_ &&
          left.started_ms_ == right.started_ms_ &&
          AbsoluteDifference(left.inbound_ms_, right.inbound_ms_) <
              kInboundDelayStepMs;
@@ -264,6 +265,7 @@
   load.active_ = report->load_.active_;
   load.queued_ = report->load_.queued_;
   load.accepting_ = !weights_.switching() && !report->activating_;
+  load.leaving_ = report->load_.leaving_;
   load.slowdown_ =
       static_cast<std::uint32_t>(report->load_.slowdown_ * kSlowdownUnit);
   const auto inbound = InboundDelay(now);
@@ -281,7 +283,8 @@
   const bool urgent =
       last_load_ && (last_load_->version_ != load.version_ ||
                      last_load_->started_ms_ != load.started_ms_ ||
-                     last_load_->accepting_ != load.accepting_);
+                     last_load_->accepting_ != load.accepting_ ||
+                     last_load_->leaving_ != load.leaving_);
   if (changed) {
     last_load_ = load;
   }
--- a/packages/daemon/src/daemon/direct/direct_entry.cpp
+++ b/packages/daemon/src/daemon/direct/direct_entry.cpp
@@ -549,7 +549,12 @@
     endpoints_.ApplyAnnouncementAt(message.endpoint_,
                                    {report.incarnation_, report.started_}, now);
   }
-  endpoints_.ApplyReport(message.endpoint_, report, now);
+  if (endpoints_.ApplyReport(message.endpoint_, report, now)) {
+    process_.log().Write(core::EventNumber::kEndpointLeaving,
+                         {{"endpoint", message.endpoint_},
+                          {"change", "reported"},
+                          {"source", "report"}});
+  }
 }
 
 void DirectEntry::OnCallerRequest(const HttpExchangePtr& exchange,
--- a/packages/daemon/src/daemon/direct/mesh_messages.cpp
+++ b/packages/daemon/src/daemon/direct/mesh_messages.cpp
@@ -202,6 +202,7 @@
   report.active_ = message.active_;
   report.queued_ = message.queued_;
   report.accepting_ = message.accepting_;
+  report.leaving_ = message.leaving_;
   report.slowdown_ = message.slowdown_ / kSlowdownUnit;
   report.subscribers_ = message.subscribers_;
   if (message.version_ > 0) {
--- a/packages/daemon/src/daemon/direct/mesh_messages.hpp
+++ b/packages/daemon/src/daemon/direct/mesh_messages.hpp
@@ -67,8 +67,11 @@
   std::int64_t started_ms_ = 0;
   /// Number of subscribers; 0 when unknown.
   std::uint32_t subscribers_ = 0;
+  /// The engine states that it is draining.
+  bool leaving_ = false;
   MSGPACK_DEFINE(endpoint_, active_, queued_, accepting_, version_, slowdown_,
-                 sent_ms_, inbound_ms_, instance_id_, started_ms_, subscribers_)
+                 sent_ms_, inbound_ms_, instance_id_, started_ms_, subscribers_,
+                 leaving_)
 };
 
 /// @brief Chunks of a version that an agent can serve to its peers.
--- a/tests/platform/stated_leaving_test.cpp
+++ b/tests/platform/stated_leaving_test.cpp
@@ -42,6 +42,10 @@
   const auto second = deployment.StartEntry("e2", deployment.store_.address(),
                                             NodeOptions{&first, 2});
   REQUIRE(Eventually([&] { return first.Ready() && second.Ready(); }));
+  // The first entry publishes to the members that it knows.
+  REQUIRE(Eventually([&] {
+    return deployment.Log("e1").find("member=\"e2\"") != std::string::npos;
+  }));
   deployment.store_.SetBusy(true);
   deployment.first_.SetStatesLeaving(true);
   const ArrivalCount arrivals(deployment.first_);
@@ -57,5 +61,24 @@
   CHECK(arrivals.count() == arrivals_when_received);
 }
 
+TEST_CASE("an agent does not report that its engine states that it leaves",
+          "[platform][leaving]") {
+  Deployment deployment;
+  // Entries expect an agent at the IP address of its engine.
+  EndpointStandin engine{deployment.thread_, "i-reporting", {"127.0.0.2", 0}};
+  deployment.store_.Put("servers/" + engine.id(), engine.Row("pool", "z1"));
+  const auto entry = deployment.StartEntry("e1", deployment.store_.address());
+  REQUIRE(Eventually([&] { return entry.Ready(); }));
+  const auto agent =
+      deployment.StartAgent("a1", NodeOptions{&entry, 2, engine.address()});
+  REQUIRE(Eventually([&] { return engine.version() == 1; }));
+  deployment.store_.SetBusy(true);
+  engine.SetStatesLeaving(true);
+  CHECK(Eventually([&] {
+    return deployment.Log("e1").find("change=\"reported\"") !=
+           std::string::npos;
+  }));
+}
+
 }  // namespace
 }  // namespace chalkwell::platform_tests
