--- a/packages/chalkwell/src/chalkwell/core/event.cpp
+++ b/packages/chalkwell/src/chalkwell/core/event.cpp
@@ -201,6 +201,10 @@
      "An endpoint stated in a response that it is draining, or another entry "
      "published so; or its statement was invalid and has no effect.",
      "None, unless the endpoint is not meant to leave."},
+    {kUnknownResponseHeader, kWarning, "response-header-unknown",
+     "An endpoint sent a response header that the adapter does not know; "
+     "logged once for each name.",
+     "Check whether endpoints state something there that requests must heed."},
 });
 
 }  // namespace
--- a/packages/chalkwell/src/chalkwell/core/event.hpp
+++ b/packages/chalkwell/src/chalkwell/core/event.hpp
@@ -74,6 +74,7 @@
   kRequestQuarantined = 615,
   kRateLimitChanged = 616,
   kEndpointLeaving = 617,
+  kUnknownResponseHeader = 618,
 };
 
 enum class Severity : std::uint8_t { kDebug, kInfo, kWarning, kError };
--- a/packages/daemon/src/daemon/direct/adapter.hpp
+++ b/packages/daemon/src/daemon/direct/adapter.hpp
@@ -80,6 +80,10 @@
   std::optional<double> rate_limit_;
   /// A stated limit that could not be decoded; empty if there is none.
   std::string invalid_rate_limit_;
+  /// Names of headers that the adapter does not know.
+  std::vector<std::string> unknown_headers_;
+
+  friend bool operator==(const ResponseHead&, const ResponseHead&) = default;
 };
 
 /// @brief Translates requests and responses.
--- a/packages/daemon/src/daemon/direct/endpoint_statements.cpp
+++ b/packages/daemon/src/daemon/direct/endpoint_statements.cpp
@@ -9,6 +9,9 @@
 /// Endpoints whose invalid statements are remembered, so that each is logged
 /// once.
 constexpr std::size_t kMaxInvalid = 512;
+/// Names of unknown headers that are logged; further ones are only counted.
+constexpr std::size_t kMaxUnknownHeaders = 32;
+constexpr std::size_t kMaxLoggedNameLength = 64;
 
 /// The incarnation that sent the response: another one than the request was
 /// sent to if it was refused as misdirected.
@@ -37,6 +40,7 @@
 void EndpointStatements::OnResponse(const StatedResponse& response) {
   OnLeaving(response);
   OnRetryAfter(response);
+  OnUnknownHeaders(response);
   rate_limits_.OnResponse(response.endpoint_, response.head_,
                           response.sent_at_);
 }
@@ -74,6 +78,19 @@
                  {{"state", changed ? "new" : "known"}});
 }
 
+void EndpointStatements::OnUnknownHeaders(const StatedResponse& response) {
+  for (const auto& name : response.head_.unknown_headers_) {
+    metrics_.Count("unknown_response_headers_total", {});
+    if (unknown_headers_.size() < kMaxUnknownHeaders &&
+        unknown_headers_.insert(name).second) {
+      log_.Write(core::EventNumber::kUnknownResponseHeader,
+                 {{"request", response.request_},
+                  {"endpoint", response.endpoint_.id_.value()},
+                  {"header", name.substr(0, kMaxLoggedNameLength)}});
+    }
+  }
+}
+
 void EndpointStatements::RefreshMetrics() {
   metrics_.Set(
       "endpoints_deferred_by_refusal", {},
--- a/packages/daemon/src/daemon/direct/endpoint_statements.hpp
+++ b/packages/daemon/src/daemon/direct/endpoint_statements.hpp
@@ -4,6 +4,7 @@
 #pragma once
 
 #include <map>
+#include <set>
 #include <string>
 
 #include "chalkwell/routing/endpoint_table.hpp"
@@ -40,6 +41,7 @@
  private:
   void OnLeaving(const StatedResponse& response);
   void OnRetryAfter(const StatedResponse& response);
+  void OnUnknownHeaders(const StatedResponse& response);
   void LogLeaving(const StatedResponse& response, const std::string& change);
   void LogInvalid(const StatedResponse& response, const std::string& text);
 
@@ -51,6 +53,8 @@
   Metrics& metrics_;
   /// Invalid statements that were logged, by endpoint.
   std::map<core::InstanceId, std::string> invalid_;
+  /// Names of unknown headers that were logged.
+  std::set<std::string> unknown_headers_;
 };
 
 }  // namespace chalkwell::daemon::direct
--- a/tests/platform/codec_test.cpp
+++ b/tests/platform/codec_test.cpp
@@ -175,6 +175,38 @@
   CHECK(head.invalid_leaving_ == row.invalid_);
 }
 
+TEST_CASE("a header that endpoints state is neither decoded nor known",
+          "[platform]") {
+  enum class Use : std::uint8_t { kDecoded, kUnused, kUnknown };
+  struct Row {
+    std::string name_;
+    std::string value_;
+    int status_;
+    Use use_;
+  };
+  // One row for each header of responses in docs/design/endpoint-statements.md.
+  const auto row = GENERATE(Row{"instance-id", "i-1", 200, Use::kDecoded},
+                            Row{"response-seal", "s", 200, Use::kDecoded},
+                            Row{"not-executed", "1", 503, Use::kDecoded},
+                            Row{"server-leaving", "1", 200, Use::kDecoded},
+                            Row{"retry-after", "3", 503, Use::kDecoded},
+                            Row{"server-limit", "2", 200, Use::kDecoded},
+                            Row{"cold-ms", "900", 200, Use::kUnused},
+                            Row{"weight-versions", "2", 200, Use::kUnused},
+                            Row{"at-server", "i-2", 503, Use::kUnused},
+                            Row{"connection", "close", 200, Use::kUnused},
+                            Row{"keep-alive", "timeout=5", 200, Use::kUnused},
+                            Row{"content-encoding", "gzip", 200, Use::kUnused},
+                            Row{"server-mood", "7", 200, Use::kUnknown});
+  INFO(row.name_);
+  const auto codec = MakeRequestCodec();
+  const auto without = codec.read_response_(row.status_, {});
+  const auto head =
+      codec.read_response_(row.status_, {{row.name_, row.value_}});
+  CHECK((head == without) == (row.use_ == Use::kUnused));
+  CHECK(head.unknown_headers_.empty() == (row.use_ != Use::kUnknown));
+}
+
 TEST_CASE("the time that a refusal asks for is decoded", "[platform]") {
   struct Row {
     int status_;
