--- a/packages/daemon/src/daemon/direct/direct_entry.cpp
+++ b/packages/daemon/src/daemon/direct/direct_entry.cpp
@@ -551,7 +551,7 @@
   }
   if (endpoints_.ApplyReport(message.endpoint_, report, now)) {
     process_.log().Write(core::EventNumber::kEndpointLeaving,
-                         {{"endpoint", message.endpoint_},
+                         {{"address", message.endpoint_},
                           {"change", "reported"},
                           {"source", "report"}});
   }
