Count crashes under a widespread prompt part half

A part that nearly all requests of a service hold is in flight at any endpoint that crashes, so that its presence says little about the cause. If requests of different contents ended three endpoints before any run completed, the part was quarantined: every request of the service was refused, with a Retry-After of a minute, until a run in flight completed.

Entries count which share of a service's requests held each part. A crash is recorded as widespread if nine in ten held it at each reporter, and counts half: such a part is suspected after four crashes and quarantined after six.

crashing_request_test "crashes by several requests do not quarantine a part that all hold" failed with the program before (503 for a sound request). The tests' requests stated a body of four bytes whatever its length; corrected with it.

--- a/packages/chalkwell/src/chalkwell/routing/crash_detector.hpp
+++ b/packages/chalkwell/src/chalkwell/routing/crash_detector.hpp
@@ -34,6 +34,8 @@
   RequestIdentity request_;
   /// Time from sending it to its end.
   core::Duration elapsed_{};
+  /// Service that the request was sent to.
+  std::string service_;
 };
 
 /// @brief An endpoint incarnation at which attempts were lost.
--- a/packages/chalkwell/src/chalkwell/routing/fwd.hpp
+++ b/packages/chalkwell/src/chalkwell/routing/fwd.hpp
@@ -31,6 +31,7 @@
 class RequestDigest;
 struct RequestContent;
 struct RequestIdentity;
+class PromptPartShares;
 class RequestQuarantine;
 class CrashDetector;
 struct CrashRecord;
--- a/packages/chalkwell/src/chalkwell/routing/request_quarantine.cpp
+++ b/packages/chalkwell/src/chalkwell/routing/request_quarantine.cpp
@@ -62,9 +62,10 @@
         return MayBeSameIncarnation(other.endpoint_, crash.endpoint_);
       });
   if (known != crashes.end()) {
-    const bool cleared = crash.cleared_ && !known->cleared_;
+    const auto before = std::pair(known->cleared_, known->widespread_);
     known->cleared_ = known->cleared_ || crash.cleared_;
-    return cleared;
+    known->widespread_ = known->widespread_ && crash.widespread_;
+    return before != std::pair(known->cleared_, known->widespread_);
   }
   const auto later = std::ranges::upper_bound(crashes, crash.crashed_at_, {},
                                               &EndpointCrash::crashed_at_);
@@ -229,12 +230,12 @@
   const bool sent_after =
       crash.elapsed_ >= settings_.min_run_time_ &&
       sent_at >= attribution.last_ - settings_.max_clock_error_;
-  if (attribution.count_ == 0) {
+  if (attribution.half_crashes_ == 0) {
     attribution.first_ = crash.crashed_at_;
   } else if (!separate && !sent_after) {
     return;
   }
-  ++attribution.count_;
+  attribution.half_crashes_ += crash.widespread_ ? 1 : 2;
   attribution.last_ = crash.crashed_at_;
 }
 
@@ -251,14 +252,14 @@
 
 std::size_t RequestQuarantine::AttributedCrashes(
     const RequestDigest& request) const {
-  return AttributionOf(request).count_;
+  return AttributionOf(request).crashes();
 }
 
 std::size_t RequestQuarantine::AttributedCrashesWith(
     const RequestDigest& request, const EndpointCrash& crash) const {
   auto attribution = AttributionOf(request);
   CountIfIndependent(attribution, crash);
-  return attribution.count_;
+  return attribution.crashes();
 }
 
 core::Duration RequestQuarantine::QuarantineDuration(
@@ -274,10 +275,10 @@
     const RequestDigest& request) const {
   const auto attribution = AttributionOf(request);
   const bool quarantined =
-      attribution.count_ >= settings_.quarantined_crashes_ &&
+      attribution.crashes() >= settings_.quarantined_crashes_ &&
       attribution.last_ - attribution.first_ >= settings_.same_cause_window_;
   return quarantined
-             ? attribution.last_ + QuarantineDuration(attribution.count_)
+             ? attribution.last_ + QuarantineDuration(attribution.crashes())
              : core::TimePoint{};
 }
 
--- a/packages/chalkwell/src/chalkwell/routing/request_quarantine.hpp
+++ b/packages/chalkwell/src/chalkwell/routing/request_quarantine.hpp
@@ -34,6 +34,9 @@
   /// The request is known not to be the cause: the same request completed
   /// afterwards, or an operator cleared it. Never reset.
   bool cleared_ = false;
+  /// Nearly all requests that each reporter sent to the service held this
+  /// prompt part (see PromptPartShares).
+  bool widespread_ = false;
 };
 
 /// @brief Crashes recorded for one content or prompt part. The functions below
@@ -142,7 +145,8 @@
   /// other requests.
   [[nodiscard]] core::TimePoint QuarantinedUntil(
       const RequestDigest& request) const;
-  /// @brief Number of independent crashes attributed to the request.
+  /// @brief Number of independent crashes attributed to the request; those
+  /// under a widespread prompt part count half.
   [[nodiscard]] std::size_t AttributedCrashes(
       const RequestDigest& request) const;
   /// @brief AttributedCrashes if this crash, later than those recorded, were
@@ -191,9 +195,13 @@
   void ExpireCompletions(core::TimePoint now);
   /// @brief Independent crashes attributed to one request.
   struct Attribution {
-    std::size_t count_ = 0;
+    std::size_t half_crashes_ = 0;
     core::TimePoint first_;
     core::TimePoint last_;
+
+    [[nodiscard]] std::size_t crashes() const noexcept {
+      return half_crashes_ / 2;
+    }
   };
 
   /// @brief Counts the crash if it is not cleared and independent of the last
--- a/packages/daemon/src/daemon/direct/direct_request.cpp
+++ b/packages/daemon/src/daemon/direct/direct_request.cpp
@@ -99,7 +99,8 @@
       "entry.request", FindHeader(exchange_->request().headers_, kTraceparent));
   context_.budget_.OnRequest(now);
   quarantine_token_ = context_.quarantine_.OnAdmitted(
-      request_.identity_, request_.deadline_, [weak = weak_from_this()] {
+      request_.identity_, request_.service_, request_.deadline_,
+      [weak = weak_from_this()] {
         if (const auto self = weak.lock()) {
           self->OnQuarantined();
         }
@@ -531,8 +532,10 @@
 }
 
 void DirectRequest::ReportToQuarantine(routing::AttemptEnd end) {
-  const routing::LostAttempt attempt{request_.identity_,
-                                     context_.loop_.Now() - attempt_.sent_at_};
+  const routing::LostAttempt attempt{
+      .request_ = request_.identity_,
+      .elapsed_ = context_.loop_.Now() - attempt_.sent_at_,
+      .service_ = request_.service_};
   const bool may_have_run = end == routing::AttemptEnd::kLost ||
                             end == routing::AttemptEnd::kFailedRan;
   last_possible_run_ = may_have_run ? std::optional(attempt) : std::nullopt;
--- a/packages/daemon/src/daemon/direct/mesh_messages.cpp
+++ b/packages/daemon/src/daemon/direct/mesh_messages.cpp
@@ -153,7 +153,8 @@
                                 .reporter_ = crash.reporter_.value(),
                                 .age_ms_ = ToAgeMs(now - crash.crashed_at_),
                                 .cleared_ = crash.cleared_,
-                                .elapsed_ms_ = ToAgeMs(crash.elapsed_)});
+                                .elapsed_ms_ = ToAgeMs(crash.elapsed_),
+                                .widespread_ = crash.widespread_});
   }
   return message;
 }
@@ -170,7 +171,8 @@
                                .reporter_ = core::InstanceId(crash.reporter_),
                                .crashed_at_ = sent_at - ToAge(crash.age_ms_),
                                .elapsed_ = ToAge(crash.elapsed_ms_),
-                               .cleared_ = crash.cleared_});
+                               .cleared_ = crash.cleared_,
+                               .widespread_ = crash.widespread_});
   }
   return record;
 }
--- a/packages/daemon/src/daemon/direct/mesh_messages.hpp
+++ b/packages/daemon/src/daemon/direct/mesh_messages.hpp
@@ -165,7 +165,10 @@
   bool cleared_ = false;
   /// Time that the request had been in flight at the endpoint.
   std::uint64_t elapsed_ms_ = 0;
-  MSGPACK_DEFINE(endpoint_, reporter_, age_ms_, cleared_, elapsed_ms_)
+  /// Nearly all requests of the service held this prompt part.
+  bool widespread_ = false;
+  MSGPACK_DEFINE(endpoint_, reporter_, age_ms_, cleared_, elapsed_ms_,
+                 widespread_)
 };
 
 /// @brief Values of CrashRecordMessage::trial_ms_ below 1, which are not
--- a/packages/daemon/src/daemon/direct/quarantine_manager.cpp
+++ b/packages/daemon/src/daemon/direct/quarantine_manager.cpp
@@ -43,7 +43,8 @@
   return std::to_string(std::chrono::duration_cast<milliseconds>(span).count());
 }
 
-/// "ENDPOINT by REPORTER Nms ago", each.
+/// "ENDPOINT by REPORTER Nms ago", each; " (widespread)" follows a crash that
+/// counts half.
 std::string Describe(const routing::CrashRecord& record, core::TimePoint now) {
   std::string text;
   std::size_t logged = 0;
@@ -53,7 +54,7 @@
     }
     text += (text.empty() ? "" : ", ") + crash.endpoint_.id_.value() + " by " +
             crash.reporter_.value() + " " + Millis(now - crash.crashed_at_) +
-            "ms ago";
+            "ms ago" + (crash.widespread_ ? " (widespread)" : "");
   }
   return text;
 }
@@ -99,7 +100,8 @@
   if (standing == Standing::kClear) {
     return std::nullopt;
   }
-  const auto crashes = std::to_string(quarantine_.AttributedCrashes(request)) +
+  const auto crashes = "at least " +
+                       std::to_string(quarantine_.AttributedCrashes(request)) +
                        " endpoints crashed under it";
   if (standing == Standing::kQuarantined) {
     const auto left = quarantine_.QuarantinedUntil(request) - now;
@@ -127,21 +129,24 @@
   }
   // Until its probe is finished, the endpoint of the last attempt counts as
   // crashed.
-  const routing::EndpointCrash crash{
-      .endpoint_ = {},
-      .reporter_ = {},
-      .crashed_at_ = now,
-      .elapsed_ = last->elapsed_,
-      .cleared_ = !crash_detector_.ProbePending(request.content_)};
+  const bool crashed = crash_detector_.ProbePending(request.content_);
   return std::ranges::all_of(digests, [&](const RequestDigest& digest) {
+    const routing::EndpointCrash crash{
+        .endpoint_ = {},
+        .reporter_ = {},
+        .crashed_at_ = now,
+        .elapsed_ = last->elapsed_,
+        .cleared_ = !crashed,
+        .widespread_ = part_shares_.IsWidespread(last->service_, digest, now)};
     return quarantine_.AttributedCrashesWith(digest, crash) <
            quarantine_.suspected_crashes();
   });
 }
 
 QuarantineManager::Token QuarantineManager::OnAdmitted(
-    const RequestIdentity& request, core::TimePoint deadline,
-    std::function<void()> abandon) {
+    const RequestIdentity& request, std::string_view service,
+    core::TimePoint deadline, std::function<void()> abandon) {
+  part_shares_.OnAdmitted(service, request, loop_.Now());
   in_flight_[++last_token_] = {request, deadline, std::move(abandon)};
   for (const auto& digest : request.Digests()) {
     if (quarantine_.StandingOf(digest, loop_.Now()) == Standing::kSuspected) {
@@ -252,16 +257,17 @@
 void QuarantineManager::AddCrash(const routing::LostAttempt& attempt,
                                  const routing::EndpointIncarnation& endpoint,
                                  core::TimePoint at) {
-  const routing::EndpointCrash crash{.endpoint_ = endpoint,
-                                     .reporter_ = mesh_.self().id_,
-                                     .crashed_at_ = at,
-                                     .elapsed_ = attempt.elapsed_,
-                                     .cleared_ = false};
   for (const auto& part : attempt.request_.shared_parts_) {
     part_ids_[part.digest_] = part.id_;
   }
   for (const auto& digest : attempt.request_.Digests()) {
-    AddCrash(digest, crash);
+    AddCrash(digest, {.endpoint_ = endpoint,
+                      .reporter_ = mesh_.self().id_,
+                      .crashed_at_ = at,
+                      .elapsed_ = attempt.elapsed_,
+                      .cleared_ = false,
+                      .widespread_ = part_shares_.IsWidespread(
+                          attempt.service_, digest, loop_.Now())});
   }
 }
 
--- a/packages/daemon/src/daemon/direct/quarantine_manager.hpp
+++ b/packages/daemon/src/daemon/direct/quarantine_manager.hpp
@@ -11,10 +11,12 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <string_view>
 #include <vector>
 
 #include "chalkwell/routing/crash_detector.hpp"
 #include "chalkwell/routing/endpoint_table.hpp"
+#include "chalkwell/routing/prompt_part_shares.hpp"
 #include "chalkwell/routing/request_quarantine.hpp"
 #include "daemon/direct/mesh_node.hpp"
 #include "daemon/event_log.hpp"
@@ -52,10 +54,11 @@
       const routing::RequestIdentity& request,
       const std::optional<routing::LostAttempt>& last) const;
 
-  /// @brief Registers an admitted request.
+  /// @brief Registers an admitted request to a service.
   /// @param abandon abandons its current attempt unless the response has
   /// started; called if the request is quarantined while it is in flight.
   [[nodiscard]] Token OnAdmitted(const routing::RequestIdentity& request,
+                                 std::string_view service,
                                  core::TimePoint deadline,
                                  std::function<void()> abandon);
   void OnEnded(Token token);
@@ -146,6 +149,7 @@
   Metrics& metrics_;
   routing::CrashDetector crash_detector_;
   routing::RequestQuarantine quarantine_;
+  routing::PromptPartShares part_shares_;
   Token last_token_ = 0;
   std::map<Token, InFlightRequest> in_flight_;
   /// Probes in progress, by endpoint id; at most one per endpoint.
--- a/tests/platform/crashing_request_test.cpp
+++ b/tests/platform/crashing_request_test.cpp
@@ -176,6 +176,29 @@
   CHECK(last.find("retry-after") != std::string::npos);
 }
 
+TEST_CASE("crashes by several requests do not quarantine a part that all hold",
+          "[platform][crash]") {
+  constexpr int kEarlierRequests = 25;
+  const std::string path = "/once/x";
+  const std::string parts = "aa:40";
+  Deployment deployment;
+  CrashingEndpoints endpoints(deployment);
+  const auto entry = deployment.StartEntry("e1", deployment.store_.address());
+  REQUIRE(Eventually([&] { return entry.Ready(); }));
+  for (int i = 0; i < kEarlierRequests; ++i) {
+    REQUIRE(Status(SendRequest(entry, PromptRequest(path, i, parts))) == "200");
+  }
+  for (int i = 0; i < kCrashLimit; ++i) {
+    // The bodies differ, so that only the part is common to the crashes.
+    const auto body = kCrashingBody + std::to_string(i);
+    (void)SendRequest(
+        entry, RequestText(path, "k1", "prompt-prefix: aa:40,x:20\r\n", body));
+    std::this_thread::sleep_for(kRetryPause);
+  }
+  CHECK(endpoints.crashes() == kCrashLimit);
+  CHECK(Status(SendRequest(entry, PromptRequest(path, 0, parts))) == "200");
+}
+
 TEST_CASE("an entry that starts later refuses a request that crashed endpoints",
           "[platform][crash]") {
   Deployment deployment;
--- a/tests/platform/deployment.cpp
+++ b/tests/platform/deployment.cpp
@@ -199,8 +199,8 @@
                         const std::string& extra, const std::string& body) {
   return "POST " + path + " HTTP/1.1\r\nhost: h\r\nattempt-id: a1\r\n" +
          "deadline-ms: 3000\r\ntenant: forged\r\nauthorization: Bearer " + key +
-         "\r\nconnection: close\r\n" + extra + "content-length: 4\r\n\r\n" +
-         body;
+         "\r\nconnection: close\r\n" + extra +
+         "content-length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
 }
 
 std::string SendRequest(const Node& node, const std::string& text) {
--- a/tests/routing/request_quarantine_test.cpp
+++ b/tests/routing/request_quarantine_test.cpp
@@ -26,7 +26,15 @@
           .reporter_ = core::InstanceId(reporter),
           .crashed_at_ = kStart + after,
           .elapsed_ = under_way,
-          .cleared_ = false};
+          .cleared_ = false,
+          .widespread_ = false};
+}
+
+EndpointCrash WidespreadCrash(int endpoint, core::Duration after,
+                              const std::string& reporter = "e1") {
+  auto crash = Crash(endpoint, after, reporter);
+  crash.widespread_ = true;
+  return crash;
 }
 
 TEST_CASE("the standing of a request follows from its crashes", "[routing]") {
@@ -70,14 +78,31 @@
           Standing::kClear},
       Row{"all endpoints of a service, twice",
           {Crash(1, 0ms), Crash(2, 10ms), Crash(3, 3s), Crash(4, 3010ms)},
-          Standing::kSuspected});
+          Standing::kSuspected},
+      Row{"three of a widespread part",
+          {WidespreadCrash(1, 0s), WidespreadCrash(2, 1s),
+           WidespreadCrash(3, 2s)},
+          Standing::kClear},
+      Row{"four of a widespread part",
+          {WidespreadCrash(1, 0s), WidespreadCrash(2, 1s),
+           WidespreadCrash(3, 2s), WidespreadCrash(4, 3s)},
+          Standing::kSuspected},
+      Row{"six of a widespread part",
+          {WidespreadCrash(1, 0s), WidespreadCrash(2, 1s),
+           WidespreadCrash(3, 2s), WidespreadCrash(4, 3s),
+           WidespreadCrash(5, 4s), WidespreadCrash(6, 5s)},
+          Standing::kQuarantined},
+      Row{"three of a part that is widespread at one of two reporters",
+          {WidespreadCrash(1, 0s), Crash(1, 0s, "e2"), Crash(2, 1s, "e2"),
+           WidespreadCrash(2, 1s), Crash(3, 2s)},
+          Standing::kQuarantined});
   CAPTURE(row.name_);
   RequestQuarantine quarantine;
   for (const auto& crash : row.crashes_) {
     (void)quarantine.AddCrash(Request("x"), crash);
   }
-  CHECK(quarantine.StandingOf(Request("x"), kStart + 5s) == row.standing_);
-  CHECK(quarantine.StandingOf(Request("y"), kStart + 5s) == Standing::kClear);
+  CHECK(quarantine.StandingOf(Request("x"), kStart + 6s) == row.standing_);
+  CHECK(quarantine.StandingOf(Request("y"), kStart + 6s) == Standing::kClear);
 }
 
 TEST_CASE("a completed request is cleared of earlier crashes", "[routing]") {
@@ -290,6 +315,7 @@
       crash.crashed_at_ =
           kStart + (crash.endpoint_.id_.value().back() - '0') * 1s;
       crash.cleared_ = *rc::gen::inRange(0, 4) == 0;
+      crash.widespread_ = *rc::gen::inRange(0, 2) == 0;
       records.push_back({Request("x"), {crash}});
     }
     auto other = records;
