--- a/tests/soak/checker.hpp
+++ b/tests/soak/checker.hpp
@@ -38,6 +38,10 @@
   std::size_t max_attempts_after_quarantine_ = 3;
 };
 
+/// Kind of a finding: a request was refused as quarantined, although neither it
+/// nor one with a part of its prompt had crashed an endpoint.
+constexpr const char* kWronglyQuarantined = "quarantined without a crash";
+
 /// @brief A violated guarantee.
 struct Finding {
   std::string kind_;
