Hold a prompt part that a request repeats once

A request whose prompt names a part twice was counted twice in the part's share of a service's requests, so that less than half of them could make it widespread, and its crash records were made twice. By reading; request_digest_test fails without the change.

--- a/packages/chalkwell/src/chalkwell/routing/prompt_part_shares.hpp
+++ b/packages/chalkwell/src/chalkwell/routing/prompt_part_shares.hpp
@@ -17,7 +17,7 @@
 
 /// @brief Settings of PromptPartShares.
 struct PromptPartShareSettings {
-  /// Requests are counted for one to two of these.
+  /// Minimum time for which a request is counted.
   core::Duration window_ = std::chrono::seconds(10);
   /// Share of a service's requests from which a part is widespread.
   double widespread_share_ = 0.9;
--- a/packages/chalkwell/src/chalkwell/routing/request_digest.cpp
+++ b/packages/chalkwell/src/chalkwell/routing/request_digest.cpp
@@ -83,7 +83,10 @@
   RequestIdentity identity{.content_ = RequestDigest::Of(content),
                            .shared_parts_ = {}};
   for (const auto& id : shared_part_ids) {
-    identity.shared_parts_.push_back({id, RequestDigest::OfPromptPart(id)});
+    const auto digest = RequestDigest::OfPromptPart(id);
+    if (!identity.Has(digest)) {
+      identity.shared_parts_.push_back({id, digest});
+    }
   }
   return identity;
 }
--- a/packages/chalkwell/src/chalkwell/routing/request_digest.hpp
+++ b/packages/chalkwell/src/chalkwell/routing/request_digest.hpp
@@ -66,6 +66,7 @@
 /// the prompt parts that it shares with other requests.
 struct RequestIdentity {
   RequestDigest content_;
+  /// In order of their first occurrence; each once.
   std::vector<PromptPart> shared_parts_;
 
   [[nodiscard]] static RequestIdentity Of(
--- a/tests/routing/request_digest_test.cpp
+++ b/tests/routing/request_digest_test.cpp
@@ -42,6 +42,13 @@
   CHECK_FALSE(one.Has(RequestDigest::OfPromptPart("c")));
 }
 
+TEST_CASE("a prompt part that a request repeats is held once", "[routing]") {
+  const auto request = RequestIdentity::Of(Content(), {"a", "b", "a", "a"});
+  REQUIRE(request.shared_parts_.size() == 2);
+  CHECK(request.shared_parts_[0].id_ == "a");
+  CHECK(request.shared_parts_[1].id_ == "b");
+}
+
 TEST_CASE("a request digest is unchanged by its binary and text encodings",
           "[routing]") {
   const auto digest = RequestDigest::Of(Content());
