--- a/tests/routing/prompt_part_shares_test.cpp
+++ b/tests/routing/prompt_part_shares_test.cpp
@@ -3,6 +3,7 @@
 
 #include <catch2/catch.hpp>
 #include <string>
+#include <vector>
 
 namespace chalkwell::routing {
 namespace {
