Log silent attempts and why cut responses were not continued

What callers saw: a request got neither a response nor a refusal. The logs could not tell whether its endpoint had been silent, nor why no further attempt followed.

619 reports an attempt from whose endpoint nothing arrives, 609 has the time since the last bytes, 610 whether a forwarded response was cut and what denied the next attempt. silent_attempts_total and responses_cut_total count both. No decision changes.

--- a/packages/chalkwell/src/chalkwell/core/event.cpp
+++ b/packages/chalkwell/src/chalkwell/core/event.cpp
@@ -205,6 +205,10 @@
      "An endpoint sent a response header that the adapter does not know; "
      "logged once for each name.",
      "Check whether endpoints state something there that requests must heed."},
+    {kAttemptSilent, kInfo, "attempt-silent",
+     "Nothing arrived from the endpoint of an attempt for longer than "
+     "expected; the fields give what follows.",
+     "If it recurs at one endpoint, check that endpoint."},
 });
 
 }  // namespace
--- a/packages/chalkwell/src/chalkwell/core/event.hpp
+++ b/packages/chalkwell/src/chalkwell/core/event.hpp
@@ -75,6 +75,7 @@
   kRateLimitChanged = 616,
   kEndpointLeaving = 617,
   kUnknownResponseHeader = 618,
+  kAttemptSilent = 619,
 };
 
 enum class Severity : std::uint8_t { kDebug, kInfo, kWarning, kError };
--- a/packages/chalkwell/src/chalkwell/routing/request_tracker.cpp
+++ b/packages/chalkwell/src/chalkwell/routing/request_tracker.cpp
@@ -35,6 +35,26 @@
   return "lost";
 }
 
+std::string_view ToString(RetryDenial denial) noexcept {
+  switch (denial) {
+    case RetryDenial::kNone:
+      return "none";
+    case RetryDenial::kNotRepeatable:
+      return "not repeatable";
+    case RetryDenial::kNotResumable:
+      return "not resumable";
+    case RetryDenial::kAttemptsUsed:
+      return "attempts used";
+    case RetryDenial::kDeadlinePassed:
+      return "deadline";
+    case RetryDenial::kRejected:
+      return "rejected";
+    case RetryDenial::kNoEndpoint:
+      return "no endpoint";
+  }
+  return "none";
+}
+
 RequestTracker::RequestTracker(RequestTraits traits, RequestFaults faults)
     : traits_(std::move(traits)),
       faults_(faults),
@@ -58,6 +78,8 @@
     return {};
   }
   if (!endpoint || now >= traits_.deadline_) {
+    retry_denial_ =
+        endpoint ? RetryDenial::kDeadlinePassed : RetryDenial::kNoEndpoint;
     return Finish(FailureOutcome());
   }
   ++attempt_;
@@ -143,18 +165,30 @@
 }
 
 bool RequestTracker::MayRetry(AttemptEnd end, core::TimePoint now) {
+  retry_denial_ = DenialOf(end, now);
+  return retry_denial_ == RetryDenial::kNone;
+}
+
+RetryDenial RequestTracker::DenialOf(AttemptEnd end, core::TimePoint now) {
   const bool not_executed =
       end == AttemptEnd::kNeverSent || end == AttemptEnd::kRefusedNotRun;
   const bool safe =
       not_executed || traits_.repeatable_ || faults_.retry_after_send_;
-  if (!safe || (forwarded_ && !traits_.resumable_)) {
-    return false;
+  if (!safe) {
+    return RetryDenial::kNotRepeatable;
   }
-  if (attempt_ >= traits_.max_attempts_ || now >= traits_.deadline_) {
-    return false;
+  if (forwarded_ && !traits_.resumable_) {
+    return RetryDenial::kNotResumable;
+  }
+  if (attempt_ >= traits_.max_attempts_) {
+    return RetryDenial::kAttemptsUsed;
+  }
+  if (now >= traits_.deadline_) {
+    return RetryDenial::kDeadlinePassed;
   }
-  return traits_.may_retry_(
-      forwarded_ ? RetryKind::kResume : RetryKind::kRestart, now);
+  const auto kind = forwarded_ ? RetryKind::kResume : RetryKind::kRestart;
+  return traits_.may_retry_(kind, now) ? RetryDenial::kNone
+                                       : RetryDenial::kRejected;
 }
 
 Outcome RequestTracker::FailureOutcome() const noexcept {
--- a/packages/chalkwell/src/chalkwell/routing/request_tracker.hpp
+++ b/packages/chalkwell/src/chalkwell/routing/request_tracker.hpp
@@ -49,6 +49,24 @@
 /// @brief Text of an attempt's end in logs.
 [[nodiscard]] std::string_view ToString(AttemptEnd end) noexcept;
 
+/// @brief Why no further attempt follows one that failed.
+enum class RetryDenial : std::uint8_t {
+  /// None of the reasons below applied.
+  kNone,
+  /// The request may have run and must not run twice.
+  kNotRepeatable,
+  /// Part of the response was forwarded and no endpoint can resume it.
+  kNotResumable,
+  kAttemptsUsed,
+  kDeadlinePassed,
+  /// RequestTraits::may_retry_ returned false.
+  kRejected,
+  kNoEndpoint,
+};
+
+/// @brief Text of a denial in logs and metrics.
+[[nodiscard]] std::string_view ToString(RetryDenial denial) noexcept;
+
 /// @brief Number of an attempt within its request; the first is 1.
 using AttemptNumber = std::uint32_t;
 
@@ -124,6 +142,10 @@
 
   [[nodiscard]] bool finished() const noexcept { return finished_; }
   [[nodiscard]] AttemptNumber attempt() const noexcept { return attempt_; }
+  /// @brief Why the last attempt that failed was not followed by another.
+  [[nodiscard]] RetryDenial retry_denial() const noexcept {
+    return retry_denial_;
+  }
   /// @brief Whether bytes of a response were forwarded to the caller.
   [[nodiscard]] bool forwarded() const noexcept { return forwarded_; }
 
@@ -159,6 +181,7 @@
   [[nodiscard]] ChooseEndpoint NextChoice() const noexcept;
   [[nodiscard]] Outcome FailureOutcome() const noexcept;
   [[nodiscard]] bool MayRetry(AttemptEnd end, core::TimePoint now);
+  [[nodiscard]] RetryDenial DenialOf(AttemptEnd end, core::TimePoint now);
 
   RequestTraits traits_;
   RequestFaults faults_;
@@ -174,6 +197,7 @@
   bool forwarded_ = false;
   /// Number of complete events forwarded.
   std::uint64_t forwarded_events_ = 0;
+  RetryDenial retry_denial_ = RetryDenial::kNone;
   /// Set once; no actions are returned afterwards.
   bool finished_ = false;
 };
--- a/packages/daemon/src/daemon/direct/direct_request.cpp
+++ b/packages/daemon/src/daemon/direct/direct_request.cpp
@@ -161,6 +161,7 @@
   attempt_.number_ = send.attempt_;
   attempt_.choice_ = *chosen_;
   attempt_.sent_at_ = now;
+  attempt_.last_data_at_ = now;
   attempt_.version_constraint_ = version_constraint_;
   attempt_.span_ =
       context_.tracer_.Begin("entry.attempt", span_.context_.ToHeader());
@@ -323,6 +324,7 @@
     return;
   }
   const auto now = context_.loop_.Now();
+  attempt_.last_data_at_ = now;
   attempt_.status_ = status;
   attempt_.framing_ = attempt_.call_->framing();
   attempt_.headers_ = headers;
@@ -355,8 +357,9 @@
   if (!current(number)) {
     return;
   }
+  attempt_.last_data_at_ = context_.loop_.Now();
   context_.endpoints_.OnProgress(attempt_.choice_.row_.id_,
-                                 context_.loop_.Now());
+                                 attempt_.last_data_at_);
   if (!attempt_.streaming_) {
     OnBufferedData(bytes);
     return;
@@ -522,6 +525,7 @@
          {"status", std::to_string(attempt_.status_)},
          {"retry_after_ms", RetryAfterText(attempt_.response_head_)},
          {"given_up", std::string(attempt_.abandon_reason_)},
+         {"idle_ms", Millis(now - attempt_.last_data_at_)},
          {"after_ms", Millis(now - attempt_.sent_at_)}});
     context_.metrics_.Count("attempts_ended_total",
                             {{"end", std::string(routing::ToString(end))}});
@@ -553,8 +557,31 @@
 }
 
 bool DirectRequest::MayRetry(routing::RetryKind kind, core::TimePoint now) {
-  return context_.quarantine_.MaySend(request_.identity_, last_possible_run_) &&
-         context_.budget_.TryConsume(kind, now);
+  if (!context_.quarantine_.MaySend(request_.identity_, last_possible_run_)) {
+    retry_rejected_by_ = "quarantine";
+    return false;
+  }
+  retry_rejected_by_ = "retry budget";
+  return context_.budget_.TryConsume(kind, now);
+}
+
+std::string DirectRequest::RetryDenialText() const {
+  const auto denial = tracker_.retry_denial();
+  return std::string(denial == routing::RetryDenial::kRejected
+                         ? retry_rejected_by_
+                         : routing::ToString(denial));
+}
+
+void DirectRequest::ReportSilence(core::TimePoint now) const {
+  context_.log_.Write(core::EventNumber::kAttemptSilent,
+                      {{"request", request_.caller_.id_},
+                       {"attempt", std::to_string(attempt_.number_)},
+                       {"endpoint", attempt_.choice_.row_.id_.value()},
+                       {"idle_ms", Millis(now - attempt_.last_data_at_)},
+                       {"forwarded", tracker_.forwarded() ? "yes" : "no"}});
+  context_.metrics_.Count(
+      "silent_attempts_total",
+      {{"phase", attempt_.response_started_ ? "response" : "first byte"}});
 }
 
 void DirectRequest::OnResponseTimeout() {
@@ -563,6 +590,7 @@
   }
   if (attempt_.abandon_reason_.empty()) {
     attempt_.abandon_reason_ = "silent";
+    ReportSilence(context_.loop_.Now());
   }
   std::exchange(attempt_.call_, nullptr)->Cancel();
   EndAttempt(routing::AttemptEnd::kLost, routing::EndpointOutcome::kFailed);
@@ -613,6 +641,10 @@
                                            : attempt_.body_);
     }
     exchange_->End(completed);
+    if (!completed) {
+      context_.metrics_.Count("responses_cut_total",
+                              {{"reason", RetryDenialText()}});
+    }
   } else if (completed) {
     RespondWith({.end_ = *attempt_.call_end_,
                  .status_ = attempt_.status_,
@@ -634,6 +666,8 @@
        {"partial_event", std::to_string(events_.partial_event().size())},
        {"attempts", std::to_string(tracker_.attempt())},
        {"past_deadline", past_deadline_ ? "yes" : "no"},
+       {"cut", response_started_ && !completed ? "yes" : "no"},
+       {"no_retry", completed ? "" : RetryDenialText()},
        {"took_ms", Millis(elapsed)}});
   context_.tracer_.End(span_, completed);
   exchange_.reset();
--- a/packages/daemon/src/daemon/direct/direct_request.hpp
+++ b/packages/daemon/src/daemon/direct/direct_request.hpp
@@ -91,6 +91,9 @@
     routing::AttemptNumber number_ = 0;
     routing::EndpointChoice choice_;
     core::TimePoint sent_at_;
+    /// When the last bytes of the response arrived; `sent_at_` before the
+    /// first.
+    core::TimePoint last_data_at_;
     /// Constraint on the weights version when the endpoint was chosen.
     routing::VersionConstraint version_constraint_;
     Span span_;
@@ -129,6 +132,8 @@
   void OnBufferedData(std::string_view bytes);
   void OnEnd(routing::AttemptNumber number, HttpEnd end);
   void OnResponseTimeout();
+  /// @brief Logs and counts an attempt from whose endpoint nothing arrives.
+  void ReportSilence(core::TimePoint now) const;
   /// @brief Abandons the current attempt, unless its response has started,
   /// because the request was quarantined.
   void OnQuarantined();
@@ -160,6 +165,8 @@
   void ReportToQuarantine(routing::AttemptEnd end);
   /// @brief Whether the tracker may retry at another endpoint.
   [[nodiscard]] bool MayRetry(routing::RetryKind kind, core::TimePoint now);
+  /// @brief Why the last attempt was not followed by another, as logged.
+  [[nodiscard]] std::string RetryDenialText() const;
   [[nodiscard]] bool current(routing::AttemptNumber number) const noexcept {
     return !ended_ && attempt_.number_ == number && attempt_.call_ != nullptr;
   }
@@ -185,6 +192,8 @@
   /// The last attempt if the endpoint may have run the request: its connection
   /// broke, it was abandoned, or it ended with an error response.
   std::optional<routing::LostAttempt> last_possible_run_;
+  /// What rejected the last retry that the tracker would have made.
+  std::string_view retry_rejected_by_;
   QuarantineManager::Token quarantine_token_ = 0;
   /// The last error response that an endpoint sent after running the request.
   std::optional<HttpResponse> last_failure_;
