--- a/tests/platform/deployment.cpp
+++ b/tests/platform/deployment.cpp
@@ -157,9 +157,10 @@
       << "\npoll_ms = 100\nwatch_wait_ms = 60000\n[mesh]\nseeds = "
       << SeedsSetting(options)
       << "\n[routing]\nregion = z1:north\nregion = z2:south"
-      << "\n[requests]\nretry_share = 0.2\n"
-         "retry_reserve = 100\n[rollout]\nversion_bound_ms = "
-      << options.version_bound_ms_ << "\n[stop]\ndrain_ms = 5000\n";
+      << "\n[requests]\nretry_share = 0.2\nretry_reserve = "
+      << options.retry_reserve_
+      << "\n[rollout]\nversion_bound_ms = " << options.version_bound_ms_
+      << "\n[stop]\ndrain_ms = 5000\n";
   node.child_ = Child(
       {fleet::DaemonPath(), "entry", "--adapter", "platform", "--config", path},
       (folder_ / (name + ".log")).string(), environment_);
--- a/tests/platform/endpoint_standin.cpp
+++ b/tests/platform/endpoint_standin.cpp
@@ -117,6 +117,10 @@
   return advertised_address_.empty() ? listen_.ToString() : advertised_address_;
 }
 
+void EndpointStandin::SetSilence(Silence silence) {
+  thread_.RunAndWait([&] { silence_ = silence; });
+}
+
 void EndpointStandin::SetId(const std::string& id) {
   thread_.RunAndWait([&] { id_ = id; });
 }
@@ -352,13 +356,32 @@
   if (truncate) {
     form.cut_ = StreamCut::kInsideEvent;
   }
-  const bool cut = form.cut_ != StreamCut::kNone;
-  const bool framed = form.framing_ == Framing::kMessage;
-  if (framed) {
+  if (form.framing_ == Framing::kMessage) {
     exchange->Start(200, response_headers);
   } else {
     exchange->StartCloseDelimited(200, response_headers);
   }
+  const auto silence = last > 0 ? Silence{} : silence_;
+  if (silence.duration_ <= std::chrono::milliseconds(0)) {
+    SendEvents(exchange, form, last);
+    return;
+  }
+  for (std::uint64_t id = 1; id <= silence.after_events_; ++id) {
+    exchange->Write(FormatEvent(id));
+  }
+  thread_.loop().After(silence.duration_,
+                       [this, exchange, form, last = silence.after_events_,
+                        alive = std::weak_ptr<int>(alive_)] {
+                         if (!alive.expired()) {
+                           SendEvents(exchange, form, last);
+                         }
+                       });
+}
+
+void EndpointStandin::SendEvents(const HttpExchangePtr& exchange,
+                                 StreamForm form, std::uint64_t last) {
+  const bool cut = form.cut_ != StreamCut::kNone;
+  const bool framed = form.framing_ == Framing::kMessage;
   const auto end = cut ? kStreamEvents / 2 : kStreamEvents;
   for (auto id = last + 1;
        id <= end && form.cut_ != StreamCut::kBeforeFirstEvent; ++id) {
--- /dev/null
+++ b/tests/platform/silent_endpoint_test.cpp
@@ -0,0 +1,96 @@
+// Sound endpoints that send nothing for longer than an entry expects and then
+// go on, with a real entry.
+#include <catch2/catch.hpp>
+#include <string>
+
+#include "../daemon/raw_socket.hpp"
+#include "deployment.hpp"
+
+namespace chalkwell::platform_tests {
+namespace {
+
+using daemon::RawSocket;
+using standins::Behaviour;
+using standins::EndpointStandin;
+using standins::Silence;
+using namespace std::chrono_literals;
+
+/// Longer than an entry waits for an event or for a first byte.
+constexpr auto kPause = 1600ms;
+
+/// Sets what the endpoint that a request does not reach first does.
+void SetOther(EndpointStandin& first, EndpointStandin& other,
+              Behaviour behaviour) {
+  first.OnArrival([&other, behaviour](const std::string&) {
+    other.SetBehaviour(behaviour);
+    other.SetRunDelay(0ms);
+  });
+}
+
+struct Row {
+  std::string name_;
+  std::string path_;
+  /// Of streams; none for a pause before the response.
+  std::optional<std::uint64_t> events_before_pause_;
+  /// What the other endpoint does once one is silent.
+  Behaviour other_;
+  int retry_reserve_ = 100;
+};
+
+std::string RequestSilentEndpoint(const Row& row) {
+  Deployment deployment;
+  for (auto* endpoint : {&deployment.first_, &deployment.second_}) {
+    if (row.events_before_pause_) {
+      endpoint->SetSilence({*row.events_before_pause_, kPause});
+    } else {
+      endpoint->SetRunDelay(kPause);
+    }
+  }
+  SetOther(deployment.first_, deployment.second_, row.other_);
+  SetOther(deployment.second_, deployment.first_, row.other_);
+  NodeOptions options;
+  options.retry_reserve_ = row.retry_reserve_;
+  const auto entry =
+      deployment.StartEntry("e1", deployment.store_.address(), options);
+  REQUIRE(Eventually([&] { return entry.Ready(); }));
+  const RawSocket caller(entry.caller_port_);
+  caller.Send(RequestText(row.path_));
+  return caller.ReadUntil();
+}
+
+TEST_CASE("a response is cut off while its silent endpoint is about to go on",
+          "[platform][silent]") {
+  const auto row = GENERATE(
+      Row{"the other endpoint refuses", "/stream/x", 2, Behaviour::kShed},
+      Row{"the other endpoint resets", "/stream/x", 2, Behaviour::kReset},
+      Row{"the other endpoint fails", "/stream/x", 2, Behaviour::kFail},
+      Row{"the other endpoint hangs", "/stream/x", 2, Behaviour::kHang},
+      Row{"no retry is left", "/stream/x", 2, Behaviour::kServe, 0},
+      Row{"the other endpoint resumes", "/stream/x", 2, Behaviour::kServe},
+      Row{"before the first event", "/stream/x", 0, Behaviour::kShed},
+      Row{"before the response", "/stream/x", std::nullopt, Behaviour::kShed});
+  CAPTURE(row.name_);
+  const auto response = RequestSilentEndpoint(row);
+  CHECK(Status(response) == "200");
+  CHECK(standins::CountEvents(response) == standins::kStreamEvents);
+  CHECK(response.ends_with("0\r\n\r\n"));
+}
+
+TEST_CASE("a request fails while its silent endpoint is about to respond",
+          "[platform][silent]") {
+  const auto row = GENERATE(
+      Row{"the other endpoint refuses", "/safe/x", {}, Behaviour::kShed},
+      Row{"the other endpoint resets", "/safe/x", {}, Behaviour::kReset},
+      Row{"the other endpoint fails", "/safe/x", {}, Behaviour::kFail},
+      Row{"the other endpoint hangs", "/safe/x", {}, Behaviour::kHang},
+      Row{"no retry is left", "/safe/x", {}, Behaviour::kServe, 0},
+      Row{"the other endpoint responds", "/safe/x", {}, Behaviour::kServe},
+      Row{"it may not be repeated", "/once/x", {}, Behaviour::kServe});
+  CAPTURE(row.name_);
+  const auto response = RequestSilentEndpoint(row);
+  CHECK(Status(response) == "200");
+  CHECK(response.ends_with("answer to body"));
+}
+
+}  // namespace
+}  // namespace chalkwell::platform_tests
--- a/tests/platform/standins.hpp
+++ b/tests/platform/standins.hpp
@@ -176,6 +176,13 @@
   StreamCut cut_ = StreamCut::kNone;
 };
 
+/// @brief A pause of an endpoint within its streams.
+struct Silence {
+  /// Events that it sends before the pause.
+  std::uint64_t after_events_ = 0;
+  std::chrono::milliseconds duration_{};
+};
+
 /// @brief Fake of an endpoint: a model engine, which also stages weights chunks
 /// and takes orders from its agent, or a plain service.
 class EndpointStandin {
@@ -221,6 +228,9 @@
     stream_form_ = form;
     resumed_stream_form_ = resumed;
   }
+  /// @brief Sets a pause after which streams go on; those that resume an
+  /// earlier one have none.
+  void SetSilence(Silence silence);
   /// @brief Sets the size of the body of successful responses that are no
   /// streams; 0 for a short text.
   void SetBodySize(std::size_t size) { body_size_ = size; }
@@ -280,6 +290,9 @@
                const std::string& body) const;
   void RespondWithStream(const daemon::HttpExchangePtr& exchange,
                          bool truncate);
+  /// @brief Sends the events after `last`, and what ends the stream.
+  void SendEvents(const daemon::HttpExchangePtr& exchange, StreamForm form,
+                  std::uint64_t last);
   void Crash(const daemon::HttpExchangePtr& exchange);
   void HandleReport(const daemon::HttpExchangePtr& exchange) const;
   void HandleOrder(const daemon::HttpExchangePtr& exchange);
@@ -302,6 +315,7 @@
   std::atomic<Framing> framing_{Framing::kMessage};
   std::atomic<StreamForm> stream_form_{};
   std::atomic<StreamForm> resumed_stream_form_{};
+  Silence silence_;
   std::atomic<std::size_t> body_size_{0};
   std::atomic<bool> states_leaving_{false};
   std::atomic<std::uint64_t> version_{0};
