--- a/packages/chalkwell/src/chalkwell/routing/endpoint_table.cpp
+++ b/packages/chalkwell/src/chalkwell/routing/endpoint_table.cpp
@@ -494,11 +494,27 @@
   if (outcome == EndpointOutcome::kCancelled) {
     return;
   }
-  const bool failed = outcome == EndpointOutcome::kFailed;
-  endpoint->failure_rate_ =
-      FailureRateAt(*endpoint, now) * (1 - kFailureWeight) +
-      (failed ? kFailureWeight : 0);
-  endpoint->failure_rate_updated_ = now;
+  RecordOutcome(*endpoint, outcome == EndpointOutcome::kFailed, now);
+}
+
+void EndpointTable::OnSilent(const core::InstanceId& id,
+                             core::TimePoint sent_at, core::TimePoint now) {
+  auto* endpoint = Find(id);
+  if (endpoint == nullptr) {
+    return;
+  }
+  const auto& in_flight = endpoint->in_flight_sent_at_;
+  // Otherwise it was sent to an earlier incarnation.
+  if (std::ranges::find(in_flight, sent_at) != in_flight.end()) {
+    RecordOutcome(*endpoint, true, now);
+  }
+}
+
+void EndpointTable::RecordOutcome(Endpoint& endpoint, bool failed,
+                                  core::TimePoint now) const {
+  endpoint.failure_rate_ = FailureRateAt(endpoint, now) * (1 - kFailureWeight) +
+                           (failed ? kFailureWeight : 0);
+  endpoint.failure_rate_updated_ = now;
 }
 
 std::uint32_t EndpointTable::LoadOf(const core::InstanceId& id,
--- a/packages/chalkwell/src/chalkwell/routing/endpoint_table.hpp
+++ b/packages/chalkwell/src/chalkwell/routing/endpoint_table.hpp
@@ -309,6 +309,11 @@
   void OnFirstByte(const core::InstanceId& id, double prompt_tokens,
                    core::TimePoint sent_at, core::Duration predicted,
                    core::TimePoint now);
+  /// @brief A request has been waiting for its endpoint for longer than
+  /// expected, which counts as a failure; it remains in flight.
+  /// @param sent_at time passed to OnSent.
+  void OnSilent(const core::InstanceId& id, core::TimePoint sent_at,
+                core::TimePoint now);
   /// @brief Records the end of a request.
   /// @param first_byte_received whether the first byte had arrived.
   void OnEnded(const core::InstanceId& id, double prompt_tokens,
@@ -519,6 +524,9 @@
   /// @return whether it was on time.
   static bool RemoveAwaiting(Endpoint& endpoint, double prompt_tokens,
                              core::TimePoint sent_at);
+  /// @brief Adds an outcome to the failure rate.
+  void RecordOutcome(Endpoint& endpoint, bool failed,
+                     core::TimePoint now) const;
   [[nodiscard]] double FailureRateAt(const Endpoint& endpoint,
                                      core::TimePoint now) const;
   [[nodiscard]] bool HasRecentReport(const Endpoint& endpoint,
--- a/packages/chalkwell/src/chalkwell/routing/first_byte_timeout.cpp
+++ b/packages/chalkwell/src/chalkwell/routing/first_byte_timeout.cpp
@@ -42,13 +42,17 @@
     timeout = std::min<core::Duration>(timeout, kUnresponsiveTimeout);
   }
   const auto deadline = attempt.sent_at_ + timeout;
+  return std::min(deadline, LatestStart(attempt).value_or(deadline));
+}
+
+std::optional<core::TimePoint> LatestStart(const PendingAttempt& attempt) {
+  const auto& constraint = attempt.version_constraint_;
   const bool older_version =
       attempt.weights_version_ &&
-      *attempt.weights_version_ < attempt.version_constraint_.next_min_version_;
+      *attempt.weights_version_ < constraint.next_min_version_;
   return older_version
-             ? std::min(deadline, attempt.version_constraint_.next_min_at_ +
-                                      kOlderVersionGrace)
-             : deadline;
+             ? std::optional(constraint.next_min_at_ + kOlderVersionGrace)
+             : std::nullopt;
 }
 
 }  // namespace chalkwell::routing
--- a/packages/chalkwell/src/chalkwell/routing/first_byte_timeout.hpp
+++ b/packages/chalkwell/src/chalkwell/routing/first_byte_timeout.hpp
@@ -1,5 +1,5 @@
-// Timeout for the first byte of an attempt, after which an entry abandons it
-// and tries another endpoint.
+// Timeout for the first byte of an attempt, after which an entry makes another
+// attempt beside it, or abandons it because its weights are outdated.
 #pragma once
 
 #include <cstdint>
@@ -28,8 +28,13 @@
   core::TimePoint sent_at_;
 };
 
-/// @brief Time at which to abandon the attempt. Recompute it while waiting: an
-/// endpoint that becomes unresponsive brings it forward.
+/// @brief Time from which an attempt without a first byte is silent. Recompute
+/// it while waiting: an endpoint that becomes unresponsive brings it forward.
 [[nodiscard]] core::TimePoint FirstByteDeadline(const PendingAttempt& attempt);
 
+/// @brief Time from which the attempt must not start any more, since its
+/// weights are outdated; none if they are not about to be.
+[[nodiscard]] std::optional<core::TimePoint> LatestStart(
+    const PendingAttempt& attempt);
+
 }  // namespace chalkwell::routing
--- a/packages/chalkwell/src/chalkwell/routing/request_tracker.cpp
+++ b/packages/chalkwell/src/chalkwell/routing/request_tracker.cpp
@@ -1,6 +1,7 @@
 // Retry decisions and outcomes.
 #include "chalkwell/routing/request_tracker.hpp"
 
+#include <algorithm>
 #include <utility>
 
 namespace chalkwell::routing {
@@ -72,18 +73,47 @@
   return {.same_weights_ = forwarded_ && !faults_.resume_on_other_weights_};
 }
 
+RequestActions RequestTracker::OnSilent(core::TimePoint now) {
+  if (finished_ || in_flight_.empty()) {
+    return {};
+  }
+  // A silent attempt may be running.
+  retry_denial_ = DenialOf(AttemptEnd::kLost, now);
+  if (retry_denial_ != RetryDenial::kNone) {
+    return {};
+  }
+  choosing_beside_ = true;
+  return {NextChoice()};
+}
+
+RequestActions RequestTracker::Select(AttemptNumber attempt) {
+  RequestActions actions;
+  if (InFlight(attempt)) {
+    CancelOthers(attempt, actions);
+  }
+  return actions;
+}
+
 RequestActions RequestTracker::OnChosen(
     const std::optional<core::InstanceId>& endpoint, core::TimePoint now) {
-  if (finished_ || outstanding_) {
+  const bool beside = std::exchange(choosing_beside_, false);
+  if (finished_ || beside == in_flight_.empty()) {
     return {};
   }
   if (!endpoint || now >= traits_.deadline_) {
     retry_denial_ =
         endpoint ? RetryDenial::kDeadlinePassed : RetryDenial::kNoEndpoint;
-    return Finish(FailureOutcome());
+    return beside ? RequestActions{} : Finish(FailureOutcome());
+  }
+  if (beside) {
+    // Consumed only now: without an endpoint, no retry is made.
+    retry_denial_ = ConsumeRetry(now);
+    if (retry_denial_ != RetryDenial::kNone) {
+      return {};
+    }
   }
   ++attempt_;
-  outstanding_ = true;
+  in_flight_.push_back(attempt_);
   const auto resume_from = faults_.resume_from_start_ ? 0 : forwarded_events_;
   return {SendAttempt{attempt_, *endpoint, resume_from}};
 }
@@ -91,8 +121,8 @@
 RequestActions RequestTracker::OnResponseStarted(AttemptNumber attempt,
                                                  bool weights_match,
                                                  core::TimePoint now) {
-  const bool current = !finished_ && outstanding_ && attempt == attempt_;
-  if (!current || weights_match || faults_.ignore_other_weights_) {
+  if (finished_ || !InFlight(attempt) || weights_match ||
+      faults_.ignore_other_weights_) {
     return {};
   }
   RequestActions actions{CancelAttempt{attempt}};
@@ -108,7 +138,7 @@
     forwarded_ = true;
     return !finished_;
   }
-  if (finished_ || !outstanding_ || attempt != attempt_) {
+  if (finished_ || !InFlight(attempt) || in_flight_.size() > 1) {
     return false;
   }
   forwarded_ = true;
@@ -118,10 +148,9 @@
 
 RequestActions RequestTracker::OnEnded(AttemptNumber attempt, AttemptEnd end,
                                        core::TimePoint now) {
-  if (finished_ || !outstanding_ || attempt != attempt_) {
+  if (finished_ || std::erase(in_flight_, attempt) == 0) {
     return {};
   }
-  outstanding_ = false;
   if (faults_.ignore_earlier_attempts_) {
     ran_ = false;
     may_have_run_ = false;
@@ -137,11 +166,19 @@
     may_have_run_ = false;
   }
   if (end == AttemptEnd::kComplete) {
-    return Finish(Outcome::kAnswered);
+    RequestActions actions;
+    CancelOthers(attempt, actions);
+    for (auto& action : Finish(Outcome::kAnswered)) {
+      actions.push_back(std::move(action));
+    }
+    return actions;
   }
   if (end == AttemptEnd::kLost && faults_.complete_on_loss_ && forwarded_) {
     return Finish(Outcome::kAnswered);
   }
+  if (!in_flight_.empty()) {
+    return {};
+  }
   if (MayRetry(end, now)) {
     return {NextChoice()};
   }
@@ -153,23 +190,39 @@
     return {};
   }
   RequestActions actions;
-  if (outstanding_) {
-    may_have_run_ = true;
-    outstanding_ = false;
-    actions.emplace_back(CancelAttempt{attempt_});
-  }
+  CancelOthers(0, actions);
   for (auto& action : Finish(FailureOutcome())) {
     actions.push_back(std::move(action));
   }
   return actions;
 }
 
+bool RequestTracker::InFlight(AttemptNumber attempt) const {
+  return std::ranges::find(in_flight_, attempt) != in_flight_.end();
+}
+
+void RequestTracker::CancelOthers(AttemptNumber attempt,
+                                  RequestActions& actions) {
+  for (const auto other : in_flight_) {
+    if (other != attempt) {
+      may_have_run_ = true;
+      actions.emplace_back(CancelAttempt{other});
+    }
+  }
+  std::erase_if(in_flight_,
+                [&](AttemptNumber other) { return other != attempt; });
+}
+
 bool RequestTracker::MayRetry(AttemptEnd end, core::TimePoint now) {
   retry_denial_ = DenialOf(end, now);
+  if (retry_denial_ == RetryDenial::kNone) {
+    retry_denial_ = ConsumeRetry(now);
+  }
   return retry_denial_ == RetryDenial::kNone;
 }
 
-RetryDenial RequestTracker::DenialOf(AttemptEnd end, core::TimePoint now) {
+RetryDenial RequestTracker::DenialOf(AttemptEnd end,
+                                     core::TimePoint now) const {
   const bool not_executed =
       end == AttemptEnd::kNeverSent || end == AttemptEnd::kRefusedNotRun;
   const bool safe =
@@ -183,9 +236,11 @@
   if (attempt_ >= traits_.max_attempts_) {
     return RetryDenial::kAttemptsUsed;
   }
-  if (now >= traits_.deadline_) {
-    return RetryDenial::kDeadlinePassed;
-  }
+  return now >= traits_.deadline_ ? RetryDenial::kDeadlinePassed
+                                  : RetryDenial::kNone;
+}
+
+RetryDenial RequestTracker::ConsumeRetry(core::TimePoint now) const {
   const auto kind = forwarded_ ? RetryKind::kResume : RetryKind::kRestart;
   return traits_.may_retry_(kind, now) ? RetryDenial::kNone
                                        : RetryDenial::kRejected;
--- a/packages/chalkwell/src/chalkwell/routing/request_tracker.hpp
+++ b/packages/chalkwell/src/chalkwell/routing/request_tracker.hpp
@@ -70,7 +70,8 @@
 /// @brief Number of an attempt within its request; the first is 1.
 using AttemptNumber = std::uint32_t;
 
-/// @brief Choose an endpoint that was not tried yet, then call OnChosen.
+/// @brief Choose an endpoint that was not tried yet, then call OnChosen at
+/// once.
 struct ChooseEndpoint {
   /// Part of the response was forwarded: only an endpoint with the weights that
   /// were pinned for it may resume it.
@@ -136,6 +137,10 @@
 };
 
 /// @brief Decides on the attempts and the outcome of one request.
+///
+/// A silent attempt goes on while another one is made: it ends only once the
+/// other has made progress, so that it is not given up in favour of one that is
+/// refused or fails.
 class RequestTracker {
  public:
   explicit RequestTracker(RequestTraits traits, RequestFaults faults = {});
@@ -153,6 +158,12 @@
   /// @return the first actions, as of the other functions below; empty if there
   /// is nothing to do.
   [[nodiscard]] RequestActions Start(core::TimePoint now);
+  /// @brief No attempt in flight makes progress: another one may be made beside
+  /// them. To be repeated while they are silent.
+  [[nodiscard]] RequestActions OnSilent(core::TimePoint now);
+  /// @brief An attempt made progress that none of the others in flight may
+  /// continue: these are cancelled.
+  [[nodiscard]] RequestActions Select(AttemptNumber attempt);
   /// @brief The endpoint of a ChooseEndpoint action was chosen.
   /// @param endpoint none if no endpoint can accept the request.
   [[nodiscard]] RequestActions OnChosen(
@@ -164,15 +175,16 @@
                                                  bool weights_match,
                                                  core::TimePoint now);
   /// @brief Whether bytes of this attempt may be forwarded now; if so, they
-  /// count as forwarded.
+  /// count as forwarded. Only those of the sole attempt in flight may.
   /// @param events number of complete events in them, after which a response
   /// can be resumed.
   [[nodiscard]] bool AcceptResponseBytes(AttemptNumber attempt,
                                          std::uint64_t events = 1);
-  /// @brief The attempt ended; ignored unless it is the current one.
+  /// @brief The attempt ended; ignored unless it is in flight. While others
+  /// are, a failure leads to no action.
   [[nodiscard]] RequestActions OnEnded(AttemptNumber attempt, AttemptEnd end,
                                        core::TimePoint now);
-  /// @brief Ends the request and cancels its attempt in flight, because the
+  /// @brief Ends the request and cancels its attempts in flight, because the
   /// deadline passed or the caller disconnected.
   [[nodiscard]] RequestActions Abort();
 
@@ -181,19 +193,28 @@
   [[nodiscard]] ChooseEndpoint NextChoice() const noexcept;
   [[nodiscard]] Outcome FailureOutcome() const noexcept;
   [[nodiscard]] bool MayRetry(AttemptEnd end, core::TimePoint now);
-  [[nodiscard]] RetryDenial DenialOf(AttemptEnd end, core::TimePoint now);
+  /// @brief Why an attempt must not follow one that ended so, apart from
+  /// RequestTraits::may_retry_.
+  [[nodiscard]] RetryDenial DenialOf(AttemptEnd end, core::TimePoint now) const;
+  /// @brief Calls RequestTraits::may_retry_.
+  [[nodiscard]] RetryDenial ConsumeRetry(core::TimePoint now) const;
+  [[nodiscard]] bool InFlight(AttemptNumber attempt) const;
+  /// @brief Cancels all attempts in flight but one, which may have run.
+  void CancelOthers(AttemptNumber attempt, RequestActions& actions);
 
   RequestTraits traits_;
   RequestFaults faults_;
   AttemptNumber attempt_ = 0;
-  /// The current attempt was sent and has not ended.
-  bool outstanding_ = false;
+  /// Attempts that were sent and have not ended, in order. More than one only
+  /// while none of them has made progress since the last was sent.
+  std::vector<AttemptNumber> in_flight_;
+  /// OnSilent() asked for an endpoint.
+  bool choosing_beside_ = false;
   /// An attempt was sent and it is unknown whether it was executed.
   bool may_have_run_ = false;
   /// An attempt is known to have been executed.
   bool ran_ = false;
-  /// Bytes of a response were forwarded; only those of the current attempt may
-  /// follow.
+  /// Bytes of a response were forwarded.
   bool forwarded_ = false;
   /// Number of complete events forwarded.
   std::uint64_t forwarded_events_ = 0;
--- a/packages/daemon/src/daemon/direct/direct_request.cpp
+++ b/packages/daemon/src/daemon/direct/direct_request.cpp
@@ -30,10 +30,11 @@
 /// the others can't and get the shorter limit.
 constexpr auto kMaxIdleTime = milliseconds(2500);
 constexpr auto kMaxIdleTimeNotRepeatable = milliseconds(400);
-/// Interval at which an attempt without a response is checked: its endpoint may
-/// have become unresponsive, or have been removed from the list.
-constexpr auto kTimeoutCheckInterval = milliseconds(100);
-/// A stream times out when no event arrives for this many times the target gap
+/// Interval at which an attempt without a response, or a silent one, is
+/// checked: its endpoint may have become unresponsive, or have been removed
+/// from the list, and another endpoint may have become available.
+constexpr auto kCheckInterval = milliseconds(100);
+/// A stream is silent when no event arrives for this many times the target gap
 /// between events, but not before kMinEventGapTimeout.
 constexpr int kEventGapFactor = 2;
 constexpr auto kMinEventGapTimeout = milliseconds(800);
@@ -90,8 +91,7 @@
                     [this](routing::RetryKind kind, core::TimePoint now) {
                       return MayRetry(kind, now);
                     }}),
-      deadline_timer_(context.loop_),
-      response_timer_(context.loop_) {}
+      deadline_timer_(context.loop_) {}
 
 void DirectRequest::Start() {
   const auto now = context_.loop_.Now();
@@ -118,11 +118,9 @@
       Choose(*choose);
     } else if (const auto* send = std::get_if<routing::SendAttempt>(&action)) {
       Send(*send);
-    } else if (std::holds_alternative<routing::CancelAttempt>(action)) {
-      if (attempt_.call_ != nullptr) {
-        std::exchange(attempt_.call_, nullptr)->Cancel();
-        CountAttemptEnded(routing::EndpointOutcome::kCancelled);
-      }
+    } else if (const auto* cancel =
+                   std::get_if<routing::CancelAttempt>(&action)) {
+      Cancel(cancel->attempt_);
     } else {
       Finish(std::get<routing::FinishRequest>(action));
     }
@@ -155,18 +153,23 @@
       chosen_ ? std::optional(chosen_->row_.id_) : std::nullopt, now));
 }
 
-void DirectRequest::Send(const routing::SendAttempt& send) {
-  const auto now = context_.loop_.Now();
-  attempt_ = {};
-  attempt_.number_ = send.attempt_;
-  attempt_.choice_ = *chosen_;
-  attempt_.sent_at_ = now;
-  attempt_.last_data_at_ = now;
-  attempt_.version_constraint_ = version_constraint_;
-  attempt_.span_ =
+DirectRequest::AttemptPtr DirectRequest::NewAttempt(
+    routing::AttemptNumber number, core::TimePoint now) {
+  auto attempt = std::make_shared<Attempt>(context_.loop_);
+  attempt->number_ = number;
+  attempt->choice_ = *chosen_;
+  attempt->sent_at_ = now;
+  attempt->last_data_at_ = now;
+  attempt->version_constraint_ = version_constraint_;
+  attempt->span_ =
       context_.tracer_.Begin("entry.attempt", span_.context_.ToHeader());
-  const auto& row = attempt_.choice_.row_;
-  tried_endpoints_.push_back(row.id_);
+  attempt->events_ = forwarded_events_;
+  return attempt;
+}
+
+AttemptTerms DirectRequest::TermsFor(const Attempt& attempt,
+                                     core::TimePoint now) const {
+  const auto& row = attempt.choice_.row_;
   AttemptTerms terms;
   terms.instance_id_ = row.id_;
   terms.weights_version_ =
@@ -179,8 +182,13 @@
   if (tracker_.forwarded()) {
     // The caller already has a part of the stream and waits for the next event.
     terms.priority_ = 0;
-    terms.resume_after_ = events_.last_id();
+    terms.resume_after_ = forwarded_events_.last_id();
   }
+  return terms;
+}
+
+HttpSendOptions DirectRequest::OptionsFor(const Attempt& attempt,
+                                          core::TimePoint now) {
   HttpSendOptions options;
   options.keep_alive_ = true;
   options.max_idle_time_ =
@@ -191,7 +199,7 @@
   // list or refuse another request, and the request may be quarantined.
   // MayRetry() has already considered the last attempt, so none is passed here.
   options.may_send_ = [this, self = shared_from_this(),
-                       incarnation = row.incarnation()] {
+                       incarnation = attempt.choice_.row_.incarnation()] {
     const auto now = context_.loop_.Now();
     return context_.endpoints_.AcceptsRequests(incarnation, now) &&
            !context_.endpoints_.retry_times().Defers(incarnation, now) &&
@@ -202,7 +210,27 @@
         return context_.adapter_.requests_.matches_request_(
             headers, request_.caller_.id_);
       };
-  const auto number = send.attempt_;
+  return options;
+}
+
+HttpCallbacks DirectRequest::CallbacksFor(const AttemptPtr& attempt) {
+  const auto self = shared_from_this();
+  return {
+      .on_headers_ =
+          [self, attempt](int status, const HttpHeaders& headers) {
+            self->OnHead(attempt, status, headers);
+          },
+      .on_data_ = [self, attempt](
+                      std::string_view bytes) { self->OnData(attempt, bytes); },
+      .on_end_ = [self, attempt](HttpEnd end) { self->OnEnd(attempt, end); }};
+}
+
+void DirectRequest::Send(const routing::SendAttempt& send) {
+  const auto now = context_.loop_.Now();
+  const auto attempt = NewAttempt(send.attempt_, now);
+  const auto& row = attempt->choice_.row_;
+  tried_endpoints_.push_back(row.id_);
+  const auto terms = TermsFor(*attempt, now);
   auto http = context_.adapter_.requests_.write_attempt_(
       exchange_->request(), request_.caller_, terms);
   if (context_.tracer_.exporting()) {
@@ -211,347 +239,404 @@
       return header.first == kTraceparent;
     });
     http.headers_.emplace_back(kTraceparent,
-                               attempt_.span_.context_.ToHeader());
+                               attempt->span_.context_.ToHeader());
   }
-  const auto self = shared_from_this();
-  HttpCallbacks callbacks{
-      .on_headers_ =
-          [self, number](int status, const HttpHeaders& headers) {
-            self->OnHead(number, status, headers);
-          },
-      .on_data_ = [self, number](
-                      std::string_view bytes) { self->OnData(number, bytes); },
-      .on_end_ = [self, number](HttpEnd end) { self->OnEnd(number, end); }};
+  LogSent(*attempt, terms.time_left_);
+  context_.metrics_.Observe("endpoint_list_age_seconds", {},
+                            now - context_.endpoints_.as_of());
+  context_.endpoints_.OnSent(row.id_, request_.caller_.prompt_tokens_, now,
+                             request_.on_time_);
+  attempt->counted_in_flight_ = true;
+  attempts_.push_back(attempt);
+  last_attempt_ = attempt;
+  attempt->call_ =
+      context_.http_.Send(ParseAddress(row.address_), http,
+                          CallbacksFor(attempt), OptionsFor(*attempt, now));
+  CheckFirstByte(attempt);
+}
+
+void DirectRequest::LogSent(const Attempt& attempt,
+                            core::Duration time_left) const {
+  const auto& choice = attempt.choice_;
   context_.log_.Write(
       core::EventNumber::kRequestSent,
       {{"request", request_.caller_.id_},
        {"content", request_.identity_.content_.ToHex()},
        {"parts", Join(request_.caller_.shared_prompt_parts_)},
-       {"attempt", std::to_string(number)},
-       {"endpoint", row.id_.value()},
+       {"attempt", std::to_string(attempt.number_)},
+       {"beside", std::to_string(attempts_.size())},
+       {"endpoint", choice.row_.id_.value()},
        {"service", request_.service_},
        {"rules", std::to_string(request_.rules_version_)},
        {"list", std::to_string(context_.endpoints_.revision())},
-       {"list_age_ms", Millis(now - context_.endpoints_.as_of())},
-       {"weights", std::to_string(row.weights_version_.value_or(0))},
-       {"occupied", std::to_string(attempt_.choice_.requests_ahead_)},
-       {"rate_limit", RateText(attempt_.choice_.rate_limit_)},
-       {"deferred", std::to_string(attempt_.choice_.deferred_)},
-       {"report_age_ms", attempt_.choice_.reported_
-                             ? Millis(attempt_.choice_.report_age_)
-                             : std::string("none")},
+       {"list_age_ms", Millis(attempt.sent_at_ - context_.endpoints_.as_of())},
+       {"weights", std::to_string(choice.row_.weights_version_.value_or(0))},
+       {"occupied", std::to_string(choice.requests_ahead_)},
+       {"rate_limit", RateText(choice.rate_limit_)},
+       {"deferred", std::to_string(choice.deferred_)},
+       {"report_age_ms",
+        choice.reported_ ? Millis(choice.report_age_) : std::string("none")},
        {"on_time", request_.on_time_ ? "yes" : "no"},
-       {"predicted_ms", Millis(attempt_.choice_.time_to_first_byte_)},
-       {"left_ms", Millis(terms.time_left_)}});
-  context_.metrics_.Observe("endpoint_list_age_seconds", {},
-                            now - context_.endpoints_.as_of());
-  context_.endpoints_.OnSent(row.id_, request_.caller_.prompt_tokens_, now,
-                             request_.on_time_);
-  attempt_.counted_in_flight_ = true;
-  attempt_.call_ =
-      context_.http_.Send(ParseAddress(row.address_), http,
-                          std::move(callbacks), std::move(options));
-  ArmFirstByteTimeout();
+       {"predicted_ms", Millis(choice.time_to_first_byte_)},
+       {"left_ms", Millis(time_left)}});
 }
 
 // If the network path to an endpoint stalls while the endpoint is removed from
 // the list, the request could still be delivered long afterwards. The attempt
 // is therefore checked until the endpoint's system has acknowledged the
 // request.
-bool DirectRequest::RemovedBeforeDelivery() {
-  const auto now = context_.loop_.Now();
-  if (attempt_.delivered_ || now - attempt_.sent_at_ < kTimeoutCheckInterval) {
+bool DirectRequest::RemovedBeforeDelivery(Attempt& attempt,
+                                          core::TimePoint now) const {
+  if (attempt.delivered_ || now - attempt.sent_at_ < kCheckInterval) {
     return false;
   }
-  attempt_.delivered_ = !attempt_.call_->has_unacknowledged_data();
-  return !attempt_.delivered_ && !context_.endpoints_.AcceptsRequests(
-                                     attempt_.choice_.row_.incarnation(), now);
+  attempt.delivered_ = !attempt.call_->has_unacknowledged_data();
+  return !attempt.delivered_ && !context_.endpoints_.AcceptsRequests(
+                                    attempt.choice_.row_.incarnation(), now);
 }
 
-void DirectRequest::ArmFirstByteTimeout() {
-  if (ended_ || attempt_.call_ == nullptr) {
-    return;
-  }
-  if (RemovedBeforeDelivery()) {
-    attempt_.abandon_reason_ = "endpoint-left";
-    OnResponseTimeout();
-    return;
-  }
-  if (!request_.route_.may_retry()) {
-    if (!attempt_.delivered_) {
-      response_timer_.Once(kTimeoutCheckInterval, [self = shared_from_this()] {
-        self->ArmFirstByteTimeout();
-      });
-    }
-    return;
-  }
+routing::PendingAttempt DirectRequest::PendingStateOf(
+    const Attempt& attempt) const {
   routing::PendingAttempt pending;
   pending.target_latency_ = request_.route_.target_latency_;
-  pending.predicted_time_to_first_byte_ = attempt_.choice_.time_to_first_byte_;
+  pending.predicted_time_to_first_byte_ = attempt.choice_.time_to_first_byte_;
   pending.on_time_ = request_.on_time_;
-  pending.sent_at_ = attempt_.sent_at_;
+  pending.sent_at_ = attempt.sent_at_;
   pending.unresponsive_ =
-      context_.endpoints_.IsUnresponsive(attempt_.choice_.row_.id_);
+      context_.endpoints_.IsUnresponsive(attempt.endpoint());
   if (request_.engine_) {
-    pending.weights_version_ = attempt_.choice_.row_.weights_version_;
-    pending.version_constraint_ = attempt_.version_constraint_;
+    pending.weights_version_ = attempt.choice_.row_.weights_version_;
+    pending.version_constraint_ = attempt.version_constraint_;
+  }
+  return pending;
+}
+
+void DirectRequest::CheckFirstByte(const AttemptPtr& attempt) {
+  if (!current(*attempt) || attempt->response_started_) {
+    return;
   }
   const auto now = context_.loop_.Now();
-  const auto left = routing::FirstByteDeadline(pending) - now;
-  if (left <= core::Duration{}) {
-    OnResponseTimeout();
+  if (RemovedBeforeDelivery(*attempt, now)) {
+    Abandon(attempt, "endpoint-left", routing::EndpointOutcome::kFailed);
     return;
   }
-  response_timer_.Once(
-      std::min<core::Duration>(left, kTimeoutCheckInterval),
-      [self = shared_from_this()] { self->ArmFirstByteTimeout(); });
+  core::Duration wait = kCheckInterval;
+  if (request_.route_.may_retry()) {
+    const auto pending = PendingStateOf(*attempt);
+    if (const auto last_start = routing::LatestStart(pending);
+        last_start && now >= *last_start) {
+      Abandon(attempt, "older-weights", routing::EndpointOutcome::kFailed);
+      return;
+    }
+    const auto left = routing::FirstByteDeadline(pending) - now;
+    if (left <= core::Duration{}) {
+      OnSilent(attempt);
+    } else {
+      wait = std::min(wait, left);
+    }
+  } else if (attempt->delivered_) {
+    return;
+  }
+  if (current(*attempt)) {
+    attempt->timer_.Once(wait, [self = shared_from_this(), attempt] {
+      self->CheckFirstByte(attempt);
+    });
+  }
 }
 
-void DirectRequest::ArmEventTimeout() {
+void DirectRequest::CheckEventGap(const AttemptPtr& attempt) {
   if (!request_.route_.may_retry() || !request_.route_.streaming_) {
-    response_timer_.Cancel();
+    attempt->timer_.Cancel();
     return;
   }
-  const core::Duration wait = std::max<core::Duration>(
+  const core::Duration timeout = std::max<core::Duration>(
       request_.route_.target_gap_ * kEventGapFactor, kMinEventGapTimeout);
-  response_timer_.Once(
-      wait, [self = shared_from_this()] { self->OnResponseTimeout(); });
+  auto wait = attempt->last_data_at_ + timeout - context_.loop_.Now();
+  if (wait <= core::Duration{}) {
+    OnSilent(attempt);
+    wait = kCheckInterval;
+  }
+  if (current(*attempt)) {
+    attempt->timer_.Once(wait, [self = shared_from_this(), attempt] {
+      self->CheckEventGap(attempt);
+    });
+  }
+}
+
+void DirectRequest::OnSilent(const AttemptPtr& attempt) {
+  const auto now = context_.loop_.Now();
+  if (!std::exchange(attempt->silent_, true)) {
+    ReportSilence(*attempt, now);
+  }
+  // An attempt that is not silent yet may still respond.
+  if (std::ranges::all_of(
+          attempts_, &Attempt::silent_,
+          [](const AttemptPtr& each) -> const Attempt& { return *each; })) {
+    last_possible_run_ = PossibleRunOf(*attempt);
+    Perform(tracker_.OnSilent(now));
+  }
 }
 
-void DirectRequest::OnHead(routing::AttemptNumber number, int status,
+void DirectRequest::OnHead(const AttemptPtr& attempt, int status,
                            const HttpHeaders& headers) {
-  if (!current(number)) {
+  if (!current(*attempt)) {
     return;
   }
   const auto now = context_.loop_.Now();
-  attempt_.last_data_at_ = now;
-  attempt_.status_ = status;
-  attempt_.framing_ = attempt_.call_->framing();
-  attempt_.headers_ = headers;
-  attempt_.response_head_ =
+  attempt->last_data_at_ = now;
+  attempt->silent_ = false;
+  attempt->status_ = status;
+  attempt->framing_ = attempt->call_->framing();
+  attempt->headers_ = headers;
+  attempt->response_head_ =
       context_.adapter_.requests_.read_response_(status, headers);
-  attempt_.response_started_ = true;
+  attempt->response_started_ = true;
   context_.endpoints_.OnFirstByte(
-      attempt_.choice_.row_.id_, request_.caller_.prompt_tokens_,
-      attempt_.sent_at_, attempt_.choice_.time_to_first_byte_, now);
+      attempt->endpoint(), request_.caller_.prompt_tokens_, attempt->sent_at_,
+      attempt->choice_.time_to_first_byte_, now);
   context_.statements_.OnResponse({.request_ = request_.caller_.id_,
-                                   .endpoint_ = attempt_.choice_.row_,
-                                   .sent_at_ = attempt_.sent_at_,
-                                   .head_ = attempt_.response_head_});
-  if (attempt_.response_head_.signed_) {
-    context_.quarantine_.OnAnswered(attempt_.choice_.row_);
+                                   .endpoint_ = attempt->choice_.row_,
+                                   .sent_at_ = attempt->sent_at_,
+                                   .head_ = attempt->response_head_});
+  if (attempt->response_head_.signed_) {
+    context_.quarantine_.OnAnswered(attempt->choice_.row_);
   }
   const bool success = status >= 200 && status < 300;
-  attempt_.streaming_ =
-      success && attempt_.response_head_.signed_ && request_.route_.streaming_;
-  if (!attempt_.streaming_) {
-    response_timer_.Cancel();
-    return;
+  attempt->streaming_ =
+      success && attempt->response_head_.signed_ && request_.route_.streaming_;
+  if (attempt->streaming_) {
+    CheckEventGap(attempt);
+  } else {
+    attempt->timer_.Cancel();
   }
-  stream_version_ = attempt_.choice_.row_.weights_version_;
-  ArmEventTimeout();
 }
 
-void DirectRequest::OnData(routing::AttemptNumber number,
-                           std::string_view bytes) {
-  if (!current(number)) {
+void DirectRequest::OnData(const AttemptPtr& attempt, std::string_view bytes) {
+  if (!current(*attempt)) {
     return;
   }
-  attempt_.last_data_at_ = context_.loop_.Now();
-  context_.endpoints_.OnProgress(attempt_.choice_.row_.id_,
-                                 attempt_.last_data_at_);
-  if (!attempt_.streaming_) {
-    OnBufferedData(bytes);
+  attempt->last_data_at_ = context_.loop_.Now();
+  attempt->silent_ = false;
+  context_.endpoints_.OnProgress(attempt->endpoint(), attempt->last_data_at_);
+  if (!attempt->streaming_) {
+    OnBufferedData(attempt, bytes);
     return;
   }
-  const auto complete = events_.Append(bytes);
-  if (complete.count_ > 0 &&
-      tracker_.AcceptResponseBytes(number, complete.count_)) {
-    Forward(complete.bytes_);
+  const auto complete = attempt->events_.Append(bytes);
+  if (complete.count_ > 0) {
+    Perform(tracker_.Select(attempt->number_));
+    if (tracker_.AcceptResponseBytes(attempt->number_, complete.count_)) {
+      forwarded_events_ = attempt->events_;
+      forwarded_events_.DiscardPartialEvent();
+      Forward(attempt, complete.bytes_);
+    }
   }
-  ArmEventTimeout();
 }
 
-void DirectRequest::OnBufferedData(std::string_view bytes) {
-  attempt_.body_.append(bytes);
-  if (attempt_.body_.size() <= kMaxBufferedBytes ||
-      ClassifyResponse() != routing::AttemptEnd::kComplete) {
+void DirectRequest::OnBufferedData(const AttemptPtr& attempt,
+                                   std::string_view bytes) {
+  attempt->body_.append(bytes);
+  if (attempt->body_.size() <= kMaxBufferedBytes ||
+      ClassifyResponse(*attempt) != routing::AttemptEnd::kComplete) {
     return;
   }
-  const auto body = std::exchange(attempt_.body_, {});
+  Perform(tracker_.Select(attempt->number_));
   // No event of this response allows to resume it at another endpoint.
-  if (tracker_.AcceptResponseBytes(attempt_.number_, 0)) {
-    Forward(body);
+  if (tracker_.AcceptResponseBytes(attempt->number_, 0)) {
+    Forward(attempt, std::exchange(attempt->body_, {}));
   }
 }
 
-void DirectRequest::Forward(std::string_view bytes) {
+void DirectRequest::Forward(const AttemptPtr& attempt, std::string_view bytes) {
   if (!response_started_) {
     response_started_ = true;
     context_.metrics_.Observe("first_byte_seconds",
                               {{"service", request_.service_}},
                               context_.loop_.Now() - request_.received_at_);
-    response_unframed_ = attempt_.unframed();
+    stream_version_ = attempt->choice_.row_.weights_version_;
+    response_unframed_ = attempt->unframed();
     const auto headers =
-        context_.adapter_.requests_.forwarded_headers_(attempt_.headers_);
+        context_.adapter_.requests_.forwarded_headers_(attempt->headers_);
     if (response_unframed_) {
-      exchange_->StartCloseDelimited(attempt_.status_, headers);
+      exchange_->StartCloseDelimited(attempt->status_, headers);
     } else {
-      exchange_->Start(attempt_.status_, headers);
+      exchange_->Start(attempt->status_, headers);
     }
   }
   exchange_->Write(bytes);
-  if (exchange_->pending() > kMaxPendingBytes && attempt_.call_ != nullptr) {
-    attempt_.call_->SetReading(false);
-    response_timer_.Cancel();
-    exchange_->OnDrained([self = shared_from_this()] {
-      if (self->attempt_.call_ != nullptr) {
-        self->attempt_.call_->SetReading(true);
-        self->ArmEventTimeout();
-      }
-    });
+  if (exchange_->pending() > kMaxPendingBytes && attempt->call_ != nullptr) {
+    PauseUntilDrained(attempt);
   }
 }
 
-void DirectRequest::OnEnd(routing::AttemptNumber number, HttpEnd end) {
-  if (!current(number)) {
+void DirectRequest::PauseUntilDrained(const AttemptPtr& attempt) {
+  attempt->call_->SetReading(false);
+  attempt->timer_.Cancel();
+  exchange_->OnDrained([self = shared_from_this(), attempt] {
+    if (self->current(*attempt)) {
+      attempt->call_->SetReading(true);
+      attempt->last_data_at_ = self->context_.loop_.Now();
+      self->CheckEventGap(attempt);
+    }
+  });
+}
+
+void DirectRequest::OnEnd(AttemptPtr attempt, HttpEnd end) {
+  if (!current(*attempt)) {
     return;
   }
-  attempt_.call_ = nullptr;
-  attempt_.call_end_ = end;
-  response_timer_.Cancel();
-  if (attempt_.framing_ == HttpFraming::kConnectionEnd) {
-    CountUnframedResponse(end);
+  attempt->call_ = nullptr;
+  attempt->call_end_ = end;
+  if (attempt->unframed()) {
+    CountUnframedResponse(*attempt, end);
   }
   if (end == HttpEnd::kNotSent) {
-    EndAttempt(routing::AttemptEnd::kNeverSent,
+    EndAttempt(attempt, routing::AttemptEnd::kNeverSent,
+               routing::EndpointOutcome::kFailed);
+  } else if (end == HttpEnd::kBroken || IsTruncated(*attempt)) {
+    EndAttempt(attempt, routing::AttemptEnd::kLost,
                routing::EndpointOutcome::kFailed);
-  } else if (end == HttpEnd::kBroken || IsTruncated()) {
-    EndAttempt(routing::AttemptEnd::kLost, routing::EndpointOutcome::kFailed);
   } else {
-    EndResponse();
+    EndResponse(attempt);
   }
 }
 
-bool DirectRequest::IsTruncated() const {
-  if (!attempt_.streaming_ || !attempt_.unframed()) {
+bool DirectRequest::IsTruncated(const Attempt& attempt) const {
+  if (!attempt.streaming_ || !attempt.unframed()) {
     return false;
   }
   const bool has_events = tracker_.forwarded();
-  const bool inside_event = !events_.partial_event().empty();
+  const bool inside_event = !attempt.events_.partial_event().empty();
   // The caller's response has a framing of its own if an earlier attempt had
   // one; its end would state that this stream is complete.
   const bool end_is_stated = response_started_ && !response_unframed_;
-  return !has_events || inside_event || end_is_stated;
+  const bool may_continue = attempts_.size() > 1;
+  return !has_events || inside_event || end_is_stated || may_continue;
 }
 
-routing::AttemptEnd DirectRequest::ClassifyResponse() const {
-  const auto status = attempt_.status_;
-  if (attempt_.response_head_.not_run_ || attempt_.response_head_.mismatched_) {
+routing::AttemptEnd DirectRequest::ClassifyResponse(
+    const Attempt& attempt) const {
+  const auto& head = attempt.response_head_;
+  if (head.not_run_ || head.mismatched_) {
     return routing::AttemptEnd::kRefusedNotRun;
   }
-  if (!attempt_.response_head_.signed_ && status < 300) {
+  if (!head.signed_ && attempt.status_ < 300) {
     // An unsigned success was not sent by the endpoint itself.
     return routing::AttemptEnd::kLost;
   }
-  return status >= 500 ? routing::AttemptEnd::kFailedRan
-                       : routing::AttemptEnd::kComplete;
+  return attempt.status_ >= 500 ? routing::AttemptEnd::kFailedRan
+                                : routing::AttemptEnd::kComplete;
 }
 
-void DirectRequest::EndResponse() {
-  const auto end = ClassifyResponse();
-  const auto& id = attempt_.choice_.row_.id_;
+void DirectRequest::EndResponse(const AttemptPtr& attempt) {
+  const auto end = ClassifyResponse(*attempt);
+  const auto& head = attempt->response_head_;
+  const auto& id = attempt->endpoint();
   switch (end) {
     case routing::AttemptEnd::kComplete:
-      EndAttempt(end, routing::EndpointOutcome::kAnswered);
+      EndAttempt(attempt, end, routing::EndpointOutcome::kAnswered);
       return;
     case routing::AttemptEnd::kRefusedNotRun:
-      if (attempt_.response_head_.mismatched_ &&
-          !attempt_.response_head_.instance_id_.empty() &&
-          attempt_.response_head_.instance_id_ != id) {
-        context_.endpoints_.MarkReplaced(id,
-                                         attempt_.response_head_.instance_id_);
+      if (head.mismatched_ && !head.instance_id_.empty() &&
+          head.instance_id_ != id) {
+        context_.endpoints_.MarkReplaced(id, head.instance_id_);
       }
-      EndAttempt(end, routing::EndpointOutcome::kRefused);
+      EndAttempt(attempt, end, routing::EndpointOutcome::kRefused);
       return;
     case routing::AttemptEnd::kFailedRan:
-      last_failure_ = HttpResponse{.end_ = *attempt_.call_end_,
-                                   .status_ = attempt_.status_,
-                                   .headers_ = attempt_.headers_,
-                                   .body_ = attempt_.body_};
-      EndAttempt(end, routing::EndpointOutcome::kFailed);
+      last_failure_ = HttpResponse{.end_ = *attempt->call_end_,
+                                   .status_ = attempt->status_,
+                                   .headers_ = attempt->headers_,
+                                   .body_ = attempt->body_};
+      EndAttempt(attempt, end, routing::EndpointOutcome::kFailed);
       return;
     default:
-      EndAttempt(end, routing::EndpointOutcome::kFailed);
+      EndAttempt(attempt, end, routing::EndpointOutcome::kFailed);
   }
 }
 
-void DirectRequest::CountUnframedResponse(HttpEnd end) {
+void DirectRequest::CountUnframedResponse(const Attempt& attempt,
+                                          HttpEnd end) const {
   std::string state = "broken";
   if (end == HttpEnd::kCloseDelimited) {
-    state = events_.partial_event().empty() ? "closed" : "inside event";
+    state = attempt.events_.partial_event().empty() ? "closed" : "inside event";
   }
   context_.metrics_.Count(
       "unframed_responses_total",
-      {{"kind", attempt_.streaming_ ? "stream" : "buffered"}, {"end", state}});
+      {{"kind", attempt.streaming_ ? "stream" : "buffered"}, {"end", state}});
 }
 
-void DirectRequest::CountAttemptEnded(routing::EndpointOutcome outcome) {
-  if (std::exchange(attempt_.counted_in_flight_, false)) {
-    context_.endpoints_.OnEnded(attempt_.choice_.row_.id_,
-                                request_.caller_.prompt_tokens_,
-                                attempt_.sent_at_, attempt_.response_started_,
-                                outcome, context_.loop_.Now());
-    context_.tracer_.End(attempt_.span_,
+void DirectRequest::CountAttemptEnded(Attempt& attempt,
+                                      routing::EndpointOutcome outcome) {
+  if (std::exchange(attempt.counted_in_flight_, false)) {
+    context_.endpoints_.OnEnded(
+        attempt.endpoint(), request_.caller_.prompt_tokens_, attempt.sent_at_,
+        attempt.response_started_, outcome, context_.loop_.Now());
+    context_.tracer_.End(attempt.span_,
                          outcome == routing::EndpointOutcome::kAnswered);
   }
 }
 
-void DirectRequest::EndAttempt(routing::AttemptEnd end,
-                               routing::EndpointOutcome outcome) {
+void DirectRequest::LogAttemptEnded(const Attempt& attempt,
+                                    std::string_view end) const {
   const auto now = context_.loop_.Now();
-  CountAttemptEnded(outcome);
+  context_.log_.Write(
+      core::EventNumber::kAttemptEnded,
+      {{"request", request_.caller_.id_},
+       {"content", request_.identity_.content_.ToHex()},
+       {"attempt", std::to_string(attempt.number_)},
+       {"endpoint", attempt.endpoint().value()},
+       {"end", std::string(end)},
+       {"connection", ConnectionEnd(attempt.call_end_)},
+       {"framing", FramingText(attempt.framing_)},
+       {"partial_event",
+        std::to_string(attempt.events_.partial_event().size())},
+       {"status", std::to_string(attempt.status_)},
+       {"retry_after_ms", RetryAfterText(attempt.response_head_)},
+       {"given_up", std::string(attempt.abandon_reason_)},
+       {"silent", attempt.silent_ ? "yes" : "no"},
+       {"idle_ms", Millis(now - attempt.last_data_at_)},
+       {"after_ms", Millis(now - attempt.sent_at_)}});
+  context_.metrics_.Count("attempts_ended_total", {{"end", std::string(end)}});
+}
+
+void DirectRequest::EndAttempt(const AttemptPtr& attempt,
+                               routing::AttemptEnd end,
+                               routing::EndpointOutcome outcome) {
+  CountAttemptEnded(*attempt, outcome);
+  attempt->timer_.Cancel();
+  std::erase(attempts_, attempt);
+  last_attempt_ = attempt;
   if (end != routing::AttemptEnd::kComplete) {
-    context_.log_.Write(
-        core::EventNumber::kAttemptEnded,
-        {{"request", request_.caller_.id_},
-         {"content", request_.identity_.content_.ToHex()},
-         {"attempt", std::to_string(attempt_.number_)},
-         {"endpoint", attempt_.choice_.row_.id_.value()},
-         {"end", std::string(routing::ToString(end))},
-         {"connection", ConnectionEnd(attempt_.call_end_)},
-         {"framing", FramingText(attempt_.framing_)},
-         {"partial_event", std::to_string(events_.partial_event().size())},
-         {"status", std::to_string(attempt_.status_)},
-         {"retry_after_ms", RetryAfterText(attempt_.response_head_)},
-         {"given_up", std::string(attempt_.abandon_reason_)},
-         {"idle_ms", Millis(now - attempt_.last_data_at_)},
-         {"after_ms", Millis(now - attempt_.sent_at_)}});
-    context_.metrics_.Count("attempts_ended_total",
-                            {{"end", std::string(routing::ToString(end))}});
-    events_.DiscardPartialEvent();
-  }
-  ReportToQuarantine(end);
-  Perform(tracker_.OnEnded(attempt_.number_, end, now));
-}
-
-void DirectRequest::ReportToQuarantine(routing::AttemptEnd end) {
-  const routing::LostAttempt attempt{
-      .request_ = request_.identity_,
-      .elapsed_ = context_.loop_.Now() - attempt_.sent_at_,
-      .service_ = request_.service_};
+    LogAttemptEnded(*attempt, routing::ToString(end));
+  }
+  ReportToQuarantine(*attempt, end);
+  Perform(tracker_.OnEnded(attempt->number_, end, context_.loop_.Now()));
+}
+
+routing::LostAttempt DirectRequest::PossibleRunOf(
+    const Attempt& attempt) const {
+  return {.request_ = request_.identity_,
+          .elapsed_ = context_.loop_.Now() - attempt.sent_at_,
+          .service_ = request_.service_};
+}
+
+void DirectRequest::ReportToQuarantine(const Attempt& attempt,
+                                       routing::AttemptEnd end) {
+  const auto possible_run = PossibleRunOf(attempt);
   const bool may_have_run = end == routing::AttemptEnd::kLost ||
                             end == routing::AttemptEnd::kFailedRan;
-  last_possible_run_ = may_have_run ? std::optional(attempt) : std::nullopt;
+  last_possible_run_ =
+      may_have_run ? std::optional(possible_run) : std::nullopt;
   // A crash resets connections or closes them.
-  const bool connection_lost = attempt_.call_end_ == HttpEnd::kBroken ||
-                               attempt_.call_end_ == HttpEnd::kCloseDelimited;
+  const bool connection_lost = attempt.call_end_ == HttpEnd::kBroken ||
+                               attempt.call_end_ == HttpEnd::kCloseDelimited;
   if (end == routing::AttemptEnd::kLost && connection_lost) {
-    context_.quarantine_.OnAttemptLost(attempt, attempt_.choice_.row_);
+    context_.quarantine_.OnAttemptLost(possible_run, attempt.choice_.row_);
   }
   // A response without a length looks complete even if the endpoint crashed in
   // the middle of it, so it does not count as a completed run.
-  if (end == routing::AttemptEnd::kComplete && !attempt_.unframed()) {
+  if (end == routing::AttemptEnd::kComplete && !attempt.unframed()) {
     context_.quarantine_.OnCompleted(request_.identity_);
   }
 }
@@ -572,45 +657,62 @@
                          : routing::ToString(denial));
 }
 
-void DirectRequest::ReportSilence(core::TimePoint now) const {
+void DirectRequest::ReportSilence(const Attempt& attempt, core::TimePoint now) {
+  context_.endpoints_.OnSilent(attempt.endpoint(), attempt.sent_at_, now);
   context_.log_.Write(core::EventNumber::kAttemptSilent,
                       {{"request", request_.caller_.id_},
-                       {"attempt", std::to_string(attempt_.number_)},
-                       {"endpoint", attempt_.choice_.row_.id_.value()},
-                       {"idle_ms", Millis(now - attempt_.last_data_at_)},
+                       {"attempt", std::to_string(attempt.number_)},
+                       {"endpoint", attempt.endpoint().value()},
+                       {"idle_ms", Millis(now - attempt.last_data_at_)},
                        {"forwarded", tracker_.forwarded() ? "yes" : "no"}});
   context_.metrics_.Count(
       "silent_attempts_total",
-      {{"phase", attempt_.response_started_ ? "response" : "first byte"}});
+      {{"phase", attempt.response_started_ ? "response" : "first byte"}});
+}
+
+void DirectRequest::Abandon(const AttemptPtr& attempt, std::string_view reason,
+                            routing::EndpointOutcome outcome) {
+  attempt->abandon_reason_ = reason;
+  std::exchange(attempt->call_, nullptr)->Cancel();
+  EndAttempt(attempt, routing::AttemptEnd::kLost, outcome);
 }
 
-void DirectRequest::OnResponseTimeout() {
-  if (ended_ || attempt_.call_ == nullptr) {
+void DirectRequest::Cancel(routing::AttemptNumber number) {
+  const auto found =
+      std::ranges::find_if(attempts_, [number](const AttemptPtr& attempt) {
+        return attempt->number_ == number;
+      });
+  if (found == attempts_.end()) {
     return;
   }
-  if (attempt_.abandon_reason_.empty()) {
-    attempt_.abandon_reason_ = "silent";
-    ReportSilence(context_.loop_.Now());
+  const auto attempt = *found;
+  attempts_.erase(found);
+  attempt->timer_.Cancel();
+  std::exchange(attempt->call_, nullptr)->Cancel();
+  CountAttemptEnded(*attempt, routing::EndpointOutcome::kCancelled);
+  if (!tracker_.finished()) {
+    attempt->abandon_reason_ = "replaced";
+    LogAttemptEnded(*attempt, "cancelled");
   }
-  std::exchange(attempt_.call_, nullptr)->Cancel();
-  EndAttempt(routing::AttemptEnd::kLost, routing::EndpointOutcome::kFailed);
 }
 
 void DirectRequest::OnQuarantined() {
-  if (ended_ || attempt_.call_ == nullptr || attempt_.response_started_) {
-    return;
+  for (const auto& attempt : std::vector(attempts_)) {
+    if (current(*attempt) && !attempt->response_started_) {
+      Abandon(attempt, "quarantined", routing::EndpointOutcome::kCancelled);
+    }
   }
-  attempt_.abandon_reason_ = "quarantined";
-  std::exchange(attempt_.call_, nullptr)->Cancel();
-  EndAttempt(routing::AttemptEnd::kLost, routing::EndpointOutcome::kCancelled);
 }
 
 void DirectRequest::OnDeadline() {
   past_deadline_ = true;
-  // An endpoint that has not responded by the deadline counts as failed; an
-  // attempt whose response has started is counted as cancelled by Perform().
-  if (attempt_.call_ != nullptr && !attempt_.response_started_) {
-    CountAttemptEnded(routing::EndpointOutcome::kFailed);
+  // An endpoint that has not responded by the deadline counts as failed, unless
+  // its silence did already; an attempt whose response has started is counted
+  // as cancelled by Perform().
+  for (const auto& attempt : attempts_) {
+    if (!attempt->response_started_ && !attempt->silent_) {
+      CountAttemptEnded(*attempt, routing::EndpointOutcome::kFailed);
+    }
   }
   Perform(tracker_.Abort());
 }
@@ -621,7 +723,7 @@
   }
   context_.log_.Write(core::EventNumber::kCallerDisconnected,
                       {{"request", request_.caller_.id_},
-                       {"attempt", std::to_string(attempt_.number_)}});
+                       {"attempt", std::to_string(tracker_.attempt())}});
   Perform(tracker_.Abort());
 }
 
@@ -631,14 +733,14 @@
   }
   const auto now = context_.loop_.Now();
   deadline_timer_.Cancel();
-  response_timer_.Cancel();
   context_.quarantine_.OnEnded(quarantine_token_);
   const bool completed = finish.outcome_ == routing::Outcome::kAnswered;
   if (response_started_) {
     if (completed) {
       // Bytes after the last separator belong to a complete stream.
-      exchange_->Write(attempt_.streaming_ ? events_.partial_event()
-                                           : attempt_.body_);
+      exchange_->Write(last_attempt_->streaming_
+                           ? last_attempt_->events_.partial_event()
+                           : last_attempt_->body_);
     }
     exchange_->End(completed);
     if (!completed) {
@@ -646,33 +748,42 @@
                               {{"reason", RetryDenialText()}});
     }
   } else if (completed) {
-    RespondWith({.end_ = *attempt_.call_end_,
-                 .status_ = attempt_.status_,
-                 .headers_ = attempt_.headers_,
-                 .body_ = std::move(attempt_.body_)});
+    RespondWith({.end_ = *last_attempt_->call_end_,
+                 .status_ = last_attempt_->status_,
+                 .headers_ = last_attempt_->headers_,
+                 .body_ = std::move(last_attempt_->body_)});
   } else {
     RespondFailure(finish);
   }
   const auto elapsed = now - request_.received_at_;
-  const std::string outcome(routing::ToString(finish.outcome_));
-  context_.metrics_.Observe("request_seconds", {{"outcome", outcome}}, elapsed);
+  context_.metrics_.Observe(
+      "request_seconds",
+      {{"outcome", std::string(routing::ToString(finish.outcome_))}}, elapsed);
+  LogFinished(finish, elapsed);
+  context_.tracer_.End(span_, completed);
+  exchange_.reset();
+  const auto done = std::move(done_);
+  done();
+}
+
+void DirectRequest::LogFinished(const routing::FinishRequest& finish,
+                                core::Duration elapsed) const {
+  const bool completed = finish.outcome_ == routing::Outcome::kAnswered;
+  const Attempt none(context_.loop_);
+  const auto& last = last_attempt_ == nullptr ? none : *last_attempt_;
   context_.log_.Write(
       core::EventNumber::kRequestEnded,
       {{"request", request_.caller_.id_},
-       {"outcome", outcome},
-       {"status", std::to_string(attempt_.status_)},
-       {"connection", ConnectionEnd(attempt_.call_end_)},
-       {"framing", FramingText(attempt_.framing_)},
-       {"partial_event", std::to_string(events_.partial_event().size())},
+       {"outcome", std::string(routing::ToString(finish.outcome_))},
+       {"status", std::to_string(last.status_)},
+       {"connection", ConnectionEnd(last.call_end_)},
+       {"framing", FramingText(last.framing_)},
+       {"partial_event", std::to_string(last.events_.partial_event().size())},
        {"attempts", std::to_string(tracker_.attempt())},
        {"past_deadline", past_deadline_ ? "yes" : "no"},
        {"cut", response_started_ && !completed ? "yes" : "no"},
        {"no_retry", completed ? "" : RetryDenialText()},
        {"took_ms", Millis(elapsed)}});
-  context_.tracer_.End(span_, completed);
-  exchange_.reset();
-  const auto done = std::move(done_);
-  done();
 }
 
 void DirectRequest::RespondWith(HttpResponse response) {
--- a/packages/daemon/src/daemon/direct/direct_request.hpp
+++ b/packages/daemon/src/daemon/direct/direct_request.hpp
@@ -9,14 +9,17 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <vector>
 
 #include "chalkwell/routing/endpoint_table.hpp"
 #include "chalkwell/routing/event_splitter.hpp"
+#include "chalkwell/routing/first_byte_timeout.hpp"
 #include "chalkwell/routing/request_digest.hpp"
 #include "chalkwell/routing/request_tracker.hpp"
 #include "chalkwell/routing/retry_budget.hpp"
 #include "chalkwell/routing/retry_jitter.hpp"
 #include "daemon/direct/adapter.hpp"
+#include "daemon/direct/direct_attempt.hpp"
 #include "daemon/direct/endpoint_statements.hpp"
 #include "daemon/direct/quarantine_manager.hpp"
 #include "daemon/event_log.hpp"
@@ -86,89 +89,88 @@
   void Start();
 
  private:
-  /// The current attempt.
-  struct Attempt {
-    routing::AttemptNumber number_ = 0;
-    routing::EndpointChoice choice_;
-    core::TimePoint sent_at_;
-    /// When the last bytes of the response arrived; `sent_at_` before the
-    /// first.
-    core::TimePoint last_data_at_;
-    /// Constraint on the weights version when the endpoint was chosen.
-    routing::VersionConstraint version_constraint_;
-    Span span_;
-    std::shared_ptr<HttpCall> call_;
-    int status_ = 0;
-    HttpHeaders headers_;
-    ResponseHead response_head_;
-    std::string body_;
-    bool response_started_ = false;
-    /// The endpoint's system has acknowledged the whole request.
-    bool delivered_ = false;
-    /// The response is a stream, forwarded event by event.
-    bool streaming_ = false;
-    /// What shows the end of the response; none before its head.
-    std::optional<HttpFraming> framing_;
-    /// The endpoint table counts the attempt as in flight.
-    bool counted_in_flight_ = false;
-    /// Why this process abandoned the attempt; empty if it did not.
-    std::string_view abandon_reason_;
-    /// How the call ended; none while it is in flight or if this process
-    /// cancelled it.
-    std::optional<HttpEnd> call_end_;
-
-    /// Only the end of the connection ends the response.
-    [[nodiscard]] bool unframed() const noexcept {
-      return framing_ == HttpFraming::kConnectionEnd;
-    }
-  };
+  using Attempt = DirectAttempt;
+  using AttemptPtr = std::shared_ptr<Attempt>;
 
   void Perform(const routing::RequestActions& actions);
   void Choose(const routing::ChooseEndpoint& choose);
   void Send(const routing::SendAttempt& send);
-  void OnHead(routing::AttemptNumber number, int status,
+  [[nodiscard]] AttemptPtr NewAttempt(routing::AttemptNumber number,
+                                      core::TimePoint now);
+  [[nodiscard]] AttemptTerms TermsFor(const Attempt& attempt,
+                                      core::TimePoint now) const;
+  [[nodiscard]] HttpSendOptions OptionsFor(const Attempt& attempt,
+                                           core::TimePoint now);
+  [[nodiscard]] HttpCallbacks CallbacksFor(const AttemptPtr& attempt);
+  void LogSent(const Attempt& attempt, core::Duration time_left) const;
+  void OnHead(const AttemptPtr& attempt, int status,
               const HttpHeaders& headers);
-  void OnData(routing::AttemptNumber number, std::string_view bytes);
-  void OnBufferedData(std::string_view bytes);
-  void OnEnd(routing::AttemptNumber number, HttpEnd end);
-  void OnResponseTimeout();
-  /// @brief Logs and counts an attempt from whose endpoint nothing arrives.
-  void ReportSilence(core::TimePoint now) const;
-  /// @brief Abandons the current attempt, unless its response has started,
-  /// because the request was quarantined.
+  void OnData(const AttemptPtr& attempt, std::string_view bytes);
+  void OnBufferedData(const AttemptPtr& attempt, std::string_view bytes);
+  /// @param attempt by value: the call, which is released, holds another one.
+  void OnEnd(AttemptPtr attempt, HttpEnd end);
+  /// @brief Checks an attempt that awaits its first byte, and schedules the
+  /// next check.
+  void CheckFirstByte(const AttemptPtr& attempt);
+  [[nodiscard]] routing::PendingAttempt PendingStateOf(
+      const Attempt& attempt) const;
+  /// @brief Checks a stream that awaits its next event, and schedules the next
+  /// check.
+  void CheckEventGap(const AttemptPtr& attempt);
+  /// @brief Nothing has arrived for longer than expected. The attempt goes on;
+  /// another one is made beside it if possible.
+  void OnSilent(const AttemptPtr& attempt);
+  /// @brief Logs and counts a silent attempt, once.
+  void ReportSilence(const Attempt& attempt, core::TimePoint now);
+  /// @brief Ends an attempt that must not go on.
+  void Abandon(const AttemptPtr& attempt, std::string_view reason,
+               routing::EndpointOutcome outcome);
+  /// @brief Ends an attempt because another one has made progress.
+  void Cancel(routing::AttemptNumber number);
+  /// @brief Abandons the attempts whose responses have not started, because the
+  /// request was quarantined.
   void OnQuarantined();
   void OnDeadline();
   void OnCallerDisconnected();
-  void EndAttempt(routing::AttemptEnd end, routing::EndpointOutcome outcome);
-  void EndResponse();
+  void EndAttempt(const AttemptPtr& attempt, routing::AttemptEnd end,
+                  routing::EndpointOutcome outcome);
+  void EndResponse(const AttemptPtr& attempt);
   /// @brief Whether a response that ended with its connection is treated as
   /// truncated: a stream that ends inside an event or before the first one, or
-  /// that resumes one whose end the caller expects to be stated.
-  [[nodiscard]] bool IsTruncated() const;
-  [[nodiscard]] routing::AttemptEnd ClassifyResponse() const;
-  void Forward(std::string_view bytes);
+  /// that resumes one whose end the caller expects to be stated, or while
+  /// another attempt may still deliver more.
+  [[nodiscard]] bool IsTruncated(const Attempt& attempt) const;
+  [[nodiscard]] routing::AttemptEnd ClassifyResponse(
+      const Attempt& attempt) const;
+  void Forward(const AttemptPtr& attempt, std::string_view bytes);
+  void PauseUntilDrained(const AttemptPtr& attempt);
   void Finish(const routing::FinishRequest& finish);
+  void LogFinished(const routing::FinishRequest& finish,
+                   core::Duration elapsed) const;
   /// @brief Sends a buffered response to the caller. One without a length gets
   /// none, since it may be truncated.
   void RespondWith(HttpResponse response);
   void RespondFailure(const routing::FinishRequest& finish);
-  void ArmFirstByteTimeout();
   /// @brief Whether the endpoint was removed from the list before the request
   /// was delivered to it.
-  [[nodiscard]] bool RemovedBeforeDelivery();
-  void ArmEventTimeout();
+  [[nodiscard]] bool RemovedBeforeDelivery(Attempt& attempt,
+                                           core::TimePoint now) const;
   /// @brief Counts a response without a length or chunks that has ended.
-  void CountUnframedResponse(HttpEnd end);
-  void CountAttemptEnded(routing::EndpointOutcome outcome);
+  void CountUnframedResponse(const Attempt& attempt, HttpEnd end) const;
+  void CountAttemptEnded(Attempt& attempt, routing::EndpointOutcome outcome);
+  void LogAttemptEnded(const Attempt& attempt, std::string_view end) const;
   /// @brief Reports the end of an attempt to the quarantine, as evidence for or
   /// against the request.
-  void ReportToQuarantine(routing::AttemptEnd end);
+  void ReportToQuarantine(const Attempt& attempt, routing::AttemptEnd end);
+  [[nodiscard]] routing::LostAttempt PossibleRunOf(
+      const Attempt& attempt) const;
   /// @brief Whether the tracker may retry at another endpoint.
   [[nodiscard]] bool MayRetry(routing::RetryKind kind, core::TimePoint now);
   /// @brief Why the last attempt was not followed by another, as logged.
   [[nodiscard]] std::string RetryDenialText() const;
-  [[nodiscard]] bool current(routing::AttemptNumber number) const noexcept {
-    return !ended_ && attempt_.number_ == number && attempt_.call_ != nullptr;
+  /// @brief Whether the attempt is in flight.
+  [[nodiscard]] bool current(const Attempt& attempt) const noexcept {
+    return !ended_ && attempt.call_ != nullptr;
   }
 
   RequestContext& context_;
@@ -176,14 +178,18 @@
   AdmittedDirectRequest request_;
   std::function<void()> done_;
   routing::RequestTracker tracker_;
-  Attempt attempt_;
+  /// Attempts in flight, in order.
+  std::vector<AttemptPtr> attempts_;
+  /// The attempt that was sent or has ended last.
+  AttemptPtr last_attempt_;
   std::optional<routing::EndpointChoice> chosen_;
   /// Constraint on the weights version when `chosen_` was chosen.
   routing::VersionConstraint version_constraint_;
   std::vector<core::InstanceId> tried_endpoints_;
   /// Weights version that produced the stream sent to the caller.
   std::optional<std::uint64_t> stream_version_;
-  routing::EventSplitter events_;
+  /// Id of the last event that was forwarded to the caller.
+  routing::EventSplitter forwarded_events_;
   bool response_started_ = false;
   /// The response that was started for the caller ends with its connection.
   bool response_unframed_ = false;
@@ -198,7 +204,6 @@
   /// The last error response that an endpoint sent after running the request.
   std::optional<HttpResponse> last_failure_;
   Timer deadline_timer_;
-  Timer response_timer_;
   Span span_;
 };
 
--- a/tests/platform/silent_endpoint_test.cpp
+++ b/tests/platform/silent_endpoint_test.cpp
@@ -1,7 +1,10 @@
 // Sound endpoints that send nothing for longer than an entry expects and then
 // go on, with a real entry.
 #include <catch2/catch.hpp>
+#include <memory>
+#include <optional>
 #include <string>
+#include <utility>
 
 #include "../daemon/raw_socket.hpp"
 #include "deployment.hpp"
@@ -18,13 +21,19 @@
 /// Longer than an entry waits for an event or for a first byte.
 constexpr auto kPause = 1600ms;
 
-/// Sets what the endpoint that a request does not reach first does.
-void SetOther(EndpointStandin& first, EndpointStandin& other,
+/// At the first arrival at either endpoint, sets what the other one does.
+void SetOther(EndpointStandin& first, EndpointStandin& second,
               Behaviour behaviour) {
-  first.OnArrival([&other, behaviour](const std::string&) {
-    other.SetBehaviour(behaviour);
-    other.SetRunDelay(0ms);
-  });
+  // Called on the loop of the endpoints.
+  const auto set = [behaviour, arrived = std::make_shared<bool>(false)](
+                       EndpointStandin& other) {
+    if (!std::exchange(*arrived, true)) {
+      other.SetBehaviour(behaviour);
+      other.SetRunDelay(0ms);
+    }
+  };
+  first.OnArrival([&second, set](const std::string&) { set(second); });
+  second.OnArrival([&first, set](const std::string&) { set(first); });
 }
 
 struct Row {
@@ -47,7 +56,6 @@
     }
   }
   SetOther(deployment.first_, deployment.second_, row.other_);
-  SetOther(deployment.second_, deployment.first_, row.other_);
   NodeOptions options;
   options.retry_reserve_ = row.retry_reserve_;
   const auto entry =
--- a/tests/routing/endpoint_table_test.cpp
+++ b/tests/routing/endpoint_table_test.cpp
@@ -246,10 +246,17 @@
   auto table = Table({Row("a"), Row("b")});
   const auto engine = Engine();
   const ChoiceRequest request{.service_ = "pool", .engine_ = &engine};
+  const bool silent = GENERATE(false, true);
   for (int i = 0; i < 5; ++i) {
-    table.OnSent(core::InstanceId("a"), 10, kStart);
-    table.OnEnded(core::InstanceId("a"), 10, kStart, false,
-                  EndpointOutcome::kFailed, kStart);
+    const core::InstanceId id("a");
+    table.OnSent(id, 10, kStart);
+    if (silent) {
+      table.OnSilent(id, kStart, kStart);
+    }
+    table.OnEnded(
+        id, 10, kStart, false,
+        silent ? EndpointOutcome::kCancelled : EndpointOutcome::kFailed,
+        kStart);
   }
   for (int i = 0; i < 20; ++i) {
     CHECK(Chosen(table, request, kStart) == "b");
--- a/tests/routing/first_byte_timeout_test.cpp
+++ b/tests/routing/first_byte_timeout_test.cpp
@@ -62,5 +62,20 @@
   CHECK(FirstByteDeadline(row.attempt_) == kSent + row.timeout_);
 }
 
+TEST_CASE("an attempt on outdated weights may start late", "[routing]") {
+  struct Row {
+    std::optional<std::uint64_t> version_;
+    std::optional<core::TimePoint> latest_start_;
+  };
+  const auto row = GENERATE(Row{1, kSent + 1060ms}, Row{2, std::nullopt},
+                            Row{std::nullopt, std::nullopt});
+  const PendingAttempt attempt{
+      .weights_version_ = row.version_,
+      .version_constraint_ = {.min_version_ = 0,
+                              .next_min_version_ = 2,
+                              .next_min_at_ = kSent + 260ms}};
+  CHECK(LatestStart(attempt) == row.latest_start_);
+}
+
 }  // namespace
 }  // namespace chalkwell::routing
