Continue a cut stream only with a stream

A caller that had a part of a stream could get the body of an error response after it, with an end that stated that all was complete.

Cause: a response below 500 of the endpoint that was to resume a stream counted as complete, whatever it was; its body was written into the caller's stream.

Now a response that is no stream does not end one: the attempt counts as failed, so that another endpoint may resume, or the caller's connection is reset. platform_tests [silent]: with an endpoint that rejects the resumption with 404, 3 assertions failed before, none now.

--- a/packages/daemon/src/daemon/direct/direct_request.cpp
+++ b/packages/daemon/src/daemon/direct/direct_request.cpp
@@ -524,6 +524,11 @@
     // An unsigned success was not sent by the endpoint itself.
     return routing::AttemptEnd::kLost;
   }
+  if (tracker_.forwarded() && request_.route_.streaming_ &&
+      !attempt.streaming_) {
+    // Only a stream can continue the one that the caller has a part of.
+    return routing::AttemptEnd::kFailedRan;
+  }
   return attempt.status_ >= 500 ? routing::AttemptEnd::kFailedRan
                                 : routing::AttemptEnd::kComplete;
 }
--- a/tests/platform/endpoint_standin.cpp
+++ b/tests/platform/endpoint_standin.cpp
@@ -276,6 +276,9 @@
     case Behaviour::kFail:
       Respond(exchange, 500, headers, "failed");
       return;
+    case Behaviour::kReject:
+      Respond(exchange, 404, headers, "rejected");
+      return;
     case Behaviour::kWrongAttemptId:
       exchange->Respond(200, SignedHeaders("another"), "of another request");
       return;
--- a/tests/platform/silent_endpoint_test.cpp
+++ b/tests/platform/silent_endpoint_test.cpp
@@ -72,6 +72,7 @@
       Row{"the other endpoint refuses", "/stream/x", 2, Behaviour::kShed},
       Row{"the other endpoint resets", "/stream/x", 2, Behaviour::kReset},
       Row{"the other endpoint fails", "/stream/x", 2, Behaviour::kFail},
+      Row{"the other endpoint rejects", "/stream/x", 2, Behaviour::kReject},
       Row{"the other endpoint hangs", "/stream/x", 2, Behaviour::kHang},
       Row{"no retry is left", "/stream/x", 2, Behaviour::kServe, 0},
       Row{"the other endpoint resumes", "/stream/x", 2, Behaviour::kServe},
@@ -100,5 +101,22 @@
   CHECK(response.ends_with("answer to body"));
 }
 
+TEST_CASE("a cut stream ends with the body of a response that is no stream",
+          "[platform][silent]") {
+  Deployment deployment;
+  for (auto* endpoint : {&deployment.first_, &deployment.second_}) {
+    endpoint->SetBehaviour(Behaviour::kTruncateStream);
+  }
+  SetOther(deployment.first_, deployment.second_, Behaviour::kReject);
+  const auto entry = deployment.StartEntry("e1", deployment.store_.address());
+  REQUIRE(Eventually([&] { return entry.Ready(); }));
+  const RawSocket caller(entry.caller_port_);
+  caller.Send(RequestText("/stream/x"));
+  const auto response = caller.ReadUntil();
+  CHECK(standins::CountEvents(response) == standins::kStreamEvents / 2);
+  CHECK(response.find("rejected") == std::string::npos);
+  CHECK_FALSE(response.ends_with("0\r\n\r\n"));
+}
+
 }  // namespace
 }  // namespace chalkwell::platform_tests
--- a/tests/platform/standins.hpp
+++ b/tests/platform/standins.hpp
@@ -143,6 +143,8 @@
   kReset,
   /// Runs the request and responds 500.
   kFail,
+  /// Runs the request and responds 404.
+  kReject,
   /// Sends half of a stream's events and a part of the next one, then resets.
   kTruncateStream,
   /// Runs the request and responds with the id of another attempt.
