Read a caller's socket before a timer closes it

Callers saw their connection closed, or a 408, although their whole request had arrived in time.

Cause: libuv runs timers before it reads sockets. After a long step in the callback of another socket, the idle timer and the request timer fired, and CloseIdle ran, on connections whose bytes lay unread in the socket buffer.

Evidence: the new test holds the loop for 200 ms in another connection's handler while a request arrives.

Change: these three read what has arrived (TcpStream::ReadAvailable, 1 MiB at most, in a buffer of its own, since the shared one may hold the bytes that another stream is handling) and then decide. A timer thus sees what the socket holds, however long the step was. A body of which more than 1 MiB is unread at the request timer still gets 408.

--- a/packages/daemon/src/daemon/http1_server.cpp
+++ b/packages/daemon/src/daemon/http1_server.cpp
@@ -53,7 +53,7 @@
   void Begin() {
     peer_ip_ = stream_->PeerIp();
     parser_.OnBody([this](std::string_view bytes) { body_.append(bytes); });
-    timer_.Once(limits_.idle_timeout_, [this] { OnTimeout(); });
+    StartIdleTimer();
     stream_->SetCallbacks(
         {.on_data_ = [this](std::string_view bytes) { OnData(bytes); },
          .on_end_ = [this](StreamEnd) { Disconnect(); },
@@ -61,7 +61,8 @@
   }
 
   [[nodiscard]] bool idle() const noexcept {
-    return exchange_ == nullptr && !parser_.started();
+    return registered_ && exchange_ == nullptr && !parser_.started() &&
+           buffered_input_.empty();
   }
   [[nodiscard]] std::size_t pending() const noexcept {
     return stream_->pending();
@@ -78,6 +79,8 @@
   void EndResponse(bool complete);
   /// Closes the connection at once and aborts the exchange.
   void Disconnect();
+  /// Closes the connection unless a request has begun, read or not.
+  void CloseIfIdle();
   /// Closes the connection after sending queued bytes.
   void CloseGracefully() {
     buffered_input_.clear();
@@ -91,9 +94,15 @@
   void Reject(int status);
   void ProcessInput();
   void Dispatch();
-  void OnTimeout() { idle() ? CloseGracefully() : Reject(408); }
+  void StartIdleTimer() {
+    idle_since_ = server_.loop_.Now();
+    timer_.Once(limits_.idle_timeout_, [this] { OnIdleTimeout(); });
+  }
+  void OnIdleTimeout();
+  void OnRequestTimeout();
   void Unregister() {
     const auto self = shared_from_this();
+    registered_ = false;
     timer_.Cancel();
     server_.connections_.erase(self);
   }
@@ -111,6 +120,10 @@
   bool http_1_0_ = false;
   /// "100 Continue" was sent for this request.
   bool continue_sent_ = false;
+  /// Cleared when the server has closed the connection.
+  bool registered_ = true;
+  std::uint64_t requests_begun_ = 0;
+  core::TimePoint idle_since_;
   /// Request being handled; null when there is none.
   std::shared_ptr<Http1Exchange> exchange_;
   Timer timer_;
@@ -283,7 +296,8 @@
       parser_.Next(limits_);
       body_.clear();
       continue_sent_ = false;
-      timer_.Once(limits_.request_timeout_, [this] { OnTimeout(); });
+      ++requests_begun_;
+      timer_.Once(limits_.request_timeout_, [this] { OnRequestTimeout(); });
     }
     const auto input = std::exchange(buffered_input_, {});
     const auto taken = parser_.Feed(input);
@@ -355,7 +369,7 @@
     return;
   }
   stream_->SetReading(true);
-  timer_.Once(limits_.idle_timeout_, [this] { OnTimeout(); });
+  StartIdleTimer();
   if (!buffered_input_.empty()) {
     server_.loop_.Post([weak = weak_from_this()] {
       if (const auto self = weak.lock()) {
@@ -371,6 +385,34 @@
   }
 }
 
+void Http1Connection::CloseIfIdle() {
+  const auto self = shared_from_this();
+  if (idle()) {
+    stream_->ReadAvailable();
+  }
+  if (idle()) {
+    CloseGracefully();
+  }
+}
+
+void Http1Connection::OnIdleTimeout() {
+  const auto self = shared_from_this();
+  const auto idle_since = idle_since_;
+  stream_->ReadAvailable();
+  if (idle() && idle_since_ == idle_since) {
+    CloseGracefully();
+  }
+}
+
+void Http1Connection::OnRequestTimeout() {
+  const auto self = shared_from_this();
+  const auto request = requests_begun_;
+  stream_->ReadAvailable();
+  if (registered_ && parser_.started() && requests_begun_ == request) {
+    Reject(408);
+  }
+}
+
 void Http1Connection::Reject(int status) {
   if (server_.hooks_.on_refused_) {
     server_.hooks_.on_refused_(status, peer_ip_);
@@ -417,9 +459,7 @@
 void Http1Server::CloseIdle() {
   const auto all = connections_;
   for (const auto& connection : all) {
-    if (connection->idle()) {
-      connection->CloseGracefully();
-    }
+    connection->CloseIfIdle();
   }
 }
 
--- a/packages/daemon/src/daemon/tcp_stream.cpp
+++ b/packages/daemon/src/daemon/tcp_stream.cpp
@@ -19,6 +19,9 @@
 /// Size of the read buffer. All streams of a thread share it, since a loop
 /// reads one stream at a time.
 constexpr std::size_t kReadBufferBytes = std::size_t{32} << 10;
+/// Size of the buffer of ReadAvailable, and the most that one call receives.
+constexpr std::size_t kAvailableReadBytes = std::size_t{16} << 10;
+constexpr std::size_t kMaxAvailableBytes = std::size_t{1} << 20;
 /// How long received bytes are discarded after the write side was shut down.
 constexpr auto kLingerTimeout = std::chrono::milliseconds(1000);
 /// TCP keep-alive detects a lost peer while nothing is written.
@@ -210,6 +213,28 @@
   });
 }
 
+void TcpStream::ReadAvailable() {
+  const auto self = shared_from_this();
+  // ReadBuffer() may hold the bytes of the stream that the loop is reading.
+  std::array<char, kAvailableReadBytes> buffer;
+  for (std::size_t total = 0; total < kMaxAvailableBytes;) {
+    uv_os_fd_t descriptor = -1;
+    if (!open() || !reading_ ||
+        uv_fileno(reinterpret_cast<uv_handle_t*>(&handle_->tcp_),
+                  &descriptor) != 0) {
+      return;
+    }
+    const auto size =
+        ::recv(descriptor, buffer.data(), buffer.size(), MSG_DONTWAIT);
+    // The loop reports the end of the connection.
+    if (size <= 0) {
+      return;
+    }
+    total += static_cast<std::size_t>(size);
+    OnRead(size, buffer.data());
+  }
+}
+
 void TcpStream::CloseAndNotify(StreamEnd end) {
   const auto handler = std::move(callbacks_.on_end_);
   const bool notify = !closing_;
--- a/packages/daemon/src/daemon/tcp_stream.hpp
+++ b/packages/daemon/src/daemon/tcp_stream.hpp
@@ -78,6 +78,9 @@
   void Write(std::string bytes);
   /// @brief Resumes or pauses reading.
   void SetReading(bool reading);
+  /// @brief Receives the bytes that have arrived and were not read yet, unless
+  /// reading is paused. The loop runs timers before it reads sockets.
+  void ReadAvailable();
   /// @brief Closes at once; queued bytes are lost.
   void Close();
   /// @brief Sends queued bytes, shuts down the write side, and closes when the
--- a/tests/daemon/http1_server_test.cpp
+++ b/tests/daemon/http1_server_test.cpp
@@ -286,5 +286,80 @@
   CHECK(drained);
 }
 
+constexpr std::string_view kRequest = "GET /1 HTTP/1.1\r\nhost: a\r\n\r\n";
+constexpr std::string_view kNextRequest = "GET /2 HTTP/1.1\r\nhost: a\r\n\r\n";
+
+TEST_CASE("a request is closed unread by a timer or a stop that finds it late",
+          "[daemon]") {
+  struct Row {
+    std::string name_;
+    /// Sent and answered before the loop is held.
+    std::string earlier_;
+    /// Sent before the request is unread.
+    std::string part_;
+    /// Arrives while the loop is held, longer than the timers.
+    std::string unread_;
+    bool closes_idle_ = false;
+    std::string expected_;
+  };
+  const std::string request(kRequest);
+  const std::string next(kNextRequest);
+  const auto row = GENERATE_COPY(
+      Row{"first request, idle timer", "", "", next, false, "/2|"},
+      Row{"next request, idle timer", request, "", next, false, "/2|"},
+      Row{"next request, close of idle connections", request, "", next, true,
+          "/2|"},
+      Row{"rest of a request, request timer", request, next.substr(0, 20),
+          next.substr(20), false, "/2|"},
+      Row{"body of a request, request timer", request,
+          "POST /2 HTTP/1.1\r\nhost: a\r\ncontent-length: 4\r\n\r\nab", "cd",
+          false, "/2|abcd"});
+  CAPTURE(row.name_);
+  // Longer than all timers.
+  constexpr auto kStep = 200ms;
+  Fixture* current = nullptr;
+  std::atomic<bool> holding{false};
+  std::atomic<bool> sent{false};
+  // "/hold" stands for a long computation of a socket's callback, during which
+  // the other sockets are not read.
+  Fixture fixture([&](const HttpExchangePtr& exchange) {
+    if (exchange->request().path_ != "/hold") {
+      Echo(exchange);
+      return;
+    }
+    holding = true;
+    while (!sent) {
+      std::this_thread::sleep_for(1ms);
+    }
+    std::this_thread::sleep_for(kStep);
+    if (row.closes_idle_) {
+      current->server_.CloseAfterResponses();
+      current->server_.CloseIdle();
+    }
+    Echo(exchange);
+  });
+  current = &fixture;
+  std::string response;
+  fixture.Run([&](std::uint16_t port) {
+    const RawSocket holder(port);
+    const RawSocket caller(port);
+    if (!row.earlier_.empty()) {
+      caller.Send(row.earlier_);
+      (void)caller.ReadUntil("/1|");
+    }
+    caller.Send(row.part_);
+    std::this_thread::sleep_for(row.part_.empty() ? 0ms : 10ms);
+    holder.Send("GET /hold HTTP/1.1\r\nhost: a\r\n\r\n");
+    while (!holding) {
+      std::this_thread::sleep_for(1ms);
+    }
+    caller.Send(row.unread_);
+    sent = true;
+    response = caller.ReadUntil(row.expected_);
+  });
+  CHECK(response.find("HTTP/1.1 200") != std::string::npos);
+  CHECK(response.ends_with(row.expected_));
+}
+
 }  // namespace
 }  // namespace chalkwell::daemon
