Close idle connections by the limit in force

Cause: the idle timer used the limits that were read when the previous request began, so that neither a change during that request nor one during the rest had an effect.

Change: the limit is read when the rest begins and again when the timer fires; a raised limit extends the rest. A lowered one takes effect at the next rest, so that a request within either value is answered.

--- a/packages/daemon/src/daemon/http1_server.cpp
+++ b/packages/daemon/src/daemon/http1_server.cpp
@@ -96,6 +96,7 @@
   void Dispatch();
   void StartIdleTimer() {
     idle_since_ = server_.loop_.Now();
+    limits_ = server_.hooks_.limits_();
     timer_.Once(limits_.idle_timeout_, [this] { OnIdleTimeout(); });
   }
   void OnIdleTimeout();
@@ -399,7 +400,15 @@
   const auto self = shared_from_this();
   const auto idle_since = idle_since_;
   stream_->ReadAvailable();
-  if (idle() && idle_since_ == idle_since) {
+  if (!idle() || idle_since_ != idle_since) {
+    return;
+  }
+  // A caller may already go by a limit that was raised meanwhile.
+  const auto left = server_.hooks_.limits_().idle_timeout_ -
+                    (server_.loop_.Now() - idle_since_);
+  if (left > core::Duration{}) {
+    timer_.Once(left, [this] { OnIdleTimeout(); });
+  } else {
     CloseGracefully();
   }
 }
--- a/tests/daemon/http1_server_test.cpp
+++ b/tests/daemon/http1_server_test.cpp
@@ -361,5 +361,49 @@
   CHECK(response.ends_with(row.expected_));
 }
 
+TEST_CASE("an idle connection is closed by a limit that is no longer in force",
+          "[daemon]") {
+  struct Row {
+    std::string name_;
+    std::chrono::milliseconds before_;
+    std::chrono::milliseconds after_;
+    /// Whether the limit changes while the first request is handled, or after.
+    bool during_request_;
+  };
+  const auto row = GENERATE(Row{"raised while at rest", 80ms, 2000ms, false},
+                            Row{"raised during a request", 80ms, 2000ms, true},
+                            Row{"lowered while at rest", 2000ms, 80ms, false});
+  CAPTURE(row.name_);
+  // Longer than the lower limit.
+  constexpr auto kRest = 300ms;
+  std::atomic<bool> change{false};
+  Fixture* current = nullptr;
+  Fixture fixture([&](const HttpExchangePtr& exchange) {
+    if (row.during_request_) {
+      current->limits_.idle_timeout_ = row.after_;
+    }
+    Echo(exchange);
+  });
+  current = &fixture;
+  fixture.limits_.idle_timeout_ = row.before_;
+  Timer poll(fixture.loop_);
+  poll.Every(1ms, [&] {
+    if (change.exchange(false)) {
+      fixture.limits_.idle_timeout_ = row.after_;
+    }
+  });
+  std::string response;
+  fixture.Run([&](std::uint16_t port) {
+    const RawSocket caller(port);
+    caller.Send(std::string(kRequest));
+    (void)caller.ReadUntil("/1|");
+    change = true;
+    std::this_thread::sleep_for(kRest);
+    caller.Send(std::string(kNextRequest));
+    response = caller.ReadUntil("/2|");
+  });
+  CHECK(response.ends_with("/2|"));
+}
+
 }  // namespace
 }  // namespace chalkwell::daemon
