Answer requests that arrived before a stop's close

Callers that had sent the next request before the close of their connection was announced got no response to it: it was read, and discarded.

Cause: once the process stops, each connection was closed after its response, with three faults: input already received in buffered_input_ was cleared; a response whose head had been written before the stop did not announce the close, so that the caller sent its next request into it; and CloseIdle took a connection for idle between the end of a response and the posted parsing of the next request.

Evidence: "a stop discards the next request that is already received" failed in all three rows on (stop before the head, after the head, close of idle connections between the requests), and "an unannounced close after a response takes the next request" as well: the caller got no second response.

Change: a connection closes after a response only if its head announced so; the close is announced only if no further request has arrived. The next response announces it. Bytes after a request with "connection: close" are ignored as before.

--- a/packages/daemon/src/daemon/http1_server.cpp
+++ b/packages/daemon/src/daemon/http1_server.cpp
@@ -68,9 +68,10 @@
     return stream_->pending();
   }
   void Write(std::string bytes) { stream_->Write(std::move(bytes)); }
-  [[nodiscard]] bool closes_after_response() const noexcept {
-    return !keep_alive_ || server_.closing_;
-  }
+  /// Whether the connection closes after the response whose head is about to be
+  /// written. If the server is stopping, a request that has arrived is still
+  /// answered, and the close is announced with its response.
+  [[nodiscard]] bool DecideClose();
   [[nodiscard]] bool http_1_0() const noexcept { return http_1_0_; }
   void CloseAfterResponse() noexcept { keep_alive_ = false; }
 
@@ -246,14 +247,14 @@
   }
 
  private:
-  static std::string BuildHead(const Http1Connection& connection, int status,
+  static std::string BuildHead(Http1Connection& connection, int status,
                                const HttpHeaders& headers) {
     std::string head = "HTTP/1.1 " + std::to_string(status) + " ";
     head.append(StatusText(status)).append("\r\n");
     for (const auto& [name, value] : headers) {
       head.append(name).append(": ").append(value).append("\r\n");
     }
-    if (connection.closes_after_response()) {
+    if (connection.DecideClose()) {
       head += "connection: close\r\n";
     }
     return head;
@@ -358,6 +359,14 @@
   Guarded([&] { server_.handler_(exchange); });
 }
 
+bool Http1Connection::DecideClose() {
+  if (keep_alive_ && server_.closing_) {
+    stream_->ReadAvailable();
+    keep_alive_ = !buffered_input_.empty();
+  }
+  return !keep_alive_;
+}
+
 void Http1Connection::EndResponse(bool complete) {
   exchange_.reset();
   if (!complete) {
@@ -365,7 +374,8 @@
     Unregister();
     return;
   }
-  if (closes_after_response() || !stream_->open()) {
+  // A close that the head did not announce could cross the next request.
+  if (!keep_alive_ || !stream_->open()) {
     CloseGracefully();
     return;
   }
--- a/tests/daemon/http1_server_test.cpp
+++ b/tests/daemon/http1_server_test.cpp
@@ -405,5 +405,98 @@
   CHECK(response.ends_with("/2|"));
 }
 
+TEST_CASE("a stop discards the next request that is already received",
+          "[daemon]") {
+  struct Row {
+    std::string name_;
+    bool stops_before_head_;
+    bool closes_idle_;
+  };
+  const auto row = GENERATE(Row{"before the head", true, false},
+                            Row{"after the head", false, false},
+                            Row{"between the requests", false, true});
+  CAPTURE(row.name_);
+  HttpExchangePtr held;
+  std::atomic<int> handled{0};
+  Fixture fixture([&](const HttpExchangePtr& exchange) {
+    ++handled;
+    if (exchange->request().path_ == "/1") {
+      held = exchange;
+      return;
+    }
+    Echo(exchange);
+  });
+  std::atomic<bool> respond{false};
+  Timer poll(fixture.loop_);
+  poll.Every(1ms, [&] {
+    if (!respond.exchange(false)) {
+      return;
+    }
+    if (row.stops_before_head_) {
+      fixture.server_.CloseAfterResponses();
+    }
+    held->Start(200, {});
+    if (!row.closes_idle_) {
+      fixture.server_.CloseAfterResponses();
+    }
+    held->End(true);
+    if (row.closes_idle_) {
+      fixture.server_.CloseAfterResponses();
+      fixture.server_.CloseIdle();
+    }
+  });
+  std::string response;
+  fixture.Run([&](std::uint16_t port) {
+    const RawSocket caller(port);
+    caller.Send(std::string(kRequest) + std::string(kNextRequest));
+    while (handled == 0) {
+      std::this_thread::sleep_for(1ms);
+    }
+    respond = true;
+    response = caller.ReadUntil();
+  });
+  CHECK(response.ends_with("/2|"));
+  CHECK(handled == 2);
+}
+
+TEST_CASE("an unannounced close after a response takes the next request",
+          "[daemon]") {
+  HttpExchangePtr held;
+  std::atomic<bool> handled{false};
+  Fixture fixture([&](const HttpExchangePtr& exchange) {
+    if (exchange->request().path_ == "/1") {
+      held = exchange;
+      exchange->Start(200, {});
+      handled = true;
+      return;
+    }
+    Echo(exchange);
+  });
+  std::atomic<bool> end{false};
+  Timer poll(fixture.loop_);
+  poll.Every(1ms, [&] {
+    if (end.exchange(false)) {
+      fixture.server_.CloseAfterResponses();
+      held->End(true);
+    }
+  });
+  std::string first;
+  std::string second;
+  fixture.Run([&](std::uint16_t port) {
+    const RawSocket caller(port);
+    caller.Send(std::string(kRequest));
+    while (!handled) {
+      std::this_thread::sleep_for(1ms);
+    }
+    end = true;
+    first = caller.ReadUntil("0\r\n\r\n");
+    caller.Send(std::string(kNextRequest));
+    second = caller.ReadUntil();
+  });
+  CHECK(first.find("connection: close") == std::string::npos);
+  CHECK(second.find("connection: close") != std::string::npos);
+  CHECK(second.ends_with("/2|"));
+}
+
 }  // namespace
 }  // namespace chalkwell::daemon
