Leave requests unread that cross an idle close

A caller whose request crossed the close of an idle connection could not tell that it was not taken: the server read and discarded it for up to 1 s and closed cleanly. Callers repeat requests that may run once only if the process has not read them.

Evidence: both rows of the new test (idle timer, close at a stop) failed on: the connection was not reset within 0.5 s, as the request was read.

Change: an idle connection whose responses the caller's system has acknowledged is closed at once; a request that crosses the close is reset by the system, unread. With unacknowledged bytes it still lingers, since a reset could destroy the end of the response. On Linux a reset leaves acknowledged bytes readable; other systems may discard what their program has not read.

The second new test pins what half-closing callers get: the end of their side counts as a disconnect, as before.

--- a/packages/daemon/src/daemon/http1_server.cpp
+++ b/packages/daemon/src/daemon/http1_server.cpp
@@ -100,6 +100,9 @@
     limits_ = server_.hooks_.limits_();
     timer_.Once(limits_.idle_timeout_, [this] { OnIdleTimeout(); });
   }
+  /// Closes an idle connection without reading on: a request that crosses the
+  /// close is reset, which shows its caller that it was not taken.
+  void CloseUnread();
   void OnIdleTimeout();
   void OnRequestTimeout();
   void Unregister() {
@@ -402,8 +405,17 @@
     stream_->ReadAvailable();
   }
   if (idle()) {
+    CloseUnread();
+  }
+}
+
+void Http1Connection::CloseUnread() {
+  if (stream_->has_unacknowledged_data()) {
     CloseGracefully();
+    return;
   }
+  stream_->Close();
+  Unregister();
 }
 
 void Http1Connection::OnIdleTimeout() {
@@ -419,7 +431,7 @@
   if (left > core::Duration{}) {
     timer_.Once(left, [this] { OnIdleTimeout(); });
   } else {
-    CloseGracefully();
+    CloseUnread();
   }
 }
 
--- a/packages/daemon/src/daemon/http1_server.hpp
+++ b/packages/daemon/src/daemon/http1_server.hpp
@@ -45,8 +45,8 @@
   [[nodiscard]] std::size_t connections() const noexcept {
     return connections_.size();
   }
-  /// @brief From now on closes each connection after its next response whose head
-  /// is not yet written, unless the next request has already arrived.
+  /// @brief From now on closes each connection after its next response whose
+  /// head is not yet written, unless the next request has already arrived.
   void CloseAfterResponses() noexcept { closing_ = true; }
   /// @brief Accepts no further connections.
   void StopAccepting() { listener_.Stop(); }
--- a/tests/daemon/http1_server_test.cpp
+++ b/tests/daemon/http1_server_test.cpp
@@ -498,5 +498,53 @@
   CHECK(second.ends_with("/2|"));
 }
 
+TEST_CASE("a request that crosses the close of its connection is read",
+          "[daemon]") {
+  const bool stops = GENERATE(false, true);
+  Fixture fixture(Echo);
+  std::atomic<bool> stop{false};
+  Timer poll(fixture.loop_);
+  poll.Every(1ms, [&] {
+    if (stop.exchange(false)) {
+      fixture.server_.CloseIdle();
+    }
+  });
+  if (stops) {
+    fixture.limits_.idle_timeout_ = 10s;
+  }
+  bool reset = false;
+  std::string response;
+  fixture.Run([&](std::uint16_t port) {
+    const RawSocket caller(port);
+    caller.Send(std::string(kRequest));
+    (void)caller.ReadUntil("/1|");
+    stop = stops;
+    response = caller.ReadUntil();
+    caller.Send(std::string(kNextRequest));
+    reset = caller.WaitForReset();
+  });
+  CHECK(response.empty());
+  CHECK(reset);
+}
+
+TEST_CASE("whole requests of callers that half-close are seen as abandoned",
+          "[daemon]") {
+  HttpExchangePtr held;
+  std::atomic<bool> aborted{false};
+  Fixture fixture([&](const HttpExchangePtr& exchange) {
+    held = exchange;
+    exchange->OnAbort([&] { aborted = true; });
+  });
+  std::string response;
+  fixture.Run([&](std::uint16_t port) {
+    const RawSocket caller(port);
+    caller.Send(std::string(kRequest));
+    caller.EndSending();
+    response = caller.ReadUntil();
+  });
+  CHECK(aborted);
+  CHECK(response.empty());
+}
+
 }  // namespace
 }  // namespace chalkwell::daemon
--- a/tests/daemon/raw_socket.hpp
+++ b/tests/daemon/raw_socket.hpp
@@ -4,6 +4,7 @@
 
 #include <arpa/inet.h>
 #include <netinet/in.h>
+#include <poll.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -59,6 +60,16 @@
   }
   /// @brief Whether the last ReadUntil ended with a reset of the connection.
   [[nodiscard]] bool reset() const { return reset_; }
+  /// @brief Closes the sending side only.
+  void EndSending() const { (void)::shutdown(descriptor_, SHUT_WR); }
+  /// @brief Waits until the peer has reset the connection.
+  /// @return false if it has not for half a second.
+  [[nodiscard]] bool WaitForReset() const {
+    constexpr int kMaxWaitMs = 500;
+    pollfd waiting{.fd = descriptor_, .events = 0, .revents = 0};
+    return ::poll(&waiting, 1, kMaxWaitMs) == 1 &&
+           (waiting.revents & POLLERR) != 0;
+  }
   void Close() {
     if (descriptor_ >= 0) {
       ::close(descriptor_);
