Report callers' requests that get no response

A request whose handler released the exchange without a response, or threw an exception, stayed without an answer until its caller gave up, and nothing showed it: the connection kept the exchange, without a timer.

Change: the handler owns the exchange. If it is destroyed before the response has ended while the caller is connected, the caller gets 500, or a reset if the head was sent, and the entry logs event 620 with the request's id and counts requests_unanswered_total with cause "dropped". A request that is still handled when the server is destroyed has cause "server stopped".

--- a/packages/chalkwell/src/chalkwell/core/event.cpp
+++ b/packages/chalkwell/src/chalkwell/core/event.cpp
@@ -209,6 +209,11 @@
      "Nothing arrived from the endpoint of an attempt for longer than "
      "expected; the fields give what follows.",
      "If it recurs at one endpoint, check that endpoint."},
+    {kRequestUnanswered, kError, "request-unanswered",
+     "A request that was read got no response from its handler, or was still "
+     "handled when the process ended.",
+     "Cause dropped: report it together with the log lines of the request. "
+     "Cause server stopped: allow more time in stop.drain_ms."},
 });
 
 }  // namespace
--- a/packages/chalkwell/src/chalkwell/core/event.hpp
+++ b/packages/chalkwell/src/chalkwell/core/event.hpp
@@ -76,6 +76,7 @@
   kEndpointLeaving = 617,
   kUnknownResponseHeader = 618,
   kAttemptSilent = 619,
+  kRequestUnanswered = 620,
 };
 
 enum class Severity : std::uint8_t { kDebug, kInfo, kWarning, kError };
--- a/packages/daemon/src/daemon/direct/direct_entry.cpp
+++ b/packages/daemon/src/daemon/direct/direct_entry.cpp
@@ -268,16 +268,25 @@
       Http1ServerHooks{.limits_ = [] { return HttpLimits{}; },
                        .on_refused_ = nullptr},
       [this](const HttpExchangePtr& exchange) { OnReadinessCheck(exchange); });
+  for (const auto cause :
+       {UnansweredCause::kDropped, UnansweredCause::kServerStopped}) {
+    process_.metrics().Count("requests_unanswered_total",
+                             {{"cause", std::string(ToString(cause))}}, 0);
+  }
   caller_server_ = std::make_unique<Http1Server>(
       loop, ParseAddress(settings.Text("listen", "caller")),
-      Http1ServerHooks{.limits_ = [this] { return Limits(); },
-                       .on_refused_ =
-                           [this](int status, const std::string& peer) {
-                             process_.log().Write(
-                                 core::EventNumber::kRequestLimitViolated,
-                                 {{"status", std::to_string(status)},
-                                  {"peer", peer}});
-                           }},
+      Http1ServerHooks{
+          .limits_ = [this] { return Limits(); },
+          .on_refused_ =
+              [this](int status, const std::string& peer) {
+                process_.log().Write(
+                    core::EventNumber::kRequestLimitViolated,
+                    {{"status", std::to_string(status)}, {"peer", peer}});
+              },
+          .on_unanswered_ =
+              [this](UnansweredCause cause, const HttpRequest& request) {
+                OnUnanswered(cause, request);
+              }},
       [this](const HttpExchangePtr& exchange) {
         const auto now = process_.loop().Now();
         endpoint_list_.WhenFresh([this, exchange, now] {
@@ -330,6 +339,16 @@
   });
 }
 
+void DirectEntry::OnUnanswered(UnansweredCause cause,
+                               const HttpRequest& request) {
+  process_.log().Write(
+      core::EventNumber::kRequestUnanswered,
+      {{"request", adapter_.requests_.read_request_(request).id_},
+       {"cause", std::string(ToString(cause))}});
+  process_.metrics().Count("requests_unanswered_total",
+                           {{"cause", std::string(ToString(cause))}});
+}
+
 void DirectEntry::OnReadinessCheck(const HttpExchangePtr& exchange) {
   const auto reason = NotReadyReason();
   exchange->Respond(reason.empty() ? 200 : kUnavailable, {}, reason);
--- a/packages/daemon/src/daemon/direct/direct_entry.hpp
+++ b/packages/daemon/src/daemon/direct/direct_entry.hpp
@@ -78,6 +78,8 @@
   /// newer endpoint list since.
   void OnCallerRequest(const HttpExchangePtr& exchange,
                        core::TimePoint received_at);
+  /// @brief Logs and counts a caller's request that got no response.
+  void OnUnanswered(UnansweredCause cause, const HttpRequest& request);
   void OnReadinessCheck(const HttpExchangePtr& exchange);
   void Refuse(HttpExchange& exchange, const CallerRequest& caller, int status,
               core::EventNumber event, const std::string& reason,
--- a/packages/daemon/src/daemon/http1_server.cpp
+++ b/packages/daemon/src/daemon/http1_server.cpp
@@ -12,6 +12,8 @@
 /// pauses.
 constexpr std::size_t kMaxPipelinedBytes = std::size_t{16} << 10;
 
+constexpr int kInternalError = 500;
+
 int ToStatus(HttpParseError error) {
   switch (error) {
     case HttpParseError::kHeaderTooLarge:
@@ -61,7 +63,7 @@
   }
 
   [[nodiscard]] bool idle() const noexcept {
-    return registered_ && exchange_ == nullptr && !parser_.started() &&
+    return registered_ && !handling_ && !parser_.started() &&
            buffered_input_.empty();
   }
   [[nodiscard]] std::size_t pending() const noexcept {
@@ -78,6 +80,9 @@
   /// Called when the exchange has written its response.
   /// @param complete false resets the connection.
   void EndResponse(bool complete);
+  void ReportUnanswered(UnansweredCause cause, const HttpRequest& request);
+  /// Reports the request being handled, if any, because the server ends.
+  void ReportServerStopped();
   /// Closes the connection at once and aborts the exchange.
   void Disconnect();
   /// Closes the connection unless a request has begun, read or not.
@@ -129,8 +134,10 @@
   bool registered_ = true;
   std::uint64_t requests_begun_ = 0;
   core::TimePoint idle_since_;
-  /// Request being handled; null when there is none.
-  std::shared_ptr<Http1Exchange> exchange_;
+  /// Whether a request is being handled.
+  bool handling_ = false;
+  /// Request being handled; owned by its handler.
+  std::weak_ptr<Http1Exchange> exchange_;
   Timer timer_;
 };
 
@@ -139,6 +146,9 @@
  public:
   Http1Exchange(std::weak_ptr<Http1Connection> connection, HttpRequest request)
       : connection_(std::move(connection)), request_(std::move(request)) {}
+  ~Http1Exchange() override;
+  Http1Exchange(const Http1Exchange&) = delete;
+  Http1Exchange& operator=(const Http1Exchange&) = delete;
 
   [[nodiscard]] const HttpRequest& request() const noexcept override {
     return request_;
@@ -281,8 +291,23 @@
   std::function<void()> on_drained_;
 };
 
+Http1Exchange::~Http1Exchange() {
+  const auto connection = connection_.lock();
+  if (connection == nullptr || ended_) {
+    return;
+  }
+  Guarded([&] {
+    connection->ReportUnanswered(UnansweredCause::kDropped, request_);
+    if (started_) {
+      End(false);
+    } else {
+      Respond(kInternalError, {}, "");
+    }
+  });
+}
+
 void Http1Connection::OnData(std::string_view bytes) {
-  if (exchange_ != nullptr) {
+  if (handling_) {
     buffered_input_.append(bytes);
     if (buffered_input_.size() > kMaxPipelinedBytes) {
       stream_->SetReading(false);
@@ -295,7 +320,7 @@
 
 void Http1Connection::ProcessInput() {
   const auto self = shared_from_this();
-  while (stream_->open() && exchange_ == nullptr && !buffered_input_.empty()) {
+  while (stream_->open() && !handling_ && !buffered_input_.empty()) {
     if (!parser_.started()) {
       limits_ = server_.hooks_.limits_();
       parser_.Next(limits_);
@@ -356,9 +381,10 @@
                       .body_ = std::move(body_)};
   body_.clear();
   parser_.Next(limits_);
-  exchange_ =
+  const auto exchange =
       std::make_shared<Http1Exchange>(weak_from_this(), std::move(request));
-  const auto exchange = exchange_;
+  handling_ = true;
+  exchange_ = exchange;
   Guarded([&] { server_.handler_(exchange); });
 }
 
@@ -371,6 +397,7 @@
 }
 
 void Http1Connection::EndResponse(bool complete) {
+  handling_ = false;
   exchange_.reset();
   if (!complete) {
     stream_->Reset();
@@ -394,8 +421,8 @@
 }
 
 void Http1Connection::OnDrained() {
-  if (exchange_ != nullptr) {
-    exchange_->NotifyDrained();
+  if (const auto exchange = exchange_.lock()) {
+    exchange->NotifyDrained();
   }
 }
 
@@ -455,10 +482,25 @@
   CloseGracefully();
 }
 
+void Http1Connection::ReportUnanswered(UnansweredCause cause,
+                                       const HttpRequest& request) {
+  if (server_.hooks_.on_unanswered_) {
+    server_.hooks_.on_unanswered_(cause, request);
+  }
+}
+
+void Http1Connection::ReportServerStopped() {
+  if (const auto exchange = exchange_.lock()) {
+    ReportUnanswered(UnansweredCause::kServerStopped, exchange->request());
+  }
+}
+
 void Http1Connection::Disconnect() {
   const auto self = shared_from_this();
   stream_->Close();
-  const auto exchange = std::exchange(exchange_, nullptr);
+  const auto exchange = exchange_.lock();
+  handling_ = false;
+  exchange_.reset();
   Unregister();
   if (exchange != nullptr) {
     exchange->Abort();
@@ -467,6 +509,16 @@
 
 }  // namespace internal
 
+std::string_view ToString(UnansweredCause cause) noexcept {
+  switch (cause) {
+    case UnansweredCause::kDropped:
+      return "dropped";
+    case UnansweredCause::kServerStopped:
+      return "server stopped";
+  }
+  return "";
+}
+
 Http1Server::Http1Server(Loop& loop, const Address& address,
                          Http1ServerHooks hooks, HttpHandler handler)
     : loop_(loop),
@@ -483,6 +535,7 @@
   listener_.Stop();
   while (!connections_.empty()) {
     const auto connection = *connections_.begin();
+    connection->ReportServerStopped();
     connection->Disconnect();
   }
 }
--- a/packages/daemon/src/daemon/http1_server.hpp
+++ b/packages/daemon/src/daemon/http1_server.hpp
@@ -8,6 +8,7 @@
 #include <memory>
 #include <set>
 #include <string>
+#include <string_view>
 
 #include "daemon/http_parser.hpp"
 #include "daemon/http_server.hpp"
@@ -19,17 +20,33 @@
 class Http1Connection;
 }
 
+/// @brief Why a request got no response although its caller was connected.
+enum class UnansweredCause : std::uint8_t {
+  /// The handler released the exchange without ending the response.
+  kDropped,
+  /// The server was destroyed while the request was handled.
+  kServerStopped,
+};
+
+/// @brief Text of a cause in logs and metrics.
+[[nodiscard]] std::string_view ToString(UnansweredCause cause) noexcept;
+
 /// @brief Callbacks of an Http1Server.
 struct Http1ServerHooks {
   /// Returns the limits for the next request.
   std::function<HttpLimits()> limits_;
   /// Called for each request that the server itself refuses.
   std::function<void(int status, const std::string& peer_ip)> on_refused_;
+  /// Called for each request whose response was not ended, complete or not,
+  /// while its caller was connected; none in a correct program.
+  std::function<void(UnansweredCause cause, const HttpRequest& request)>
+      on_unanswered_ = nullptr;
 };
 
 /// @brief Listener that hands each complete request to a handler. It refuses
 /// malformed requests with 400, slow ones with 408, and requests over the
-/// limits with 413 (body) or 431 (headers), and closes their connections.
+/// limits with 413 (body) or 431 (headers), and closes their connections. A
+/// request whose handler releases the exchange without a response gets 500.
 class Http1Server {
  public:
   /// @throws core::Error when the address cannot be listened on.
--- a/tests/daemon/http1_server_test.cpp
+++ b/tests/daemon/http1_server_test.cpp
@@ -5,6 +5,7 @@
 #include <atomic>
 #include <catch2/catch.hpp>
 #include <functional>
+#include <stdexcept>
 #include <thread>
 
 #include "raw_socket.hpp"
@@ -19,7 +20,13 @@
  public:
   explicit Fixture(HttpHandler handler)
       : server_(loop_, {"127.0.0.1", 0},
-                {.limits_ = [this] { return limits_; }, .on_refused_ = nullptr},
+                {.limits_ = [this] { return limits_; },
+                 .on_refused_ = nullptr,
+                 .on_unanswered_ =
+                     [this](UnansweredCause cause, const HttpRequest&) {
+                       ++unanswered_;
+                       CHECK(cause == UnansweredCause::kDropped);
+                     }},
                 std::move(handler)) {
     limits_.header_bytes_ = 1000;
     limits_.body_bytes_ = 100;
@@ -58,6 +65,7 @@
   Loop loop_;
   HttpLimits limits_;
   std::atomic<bool> done_{false};
+  int unanswered_ = 0;
   Http1Server server_;
 };
 
@@ -546,5 +554,36 @@
   CHECK(response.empty());
 }
 
+TEST_CASE("a request that its handler drops gets no answer", "[daemon]") {
+  struct Row {
+    std::string name_;
+    HttpHandler handler_;
+    std::string response_;
+    int unanswered_;
+  };
+  const auto row = GENERATE(
+      Row{"dropped", [](const HttpExchangePtr&) {}, "HTTP/1.1 500", 1},
+      Row{"failed",
+          [](const HttpExchangePtr&) { throw std::runtime_error("test"); },
+          "HTTP/1.1 500", 1},
+      Row{"dropped after its head",
+          [](const HttpExchangePtr& exchange) { exchange->Start(200, {}); }, "",
+          1},
+      Row{"answered", Echo, "HTTP/1.1 200", 0},
+      Row{"ended as incomplete",
+          [](const HttpExchangePtr& exchange) {
+            exchange->Start(200, {});
+            exchange->End(false);
+          },
+          "", 0});
+  CAPTURE(row.name_);
+  Fixture fixture(row.handler_);
+  const auto response = fixture.SendAndReceive(
+      "GET /1 HTTP/1.1\r\nhost: a\r\nconnection: close\r\n\r\n");
+  CHECK(response.starts_with(row.response_));
+  CHECK_FALSE(response.ends_with("\r\n0\r\n\r\n"));
+  CHECK(fixture.unanswered_ == row.unanswered_);
+}
+
 }  // namespace
 }  // namespace chalkwell::daemon
