Bound the wait of requests for a fresh endpoint list

Callers got no response at all while the store was slow.

Cause: a request that finds an outdated list waits for a read. If a read takes longer than the greatest age of a list (0.6 of the drain bound), which happens with several pages that each stay within the timeout of a call, each read returns a list that is outdated again and starts the next one, without end. Only a failed read released the requests.

Change: a wait is bounded by the greatest age of a list. When it expires, the waiting requests proceed, and further ones do for as long, unless a newer list arrives, as after a failed read. A timer that is later than 200 ms shows a suspension, after which the wait begins anew: the list of before the suspension must not be used while a read may still return one. One request that throws no longer takes the others with it.

--- a/packages/daemon/src/daemon/direct/endpoint_list.cpp
+++ b/packages/daemon/src/daemon/direct/endpoint_list.cpp
@@ -18,16 +18,21 @@
 /// Rows that one datagram carries at most, some 25 KB. Entries fetch larger
 /// changes from the sender.
 constexpr std::size_t kMaxDeltaRows = 250;
+/// A timer that is later than this shows that the process was suspended.
+constexpr auto kMaxTimerDelay = std::chrono::milliseconds(200);
 /// Hash key of the priority order of failure domains; any constant text.
 constexpr std::string_view kReadOrder = "read-list";
 
+core::Duration MaxAge(const EndpointListSettings& list) {
+  return core::FromMs(core::ToMs(list.drain_bound_) * kMaxAgeShare);
+}
+
 membership::ReaderRoleSettings ReaderSettings(
     const EndpointListSettings& list) {
   const auto interval = list.read_interval_;
   membership::ReaderRoleSettings settings;
   settings.reader_interval_ = interval;
-  settings.max_age_ =
-      core::FromMs(core::ToMs(list.drain_bound_) * kMaxAgeShare);
+  settings.max_age_ = MaxAge(list);
   settings.takeover_timeout_ = interval + interval / 2;
   settings.rank_delay_ = interval / 4;
   settings.standby_interval_ = std::max(settings.standby_interval_, interval);
@@ -48,6 +53,7 @@
       settings_(settings),
       reader_role_(mesh.self().id_, ReaderSettings(settings)),
       outage_({.renewal_interval_ = settings.renewal_interval_}),
+      wait_timer_(loop),
       exchange_(loop) {}
 
 void EndpointList::RemoveUnknownServices(
@@ -89,8 +95,11 @@
 }
 
 bool EndpointList::IsStale() const {
-  return endpoints_.has_list() &&
-         reader_role_.IsStale(endpoints_.as_of(), loop_.Now());
+  const auto now = loop_.Now();
+  const bool reads_too_slow = wait_expired_at_ > endpoints_.as_of() &&
+                              now - wait_expired_at_ < MaxAge(settings_);
+  return endpoints_.has_list() && !reads_too_slow &&
+         reader_role_.IsStale(endpoints_.as_of(), now);
 }
 
 void EndpointList::WhenFresh(std::function<void()> task) {
@@ -99,6 +108,9 @@
     return;
   }
   waiting_tasks_.push_back(std::move(task));
+  if (waiting_tasks_.size() == 1) {
+    StartWait();
+  }
   hooks_.read_();
 }
 
@@ -112,9 +124,27 @@
   }
 }
 
+void EndpointList::StartWait() {
+  wait_began_at_ = loop_.Now();
+  wait_timer_.Once(MaxAge(settings_), [this] { OnWaitExpired(); });
+}
+
+void EndpointList::OnWaitExpired() {
+  const auto now = loop_.Now();
+  if (now - wait_began_at_ > MaxAge(settings_) + kMaxTimerDelay) {
+    // The process was suspended meanwhile; its read may still return a list.
+    StartWait();
+    hooks_.read_();
+    return;
+  }
+  wait_expired_at_ = now;
+  RunWaitingTasks();
+}
+
 void EndpointList::RunWaitingTasks() {
+  wait_timer_.Cancel();
   for (const auto& task : std::exchange(waiting_tasks_, {})) {
-    task();
+    Guarded(task);
   }
 }
 
--- a/packages/daemon/src/daemon/direct/endpoint_list.hpp
+++ b/packages/daemon/src/daemon/direct/endpoint_list.hpp
@@ -74,7 +74,8 @@
                   const DepartedMessage& departed);
   /// @brief Runs a task at once if the list is within its age limit, else after
   /// a read: a process that was suspended must not choose an endpoint by its
-  /// outdated list. The task also runs when the read fails.
+  /// outdated list. The task also runs when the read fails, or when no read has
+  /// returned a list within the age limit for as long as that limit.
   void WhenFresh(std::function<void()> task);
   /// @brief Current interval between two reads of this process.
   [[nodiscard]] core::Duration Interval();
@@ -105,6 +106,8 @@
   /// @brief Runs the waiting tasks if the list is within its age limit; else
   /// starts another read for them.
   void RunWaitingIfFresh();
+  void StartWait();
+  void OnWaitExpired();
   void RunWaitingTasks();
   /// @param source of the applied list: "store", "peer" or a member's id.
   void LogChange(const std::string& source);
@@ -120,6 +123,11 @@
   core::TimePoint read_failure_published_at_;
   membership::ReaderRole reader_role_;
   membership::StoreOutage outage_;
+  Timer wait_timer_;
+  /// When the first of the waiting tasks began to wait, and when a wait last
+  /// expired.
+  core::TimePoint wait_began_at_;
+  core::TimePoint wait_expired_at_;
   ListExchange exchange_;
   core::TimePoint wait_until_;
   /// Tasks of WhenFresh() that wait for a read.
--- /dev/null
+++ b/tests/platform/unanswered_request_test.cpp
@@ -0,0 +1,79 @@
+// Requests that an entry has read and that wait, or arrive while it stops: each
+// gets a response.
+#include <atomic>
+#include <catch2/catch.hpp>
+#include <csignal>
+#include <memory>
+#include <thread>
+
+#include "../daemon/raw_socket.hpp"
+#include "deployment.hpp"
+
+namespace chalkwell::platform_tests {
+namespace {
+
+using daemon::RawSocket;
+using namespace std::chrono_literals;
+
+/// Delay of each page of the list with which every read returns an outdated
+/// list; shorter than a call to the store may take.
+constexpr auto kOutdatingDelay = 330ms;
+
+/// A deployment whose list of endpoints has several pages.
+class SlowList {
+ public:
+  SlowList() {
+    for (int i = 0; i < kMoreEndpoints; ++i) {
+      more_.push_back(std::make_unique<EndpointStandin>(
+          deployment_.thread_, "i-more" + std::to_string(i)));
+      deployment_.store_.Put("servers/" + more_.back()->id(),
+                             more_.back()->Row("plain", "z1"));
+    }
+  }
+
+  /// Delays each page from now on, and waits until the list is outdated.
+  void Outdate(std::chrono::milliseconds page_delay) {
+    deployment_.store_.SetDelay(page_delay);
+    std::this_thread::sleep_for(kMaxListAge);
+  }
+
+  Deployment deployment_;
+
+ private:
+  static constexpr int kMoreEndpoints = 6;
+  /// Longer than the greatest age of a list, 1.2 s.
+  static constexpr auto kMaxListAge = 1500ms;
+
+  std::vector<std::unique_ptr<EndpointStandin>> more_;
+};
+
+TEST_CASE("a request waits without end for a list that is read too slowly",
+          "[platform][unanswered]") {
+  struct Row {
+    std::string name_;
+    std::chrono::milliseconds page_delay_;
+  };
+  const auto row =
+      GENERATE(Row{"each read returns an outdated list", kOutdatingDelay},
+               Row{"each read fails", 2000ms});
+  CAPTURE(row.name_);
+  SlowList list;
+  auto entry =
+      list.deployment_.StartEntry("e1", list.deployment_.store_.address());
+  REQUIRE(Eventually([&] { return entry.Ready(); }));
+  list.Outdate(row.page_delay_);
+  std::atomic<bool> responded{false};
+  std::string response;
+  std::thread caller([&] {
+    response = SendRequest(entry, RequestText("/safe/x"));
+    responded = true;
+  });
+  const bool responded_in_time = Eventually([&] { return responded.load(); });
+  entry.child_.Kill();
+  caller.join();
+  CHECK(responded_in_time);
+  CHECK(Status(response) == "200");
+}
+
+}  // namespace
+}  // namespace chalkwell::platform_tests
