Count requests that wait for a list as work

A process that was stopped ended while a request waited for a fresh list: its caller got no response.

Cause: only admitted requests counted as pending work of the shutdown.

Change: a request counts from its arrival until it is decided.

--- a/packages/daemon/src/daemon/direct/direct_entry.cpp
+++ b/packages/daemon/src/daemon/direct/direct_entry.cpp
@@ -289,7 +289,9 @@
               }},
       [this](const HttpExchangePtr& exchange) {
         const auto now = process_.loop().Now();
+        process_.shutdown().OnWorkAccepted();
         endpoint_list_.WhenFresh([this, exchange, now] {
+          process_.shutdown().OnWorkFinished();
           if (exchange->open()) {
             OnCallerRequest(exchange, now);
           }
--- a/tests/platform/unanswered_request_test.cpp
+++ b/tests/platform/unanswered_request_test.cpp
@@ -75,5 +75,21 @@
   CHECK(Status(response) == "200");
 }
 
+TEST_CASE("a process stops while a request waits for a fresh list",
+          "[platform][unanswered]") {
+  // Shortly before the process accepts no more connections.
+  constexpr auto kTimeIntoStop = 2300ms;
+  SlowList list;
+  auto entry =
+      list.deployment_.StartEntry("e1", list.deployment_.store_.address());
+  REQUIRE(Eventually([&] { return entry.Ready(); }));
+  list.Outdate(kOutdatingDelay);
+  const RawSocket caller(entry.caller_port_);
+  entry.child_.Signal(SIGTERM);
+  std::this_thread::sleep_for(kTimeIntoStop);
+  caller.Send(RequestText("/safe/x"));
+  CHECK(Status(caller.ReadUntil()) == "200");
+}
+
 }  // namespace
 }  // namespace chalkwell::platform_tests
