Refuse requests that complete when a process ends

A request whose last bytes arrived within the last 300 ms of a stopped process was sent to an endpoint, and its caller got no response.

Cause: once no work is pending the loop runs on for 300 ms to send the last bytes, and admitted new requests, for which nothing waits.

Change: from that moment on requests are refused with 503.

--- a/packages/daemon/src/daemon/direct/direct_entry.cpp
+++ b/packages/daemon/src/daemon/direct/direct_entry.cpp
@@ -316,7 +316,7 @@
   reader_.Poll(
       Section::kEndpoints, [this] { return endpoint_list_.Interval(); },
       [this] { endpoint_list_.OnReadFailed(); }, FirstReadWait());
-  process_.Run([this] { BeginStop(); });
+  process_.Run([this] { BeginStop(); }, [this] { exiting_ = true; });
 }
 
 core::Duration DirectEntry::FirstReadWait() const {
@@ -582,6 +582,12 @@
                                   core::TimePoint received_at) {
   const auto& http = exchange->request();
   auto caller = adapter_.requests_.read_request_(http);
+  if (exiting_) {
+    // Accepted work is finished; the loop stops soon.
+    Refuse(*exchange, caller, kUnavailable, core::EventNumber::kRequestRefused,
+           "the process ends", retry_jitter_.Draw(kRetryAfter));
+    return;
+  }
   if (rules_.empty()) {
     Refuse(*exchange, caller, kUnavailable, core::EventNumber::kRequestRefused,
            "no rules were heard yet", retry_jitter_.Draw(kRetryAfter));
--- a/packages/daemon/src/daemon/direct/direct_entry.hpp
+++ b/packages/daemon/src/daemon/direct/direct_entry.hpp
@@ -148,6 +148,8 @@
   /// When the subscription to an agent was last sent, by the agent's address.
   std::map<std::string, core::TimePoint> last_subscribed_;
   std::size_t in_flight_ = 0;
+  /// Whether the process ends without waiting for further work.
+  bool exiting_ = false;
   /// Region of each failure domain of the deployment.
   routing::DomainRegions regions_;
   /// Time from the publication of a target version until no request may start
--- a/tests/platform/unanswered_request_test.cpp
+++ b/tests/platform/unanswered_request_test.cpp
@@ -7,6 +7,7 @@
 #include <thread>
 
 #include "../daemon/raw_socket.hpp"
+#include "arrival_count.hpp"
 #include "deployment.hpp"
 
 namespace chalkwell::platform_tests {
@@ -91,5 +92,28 @@
   CHECK(Status(caller.ReadUntil()) == "200");
 }
 
+TEST_CASE("a request completed after the last wait of a stop is passed on",
+          "[platform][unanswered]") {
+  Deployment deployment;
+  auto entry = deployment.StartEntry("e1", deployment.store_.address());
+  REQUIRE(Eventually([&] { return entry.Ready(); }));
+  const ArrivalCount first_arrivals(deployment.first_);
+  const ArrivalCount second_arrivals(deployment.second_);
+  deployment.first_.SetRunDelay(1000ms);
+  deployment.second_.SetRunDelay(1000ms);
+  const auto request = RequestText("/safe/x");
+  const RawSocket caller(entry.caller_port_);
+  entry.child_.Signal(SIGTERM);
+  std::this_thread::sleep_for(1000ms);
+  caller.Send(request.substr(0, request.size() - 2));
+  REQUIRE(Eventually([&] {
+    return deployment.Log("e1").find(" stopped") != std::string::npos;
+  }));
+  caller.Send(request.substr(request.size() - 2));
+  const auto response = caller.ReadUntil();
+  CHECK(first_arrivals.count() + second_arrivals.count() == 0);
+  CHECK((response.empty() || Status(response) == "503"));
+}
+
 }  // namespace
 }  // namespace chalkwell::platform_tests
