Log and count returns of the store from an older copy

The record of requests to a leaving endpoint after the store was restored could not tell a list that was not used from one without changes: neither the era of a response nor the revision of an unused list was logged.

Decodes the era from each response of the store, logs its change (213) and lists that are read or received and not used (214, once a second at most), with the gauge store_era and the counter endpoint_lists_not_used_total. No decision changes.

--- a/packages/chalkwell/src/chalkwell/core/event.cpp
+++ b/packages/chalkwell/src/chalkwell/core/event.cpp
@@ -73,6 +73,16 @@
      "A failure domain was evacuated, so that its endpoints get no further "
      "request, or its evacuation was withdrawn.",
      "None; publish or withdraw the evacuation to change it."},
+    {kStoreEraChanged, kWarning, "store-era-changed",
+     "The configuration store returned from an older copy of its data: its "
+     "revisions went back, and what was written since the copy is lost until "
+     "its writers write it again.",
+     "Check that operators and endpoints have written their documents again."},
+    {kListNotUsed, kInfo, "list-not-used",
+     "A list of endpoints that was read or received is older than the known "
+     "one; at most one line a second.",
+     "None, if it occurs once; if it persists, compare the era and the "
+     "revision of the store with the known ones."},
     {kPeerConnected, kInfo, "peer-connected", "A stream to a peer was opened.",
      "None."},
     {kPeerLost, kWarning, "peer-lost", "A stream to a peer has ended.",
--- a/packages/daemon/src/daemon/direct/adapter.hpp
+++ b/packages/daemon/src/daemon/direct/adapter.hpp
@@ -144,6 +144,9 @@
   core::TimePoint as_of_;
   /// Revision of the store when it replied.
   std::uint64_t revision_ = 0;
+  /// Number of times that the store returned from an older copy of its data; 0
+  /// if the response does not state it.
+  std::uint64_t era_ = 0;
   std::optional<config::TrafficRules> rules_;
   /// The rules as published, undecoded, to be passed on to peers.
   std::string encoded_rules_;
--- a/packages/daemon/src/daemon/direct/direct_entry.cpp
+++ b/packages/daemon/src/daemon/direct/direct_entry.cpp
@@ -214,6 +214,7 @@
       statements_(process.loop(), endpoints_, rate_limits_, mesh_,
                   process.log(), process.metrics()),
       endpoint_list_(process.loop(), endpoints_, mesh_, process.log(),
+                     process.metrics(),
                      EndpointListSettingsOf(process.settings()),
                      {.read_ = [this] { reader_.ReadNow(Section::kEndpoints); },
                       .is_known_service_ =
--- a/packages/daemon/src/daemon/direct/endpoint_list.cpp
+++ b/packages/daemon/src/daemon/direct/endpoint_list.cpp
@@ -20,6 +20,8 @@
 constexpr std::size_t kMaxDeltaRows = 250;
 /// A timer that is later than this shows that the process was suspended.
 constexpr auto kMaxTimerDelay = std::chrono::milliseconds(200);
+/// Minimum interval between two log lines about lists that were not used.
+constexpr auto kNotUsedLogInterval = std::chrono::seconds(1);
 /// Hash key of the priority order of failure domains; any constant text.
 constexpr std::string_view kReadOrder = "read-list";
 
@@ -42,13 +44,14 @@
 }  // namespace
 
 EndpointList::EndpointList(Loop& loop, routing::EndpointTable& endpoints,
-                           MeshNode& mesh, EventLog& log,
+                           MeshNode& mesh, EventLog& log, Metrics& metrics,
                            EndpointListSettings settings,
                            EndpointListHooks hooks)
     : loop_(loop),
       endpoints_(endpoints),
       mesh_(mesh),
       log_(log),
+      metrics_(metrics),
       hooks_(std::move(hooks)),
       settings_(settings),
       reader_role_(mesh.self().id_, ReaderSettings(settings)),
@@ -77,6 +80,13 @@
   RemoveUnknownServices(snapshot.endpoints_);
   const auto now = loop_.Now();
   const auto before = endpoints_.Rows();
+  const std::string source(from_store ? "store" : "peer");
+  if (snapshot.revision_ < endpoints_.revision()) {
+    LogNotUsed(snapshot.era_, snapshot.revision_, source);
+  }
+  if (from_store) {
+    era_ = snapshot.era_;
+  }
   outage_.OnListReceived(snapshot.as_of_, now);
   const bool complete = !outage_.LeasesMayHaveExpired(now);
   endpoints_.ApplyList(snapshot.endpoints_, snapshot.revision_, complete, now,
@@ -84,7 +94,7 @@
   endpoints_.ConfirmAsOf(snapshot.as_of_);
   const auto after = endpoints_.Rows();
   if (before != after) {
-    LogChange(from_store ? "store" : "peer");
+    LogChange(source);
     PublishDeparted(before, after);
   }
   if (from_store) {
@@ -246,6 +256,9 @@
   outage_.OnListReceived(change.as_of_, loop_.Now());
   change.complete_ =
       change.complete_ && !outage_.LeasesMayHaveExpired(loop_.Now());
+  if (change.to_ < endpoints_.revision()) {
+    LogNotUsed(0, change.to_, sender.id_.value());
+  }
   // The rows of a change that is to be fetched are known already.
   if (!message.fetch_ && !endpoints_.ApplyChange(change, loop_.Now())) {
     return false;
@@ -259,6 +272,23 @@
   return true;
 }
 
+void EndpointList::LogNotUsed(std::uint64_t era, std::uint64_t revision,
+                              const std::string& source) {
+  metrics_.Count("endpoint_lists_not_used_total",
+                 {{"source", source == "store" ? "store" : "peer"}});
+  const auto now = loop_.Now();
+  if (now - not_used_logged_at_ < kNotUsedLogInterval) {
+    return;
+  }
+  not_used_logged_at_ = now;
+  log_.Write(core::EventNumber::kListNotUsed,
+             {{"era", std::to_string(era)},
+              {"revision", std::to_string(revision)},
+              {"known_era", std::to_string(era_)},
+              {"known_revision", std::to_string(endpoints_.revision())},
+              {"source", source}});
+}
+
 void EndpointList::LogChange(const std::string& source) {
   const auto rows = endpoints_.Rows();
   const auto age = std::chrono::duration_cast<std::chrono::milliseconds>(
--- a/packages/daemon/src/daemon/direct/endpoint_list.hpp
+++ b/packages/daemon/src/daemon/direct/endpoint_list.hpp
@@ -16,6 +16,7 @@
 #include "daemon/direct/list_exchange.hpp"
 #include "daemon/direct/mesh_node.hpp"
 #include "daemon/event_log.hpp"
+#include "daemon/metrics.hpp"
 
 namespace chalkwell::daemon::direct {
 
@@ -42,7 +43,7 @@
 class EndpointList {
  public:
   EndpointList(Loop& loop, routing::EndpointTable& endpoints, MeshNode& mesh,
-               EventLog& log, EndpointListSettings settings,
+               EventLog& log, Metrics& metrics, EndpointListSettings settings,
                EndpointListHooks hooks);
 
   /// @brief Applies a full list, read from the store or received from a peer.
@@ -111,16 +112,26 @@
   void RunWaitingTasks();
   /// @param source of the applied list: "store", "peer" or a member's id.
   void LogChange(const std::string& source);
+  /// @brief Logs and counts a list that was not used because the known one is
+  /// newer.
+  /// @param source as of LogChange().
+  void LogNotUsed(std::uint64_t era, std::uint64_t revision,
+                  const std::string& source);
   void RemoveUnknownServices(std::vector<routing::EndpointRow>& rows);
 
   Loop& loop_;
   routing::EndpointTable& endpoints_;
   MeshNode& mesh_;
   EventLog& log_;
+  Metrics& metrics_;
   EndpointListHooks hooks_;
   EndpointListSettings settings_;
   /// When a failed read was last announced.
   core::TimePoint read_failure_published_at_;
+  /// When a list that was not used was last logged.
+  core::TimePoint not_used_logged_at_;
+  /// Era of the store as of the last list that this process read.
+  std::uint64_t era_ = 0;
   membership::ReaderRole reader_role_;
   membership::StoreOutage outage_;
   Timer wait_timer_;
--- a/packages/daemon/src/daemon/direct/published_reader.cpp
+++ b/packages/daemon/src/daemon/direct/published_reader.cpp
@@ -159,8 +159,26 @@
   });
 }
 
+void PublishedReader::NoteEra(Section section, const StoreSnapshot& snapshot) {
+  if (snapshot.outcome_ == ReadOutcome::kUnreachable) {
+    return;
+  }
+  const auto revision = std::exchange(last_revision_, snapshot.revision_);
+  const auto era = std::exchange(era_, snapshot.era_);
+  metrics_.Set("store_era", {}, static_cast<double>(snapshot.era_));
+  if (era && *era != snapshot.era_) {
+    log_.Write(core::EventNumber::kStoreEraChanged,
+               {{"from", std::to_string(*era)},
+                {"to", std::to_string(snapshot.era_)},
+                {"revision_before", std::to_string(revision)},
+                {"revision", std::to_string(snapshot.revision_)},
+                {"section", std::string(ToString(section))}});
+  }
+}
+
 void PublishedReader::CountResponse(Section section,
                                     const StoreSnapshot& snapshot) {
+  NoteEra(section, snapshot);
   metrics_.Count("store_answers_total",
                  {{"section", std::string(ToString(section))},
                   {"end", std::string(ToString(snapshot.outcome_))}});
--- a/packages/daemon/src/daemon/direct/published_reader.hpp
+++ b/packages/daemon/src/daemon/direct/published_reader.hpp
@@ -119,6 +119,8 @@
   /// error changes or disappears.
   void LogDecodeErrors(Section section, const std::vector<std::string>& errors);
   void CountResponse(Section section, const StoreSnapshot& snapshot);
+  /// @brief Logs a change of the store's era.
+  void NoteEra(Section section, const StoreSnapshot& snapshot);
   void SetReachable(bool reachable);
 
   Loop& loop_;
@@ -134,6 +136,9 @@
   std::uint64_t last_read_number_ = 0;
   /// Decoding errors of the last response, by section.
   std::map<Section, std::set<std::string>> decode_errors_;
+  /// Era and revision of the last response; none before the first.
+  std::optional<std::uint64_t> era_;
+  std::uint64_t last_revision_ = 0;
   bool reachable_ = false;
   core::TimePoint reachable_since_;
   core::TimePoint last_read_;
--- a/tests/platform/codec_test.cpp
+++ b/tests/platform/codec_test.cpp
@@ -382,5 +382,25 @@
   CHECK(decoded.leaving_ == row.leaving_);
 }
 
+TEST_CASE("the era of the store is decoded from a response", "[platform]") {
+  struct Row {
+    HttpHeaders headers_;
+    StatedEra era_;
+  };
+  const auto row = GENERATE(
+      Row{{}, {0, ""}}, Row{{{"store-era", "3"}}, {3, ""}},
+      Row{{{"date", "1"}, {"Store-Era", "3"}}, {3, ""}},
+      Row{{{"STORE-ERA", "0"}}, {0, ""}},
+      Row{{{"store-era", ""}}, {0, "(empty)"}},
+      Row{{{"store-era", "x"}}, {0, "x"}},
+      Row{{{"store-era", "-1"}}, {0, "-1"}},
+      Row{{{"store-era", "3.5"}}, {0, "3.5"}},
+      Row{{{"store-era", "3 "}}, {0, "3 "}},
+      Row{{{"store-era", "18446744073709551615"}}, {18446744073709551615U, ""}},
+      Row{{{"store-era", "18446744073709551616"}}, {0, "18446744073709551616"}},
+      Row{{{"store-era", std::string(100, '9')}}, {0, std::string(40, '9')}});
+  CHECK(DecodeStoreEra(row.headers_) == row.era_);
+}
+
 }  // namespace
 }  // namespace chalkwell::platform
