Remove endpoints by a complete change of the known revision

A process that relies on the reads of others kept an endpoint that was removed: the change that first lacked the row was incomplete, because leases might have expired in an outage, and the complete change after it had the same revision. Such a change was ignored, yet counted as confirmation of the known list, and the row stayed until a full list came, since a change spans three complete reads only. Full lists already handled this case.

Found by reading; the test fails without the change (2 endpoints, not 1).

--- a/packages/chalkwell/src/chalkwell/routing/endpoint_table.cpp
+++ b/packages/chalkwell/src/chalkwell/routing/endpoint_table.cpp
@@ -217,6 +217,13 @@
     for (const auto& id : change.removed_) {
       Erase(id);
     }
+  } else if (change.complete_) {
+    // The change of this revision that was applied may have been incomplete.
+    for (const auto& id : change.removed_) {
+      if (Find(id) != nullptr) {
+        Erase(id);
+      }
+    }
   }
   if (change.complete_) {
     EraseUnlisted(change.as_of_);
--- a/tests/routing/endpoint_table_test.cpp
+++ b/tests/routing/endpoint_table_test.cpp
@@ -383,6 +383,23 @@
   CHECK(Chosen(table, request, kStart + row.after_) == (row.used_ ? "a" : ""));
 }
 
+TEST_CASE(
+    "an endpoint that an incomplete change kept is used although the complete "
+    "one of the same revision removes it",
+    "[routing]") {
+  auto table = Table({Row("a"), Row("b")});
+  EndpointListChange change;
+  change.from_ = 1;
+  change.to_ = 9;
+  change.complete_ = false;
+  CHECK(table.ApplyChange(change, kStart));
+  CHECK(table.size() == 2);
+  change.removed_ = {core::InstanceId("a")};
+  change.complete_ = true;
+  CHECK(table.ApplyChange(change, kStart + 600ms));
+  CHECK(table.size() == 1);
+}
+
 TEST_CASE("older lists are ignored, missing rows have a grace period",
           "[routing]") {
   auto table = Table({Row("a"), Row("b")});
