Let the store stand-in return from an older copy

The platform's store may come back from a copy some seconds old: revisions go back and are given out again, a watch from one that it does not have gets 410, and the header Store-Era of all responses rises by one. The stand-in saves a copy, returns to it, resets waiting watches and states the era in all responses, also in refusals.

--- a/tests/platform/standins.cpp
+++ b/tests/platform/standins.cpp
@@ -95,16 +95,16 @@
 
 void StoreStandin::Put(const std::string& key, const nlohmann::json& value) {
   thread_.RunAndWait([&] {
-    items_[key] = {value.dump(), ++revision_};
-    removed_.erase(key);
+    contents_.items_[key] = {value.dump(), ++contents_.revision_};
+    contents_.removed_.erase(key);
     NotifyWatches();
   });
 }
 
 void StoreStandin::Remove(const std::string& key) {
   thread_.RunAndWait([&] {
-    items_.erase(key);
-    removed_[key] = ++revision_;
+    contents_.items_.erase(key);
+    contents_.removed_[key] = ++contents_.revision_;
     NotifyWatches();
   });
 }
@@ -125,11 +125,62 @@
   return static_cast<int>(count);
 }
 
+void StoreStandin::SaveCopy() {
+  thread_.RunAndWait([this] { copy_ = contents_; });
+}
+
+void StoreStandin::RestoreCopy() {
+  thread_.RunAndWait([this] {
+    contents_ = copy_;
+    ++era_;
+    for (const auto& watch : std::exchange(watches_, {})) {
+      watch.exchange_->End(false);
+    }
+  });
+}
+
+void StoreStandin::RestoreCopyUnseen(const std::function<void()>& write_again) {
+  SetBusy(true);
+  RestoreCopy();
+  write_again();
+  SetBusy(false);
+}
+
+std::uint64_t StoreStandin::revision() const {
+  std::uint64_t revision = 0;
+  thread_.RunAndWait([&] { revision = contents_.revision_; });
+  return revision;
+}
+
+nlohmann::json StoreStandin::Value(const std::string& key) const {
+  nlohmann::json value;
+  thread_.RunAndWait([&] {
+    const auto found = contents_.items_.find(key);
+    if (found != contents_.items_.end()) {
+      value = nlohmann::json::parse(found->second.value_);
+    }
+  });
+  return value;
+}
+
+void StoreStandin::Respond(const HttpExchangePtr& exchange, int status,
+                           const std::string& body) const {
+  exchange->Respond(status,
+                    {{"content-type", "application/json"},
+                     {"store-era", std::to_string(era_)}},
+                    body);
+}
+
+void StoreStandin::Respond(const HttpExchangePtr& exchange,
+                           const nlohmann::json& body) const {
+  Respond(exchange, 200, body.dump());
+}
+
 void StoreStandin::OnCall(const HttpExchangePtr& exchange) {
   ++calls_;
   const auto& path = exchange->request().path_;
   if (busy_ || random_() % 1000 < rejected_per_mille_) {
-    exchange->Respond(503, {}, "");
+    Respond(exchange, 503, "");
   } else if (path.starts_with("/kv-range") &&
              delay_.load() > std::chrono::milliseconds(0)) {
     thread_.loop().After(delay_.load(),
@@ -142,7 +193,7 @@
     RespondToRange(exchange);
   } else if (path.starts_with("/kv-watch")) {
     if (history_compacted_.exchange(false)) {
-      exchange->Respond(410, {}, "");
+      Respond(exchange, 410, "");
       return;
     }
     if (watches_silent_) {
@@ -151,6 +202,10 @@
     }
     const Watch watch{exchange, QueryParameter(path, "pathPrefix"),
                       NumberOr(QueryParameter(path, "afterRev"), 0)};
+    if (watch.after_ > contents_.revision_) {
+      Respond(exchange, 410, "");
+      return;
+    }
     if (TryRespondToWatch(watch)) {
       return;
     }
@@ -168,12 +223,12 @@
         return waiting.exchange_ == exchange;
       });
       if (erased > 0) {
-        RespondJson(exchange,
-                    {{"events", nlohmann::json::array()}, {"asOf", revision_}});
+        Respond(exchange, {{"events", nlohmann::json::array()},
+                           {"asOf", contents_.revision_}});
       }
     });
   } else {
-    exchange->Respond(404, {}, "");
+    Respond(exchange, 404, "");
   }
 }
 
@@ -183,7 +238,7 @@
   const auto after = QueryParameter(path, "afterRev");
   auto items = nlohmann::json::array();
   bool more = false;
-  for (const auto& [key, item] : items_) {
+  for (const auto& [key, item] : contents_.items_) {
     if (!key.starts_with(prefix) || key <= after) {
       continue;
     }
@@ -196,20 +251,21 @@
                      {"rev", item.revision_}});
   }
   responses_with_values_[prefix] += items.empty() ? 0 : 1;
-  RespondJson(exchange,
-              {{"items", items}, {"morePages", more}, {"asOf", revision_}});
+  Respond(
+      exchange,
+      {{"items", items}, {"morePages", more}, {"asOf", contents_.revision_}});
 }
 
 bool StoreStandin::TryRespondToWatch(const Watch& watch) {
   auto events = nlohmann::json::array();
-  for (const auto& [key, item] : items_) {
+  for (const auto& [key, item] : contents_.items_) {
     if (key.starts_with(watch.prefix_) && item.revision_ > watch.after_) {
       events.push_back({{"tlsKey", key},
                         {"value", ToBase64(item.value_)},
                         {"rev", item.revision_}});
     }
   }
-  for (const auto& [key, revision] : removed_) {
+  for (const auto& [key, revision] : contents_.removed_) {
     if (key.starts_with(watch.prefix_) && revision > watch.after_) {
       events.push_back({{"tlsKey", key}, {"rev", revision}, {"removed", true}});
     }
@@ -218,7 +274,7 @@
     return false;
   }
   ++responses_with_values_[watch.prefix_];
-  RespondJson(watch.exchange_, {{"events", events}, {"asOf", revision_}});
+  Respond(watch.exchange_, {{"events", events}, {"asOf", contents_.revision_}});
   return true;
 }
 
--- a/tests/platform/standins.hpp
+++ b/tests/platform/standins.hpp
@@ -77,6 +77,21 @@
   void SetDelay(std::chrono::milliseconds delay) { delay_ = delay; }
   /// @brief The next watch gets 410, as after a compaction of the history.
   void CompactHistory() { history_compacted_ = true; }
+  /// @brief Keeps a copy of all values and of the revision; replaces an earlier
+  /// copy.
+  void SaveCopy();
+  /// @brief Returns to the copy that was saved last, under the next era.
+  ///
+  /// Connections of waiting watches are reset. Revisions above that of the copy
+  /// are given out again; a watch from one that is not given out yet gets 410.
+  void RestoreCopy();
+  /// @brief Restores the copy while every call gets 503, and accepts calls
+  /// again once `write_again` has returned, so that no caller sees what is
+  /// between.
+  void RestoreCopyUnseen(const std::function<void()>& write_again);
+  [[nodiscard]] std::uint64_t revision() const;
+  /// @brief Returns the value of a key; null without one.
+  [[nodiscard]] nlohmann::json Value(const std::string& key) const;
   /// @brief From now on watches are accepted and never get a response, as on a
   /// connection that delivers nothing more.
   void SetWatchesSilent() { watches_silent_ = true; }
@@ -97,7 +112,18 @@
     std::string prefix_;
     std::uint64_t after_ = 0;
   };
+  struct Contents {
+    std::map<std::string, Item> items_;
+    /// Revisions at which keys were removed.
+    std::map<std::string, std::uint64_t> removed_;
+    std::uint64_t revision_ = 0;
+  };
 
+  /// @brief Responds and states the era.
+  void Respond(const daemon::HttpExchangePtr& exchange, int status,
+               const std::string& body) const;
+  void Respond(const daemon::HttpExchangePtr& exchange,
+               const nlohmann::json& body) const;
   void OnCall(const daemon::HttpExchangePtr& exchange);
   void RespondToRange(const daemon::HttpExchangePtr& exchange);
   /// @return false when nothing has changed since the watch's revision.
@@ -106,10 +132,10 @@
 
   LoopThread& thread_;
   std::size_t page_size_;
-  std::map<std::string, Item> items_;
-  /// Revisions at which keys were removed.
-  std::map<std::string, std::uint64_t> removed_;
-  std::uint64_t revision_ = 0;
+  Contents contents_;
+  Contents copy_;
+  /// Rises by one each time a copy is restored.
+  std::uint64_t era_ = 1;
   std::vector<Watch> watches_;
   /// Watches that never get a response.
   std::vector<daemon::HttpExchangePtr> dropped_watches_;
