--- a/packages/chalkwell/src/chalkwell/config/evacuation_table.cpp
+++ b/packages/chalkwell/src/chalkwell/config/evacuation_table.cpp
@@ -36,7 +36,7 @@
 }
 
 bool EvacuationTable::ApplyAll(const std::vector<Evacuation>& active,
-                               std::uint64_t revision) {
+                               core::StoreRevision revision) {
   bool changed = Apply(active);
   for (const auto& known : States()) {
     const bool listed = std::ranges::find(active, known.domain_,
--- a/packages/chalkwell/src/chalkwell/config/evacuation_table.hpp
+++ b/packages/chalkwell/src/chalkwell/config/evacuation_table.hpp
@@ -10,6 +10,7 @@
 #include <vector>
 
 #include "chalkwell/core/identifier.hpp"
+#include "chalkwell/core/store_revision.hpp"
 
 namespace chalkwell::config {
 
@@ -19,7 +20,7 @@
   /// False once it was withdrawn.
   bool active_ = false;
   /// Store revision of this state.
-  std::uint64_t revision_ = 0;
+  core::StoreRevision revision_;
 
   friend bool operator==(const Evacuation&, const Evacuation&) = default;
 };
@@ -40,7 +41,8 @@
   /// @brief Applies a read of all active evacuations: known ones that it lacks
   /// were withdrawn, unless they are newer than the read.
   /// @return whether anything changed.
-  bool ApplyAll(const std::vector<Evacuation>& active, std::uint64_t revision);
+  bool ApplyAll(const std::vector<Evacuation>& active,
+                core::StoreRevision revision);
 
   [[nodiscard]] std::set<core::FailureDomainId> Active() const;
   /// @brief All known states, withdrawn ones included.
--- a/packages/chalkwell/src/chalkwell/core/fwd.hpp
+++ b/packages/chalkwell/src/chalkwell/core/fwd.hpp
@@ -12,6 +12,7 @@
 class Backoff;
 class WindowMaximum;
 struct BackoffSettings;
+struct StoreRevision;
 class Error;
 enum class Step : std::uint8_t;
 enum class EventNumber : std::uint16_t;
--- a/packages/chalkwell/src/chalkwell/routing/endpoint_table.cpp
+++ b/packages/chalkwell/src/chalkwell/routing/endpoint_table.cpp
@@ -35,7 +35,7 @@
 }
 
 void EndpointTable::ApplyList(std::vector<EndpointRow> rows,
-                              std::uint64_t revision, bool complete,
+                              core::StoreRevision revision, bool complete,
                               core::TimePoint now, core::TimePoint as_of) {
   if (revision < revision_) {
     return;
@@ -318,7 +318,7 @@
     row.id_ = incarnation.id_;
     row.started_ = incarnation.started_;
     row.leaving_ = false;
-    row.created_revision_ = 0;
+    row.created_revision_ = {};
     row.weights_version_.reset();
     row.slow_start_left_.reset();
     ApplyAnnouncement(std::move(row), now);
--- a/packages/chalkwell/src/chalkwell/routing/endpoint_table.hpp
+++ b/packages/chalkwell/src/chalkwell/routing/endpoint_table.hpp
@@ -17,6 +17,7 @@
 #include "chalkwell/config/traffic_rules.hpp"
 #include "chalkwell/core/fwd.hpp"
 #include "chalkwell/core/identifier.hpp"
+#include "chalkwell/core/store_revision.hpp"
 #include "chalkwell/routing/data_residency.hpp"
 #include "chalkwell/routing/endpoint_incarnation.hpp"
 #include "chalkwell/routing/endpoint_rate_limits.hpp"
@@ -49,8 +50,8 @@
   /// Remaining time of its slow start when the endpoint wrote the row; none if
   /// it does not state it.
   std::optional<core::Duration> slow_start_left_;
-  /// List revision at which the row was created; 0 if unknown.
-  std::uint64_t created_revision_ = 0;
+  /// List revision at which the row was created; none if unknown.
+  core::StoreRevision created_revision_;
 
   [[nodiscard]] EndpointIncarnation incarnation() const {
     return {id_, started_};
@@ -61,8 +62,8 @@
 /// @brief Difference between two revisions of the published list.
 struct EndpointListChange {
   /// Revisions of the list; the change applies to lists of `from_` or later.
-  std::uint64_t from_ = 0;
-  std::uint64_t to_ = 0;
+  core::StoreRevision from_;
+  core::StoreRevision to_;
   /// Rows that were added or changed.
   std::vector<EndpointRow> rows_;
   std::vector<core::InstanceId> removed_;
@@ -233,7 +234,7 @@
   /// missing rows are kept for the grace period.
   /// @param as_of the list includes everything published before this time; the
   /// clock's epoch if unknown.
-  void ApplyList(std::vector<EndpointRow> rows, std::uint64_t revision,
+  void ApplyList(std::vector<EndpointRow> rows, core::StoreRevision revision,
                  bool complete, core::TimePoint now,
                  core::TimePoint as_of = {});
   /// @brief Applies a change to the list, published by another process.
@@ -371,8 +372,15 @@
   [[nodiscard]] bool IsUnresponsive(const core::InstanceId& id) const;
 
   [[nodiscard]] std::size_t size() const noexcept { return endpoints_.size(); }
-  [[nodiscard]] std::uint64_t revision() const noexcept { return revision_; }
-  [[nodiscard]] bool has_list() const noexcept { return revision_ > 0; }
+  /// @brief Revision of the known list; none until a list was received.
+  [[nodiscard]] core::StoreRevision store_revision() const noexcept {
+    return revision_;
+  }
+  /// @brief Number of that revision, for logs and status pages.
+  [[nodiscard]] std::uint64_t revision() const noexcept {
+    return revision_.number_;
+  }
+  [[nodiscard]] bool has_list() const noexcept { return revision_.known(); }
   /// @brief The known list includes everything published before this time; the
   /// clock's epoch until a list was received.
   [[nodiscard]] core::TimePoint as_of() const noexcept { return as_of_; }
@@ -590,7 +598,7 @@
   /// messages of another incarnation may replace a row for a while.
   std::deque<EndpointIncarnation> draining_;
   /// Revision of the known list; never decreases.
-  std::uint64_t revision_ = 0;
+  core::StoreRevision revision_;
   /// Never decreases.
   core::TimePoint as_of_;
   /// Time of the newest report of any endpoint.
--- a/packages/chalkwell/src/chalkwell/routing/incarnation_table.cpp
+++ b/packages/chalkwell/src/chalkwell/routing/incarnation_table.cpp
@@ -38,12 +38,12 @@
     state.previous_.pop_front();
   }
   state.current_ = incarnation;
-  state.created_revision_ = 0;
+  state.created_revision_ = {};
 }
 
 void IncarnationTable::OnRow(const std::string& address,
                              const EndpointIncarnation& incarnation,
-                             std::uint64_t created) {
+                             core::StoreRevision created) {
   auto& state = addresses_[address];
   if (Contains(state.previous_, incarnation)) {
     return;
@@ -65,7 +65,7 @@
   const bool restarted = current.id_ == incarnation.id_ ||
                          ContainsId(state.previous_, incarnation.id_);
   const bool newer =
-      state.created_revision_ > 0 && created > state.created_revision_;
+      state.created_revision_.known() && created > state.created_revision_;
   if (restarted || newer) {
     Supersede(state, incarnation);
     state.created_revision_ = created;
--- a/packages/chalkwell/src/chalkwell/routing/incarnation_table.hpp
+++ b/packages/chalkwell/src/chalkwell/routing/incarnation_table.hpp
@@ -8,6 +8,7 @@
 #include <map>
 #include <string>
 
+#include "chalkwell/core/store_revision.hpp"
 #include "chalkwell/routing/endpoint_incarnation.hpp"
 #include "chalkwell/routing/fwd.hpp"
 
@@ -24,9 +25,9 @@
  public:
   /// @brief Processes a row of the published list.
   /// @param created list revision at which the row was created; if rows of two
-  /// ids have this address, the one created later is current. 0 if unknown.
+  /// ids have this address, the one created later is current. None if unknown.
   void OnRow(const std::string& address, const EndpointIncarnation& incarnation,
-             std::uint64_t created);
+             core::StoreRevision created);
   /// @brief Processes an announcement, by the endpoint or its agent, of the
   /// incarnation that serves at the address. It takes precedence over rows,
   /// since the row of a terminated incarnation may be written late.
@@ -40,8 +41,9 @@
   struct AddressState {
     /// Its id is empty while no incarnation is known.
     EndpointIncarnation current_;
-    /// Revision that created the row of `current_`; 0 until its row is seen.
-    std::uint64_t created_revision_ = 0;
+    /// Revision that created the row of `current_`; none until its row is
+    /// seen.
+    core::StoreRevision created_revision_;
     /// Superseded incarnations, newest last; at most kMaxPrevious.
     std::deque<EndpointIncarnation> previous_;
   };
--- a/packages/chalkwell/src/chalkwell/routing/list_history.cpp
+++ b/packages/chalkwell/src/chalkwell/routing/list_history.cpp
@@ -25,7 +25,7 @@
 
 }  // namespace
 
-EndpointListChange ListHistory::OnRead(std::uint64_t revision,
+EndpointListChange ListHistory::OnRead(core::StoreRevision revision,
                                        std::vector<EndpointRow> rows,
                                        bool complete, core::TimePoint now) {
   if (now - last_read_ > kMaxReadGap) {
@@ -65,7 +65,7 @@
   EndpointListChange change;
   change.from_ = reads_.front().revision_;
   change.to_ = latest.revision_;
-  change.full_ = change.from_ == 0;
+  change.full_ = !change.from_.known();
   change.complete_ = complete;
   for (const auto& row : latest.rows_) {
     if (unchanged[row.id_] < reads_.size()) {
--- a/packages/chalkwell/src/chalkwell/routing/list_history.hpp
+++ b/packages/chalkwell/src/chalkwell/routing/list_history.hpp
@@ -29,20 +29,20 @@
   /// @return the change to publish; the full list if the last read was longer
   /// ago than kMaxReadGap (1.5 s), since others may meanwhile have published
   /// rows that this process never saw.
-  EndpointListChange OnRead(std::uint64_t revision,
+  EndpointListChange OnRead(core::StoreRevision revision,
                             std::vector<EndpointRow> rows, bool complete,
                             core::TimePoint now);
 
  private:
   struct Read {
-    std::uint64_t revision_ = 0;
+    core::StoreRevision revision_;
     std::vector<EndpointRow> rows_;
   };
 
   [[nodiscard]] EndpointListChange Change(bool complete) const;
 
-  /// Oldest first; a change spans all of them. Starts with an empty read at
-  /// revision 0.
+  /// Oldest first; a change spans all of them. Starts with an empty read
+  /// without a revision.
   std::deque<Read> reads_{Read{}};
   /// Complete reads since the last incomplete one or the last gap. Signed
   /// because it is compared with the distance of iterators of `reads_`.
--- a/packages/daemon/src/daemon/direct/adapter.hpp
+++ b/packages/daemon/src/daemon/direct/adapter.hpp
@@ -13,6 +13,7 @@
 #include "chalkwell/config/evacuation_table.hpp"
 #include "chalkwell/config/traffic_rules.hpp"
 #include "chalkwell/core/digest.hpp"
+#include "chalkwell/core/store_revision.hpp"
 #include "chalkwell/routing/endpoint_table.hpp"
 #include "daemon/http_client.hpp"
 #include "daemon/http_server.hpp"
@@ -143,7 +144,7 @@
   /// Set by the process that made the call; the adapter leaves it unset.
   core::TimePoint as_of_;
   /// Revision of the store when it replied.
-  std::uint64_t revision_ = 0;
+  core::StoreRevision revision_;
   /// Number of times that the store returned from an older copy of its data; 0
   /// if the response does not state it.
   std::uint64_t era_ = 0;
@@ -175,7 +176,7 @@
   std::function<CancelCall(Section section, SnapshotHandler done)> read_;
   /// Waits for a change of a section after a revision. The result holds only
   /// the changed values.
-  std::function<CancelCall(Section section, std::uint64_t after,
+  std::function<CancelCall(Section section, core::StoreRevision after,
                            core::Duration wait, SnapshotHandler done)>
       watch_;
   /// Decodes rules received from another process.
--- a/packages/daemon/src/daemon/direct/endpoint_list.cpp
+++ b/packages/daemon/src/daemon/direct/endpoint_list.cpp
@@ -81,8 +81,8 @@
   const auto now = loop_.Now();
   const auto before = endpoints_.Rows();
   const std::string source(from_store ? "store" : "peer");
-  if (snapshot.revision_ < endpoints_.revision()) {
-    LogNotUsed(snapshot.era_, snapshot.revision_, source);
+  if (snapshot.revision_ < endpoints_.store_revision()) {
+    LogNotUsed(snapshot.era_, snapshot.revision_.number_, source);
   }
   if (from_store) {
     era_ = snapshot.era_;
@@ -178,7 +178,7 @@
 
 EndpointListMessage EndpointList::FullList() const {
   routing::EndpointListChange list;
-  list.to_ = endpoints_.revision();
+  list.to_ = endpoints_.store_revision();
   list.rows_ = endpoints_.ListedRows();
   list.full_ = true;
   list.complete_ = !outage_.LeasesMayHaveExpired(loop_.Now());
@@ -197,7 +197,7 @@
   exchange_.Fetch(peer.address_,
                   [this, peer](const std::optional<EndpointListMessage>& list,
                                core::TimePoint requested_at) {
-                    if (list && list->to_ > 0) {
+                    if (list && list->to_.number_ > 0) {
                       (void)ApplyMessage(peer, *list, requested_at);
                     }
                   });
@@ -208,7 +208,7 @@
                   [this, peer](const std::optional<EndpointListMessage>& list,
                                core::TimePoint requested_at) {
                     const bool applied =
-                        list && list->to_ > 0 &&
+                        list && list->to_.number_ > 0 &&
                         ApplyMessage(peer, *list, requested_at);
                     if (!applied) {
                       hooks_.read_();
@@ -235,7 +235,7 @@
     outage_.OnReadFailed();
     return;
   }
-  const bool known = endpoints_.revision() >= message.to_;
+  const bool known = endpoints_.store_revision() >= ToRevision(message.to_);
   if (message.fetch_ && !known) {
     FetchFrom(sender);
     return;
@@ -256,8 +256,8 @@
   outage_.OnListReceived(change.as_of_, loop_.Now());
   change.complete_ =
       change.complete_ && !outage_.LeasesMayHaveExpired(loop_.Now());
-  if (change.to_ < endpoints_.revision()) {
-    LogNotUsed(0, change.to_, sender.id_.value());
+  if (change.to_ < endpoints_.store_revision()) {
+    LogNotUsed(0, change.to_.number_, sender.id_.value());
   }
   // The rows of a change that is to be fetched are known already.
   if (!message.fetch_ && !endpoints_.ApplyChange(change, loop_.Now())) {
--- a/packages/daemon/src/daemon/direct/mesh_messages.cpp
+++ b/packages/daemon/src/daemon/direct/mesh_messages.cpp
@@ -35,13 +35,22 @@
       std::clamp<std::chrono::milliseconds>(rounded, {}, kMaxAge).count());
 }
 
+StoreRevisionMessage ToMessage(const core::StoreRevision& revision) {
+  return {revision.number_, revision.era_};
+}
+
+core::StoreRevision ToRevision(const StoreRevisionMessage& message) {
+  return core::StoreRevision(message.era_, message.number_);
+}
+
 EvacuationMessage ToMessage(const config::Evacuation& evacuation) {
-  return {evacuation.domain_.value(), evacuation.active_, evacuation.revision_};
+  return {evacuation.domain_.value(), evacuation.active_,
+          ToMessage(evacuation.revision_)};
 }
 
 config::Evacuation ToEvacuation(const EvacuationMessage& message) {
   return {core::FailureDomainId(message.domain_), message.active_,
-          message.revision_};
+          ToRevision(message.revision_)};
 }
 
 MemberMessage ToMessage(const membership::Member& member) {
@@ -91,8 +100,8 @@
                               core::TimePoint now) {
   EndpointListMessage message;
   message.age_ms_ = ToAgeMs(now - change.as_of_);
-  message.from_ = change.from_;
-  message.to_ = change.to_;
+  message.from_ = ToMessage(change.from_);
+  message.to_ = ToMessage(change.to_);
   message.full_ = change.full_;
   message.complete_ = change.complete_;
   for (const auto& row : change.rows_) {
@@ -104,7 +113,7 @@
          .slots_ = row.slots_,
          .leaving_ = row.leaving_,
          .version_ = row.weights_version_.value_or(0),
-         .created_revision_ = row.created_revision_,
+         .created_revision_ = ToMessage(row.created_revision_),
          .started_ms_ = ToMs(row.started_),
          .slow_start_left_ms_ = ToRemainingMs(row.slow_start_left_)});
   }
@@ -118,8 +127,8 @@
                                      core::TimePoint sent_at) {
   routing::EndpointListChange change;
   change.as_of_ = sent_at - ToAge(message.age_ms_);
-  change.from_ = message.from_;
-  change.to_ = message.to_;
+  change.from_ = ToRevision(message.from_);
+  change.to_ = ToRevision(message.to_);
   change.full_ = message.full_;
   change.complete_ = message.complete_;
   for (const auto& row_message : message.rows_) {
@@ -130,7 +139,7 @@
     row.domain_ = core::FailureDomainId(row_message.domain_);
     row.slots_ = row_message.slots_;
     row.leaving_ = row_message.leaving_;
-    row.created_revision_ = row_message.created_revision_;
+    row.created_revision_ = ToRevision(row_message.created_revision_);
     row.started_ = ToStartTime(row_message.started_ms_);
     row.slow_start_left_ = ToRemaining(row_message.slow_start_left_ms_);
     if (row_message.version_ > 0) {
--- a/packages/daemon/src/daemon/direct/mesh_messages.hpp
+++ b/packages/daemon/src/daemon/direct/mesh_messages.hpp
@@ -97,6 +97,14 @@
                  degraded_, older_version_, older_bits_, has_older_manifest_)
 };
 
+/// @brief Wire form of a store revision. The era is last: a peer that does not
+/// know it sends none, which decodes as 0.
+struct StoreRevisionMessage {
+  std::uint64_t number_ = 0;
+  std::uint64_t era_ = 0;
+  MSGPACK_DEFINE(number_, era_)
+};
+
 /// @brief Row of the published list of endpoints.
 struct EndpointRowMessage {
   std::string id_;
@@ -107,7 +115,7 @@
   bool leaving_ = false;
   /// 0 for none.
   std::uint64_t version_ = 0;
-  std::uint64_t created_revision_ = 0;
+  StoreRevisionMessage created_revision_;
   /// 0 when unknown.
   std::int64_t started_ms_ = 0;
   /// -1 when unknown.
@@ -118,10 +126,10 @@
 
 /// @brief The endpoint list, or its changes between two reads of one reader.
 struct EndpointListMessage {
-  /// Revisions of the list; a `to_` of 0 means that the message carries no
-  /// list.
-  std::uint64_t from_ = 0;
-  std::uint64_t to_ = 0;
+  /// Revisions of the list; a `to_` without a number means that the message
+  /// carries no list.
+  StoreRevisionMessage from_;
+  StoreRevisionMessage to_;
   std::vector<EndpointRowMessage> rows_;
   std::vector<std::string> removed_;
   /// The rows are the full list, not a delta.
@@ -209,7 +217,7 @@
 struct EvacuationMessage {
   std::string domain_;
   bool active_ = false;
-  std::uint64_t revision_ = 0;
+  StoreRevisionMessage revision_;
   MSGPACK_DEFINE(domain_, active_, revision_)
 };
 
@@ -249,6 +257,10 @@
 /// A slowdown is encoded in thousandths.
 constexpr double kSlowdownUnit = 1000;
 
+[[nodiscard]] StoreRevisionMessage ToMessage(
+    const core::StoreRevision& revision);
+[[nodiscard]] core::StoreRevision ToRevision(
+    const StoreRevisionMessage& message);
 [[nodiscard]] EvacuationMessage ToMessage(const config::Evacuation& evacuation);
 [[nodiscard]] config::Evacuation ToEvacuation(const EvacuationMessage& message);
 [[nodiscard]] MemberMessage ToMessage(const membership::Member& member);
--- a/packages/daemon/src/daemon/direct/mesh_node.cpp
+++ b/packages/daemon/src/daemon/direct/mesh_node.cpp
@@ -302,7 +302,8 @@
       !(departed.leaving_.empty() && departed.removed_.empty())) {
     hooks_.on_departed_(sender, departed);
   }
-  const bool has_list = message.list_.to_ > 0 || message.list_.read_failed_;
+  const bool has_list =
+      message.list_.to_.number_ > 0 || message.list_.read_failed_;
   if (hooks_.on_list_ && has_list) {
     hooks_.on_list_(sender, message.list_, loop_.Now() - delay);
   }
@@ -338,7 +339,7 @@
   const auto& departed = message.departed_;
   const bool has_departed =
       !(departed.leaving_.empty() && departed.removed_.empty());
-  const bool has_list = message.list_.to_ > 0;
+  const bool has_list = message.list_.to_.number_ > 0;
   if (!IsEntry() || sender.domain_ == self().domain_ ||
       !(has_departed || has_list)) {
     return;
--- a/packages/daemon/src/daemon/direct/published_reader.cpp
+++ b/packages/daemon/src/daemon/direct/published_reader.cpp
@@ -82,7 +82,7 @@
   CancelCallInFlight(task);
 }
 
-void PublishedReader::AdvanceTo(Section section, std::uint64_t revision) {
+void PublishedReader::AdvanceTo(Section section, core::StoreRevision revision) {
   const auto found = tasks_.find(section);
   if (found == tasks_.end() || found->second.revision_ >= revision) {
     return;
@@ -170,8 +170,8 @@
     log_.Write(core::EventNumber::kStoreEraChanged,
                {{"from", std::to_string(*era)},
                 {"to", std::to_string(snapshot.era_)},
-                {"revision_before", std::to_string(revision)},
-                {"revision", std::to_string(snapshot.revision_)},
+                {"revision_before", std::to_string(revision.number_)},
+                {"revision", std::to_string(snapshot.revision_.number_)},
                 {"section", std::string(ToString(section))}});
   }
 }
@@ -193,7 +193,7 @@
 
 void PublishedReader::StartCall(Task& task) {
   const bool known =
-      task.section_ == Section::kOperations && task.revision_ > 0;
+      task.section_ == Section::kOperations && task.revision_.known();
   if (task.failed_ && known) {
     Probe(task);
     return;
@@ -212,11 +212,12 @@
   if (!task.watched_) {
     return StoreCallCause::kPoll;
   }
-  return task.revision_ > 0 ? StoreCallCause::kWatch : StoreCallCause::kRead;
+  return task.revision_.known() ? StoreCallCause::kWatch
+                                : StoreCallCause::kRead;
 }
 
 CancelCall PublishedReader::SendCall(Task& task, SnapshotHandler done) {
-  if (task.watched_ && task.revision_ > 0) {
+  if (task.watched_ && task.revision_.known()) {
     return store_.watch_(task.section_, task.revision_, task.watch_wait_,
                          std::move(done));
   }
@@ -245,7 +246,7 @@
 void PublishedReader::OnResponse(Task& task, const StoreSnapshot& snapshot) {
   CountResponse(task.section_, snapshot);
   LogDecodeErrors(task.section_, snapshot.decode_errors_);
-  const bool first = task.revision_ == 0;
+  const bool first = !task.revision_.known();
   switch (snapshot.outcome_) {
     case ReadOutcome::kRead:
       SetReachable(true);
@@ -260,14 +261,14 @@
       break;
     case ReadOutcome::kCompacted:
       SetReachable(true);
-      task.revision_ = 0;
+      task.revision_ = {};
       break;
     case ReadOutcome::kUnreachable:
       SetReachable(false);
       if (task.section_ != Section::kOperations) {
         // The other sections are small, and reading them anew shows when the
         // store is reachable again.
-        task.revision_ = 0;
+        task.revision_ = {};
       }
       break;
   }
--- a/packages/daemon/src/daemon/direct/published_reader.hpp
+++ b/packages/daemon/src/daemon/direct/published_reader.hpp
@@ -51,7 +51,7 @@
   /// watch starts after it. A call in flight for an earlier revision is
   /// cancelled, since its response may fill the link with data that is known
   /// already.
-  void AdvanceTo(Section section, std::uint64_t revision);
+  void AdvanceTo(Section section, core::StoreRevision revision);
   /// @brief Reads a section periodically.
   /// @param interval supplies the interval between two reads; it is evaluated
   /// anew at each check, also while reads fail.
@@ -87,8 +87,8 @@
     bool watched_;
     /// False after Unwatch().
     bool active_ = true;
-    /// 0 until the full section was received.
-    std::uint64_t revision_ = 0;
+    /// None until the full section was received.
+    core::StoreRevision revision_;
     core::Backoff backoff_;
     /// Maximum time that the store may hold a watch open.
     core::Duration watch_wait_;
@@ -138,7 +138,7 @@
   std::map<Section, std::set<std::string>> decode_errors_;
   /// Era and revision of the last response; none before the first.
   std::optional<std::uint64_t> era_;
-  std::uint64_t last_revision_ = 0;
+  core::StoreRevision last_revision_;
   bool reachable_ = false;
   core::TimePoint reachable_since_;
   core::TimePoint last_read_;
--- a/packages/daemon/src/daemon/direct/published_relay.cpp
+++ b/packages/daemon/src/daemon/direct/published_relay.cpp
@@ -45,8 +45,9 @@
   for (const auto& [section, stored] : sections_) {
     const auto number = static_cast<std::uint8_t>(section);
     const auto known = request.known_.find(number);
-    if (known == request.known_.end() || known->second < stored.revision_) {
-      response.revisions_[number] = stored.revision_;
+    if (known == request.known_.end() ||
+        ToRevision(known->second) < stored.revision_) {
+      response.revisions_[number] = ToMessage(stored.revision_);
       response.pages_[number] = stored.pages_;
       response.ages_ms_[number] = ToAgeMs(loop_.Now() - stored.as_of_);
     }
@@ -74,7 +75,8 @@
   }
   PublishedRequest request;
   for (const auto& [section, stored] : sections_) {
-    request.known_[static_cast<std::uint8_t>(section)] = stored.revision_;
+    request.known_[static_cast<std::uint8_t>(section)] =
+        ToMessage(stored.revision_);
   }
   request_pending_ = true;
   connection->Fetch(
@@ -113,7 +115,7 @@
     log_.Write(core::EventNumber::kLearnedFromPeer,
                {{"peer", peer},
                 {"section", std::to_string(number)},
-                {"revision", std::to_string(snapshot.revision_)}});
+                {"revision", std::to_string(snapshot.revision_.number_)}});
     Store(section, snapshot);
     handler_(section, snapshot);
   }
--- a/packages/daemon/src/daemon/direct/published_relay.hpp
+++ b/packages/daemon/src/daemon/direct/published_relay.hpp
@@ -19,14 +19,14 @@
 
 /// @brief Request for sections newer than those of the requester.
 struct PublishedRequest {
-  /// Store revision of each known section; 0 for none.
-  std::map<std::uint8_t, std::uint64_t> known_;
+  /// Store revision of each known section.
+  std::map<std::uint8_t, StoreRevisionMessage> known_;
   MSGPACK_DEFINE(known_)
 };
 
 /// @brief Sections as received from the store, undecoded, with their revisions.
 struct PublishedResponse {
-  std::map<std::uint8_t, std::uint64_t> revisions_;
+  std::map<std::uint8_t, StoreRevisionMessage> revisions_;
   std::map<std::uint8_t, std::vector<std::string>> pages_;
   /// Time since the store was queried for each section.
   std::map<std::uint8_t, std::uint64_t> ages_ms_;
@@ -60,7 +60,7 @@
 
  private:
   struct StoredSection {
-    std::uint64_t revision_ = 0;
+    core::StoreRevision revision_;
     std::vector<std::string> pages_;
     /// When the store was queried.
     core::TimePoint as_of_;
--- a/packages/daemon/src/daemon/direct/rules_exchange.cpp
+++ b/packages/daemon/src/daemon/direct/rules_exchange.cpp
@@ -87,7 +87,7 @@
           ? document.text_
           : PackDelta(config::MakeDelta(base->document_.text_, document.text_));
   const RulesResponse response{document.version_,
-                               document.revision_,
+                               ToMessage(document.revision_),
                                ToBytes(digest_of_newest),
                                document.text_.size(),
                                key,
@@ -142,7 +142,7 @@
   if (!packed) {
     return std::nullopt;
   }
-  RulesDocument document{response.version_, response.revision_, {}};
+  RulesDocument document{response.version_, ToRevision(response.revision_), {}};
   if (response.base_.empty()) {
     document.text_ = std::move(*packed);
   } else {
--- a/packages/daemon/src/daemon/direct/rules_exchange.hpp
+++ b/packages/daemon/src/daemon/direct/rules_exchange.hpp
@@ -12,6 +12,7 @@
 #include <string>
 
 #include "chalkwell/core/digest.hpp"
+#include "daemon/direct/mesh_messages.hpp"
 #include "daemon/direct/peer_connections.hpp"
 #include "daemon/metrics.hpp"
 #include "daemon/peer_server.hpp"
@@ -22,8 +23,8 @@
 struct RulesDocument {
   std::uint64_t version_ = 0;
   /// The holder knows everything that operators published up to this store
-  /// revision; 0 if it does not.
-  std::uint64_t revision_ = 0;
+  /// revision; none if it does not.
+  core::StoreRevision revision_;
   std::string text_;
 };
 
@@ -38,7 +39,7 @@
 /// @brief Response with newer rules.
 struct RulesResponse {
   std::uint64_t version_ = 0;
-  std::uint64_t revision_ = 0;
+  StoreRevisionMessage revision_;
   /// Digest of the full text.
   std::string digest_;
   std::uint64_t size_ = 0;
--- a/packages/daemon/src/daemon/direct/rules_manager.cpp
+++ b/packages/daemon/src/daemon/direct/rules_manager.cpp
@@ -52,8 +52,9 @@
   if (snapshot.rules_) {
     // Receivers of the document continue their watch after its revision. A read
     // of the rules alone does not show what else was published until then.
-    const auto revision =
-        section == Section::kOperations ? snapshot.revision_ : 0;
+    const auto revision = section == Section::kOperations
+                              ? snapshot.revision_
+                              : core::StoreRevision();
     Apply(*snapshot.rules_,
           {snapshot.rules_->version_, revision, snapshot.encoded_rules_},
           std::string(kStoreSource));
@@ -172,7 +173,7 @@
   log_.Write(core::EventNumber::kLearnedFromPeer,
              {{"peer", peer.value()},
               {"section", "rules"},
-              {"revision", std::to_string(document->revision_)}});
+              {"revision", std::to_string(document->revision_.number_)}});
   Apply(*snapshot.rules_, std::move(*document), std::string(kPeerSource));
 }
 
--- a/packages/emulator/src/emulator/fleet.cpp
+++ b/packages/emulator/src/emulator/fleet.cpp
@@ -164,7 +164,8 @@
       settings.entry_ = core::InstanceId("entry-" + std::to_string(entry));
     }
     entries_.emplace_back(std::move(settings), random_());
-    entries_.back().endpoints_->ApplyList(rows, 1, true, now_);
+    entries_.back().endpoints_->ApplyList(rows, core::StoreRevision(1, 1), true,
+                                          now_);
     entries_.back().endpoints_->rate_limit_senders().SetEntries(
         OtherEntries(entry), true);
   }
--- a/tests/config/evacuation_table_test.cpp
+++ b/tests/config/evacuation_table_test.cpp
@@ -11,7 +11,8 @@
 
 Evacuation State(const std::string& domain, bool active,
                  std::uint64_t revision) {
-  return {core::FailureDomainId(domain), active, revision};
+  return {core::FailureDomainId(domain), active,
+          core::StoreRevision(1, revision)};
 }
 
 bool IsActive(const EvacuationTable& table, const std::string& domain) {
@@ -54,7 +55,7 @@
       GENERATE(Row{5, 9, false}, Row{5, 5, false}, Row{5, 4, true});
   EvacuationTable table;
   CHECK(table.Apply(State("a", true, row.published_)));
-  CHECK(table.ApplyAll({}, row.read_) != row.active_);
+  CHECK(table.ApplyAll({}, core::StoreRevision(1, row.read_)) != row.active_);
   CHECK(IsActive(table, "a") == row.active_);
 }
 
--- a/tests/platform/foreign_rows_test.cpp
+++ b/tests/platform/foreign_rows_test.cpp
@@ -107,7 +107,7 @@
               Item("servers/i-2", Base64(corrupt.dump())),
               Item("servers/i-3", Base64(GoodRow().dump()))});
   CHECK(published.outcome_ == ReadOutcome::kRead);
-  CHECK(published.revision_ == 42);
+  CHECK(published.revision_.number_ == 42);
   CHECK(published.endpoints_.size() == 2);
   REQUIRE(published.decode_errors_.size() == 1);
   CHECK(published.decode_errors_[0].starts_with("servers/i-2: "));
@@ -175,7 +175,7 @@
                 Item("servers/i-2", Base64(text)),
                 Item("servers/i-3", Base64(GoodRow().dump()))});
     REQUIRE(published.outcome_ == ReadOutcome::kRead);
-    REQUIRE(published.revision_ == 42);
+    REQUIRE(published.revision_.number_ == 42);
     REQUIRE(published.endpoints_.size() + published.decode_errors_.size() == 3);
     REQUIRE(published.endpoints_.size() >= 2);
   }
--- a/tests/routing/endpoint_incarnation_test.cpp
+++ b/tests/routing/endpoint_incarnation_test.cpp
@@ -27,7 +27,7 @@
   row.service_ = "pool";
   row.address_ = kAddress;
   row.slots_ = 4;
-  row.created_revision_ = 3;
+  row.created_revision_ = core::StoreRevision(1, 3);
   row.started_ = At(started);
   if (version > 0) {
     row.weights_version_ = version;
@@ -50,7 +50,8 @@
   SingleEngineTable() : table_({}, 1) { List({RowOf(1000)}, 1); }
 
   void List(std::vector<EndpointRow> rows, std::uint64_t revision) {
-    table_.ApplyList(std::move(rows), revision, true, kStart);
+    table_.ApplyList(std::move(rows), core::StoreRevision(1, revision), true,
+                     kStart);
   }
   [[nodiscard]] bool Chosen(std::optional<std::uint64_t> version = {}) {
     ChoiceRequest request;
@@ -273,7 +274,8 @@
           ++revision;
           break;
         case Step::kReadList:
-          engines.table_.ApplyList({written}, revision, true, now);
+          engines.table_.ApplyList({written}, core::StoreRevision(1, revision),
+                                   true, now);
           break;
         case Step::kReport: {
           reports.push_back(reports.back());
@@ -290,7 +292,8 @@
     const std::chrono::milliseconds sent(reports.size() - 1);
     RC_ASSERT(!order.RecordAndCheckReordered(sent));
     engines.table_.ApplyReport(kAddress, reports.back(), now);
-    engines.table_.ApplyList({current}, ++revision, true, now);
+    engines.table_.ApplyList({current}, core::StoreRevision(1, ++revision),
+                             true, now);
     const bool serves = current.weights_version_ && !current.leaving_;
     RC_ASSERT(engines.Chosen() == serves);
     if (serves) {
--- a/tests/routing/endpoint_retry_times_test.cpp
+++ b/tests/routing/endpoint_retry_times_test.cpp
@@ -82,13 +82,13 @@
   row.started_ = core::StartTime(1ms);
   ChoiceRequest request;
   request.service_ = "plain";
-  table.ApplyList({row}, 1, true, kStart);
+  table.ApplyList({row}, core::StoreRevision(1, 1), true, kStart);
   REQUIRE(table.Choose(request, kStart));
   (void)table.retry_times().OnRefused(row.incarnation(), kStart + 3s, kStart);
   CHECK_FALSE(table.Choose(request, kStart + 1s));
   CHECK(table.SendWait(request, kStart + 1s) == core::Duration(2s));
-  table.ApplyList({}, 2, true, kStart + 1s);
-  table.ApplyList({row}, 3, true, kStart + 2s);
+  table.ApplyList({}, core::StoreRevision(1, 2), true, kStart + 1s);
+  table.ApplyList({row}, core::StoreRevision(1, 3), true, kStart + 2s);
   CHECK_FALSE(table.Choose(request, kStart + 2s));
   CHECK(table.Choose(request, kStart + 3s));
 }
--- a/tests/routing/endpoint_table_test.cpp
+++ b/tests/routing/endpoint_table_test.cpp
@@ -24,7 +24,7 @@
 
 EndpointTable Table(std::vector<EndpointRow> rows) {
   EndpointTable table({.domain_ = core::FailureDomainId("near")}, 1);
-  table.ApplyList(std::move(rows), 1, true, kStart);
+  table.ApplyList(std::move(rows), core::StoreRevision(1, 1), true, kStart);
   return table;
 }
 
@@ -309,12 +309,13 @@
                             Case{"after a gap", 7, 9, false, {"a", "b"}, 5});
   CAPTURE(row.name_);
   EndpointTable table({.domain_ = core::FailureDomainId("near")}, 1);
-  table.ApplyList({Row("a"), Row("b")}, 5, true, kStart);
+  table.ApplyList({Row("a"), Row("b")}, core::StoreRevision(1, 5), true,
+                  kStart);
   auto leaving = Row("b");
   leaving.leaving_ = true;
   EndpointListChange change;
-  change.from_ = row.from_;
-  change.to_ = row.to_;
+  change.from_ = core::StoreRevision(1, row.from_);
+  change.to_ = core::StoreRevision(1, row.to_);
   change.rows_ = {leaving, Row("c")};
   change.removed_ = {core::InstanceId("a")};
   CHECK(table.ApplyChange(change, kStart) == row.applied_);
@@ -333,15 +334,16 @@
   // none of its reads.
   const bool complete = GENERATE(true, false);
   EndpointTable table({.domain_ = core::FailureDomainId("near")}, 1);
-  table.ApplyList({Row("a"), Row("b")}, 5, true, kStart);
+  table.ApplyList({Row("a"), Row("b")}, core::StoreRevision(1, 5), true,
+                  kStart);
   EndpointListChange change;
-  change.to_ = 9;
+  change.to_ = core::StoreRevision(1, 9);
   change.rows_ = {Row("b")};
   change.full_ = true;
   change.complete_ = complete;
   CHECK(table.ApplyChange(change, kStart));
   CHECK(table.size() == (complete ? 1 : 2));
-  change.to_ = 10;
+  change.to_ = core::StoreRevision(1, 10);
   CHECK(table.ApplyChange(change, kStart + 3s));
   CHECK(table.size() == 1);
 }
@@ -367,7 +369,7 @@
   INFO(row.name_);
   auto table = Table({Row("a"), Row("b")});
   EndpointListChange change;
-  change.to_ = 9;
+  change.to_ = core::StoreRevision(1, 9);
   change.rows_ = {Row("b")};
   change.full_ = true;
   change.complete_ = false;
@@ -389,8 +391,8 @@
     "[routing]") {
   auto table = Table({Row("a"), Row("b")});
   EndpointListChange change;
-  change.from_ = 1;
-  change.to_ = 9;
+  change.from_ = core::StoreRevision(1, 1);
+  change.to_ = core::StoreRevision(1, 9);
   change.complete_ = false;
   CHECK(table.ApplyChange(change, kStart));
   CHECK(table.size() == 2);
@@ -404,27 +406,30 @@
           "[routing]") {
   auto table = Table({Row("a"), Row("b")});
   SECTION("an older list is ignored") {
-    table.ApplyList({Row("a")}, 5, true, kStart);
-    table.ApplyList({Row("a"), Row("b")}, 4, true, kStart);
+    table.ApplyList({Row("a")}, core::StoreRevision(1, 5), true, kStart);
+    table.ApplyList({Row("a"), Row("b")}, core::StoreRevision(1, 4), true,
+                    kStart);
     CHECK(table.size() == 1);
   }
   SECTION("a complete list removes at once") {
-    table.ApplyList({Row("a")}, 5, true, kStart);
+    table.ApplyList({Row("a")}, core::StoreRevision(1, 5), true, kStart);
     CHECK(table.size() == 1);
   }
   SECTION("after a store outage a missing row stays for the grace period") {
-    table.ApplyList({Row("a")}, 5, false, kStart);
+    table.ApplyList({Row("a")}, core::StoreRevision(1, 5), false, kStart);
     CHECK(table.size() == 2);
-    table.ApplyList({Row("a")}, 6, false, kStart + 2s);
+    table.ApplyList({Row("a")}, core::StoreRevision(1, 6), false, kStart + 2s);
     CHECK(table.size() == 2);
-    table.ApplyList({Row("a")}, 7, false, kStart + 3s);
+    table.ApplyList({Row("a")}, core::StoreRevision(1, 7), false, kStart + 3s);
     CHECK(table.size() == 1);
   }
   SECTION("a draining endpoint does not become available again") {
     auto leaving = Row("b");
     leaving.leaving_ = true;
-    table.ApplyList({Row("a"), leaving}, 5, true, kStart);
-    table.ApplyList({Row("a"), Row("b")}, 6, true, kStart);
+    table.ApplyList({Row("a"), leaving}, core::StoreRevision(1, 5), true,
+                    kStart);
+    table.ApplyList({Row("a"), Row("b")}, core::StoreRevision(1, 6), true,
+                    kStart);
     const auto engine = Engine();
     CHECK(Chosen(table,
                  {.service_ = "pool",
@@ -456,7 +461,7 @@
 EndpointRow RowAt(const std::string& id, std::uint64_t created) {
   auto row = Row(id);
   row.address_ = "shared:1";
-  row.created_revision_ = created;
+  row.created_revision_ = core::StoreRevision(1, created);
   return row;
 }
 
@@ -487,11 +492,13 @@
   report.weights_version_ = 1;
   table.ApplyReport("shared:1", report, kStart);
   CHECK(Chosen(table, request, kStart) == "b");
-  table.ApplyList({RowAt("a", 3)}, 2, true, kStart + 1s);
+  table.ApplyList({RowAt("a", 3)}, core::StoreRevision(1, 2), true,
+                  kStart + 1s);
   CHECK(Chosen(table, request, kStart + 1s) == "b");
   // Not listed within the grace period, it is removed and stays removed when
   // announced again.
-  table.ApplyList({RowAt("a", 3)}, 3, true, kStart + 3s);
+  table.ApplyList({RowAt("a", 3)}, core::StoreRevision(1, 3), true,
+                  kStart + 3s);
   CHECK(Chosen(table, request, kStart + 3s).empty());
   table.ApplyAnnouncement(RowAt("b", 0), kStart + 3s);
   CHECK(Chosen(table, request, kStart + 3s).empty());
@@ -527,12 +534,12 @@
   report.weights_version_ = 1;
   table.ApplyReport("shared:1", report, kStart);
   if (row.listed_before_) {
-    table.ApplyList({RowAt("a", 3), RowAt("b", 4)}, 2, true, kStart + 50ms,
-                    kStart);
+    table.ApplyList({RowAt("a", 3), RowAt("b", 4)}, core::StoreRevision(1, 2),
+                    true, kStart + 50ms, kStart);
   }
   EndpointListChange change;
-  change.from_ = 1;
-  change.to_ = 3;
+  change.from_ = core::StoreRevision(1, 1);
+  change.to_ = core::StoreRevision(1, 3);
   change.full_ = row.full_;
   change.complete_ = row.complete_;
   change.as_of_ = kStart + row.requested_after_;
@@ -549,7 +556,7 @@
   auto table = Table({RowAt("a", 3)});
   const auto engine = Engine();
   const ChoiceRequest request{.service_ = "pool", .engine_ = &engine};
-  table.ApplyList({}, 2, true, kStart + 1s);
+  table.ApplyList({}, core::StoreRevision(1, 2), true, kStart + 1s);
   table.ApplyAnnouncement(RowAt("a", 0), kStart + 1s);
   CHECK(Chosen(table, request, kStart + 1s).empty());
 }
@@ -562,9 +569,11 @@
   table.MarkReplaced(core::InstanceId("a"), core::InstanceId("b"));
   CHECK(Chosen(table, request, kStart).empty());
   // Its lease lasts for seconds, so lists still contain it.
-  table.ApplyList({RowAt("a", 3)}, 2, true, kStart + 1s);
+  table.ApplyList({RowAt("a", 3)}, core::StoreRevision(1, 2), true,
+                  kStart + 1s);
   CHECK(Chosen(table, request, kStart + 1s).empty());
-  table.ApplyList({RowAt("a", 3), RowAt("b", 8)}, 3, true, kStart + 1s);
+  table.ApplyList({RowAt("a", 3), RowAt("b", 8)}, core::StoreRevision(1, 3),
+                  true, kStart + 1s);
   CHECK(Chosen(table, request, kStart + 1s) == "b");
 }
 
--- a/tests/routing/incarnation_table_test.cpp
+++ b/tests/routing/incarnation_table_test.cpp
@@ -14,6 +14,10 @@
   return core::StartTime(time);
 }
 
+core::StoreRevision Created(std::uint64_t revision) {
+  return core::StoreRevision(1, revision);
+}
+
 // Incarnations of two ids, with unknown start times.
 const EndpointIncarnation kOld{core::InstanceId("old"), std::nullopt};
 const EndpointIncarnation kNew{core::InstanceId("new"), std::nullopt};
@@ -34,45 +38,46 @@
   };
   const auto row = GENERATE(
       Case{"nothing is known", [](auto&) {}, true, true},
-      Case{"one row", [](auto& table) { table.OnRow(kAddress, kOld, 5); }, true,
+      Case{"one row",
+           [](auto& table) { table.OnRow(kAddress, kOld, Created(5)); }, true,
            false},
       Case{"newer row of another id",
            [](auto& table) {
-             table.OnRow(kAddress, kOld, 5);
-             table.OnRow(kAddress, kNew, 9);
+             table.OnRow(kAddress, kOld, Created(5));
+             table.OnRow(kAddress, kNew, Created(9));
            },
            false, true},
       Case{"rows in reverse order",
            [](auto& table) {
-             table.OnRow(kAddress, kNew, 9);
-             table.OnRow(kAddress, kOld, 5);
+             table.OnRow(kAddress, kNew, Created(9));
+             table.OnRow(kAddress, kOld, Created(5));
            },
            false, true},
       Case{"announced before its row is seen",
            [](auto& table) {
-             table.OnRow(kAddress, kOld, 5);
+             table.OnRow(kAddress, kOld, Created(5));
              table.OnAnnounced(kAddress, kNew);
-             table.OnRow(kAddress, kOld, 5);
+             table.OnRow(kAddress, kOld, Created(5));
            },
            false, true},
       Case{"row of a terminated one written late",
            [](auto& table) {
-             table.OnRow(kAddress, kOld, 5);
+             table.OnRow(kAddress, kOld, Created(5));
              table.OnAnnounced(kAddress, kNew);
-             table.OnRow(kAddress, kNew, 9);
-             table.OnRow(kAddress, kOld, 12);
+             table.OnRow(kAddress, kNew, Created(9));
+             table.OnRow(kAddress, kOld, Created(12));
            },
            false, true},
       Case{"announced before any row",
            [](auto& table) {
              table.OnAnnounced(kAddress, kNew);
-             table.OnRow(kAddress, kOld, 5);
-             table.OnRow(kAddress, kNew, 9);
+             table.OnRow(kAddress, kOld, Created(5));
+             table.OnRow(kAddress, kNew, Created(9));
            },
            false, true},
       Case{"late announcement, then corrected",
            [](auto& table) {
-             table.OnRow(kAddress, kOld, 5);
+             table.OnRow(kAddress, kOld, Created(5));
              table.OnAnnounced(kAddress, kNew);
              table.OnAnnounced(kAddress, kOld);
              table.OnAnnounced(kAddress, kNew);
@@ -97,46 +102,46 @@
   const auto row = GENERATE(
       Case{"by its row",
            [](auto& table) {
-             table.OnRow(kAddress, kFirst, 5);
-             table.OnRow(kAddress, kSecond, 5);
+             table.OnRow(kAddress, kFirst, Created(5));
+             table.OnRow(kAddress, kSecond, Created(5));
            },
            kSecond, kFirst},
       Case{"announced by its agent",
            [](auto& table) {
-             table.OnRow(kAddress, kFirst, 5);
+             table.OnRow(kAddress, kFirst, Created(5));
              table.OnAnnounced(kAddress, kSecond);
            },
            kSecond, kFirst},
       Case{"announced by its agent, then the old row is read again",
            [](auto& table) {
-             table.OnRow(kAddress, kFirst, 5);
+             table.OnRow(kAddress, kFirst, Created(5));
              table.OnAnnounced(kAddress, kSecond);
-             table.OnRow(kAddress, kFirst, 5);
+             table.OnRow(kAddress, kFirst, Created(5));
            },
            kSecond, kFirst},
       Case{"with an earlier start time",
            [](auto& table) {
-             table.OnRow(kAddress, kFirst, 5);
-             table.OnRow(kAddress, kSteppedBack, 5);
+             table.OnRow(kAddress, kFirst, Created(5));
+             table.OnRow(kAddress, kSteppedBack, Created(5));
            },
            kSteppedBack, kFirst},
       Case{"after another id had its address",
            [](auto& table) {
-             table.OnRow(kAddress, kFirst, 5);
-             table.OnRow(kAddress, kNew, 9);
-             table.OnRow(kAddress, kSecond, 5);
+             table.OnRow(kAddress, kFirst, Created(5));
+             table.OnRow(kAddress, kNew, Created(9));
+             table.OnRow(kAddress, kSecond, Created(5));
            },
            kSecond, kNew},
       Case{"after another id had its address, announced without a start time",
            [](auto& table) {
-             table.OnRow(kAddress, kFirst, 5);
+             table.OnRow(kAddress, kFirst, Created(5));
              table.OnAnnounced(kAddress, kNew);
              table.OnAnnounced(kAddress, kUnknownStart);
            },
            kSecond, kNew},
       Case{"an unknown start time is not a restart",
            [](auto& table) {
-             table.OnRow(kAddress, kFirst, 5);
+             table.OnRow(kAddress, kFirst, Created(5));
              table.OnAnnounced(kAddress, kUnknownStart);
            },
            kFirst, kSecond});
--- a/tests/routing/list_history_test.cpp
+++ b/tests/routing/list_history_test.cpp
@@ -57,20 +57,21 @@
     return true;
   }
 
-  std::uint64_t revision_ = 0;
+  core::StoreRevision revision_;
   std::set<std::string> ids_;
 };
 
 TEST_CASE("the first changes contain the full list", "[routing]") {
   ListHistory history;
   for (std::uint64_t revision = 1; revision <= 3; ++revision) {
-    const auto change =
-        history.OnRead(revision, Rows({"a", "b"}), true, At(revision));
+    const auto change = history.OnRead(core::StoreRevision(1, revision),
+                                       Rows({"a", "b"}), true, At(revision));
     CHECK(change.full_);
     CHECK(change.rows_.size() == 2);
   }
-  const auto change = history.OnRead(4, Rows({"a", "b"}), true, At(4));
-  CHECK(change.from_ == 1);
+  const auto change =
+      history.OnRead(core::StoreRevision(1, 4), Rows({"a", "b"}), true, At(4));
+  CHECK(change.from_ == core::StoreRevision(1, 1));
   CHECK_FALSE(change.full_);
   CHECK(change.rows_.empty());
 }
@@ -85,9 +86,11 @@
                             Row{1501ms, true}, Row{120s, true});
   ListHistory history;
   for (std::uint64_t revision = 1; revision <= 6; ++revision) {
-    (void)history.OnRead(revision, Rows({"a"}), true, At(revision));
+    (void)history.OnRead(core::StoreRevision(1, revision), Rows({"a"}), true,
+                         At(revision));
   }
-  const auto change = history.OnRead(90, Rows({"a"}), true, At(6) + row.pause_);
+  const auto change = history.OnRead(core::StoreRevision(1, 90), Rows({"a"}),
+                                     true, At(6) + row.pause_);
   CHECK(change.full_ == row.full_);
   CHECK(change.rows_.size() == (row.full_ ? 1 : 0));
 }
@@ -96,19 +99,22 @@
   ListHistory history;
   EndpointListChange change;
   for (std::uint64_t revision = 1; revision <= 4; ++revision) {
-    change = history.OnRead(revision, Rows({"a"}), true, At(revision));
+    change = history.OnRead(core::StoreRevision(1, revision), Rows({"a"}), true,
+                            At(revision));
   }
   CHECK(change.rows_.empty());
   CHECK(change.removed_.empty());
-  CHECK(change.to_ == 4);
+  CHECK(change.to_ == core::StoreRevision(1, 4));
 }
 
 TEST_CASE("an incomplete list removes no rows", "[routing]") {
   ListHistory history;
   for (std::uint64_t revision = 1; revision <= 4; ++revision) {
-    (void)history.OnRead(revision, Rows({"a", "b"}), true, At(revision));
+    (void)history.OnRead(core::StoreRevision(1, revision), Rows({"a", "b"}),
+                         true, At(revision));
   }
-  const auto change = history.OnRead(5, Rows({"a", "c"}), false, At(5));
+  const auto change =
+      history.OnRead(core::StoreRevision(1, 5), Rows({"a", "c"}), false, At(5));
   CHECK(change.removed_.empty());
   REQUIRE(change.rows_.size() == 1);
   CHECK(change.rows_.front() == Row("c"));
@@ -118,14 +124,18 @@
           "[routing]") {
   ListHistory history;
   for (std::uint64_t revision = 1; revision <= 5; ++revision) {
-    (void)history.OnRead(revision, Rows({"a", "b"}), true, At(revision));
+    (void)history.OnRead(core::StoreRevision(1, revision), Rows({"a", "b"}),
+                         true, At(revision));
   }
   // The store is available again; leases may have lapsed meanwhile.
   for (std::uint64_t revision = 6; revision <= 12; ++revision) {
-    CHECK(history.OnRead(revision, Rows({"a"}), false, At(revision))
+    CHECK(history
+              .OnRead(core::StoreRevision(1, revision), Rows({"a"}), false,
+                      At(revision))
               .removed_.empty());
   }
-  const auto change = history.OnRead(13, Rows({"a"}), true, At(13));
+  const auto change =
+      history.OnRead(core::StoreRevision(1, 13), Rows({"a"}), true, At(13));
   REQUIRE(change.removed_.size() == 1);
   CHECK(change.removed_.front().value() == "b");
 }
@@ -138,7 +148,7 @@
     Receiver receiver;
     // Published by an earlier reader; the current one never saw this row.
     receiver.ids_ = {"before"};
-    receiver.revision_ = 5;
+    receiver.revision_ = core::StoreRevision(1, 5);
     std::set<std::string> listed;
     int consecutive_losses = 0;
     int incomplete_reads_left = 0;
@@ -153,8 +163,9 @@
                                   ? incomplete_reads_left - 1
                               : random() % 12 == 0 ? 4
                                                    : 0;
-      const auto change = history.OnRead(read * 10, Rows(listed),
-                                         incomplete_reads_left == 0, At(read));
+      const auto change =
+          history.OnRead(core::StoreRevision(1, read * 10), Rows(listed),
+                         incomplete_reads_left == 0, At(read));
       consecutive_losses = consecutive_losses < 2 && random() % 3 == 0
                                ? consecutive_losses + 1
                                : 0;
--- a/tests/routing/placement_property_test.cpp
+++ b/tests/routing/placement_property_test.cpp
@@ -75,7 +75,7 @@
       rows.push_back(endpoints_.back().row_);
     }
     for (auto& entry : entries_) {
-      entry->ApplyList(rows, 1, true, kStart);
+      entry->ApplyList(rows, core::StoreRevision(1, 1), true, kStart);
     }
     engine_.slots_ = 16;
     engine_.step_time_ = 10ms;
@@ -193,8 +193,8 @@
         table.ApplyAnnouncement(row, now_);
         table.MarkVersion(row.id_, 1);
       } else {
-        table.ApplyChange({.from_ = 1,
-                           .to_ = ++revision_,
+        table.ApplyChange({.from_ = core::StoreRevision(1, 1),
+                           .to_ = core::StoreRevision(1, ++revision_),
                            .rows_ = {row},
                            .removed_ = {},
                            .as_of_ = now_ - 1s},
--- a/tests/routing/stream_admission_test.cpp
+++ b/tests/routing/stream_admission_test.cpp
@@ -31,7 +31,7 @@
   row.service_ = "pool";
   row.address_ = "a:1";
   row.weights_version_ = 1;
-  table.ApplyList({row}, 1, true, kStart);
+  table.ApplyList({row}, core::StoreRevision(1, 1), true, kStart);
   LoadReport report;
   report.weights_version_ = 1;
   report.active_ = active;
--- a/tests/routing/unresponsive_endpoint_test.cpp
+++ b/tests/routing/unresponsive_endpoint_test.cpp
@@ -63,7 +63,8 @@
            "a"});
   CAPTURE(row.name_);
   EndpointTable table({.domain_ = core::FailureDomainId("d")}, 1);
-  table.ApplyList({Row("a", "d"), Row("b", "d")}, 1, true, kStart);
+  table.ApplyList({Row("a", "d"), Row("b", "d")}, core::StoreRevision(1, 1),
+                  true, kStart);
   table.ApplyReport("a:1", Running(0), kStart);
   const auto now = kStart + row.silence_;
   for (auto at = kStart; at <= now; at += 100ms) {
@@ -80,7 +81,8 @@
 TEST_CASE("endpoints stay responsive when the entry itself was suspended",
           "[routing]") {
   EndpointTable table({.domain_ = core::FailureDomainId("d")}, 1);
-  table.ApplyList({Row("a", "d"), Row("b", "d")}, 1, true, kStart);
+  table.ApplyList({Row("a", "d"), Row("b", "d")}, core::StoreRevision(1, 1),
+                  true, kStart);
   table.ApplyReport("a:1", Running(1), kStart);
   table.ApplyReport("b:1", Running(7), kStart + 50ms);
   const auto engine = Engine();
@@ -101,7 +103,7 @@
   for (int i = 0; i < 40; ++i) {
     rows.push_back(Row("i" + std::to_string(i), i < 30 ? "d" : "far"));
   }
-  table.ApplyList(rows, 1, true, kStart);
+  table.ApplyList(rows, core::StoreRevision(1, 1), true, kStart);
   std::set<core::InstanceId> subset;
   for (const auto& chosen : table.Subset()) {
     subset.insert(chosen.id_);
@@ -131,7 +133,7 @@
   for (int i = 0; i < 40; ++i) {
     rows.push_back(Row("i" + std::to_string(i), "d"));
   }
-  table.ApplyList(rows, 1, true, kStart);
+  table.ApplyList(rows, core::StoreRevision(1, 1), true, kStart);
   const auto before = table.Subset();
   table.MarkLeaving(before.front().incarnation());
   const auto after = table.Subset();
