Order lists by era when the store returns from an older copy

Callers' requests reached endpoints seconds after the store had acknowledged that these leave: a store that returned from an older copy gave out lower revisions, so that each list it sent was taken for an older one and dropped. The dropped read still confirmed the age of the known list, so that nothing looked stale, until the store had passed the known revision.

The adapter now sets the era of each revision. A list of a newer era replaces the known one, one of an older era is not used and confirms nothing, and a response to a watch of another era leads to a full read, since a revision may be passed again. A return counts as an outage after which rows may be missing.

--- a/packages/chalkwell/src/chalkwell/config/evacuation_table.cpp
+++ b/packages/chalkwell/src/chalkwell/config/evacuation_table.cpp
@@ -36,14 +36,38 @@
 }
 
 bool EvacuationTable::ApplyAll(const std::vector<Evacuation>& active,
-                               core::StoreRevision revision) {
+                               core::StoreRevision revision,
+                               core::TimePoint now) {
   bool changed = Apply(active);
   for (const auto& known : States()) {
     const bool listed = std::ranges::find(active, known.domain_,
                                           &Evacuation::domain_) != active.end();
-    if (known.active_ && !listed) {
-      changed = Apply({known.domain_, false, revision}) || changed;
+    if (!known.active_ || listed) {
+      continue;
     }
+    const Evacuation withdrawn{known.domain_, false, revision};
+    if (known.revision_.era_ < revision.era_) {
+      const DueWithdrawal due{withdrawn, now + kRecoveryTime};
+      auto& pending = due_.try_emplace(known.domain_, due).first->second;
+      if (pending.state_.revision_.era_ < revision.era_) {
+        pending = due;
+      }
+    } else {
+      changed = Apply(withdrawn) || changed;
+    }
+  }
+  return changed;
+}
+
+bool EvacuationTable::ApplyDue(core::TimePoint now) {
+  bool changed = false;
+  for (auto next = due_.begin(); next != due_.end();) {
+    if (now < next->second.at_) {
+      ++next;
+      continue;
+    }
+    changed = Apply(next->second.state_) || changed;
+    next = due_.erase(next);
   }
   return changed;
 }
--- a/packages/chalkwell/src/chalkwell/config/evacuation_table.hpp
+++ b/packages/chalkwell/src/chalkwell/config/evacuation_table.hpp
@@ -9,6 +9,7 @@
 #include <set>
 #include <vector>
 
+#include "chalkwell/core/fwd.hpp"
 #include "chalkwell/core/identifier.hpp"
 #include "chalkwell/core/store_revision.hpp"
 
@@ -32,6 +33,11 @@
   /// keys that name no real domain take bounded memory and bytes.
   static constexpr std::size_t kMaxDomains = 64;
 
+  /// Operators publish again what the store lost within this time after its
+  /// return.
+  static constexpr core::Duration kRecoveryTime =
+      std::chrono::milliseconds(2500);
+
   /// @brief Applies a state, published or received from another process.
   /// @return whether it is newer than the known one.
   bool Apply(const Evacuation& evacuation);
@@ -39,18 +45,31 @@
   /// @return whether any of them is newer than the known one.
   bool Apply(const std::vector<Evacuation>& evacuations);
   /// @brief Applies a read of all active evacuations: known ones that it lacks
-  /// were withdrawn, unless they are newer than the read.
+  /// were withdrawn, unless they are newer than the read. A known one of an
+  /// older era may be missing only because the store returned from a copy that
+  /// is older than it: it stays active until kRecoveryTime later, and longer if
+  /// it is published again by then.
   /// @return whether anything changed.
   bool ApplyAll(const std::vector<Evacuation>& active,
-                core::StoreRevision revision);
+                core::StoreRevision revision, core::TimePoint now);
+  /// @brief Withdraws evacuations whose recovery time is over.
+  /// @return whether anything changed.
+  bool ApplyDue(core::TimePoint now);
 
   [[nodiscard]] std::set<core::FailureDomainId> Active() const;
   /// @brief All known states, withdrawn ones included.
   [[nodiscard]] std::vector<Evacuation> States() const;
 
  private:
+  struct DueWithdrawal {
+    Evacuation state_;
+    core::TimePoint at_;
+  };
+
   /// At most kMaxDomains.
   std::map<core::FailureDomainId, Evacuation> states_;
+  /// Withdrawals that are applied later; at most one a domain.
+  std::map<core::FailureDomainId, DueWithdrawal> due_;
 };
 
 }  // namespace chalkwell::config
--- a/packages/chalkwell/src/chalkwell/core/event.cpp
+++ b/packages/chalkwell/src/chalkwell/core/event.cpp
@@ -79,8 +79,9 @@
      "its writers write it again.",
      "Check that operators and endpoints have written their documents again."},
     {kListNotUsed, kInfo, "list-not-used",
-     "A list of endpoints that was read or received is older than the known "
-     "one; at most one line a second.",
+     "A list of endpoints, or another section of the configuration store, that "
+     "was read or received is older than the known one; at most one line a "
+     "second.",
      "None, if it occurs once; if it persists, compare the era and the "
      "revision of the store with the known ones."},
     {kPeerConnected, kInfo, "peer-connected", "A stream to a peer was opened.",
--- a/packages/chalkwell/src/chalkwell/membership/store_outage.hpp
+++ b/packages/chalkwell/src/chalkwell/membership/store_outage.hpp
@@ -30,6 +30,9 @@
   /// @brief A list was read from the store or received from another process.
   /// @param as_of when the store was queried for it.
   void OnListReceived(core::TimePoint as_of, core::TimePoint now) noexcept;
+  /// @brief The store returned from an older copy, which may lack rows of live
+  /// endpoints whether or not a read failed.
+  void OnStoreReturned(core::TimePoint now) noexcept { ended_at_ = now; }
   /// @brief Whether endpoints missing from the list may nevertheless be live.
   [[nodiscard]] bool LeasesMayHaveExpired(core::TimePoint now) const noexcept;
 
--- a/packages/chalkwell/src/chalkwell/routing/endpoint_choice.cpp
+++ b/packages/chalkwell/src/chalkwell/routing/endpoint_choice.cpp
@@ -120,7 +120,8 @@
   }
   const auto& endpoint = found->second;
   return MayBeSameIncarnation(endpoint.row_.incarnation(), incarnation) &&
-         !endpoint.row_.leaving_ && !IsEvacuated(endpoint.row_.domain_) &&
+         !endpoint.row_.leaving_ && now >= endpoint.held_until_ &&
+         !IsEvacuated(endpoint.row_.domain_) &&
          !IsExpired(endpoint, settings_.missing_row_grace_, now) &&
          incarnations_.IsCurrent(endpoint.row_.address_, incarnation);
 }
@@ -199,6 +200,7 @@
   // applied.
   const auto& row = endpoint.row_;
   if (row.service_ != request.service_ || row.leaving_ ||
+      now < endpoint.held_until_ ||
       IsExpired(endpoint, settings_.missing_row_grace_, now) ||
       !incarnations_.IsCurrent(row.address_, row.incarnation()) ||
       IsEvacuated(row.domain_) ||
--- a/packages/chalkwell/src/chalkwell/routing/endpoint_table.cpp
+++ b/packages/chalkwell/src/chalkwell/routing/endpoint_table.cpp
@@ -3,6 +3,7 @@
 #include "chalkwell/routing/endpoint_table.hpp"
 
 #include <algorithm>
+#include <functional>
 #include <utility>
 
 #include "chalkwell/core/milliseconds.hpp"
@@ -34,11 +35,51 @@
   return found == endpoints_.end() ? nullptr : &found->second;
 }
 
-void EndpointTable::ApplyList(std::vector<EndpointRow> rows,
+bool EndpointTable::IsOlder(const core::StoreRevision& revision) const {
+  if (faults_.ignore_era_) {
+    return revision.number_ < revision_.number_;
+  }
+  if (faults_.accept_older_era_ && revision.era_ < revision_.era_) {
+    return false;
+  }
+  return revision < revision_;
+}
+
+bool EndpointTable::Continues(const core::StoreRevision& from,
+                              const core::StoreRevision& to) const {
+  if (faults_.ignore_era_) {
+    return from.number_ <= revision_.number_;
+  }
+  return to.era_ == revision_.era_ && from <= revision_;
+}
+
+void EndpointTable::ConfirmAsOf(const core::StoreRevision& revision,
+                                core::TimePoint as_of) noexcept {
+  const bool confirms =
+      faults_.ignore_era_ ||
+      (revision.era_ == revision_.era_ && revision <= revision_);
+  if (confirms) {
+    as_of_ = std::max(as_of_, as_of);
+  }
+}
+
+void EndpointTable::OnStoreReturned(core::TimePoint now) {
+  as_of_ = {};
+  hold_restored_until_ = now + settings_.restored_row_hold_;
+}
+
+bool EndpointTable::ApplyList(std::vector<EndpointRow> rows,
                               core::StoreRevision revision, bool complete,
                               core::TimePoint now, core::TimePoint as_of) {
-  if (revision < revision_) {
-    return;
+  if (IsOlder(revision)) {
+    return false;
+  }
+  if (has_list() && revision.era_ != revision_.era_) {
+    OnStoreReturned(now);
+    // A row of this list is later than each row of an older era. The row of the
+    // current incarnation must precede those of earlier ones at its address.
+    std::ranges::stable_sort(rows, std::greater{},
+                             &EndpointRow::created_revision_);
   }
   revision_ = revision;
   for (auto& [id, endpoint] : endpoints_) {
@@ -54,6 +95,7 @@
   if (complete) {
     EraseUnlisted(as_of);
   }
+  return true;
 }
 
 bool EndpointTable::Endpoint::IsPreviousStart(
@@ -166,9 +208,13 @@
   auto& endpoint = found->second;
   endpoint.listed_ = true;
   endpoint.missing_since_.reset();
-  std::erase_if(removed_, [&](const EndpointIncarnation& removed) {
-    return MayBeSameIncarnation(removed, row.incarnation());
-  });
+  const auto was_removed =
+      std::erase_if(removed_, [&](const EndpointIncarnation& removed) {
+        return MayBeSameIncarnation(removed, row.incarnation());
+      }) > 0;
+  if (added && (was_removed || HasAnnouncedDraining(row.incarnation()))) {
+    endpoint.held_until_ = hold_restored_until_;
+  }
   if (row.leaving_) {
     RememberDraining(row.incarnation());
   }
@@ -199,14 +245,15 @@
 bool EndpointTable::ApplyChange(const EndpointListChange& change,
                                 core::TimePoint now) {
   // An incomplete list may be followed by a complete one of the same revision.
-  if (change.full_ && change.to_ >= revision_) {
-    ApplyList(change.rows_, change.to_, change.complete_, now, change.as_of_);
+  if (change.full_ && !IsOlder(change.to_)) {
+    (void)ApplyList(change.rows_, change.to_, change.complete_, now,
+                    change.as_of_);
     return true;
   }
-  if (change.to_ < revision_) {
+  if (IsOlder(change.to_)) {
     return true;
   }
-  if (change.from_ > revision_) {
+  if (!Continues(change.from_, change.to_)) {
     return false;
   }
   if (change.to_ > revision_) {
--- a/packages/chalkwell/src/chalkwell/routing/endpoint_table.hpp
+++ b/packages/chalkwell/src/chalkwell/routing/endpoint_table.hpp
@@ -141,6 +141,11 @@
   /// complete list requested at least this long after the announcement ends the
   /// grace period if it lacks the endpoint.
   core::Duration max_publish_delay_ = std::chrono::milliseconds(300);
+  /// A removed row that is listed again within this time after the store
+  /// returned from an older copy is not used until then: unless its endpoint
+  /// renews it, its lease expires meanwhile. A lease is 3.6 s; the rest is one
+  /// read of the list.
+  core::Duration restored_row_hold_ = std::chrono::milliseconds(4200);
   /// Half-life of recorded failures and delays.
   core::Duration failure_half_life_ = std::chrono::seconds(3);
   /// A wait for a first byte beyond this indicates that the endpoint or its
@@ -158,6 +163,9 @@
   bool ignore_slow_start_ = false;
   bool ignore_rate_limits_ = false;
   bool ignore_retry_times_ = false;
+  /// Compares revisions by their number alone.
+  bool ignore_era_ = false;
+  bool accept_older_era_ = false;
 };
 
 /// @brief An endpoint chosen for a request, with its predicted response time.
@@ -229,23 +237,26 @@
 
   /// @brief Applies the full published list.
   /// @param revision revision of the list; lists older than the known one are
-  /// ignored.
+  /// ignored. The first list of a newer era replaces the known one, except that
+  /// draining endpoints remain so and removed ones are not used for a while.
   /// @param complete false if leases may have lapsed during a store outage:
   /// missing rows are kept for the grace period.
   /// @param as_of the list includes everything published before this time; the
   /// clock's epoch if unknown.
-  void ApplyList(std::vector<EndpointRow> rows, core::StoreRevision revision,
+  /// @return whether the list was used.
+  bool ApplyList(std::vector<EndpointRow> rows, core::StoreRevision revision,
                  bool complete, core::TimePoint now,
                  core::TimePoint as_of = {});
   /// @brief Applies a change to the list, published by another process.
   /// @return false if the change starts after the known revision, so that the
   /// list must be read.
   bool ApplyChange(const EndpointListChange& change, core::TimePoint now);
-  /// @brief Records that the known list was still up to date at `as_of`: it
-  /// includes everything published before that time.
-  void ConfirmAsOf(core::TimePoint as_of) noexcept {
-    as_of_ = std::max(as_of_, as_of);
-  }
+  /// @brief Records that the known list includes everything published before
+  /// `as_of`, because a list of this era with the same or a lower revision was
+  /// current then. A list of another era confirms nothing.
+  /// @param revision of the list that was current at `as_of`.
+  void ConfirmAsOf(const core::StoreRevision& revision,
+                   core::TimePoint as_of) noexcept;
   /// @brief Applies an incarnation announced by its agent, which may not be
   /// listed yet.
   /// @param row row without a weights version, which load reports supply.
@@ -433,6 +444,8 @@
     /// weights only.
     core::Duration mean_wait_{};
     std::optional<core::TimePoint> missing_since_;
+    /// A removed row that the store's older copy contains is not used before.
+    core::TimePoint held_until_;
     SlowStartState slow_start_;
     /// Send times of this entry's last requests, newest last; at most
     /// kMaxShareRequests.
@@ -569,6 +582,14 @@
   void RememberDraining(const EndpointIncarnation& incarnation);
   [[nodiscard]] bool HasAnnouncedDraining(
       const EndpointIncarnation& incarnation) const;
+  /// @brief Whether a list or change leads to a state older than the known one.
+  [[nodiscard]] bool IsOlder(const core::StoreRevision& revision) const;
+  /// @brief Whether a change that begins at `from` and ends in the era of `to`
+  /// applies to the known list.
+  [[nodiscard]] bool Continues(const core::StoreRevision& from,
+                               const core::StoreRevision& to) const;
+  /// @brief A list of another era replaces the known one.
+  void OnStoreReturned(core::TimePoint now);
   void ApplyRow(EndpointRow row, core::TimePoint now);
   void EraseMissing(core::Duration grace, core::TimePoint now);
   /// @brief Erases announced endpoints that would be listed by now if they had
@@ -599,8 +620,10 @@
   std::deque<EndpointIncarnation> draining_;
   /// Revision of the known list; never decreases.
   core::StoreRevision revision_;
-  /// Never decreases.
+  /// Never decreases within an era.
   core::TimePoint as_of_;
+  /// Removed rows that are listed again before this time are held.
+  core::TimePoint hold_restored_until_;
   /// Time of the newest report of any endpoint.
   core::TimePoint latest_report_;
   std::set<core::FailureDomainId> evacuated_;
--- a/packages/chalkwell/src/chalkwell/routing/list_history.cpp
+++ b/packages/chalkwell/src/chalkwell/routing/list_history.cpp
@@ -28,7 +28,9 @@
 EndpointListChange ListHistory::OnRead(core::StoreRevision revision,
                                        std::vector<EndpointRow> rows,
                                        bool complete, core::TimePoint now) {
-  if (now - last_read_ > kMaxReadGap) {
+  // A change between two eras would lack what the store lost.
+  const bool returned = reads_.back().revision_.era_ != revision.era_;
+  if (now - last_read_ > kMaxReadGap || returned) {
     reads_.assign(1, Read{});
     consecutive_complete_reads_ = 0;
   }
--- a/packages/chalkwell/src/chalkwell/routing/list_history.hpp
+++ b/packages/chalkwell/src/chalkwell/routing/list_history.hpp
@@ -28,7 +28,7 @@
   /// configuration store.
   /// @return the change to publish; the full list if the last read was longer
   /// ago than kMaxReadGap (1.5 s), since others may meanwhile have published
-  /// rows that this process never saw.
+  /// rows that this process never saw, or of another era.
   EndpointListChange OnRead(core::StoreRevision revision,
                             std::vector<EndpointRow> rows, bool complete,
                             core::TimePoint now);
--- a/packages/daemon/src/daemon/direct/adapter.hpp
+++ b/packages/daemon/src/daemon/direct/adapter.hpp
@@ -143,11 +143,9 @@
   /// When the store was queried: the result was current at this time or later.
   /// Set by the process that made the call; the adapter leaves it unset.
   core::TimePoint as_of_;
-  /// Revision of the store when it replied.
+  /// Revision of the store when it replied. The era alone is set if the
+  /// response has no content.
   core::StoreRevision revision_;
-  /// Number of times that the store returned from an older copy of its data; 0
-  /// if the response does not state it.
-  std::uint64_t era_ = 0;
   std::optional<config::TrafficRules> rules_;
   /// The rules as published, undecoded, to be passed on to peers.
   std::string encoded_rules_;
@@ -175,14 +173,16 @@
   /// Reads a whole section.
   std::function<CancelCall(Section section, SnapshotHandler done)> read_;
   /// Waits for a change of a section after a revision. The result holds only
-  /// the changed values.
+  /// the changed values. Its era may differ from that of `after`: then changes
+  /// may be missing, and a full read is needed.
   std::function<CancelCall(Section section, core::StoreRevision after,
                            core::Duration wait, SnapshotHandler done)>
       watch_;
   /// Decodes rules received from another process.
   std::function<StoreSnapshot(const std::string& text)> decode_rules_;
   /// Decodes pages that another process read from the store.
-  std::function<StoreSnapshot(Section section,
+  /// @param era of the store when they were read.
+  std::function<StoreSnapshot(Section section, std::uint64_t era,
                               const std::vector<std::string>& pages)>
       decode_;
 };
--- a/packages/daemon/src/daemon/direct/direct_entry.cpp
+++ b/packages/daemon/src/daemon/direct/direct_entry.cpp
@@ -213,14 +213,15 @@
                    process.log(), process.metrics()),
       statements_(process.loop(), endpoints_, rate_limits_, mesh_,
                   process.log(), process.metrics()),
-      endpoint_list_(process.loop(), endpoints_, mesh_, process.log(),
-                     process.metrics(),
-                     EndpointListSettingsOf(process.settings()),
-                     {.read_ = [this] { reader_.ReadNow(Section::kEndpoints); },
-                      .is_known_service_ =
-                          [this](const std::string& service) {
-                            return rules_.empty() || rules_.HasService(service);
-                          }}),
+      endpoint_list_(
+          process.loop(), endpoints_, mesh_, process.log(), process.metrics(),
+          EndpointListSettingsOf(process.settings()),
+          {.read_ = [this] { reader_.ReadNow(Section::kEndpoints); },
+           .on_era_ = [this](std::uint64_t era) { reader_.OnEra(era); },
+           .is_known_service_ =
+               [this](const std::string& service) {
+                 return rules_.empty() || rules_.HasService(service);
+               }}),
       rules_manager_(
           process.loop(), adapter_.store_, reader_, mesh_, process.log(),
           process.metrics(),
@@ -303,8 +304,10 @@
   peer_server_ = std::make_unique<PeerServer>(
       loop, ParseAddress(settings.Text("listen", "peer")), kMaxPeerBody,
       [this](const PeerCallPtr& call) { OnPeerCall(call); });
-  relay_timer_.Every(kRelayInterval,
-                     [this] { ReadFromPeersIfStoreUnreachable(); });
+  relay_timer_.Every(kRelayInterval, [this] {
+    ReadFromPeersIfStoreUnreachable();
+    WithdrawDueEvacuations();
+  });
   process_.OnReload([this] { ApplySettings(); });
   process_.OnResume([this] { mesh_.QuerySeed(); });
   mesh_.Start();
@@ -412,7 +415,8 @@
 void DirectEntry::ApplyEvacuations(const StoreSnapshot& snapshot) {
   const bool changed =
       snapshot.whole_
-          ? evacuations_.ApplyAll(snapshot.evacuations_, snapshot.revision_)
+          ? evacuations_.ApplyAll(snapshot.evacuations_, snapshot.revision_,
+                                  process_.loop().Now())
           : evacuations_.Apply(snapshot.evacuations_);
   if (changed) {
     OnEvacuationsChanged(std::string(kStoreSource));
@@ -420,6 +424,13 @@
   }
 }
 
+void DirectEntry::WithdrawDueEvacuations() {
+  if (evacuations_.ApplyDue(process_.loop().Now())) {
+    OnEvacuationsChanged(std::string(kStoreSource));
+    mesh_.AnnounceVersions();
+  }
+}
+
 void DirectEntry::ApplyAnnouncedEvacuations(
     const std::vector<config::Evacuation>& evacuations) {
   if (!evacuations_.Apply(evacuations)) {
--- a/packages/daemon/src/daemon/direct/direct_entry.hpp
+++ b/packages/daemon/src/daemon/direct/direct_entry.hpp
@@ -64,6 +64,9 @@
                       const std::string& source);
   /// @brief Applies the evacuations that this process read from the store.
   void ApplyEvacuations(const StoreSnapshot& snapshot);
+  /// @brief Withdraws evacuations that were not published again after the store
+  /// returned from an older copy.
+  void WithdrawDueEvacuations();
   /// @brief Applies the evacuations that another process announced.
   void ApplyAnnouncedEvacuations(
       const std::vector<config::Evacuation>& evacuations);
--- a/packages/daemon/src/daemon/direct/endpoint_list.cpp
+++ b/packages/daemon/src/daemon/direct/endpoint_list.cpp
@@ -22,6 +22,8 @@
 constexpr auto kMaxTimerDelay = std::chrono::milliseconds(200);
 /// Minimum interval between two log lines about lists that were not used.
 constexpr auto kNotUsedLogInterval = std::chrono::seconds(1);
+/// Delay of the read that follows one of an older era.
+constexpr auto kReadAgainDelay = std::chrono::milliseconds(100);
 /// Hash key of the priority order of failure domains; any constant text.
 constexpr std::string_view kReadOrder = "read-list";
 
@@ -77,21 +79,25 @@
 }
 
 void EndpointList::ApplyRead(StoreSnapshot snapshot, bool from_store) {
-  RemoveUnknownServices(snapshot.endpoints_);
-  const auto now = loop_.Now();
-  const auto before = endpoints_.Rows();
   const std::string source(from_store ? "store" : "peer");
   if (snapshot.revision_ < endpoints_.store_revision()) {
-    LogNotUsed(snapshot.era_, snapshot.revision_.number_, source);
+    LogNotUsed(snapshot.revision_, source);
   }
-  if (from_store) {
-    era_ = snapshot.era_;
+  if (IsOfOlderEra(snapshot.revision_)) {
+    if (from_store) {
+      ReadAgainForWaitingTasks();
+    }
+    return;
   }
+  RemoveUnknownServices(snapshot.endpoints_);
+  const auto now = loop_.Now();
+  const auto before = endpoints_.Rows();
+  NoteEra(snapshot.revision_);
   outage_.OnListReceived(snapshot.as_of_, now);
   const bool complete = !outage_.LeasesMayHaveExpired(now);
-  endpoints_.ApplyList(snapshot.endpoints_, snapshot.revision_, complete, now,
-                       snapshot.as_of_);
-  endpoints_.ConfirmAsOf(snapshot.as_of_);
+  (void)endpoints_.ApplyList(snapshot.endpoints_, snapshot.revision_, complete,
+                             now, snapshot.as_of_);
+  endpoints_.ConfirmAsOf(snapshot.revision_, snapshot.as_of_);
   const auto after = endpoints_.Rows();
   if (before != after) {
     LogChange(source);
@@ -104,6 +110,28 @@
   }
 }
 
+bool EndpointList::IsOfOlderEra(const core::StoreRevision& revision) const {
+  return endpoints_.has_list() &&
+         revision.era_ < endpoints_.store_revision().era_;
+}
+
+void EndpointList::NoteEra(const core::StoreRevision& revision) {
+  if (!endpoints_.has_list() ||
+      revision.era_ <= endpoints_.store_revision().era_) {
+    return;
+  }
+  outage_.OnStoreReturned(loop_.Now());
+  hooks_.on_era_(revision.era_);
+}
+
+void EndpointList::ReadAgainForWaitingTasks() {
+  loop_.After(kReadAgainDelay, [this] {
+    if (!waiting_tasks_.empty()) {
+      hooks_.read_();
+    }
+  });
+}
+
 bool EndpointList::IsStale() const {
   const auto now = loop_.Now();
   const bool reads_too_slow = wait_expired_at_ > endpoints_.as_of() &&
@@ -249,21 +277,25 @@
 bool EndpointList::ApplyMessage(const membership::Member& sender,
                                 const EndpointListMessage& message,
                                 core::TimePoint sent_at) {
-  const auto before = endpoints_.Rows();
   auto change = ToChange(message, sent_at);
+  if (change.to_ < endpoints_.store_revision()) {
+    LogNotUsed(change.to_, sender.id_.value());
+  }
+  if (IsOfOlderEra(change.to_)) {
+    return true;
+  }
+  const auto before = endpoints_.Rows();
+  NoteEra(change.to_);
   // A sender that started during an outage does not know of it, and marks the
   // list as complete.
   outage_.OnListReceived(change.as_of_, loop_.Now());
   change.complete_ =
       change.complete_ && !outage_.LeasesMayHaveExpired(loop_.Now());
-  if (change.to_ < endpoints_.store_revision()) {
-    LogNotUsed(0, change.to_.number_, sender.id_.value());
-  }
   // The rows of a change that is to be fetched are known already.
   if (!message.fetch_ && !endpoints_.ApplyChange(change, loop_.Now())) {
     return false;
   }
-  endpoints_.ConfirmAsOf(change.as_of_);
+  endpoints_.ConfirmAsOf(change.to_, change.as_of_);
   reader_role_.OnPeerRead(change.as_of_);
   if (before != endpoints_.Rows()) {
     LogChange(sender.id_.value());
@@ -272,7 +304,7 @@
   return true;
 }
 
-void EndpointList::LogNotUsed(std::uint64_t era, std::uint64_t revision,
+void EndpointList::LogNotUsed(const core::StoreRevision& revision,
                               const std::string& source) {
   metrics_.Count("endpoint_lists_not_used_total",
                  {{"source", source == "store" ? "store" : "peer"}});
@@ -282,9 +314,9 @@
   }
   not_used_logged_at_ = now;
   log_.Write(core::EventNumber::kListNotUsed,
-             {{"era", std::to_string(era)},
-              {"revision", std::to_string(revision)},
-              {"known_era", std::to_string(era_)},
+             {{"era", std::to_string(revision.era_)},
+              {"revision", std::to_string(revision.number_)},
+              {"known_era", std::to_string(endpoints_.store_revision().era_)},
               {"known_revision", std::to_string(endpoints_.revision())},
               {"source", source}});
 }
@@ -296,7 +328,8 @@
   const auto leaving =
       std::ranges::count_if(rows, &routing::EndpointRow::leaving_);
   log_.Write(core::EventNumber::kEndpointsChanged,
-             {{"revision", std::to_string(endpoints_.revision())},
+             {{"era", std::to_string(endpoints_.store_revision().era_)},
+              {"revision", std::to_string(endpoints_.revision())},
               {"endpoints", std::to_string(rows.size())},
               {"leaving", std::to_string(leaving)},
               {"age_ms", std::to_string(age.count())},
--- a/packages/daemon/src/daemon/direct/endpoint_list.hpp
+++ b/packages/daemon/src/daemon/direct/endpoint_list.hpp
@@ -35,6 +35,8 @@
 struct EndpointListHooks {
   /// Reads the list now.
   std::function<void()> read_;
+  /// The store is in a newer era than the known list.
+  std::function<void(std::uint64_t era)> on_era_;
   /// Whether the active rules define a service.
   std::function<bool(const std::string& service)> is_known_service_;
 };
@@ -84,7 +86,8 @@
  private:
   /// @brief Applies a list or a change of it, received from a peer.
   /// @param sent_at not later than its sending, by the local clock.
-  /// @return false if the change starts after the known revision.
+  /// @return false if the change starts after the known revision. True for a
+  /// list of an older era, which needs no other one in its place.
   bool ApplyMessage(const membership::Member& sender,
                     const EndpointListMessage& message,
                     core::TimePoint sent_at);
@@ -115,8 +118,15 @@
   /// @brief Logs and counts a list that was not used because the known one is
   /// newer.
   /// @param source as of LogChange().
-  void LogNotUsed(std::uint64_t era, std::uint64_t revision,
+  void LogNotUsed(const core::StoreRevision& revision,
                   const std::string& source);
+  /// @brief Whether a list is of an older era than the known one: it is not
+  /// used and confirms nothing.
+  [[nodiscard]] bool IsOfOlderEra(const core::StoreRevision& revision) const;
+  /// @brief Records that a list is of a newer era than the known one.
+  void NoteEra(const core::StoreRevision& revision);
+  /// @brief Reads the list again for the waiting tasks, after a delay.
+  void ReadAgainForWaitingTasks();
   void RemoveUnknownServices(std::vector<routing::EndpointRow>& rows);
 
   Loop& loop_;
@@ -130,8 +140,6 @@
   core::TimePoint read_failure_published_at_;
   /// When a list that was not used was last logged.
   core::TimePoint not_used_logged_at_;
-  /// Era of the store as of the last list that this process read.
-  std::uint64_t era_ = 0;
   membership::ReaderRole reader_role_;
   membership::StoreOutage outage_;
   Timer wait_timer_;
--- a/packages/daemon/src/daemon/direct/published_reader.cpp
+++ b/packages/daemon/src/daemon/direct/published_reader.cpp
@@ -16,6 +16,8 @@
 constexpr std::size_t kMaxLoggedErrors = 8;
 /// Interval between two log lines with the numbers of calls to the store.
 constexpr auto kCallLogInterval = std::chrono::seconds(10);
+/// Minimum interval between two log lines about responses of an older era.
+constexpr auto kOlderEraLogInterval = std::chrono::seconds(1);
 /// Interval of checking whether a poll is due: its due time may move forward.
 constexpr auto kPollCheckInterval = std::chrono::milliseconds(200);
 
@@ -83,6 +85,7 @@
 }
 
 void PublishedReader::AdvanceTo(Section section, core::StoreRevision revision) {
+  era_ = std::max(era_, revision.era_);
   const auto found = tasks_.find(section);
   if (found == tasks_.end() || found->second.revision_ >= revision) {
     return;
@@ -163,17 +166,62 @@
   if (snapshot.outcome_ == ReadOutcome::kUnreachable) {
     return;
   }
-  const auto revision = std::exchange(last_revision_, snapshot.revision_);
-  const auto era = std::exchange(era_, snapshot.era_);
-  metrics_.Set("store_era", {}, static_cast<double>(snapshot.era_));
-  if (era && *era != snapshot.era_) {
+  const auto& revision = snapshot.revision_;
+  if (revision.era_ < era_) {
+    const auto now = loop_.Now();
+    if (now - older_era_logged_at_ >= kOlderEraLogInterval) {
+      older_era_logged_at_ = now;
+      log_.Write(core::EventNumber::kListNotUsed,
+                 {{"section", std::string(ToString(section))},
+                  {"era", std::to_string(revision.era_)},
+                  {"revision", std::to_string(revision.number_)},
+                  {"known_era", std::to_string(era_)},
+                  {"known_revision", std::to_string(last_revision_.number_)},
+                  {"source", "store"}});
+    }
+    return;
+  }
+  const auto before = last_revision_;
+  const bool returned =
+      before != core::StoreRevision() && before.era_ < revision.era_;
+  if (revision.known() || returned) {
+    last_revision_ = revision;
+  }
+  if (returned) {
     log_.Write(core::EventNumber::kStoreEraChanged,
-               {{"from", std::to_string(*era)},
-                {"to", std::to_string(snapshot.era_)},
-                {"revision_before", std::to_string(revision.number_)},
-                {"revision", std::to_string(snapshot.revision_.number_)},
+               {{"from", std::to_string(before.era_)},
+                {"to", std::to_string(revision.era_)},
+                {"revision_before", std::to_string(before.number_)},
+                {"revision", std::to_string(revision.number_)},
                 {"section", std::string(ToString(section))}});
   }
+  metrics_.Set("store_era", {}, static_cast<double>(revision.era_));
+  OnEra(revision.era_);
+}
+
+void PublishedReader::OnEra(std::uint64_t era) {
+  if (era <= era_) {
+    return;
+  }
+  era_ = era;
+  for (auto& [section, task] : tasks_) {
+    if (!task.watched_ || !task.revision_.known() ||
+        task.revision_.era_ >= era) {
+      // The response to a full read in flight states its era itself.
+      continue;
+    }
+    task.revision_ = {};
+    if (task.active_ && task.call_pending_) {
+      CancelCallInFlight(task);
+      StartCall(task);
+    }
+  }
+}
+
+bool PublishedReader::BreaksWatch(const core::StoreRevision& after,
+                                  const StoreSnapshot& snapshot) {
+  return snapshot.outcome_ != ReadOutcome::kUnreachable && after.known() &&
+         snapshot.revision_.era_ != after.era_;
 }
 
 void PublishedReader::CountResponse(Section section,
@@ -244,9 +292,22 @@
 }
 
 void PublishedReader::OnResponse(Task& task, const StoreSnapshot& snapshot) {
+  const auto after = task.revision_;
+  const bool first = !after.known();
   CountResponse(task.section_, snapshot);
   LogDecodeErrors(task.section_, snapshot.decode_errors_);
-  const bool first = !task.revision_.known();
+  const bool older_era = task.watched_ &&
+                         snapshot.outcome_ != ReadOutcome::kUnreachable &&
+                         snapshot.revision_.era_ < era_;
+  if (older_era || (task.watched_ && BreaksWatch(after, snapshot))) {
+    // Read again in full; with a delay if the response was of an older era,
+    // because the next one may be, too.
+    SetReachable(true);
+    task.revision_ = {};
+    task.failed_ = false;
+    Schedule(task, !older_era, false);
+    return;
+  }
   switch (snapshot.outcome_) {
     case ReadOutcome::kRead:
       SetReachable(true);
--- a/packages/daemon/src/daemon/direct/published_reader.hpp
+++ b/packages/daemon/src/daemon/direct/published_reader.hpp
@@ -52,6 +52,10 @@
   /// cancelled, since its response may fill the link with data that is known
   /// already.
   void AdvanceTo(Section section, core::StoreRevision revision);
+  /// @brief The store is in this era, as known from a response or a peer. If it
+  /// is newer than the known one, watched sections are read again in full: the
+  /// store may pass a revision that is known already.
+  void OnEra(std::uint64_t era);
   /// @brief Reads a section periodically.
   /// @param interval supplies the interval between two reads; it is evaluated
   /// anew at each check, also while reads fail.
@@ -119,8 +123,12 @@
   /// error changes or disappears.
   void LogDecodeErrors(Section section, const std::vector<std::string>& errors);
   void CountResponse(Section section, const StoreSnapshot& snapshot);
-  /// @brief Logs a change of the store's era.
+  /// @brief Logs a change of the store's era, or a response of an older one.
   void NoteEra(Section section, const StoreSnapshot& snapshot);
+  /// @brief Whether the response to a watch can't be applied to what is known
+  /// as of the revision after which the watch was started.
+  [[nodiscard]] static bool BreaksWatch(const core::StoreRevision& after,
+                                        const StoreSnapshot& snapshot);
   void SetReachable(bool reachable);
 
   Loop& loop_;
@@ -136,9 +144,12 @@
   std::uint64_t last_read_number_ = 0;
   /// Decoding errors of the last response, by section.
   std::map<Section, std::set<std::string>> decode_errors_;
-  /// Era and revision of the last response; none before the first.
-  std::optional<std::uint64_t> era_;
+  /// Highest known era of the store; never decreases.
+  std::uint64_t era_ = 0;
+  /// Revision of the last response of that era; none before the first.
   core::StoreRevision last_revision_;
+  /// When a response of an older era was last logged.
+  core::TimePoint older_era_logged_at_;
   bool reachable_ = false;
   core::TimePoint reachable_since_;
   core::TimePoint last_read_;
--- a/packages/daemon/src/daemon/direct/published_relay.cpp
+++ b/packages/daemon/src/daemon/direct/published_relay.cpp
@@ -104,7 +104,10 @@
   const auto response = Unpack<PublishedResponse>(*packed, peer);
   for (const auto& [number, pages] : response.pages_) {
     const auto section = static_cast<Section>(number);
-    auto snapshot = store_.decode_(section, pages);
+    const auto revision = response.revisions_.find(number);
+    const auto era =
+        revision == response.revisions_.end() ? 0 : revision->second.era_;
+    auto snapshot = store_.decode_(section, era, pages);
     if (snapshot.outcome_ != ReadOutcome::kRead) {
       continue;
     }
--- a/tests/daemon/mesh_messages_test.cpp
+++ b/tests/daemon/mesh_messages_test.cpp
@@ -5,6 +5,7 @@
 #include <catch2/catch.hpp>
 #include <limits>
 
+#include "daemon/direct/published_relay.hpp"
 #include "daemon/messages.hpp"
 
 namespace chalkwell::daemon::direct {
@@ -67,6 +68,48 @@
         std::max(change.as_of_, sent_at + 1500us - 1h));
 }
 
+TEST_CASE("an endpoint list keeps its revisions with their era", "[daemon]") {
+  routing::EndpointListChange sent;
+  sent.from_ = core::StoreRevision(3, 860);
+  sent.to_ = core::StoreRevision(3, 905);
+  sent.rows_.emplace_back();
+  sent.rows_.front().created_revision_ = core::StoreRevision(3, 41);
+  const core::TimePoint now(5h);
+  const auto message =
+      Unpack<EndpointListMessage>(Pack(ToMessage(sent, now)), "peer");
+  const auto received = ToChange(message, now);
+  CHECK(received.from_ == sent.from_);
+  CHECK(received.to_ == sent.to_);
+  REQUIRE(received.rows_.size() == 1);
+  CHECK(received.rows_.front() == sent.rows_.front());
+}
+
+TEST_CASE("an evacuation keeps its revision with its era", "[daemon]") {
+  const config::Evacuation sent{core::FailureDomainId("a"), true,
+                                core::StoreRevision(3, 860)};
+  CHECK(ToEvacuation(
+            Unpack<EvacuationMessage>(Pack(ToMessage(sent)), "peer")) == sent);
+}
+
+TEST_CASE("a revision without an era is of era 0", "[daemon]") {
+  const std::vector<std::uint64_t> number_only{860};
+  CHECK(ToRevision(Unpack<StoreRevisionMessage>(Pack(number_only), "peer")) ==
+        core::StoreRevision(0, 860));
+}
+
+TEST_CASE("published sections keep their revisions with their era",
+          "[daemon]") {
+  PublishedRequest request;
+  request.known_[2] = ToMessage(core::StoreRevision(3, 860));
+  const auto known = Unpack<PublishedRequest>(Pack(request), "peer").known_;
+  CHECK(ToRevision(known.at(2)) == core::StoreRevision(3, 860));
+  PublishedResponse response;
+  response.revisions_[2] = ToMessage(core::StoreRevision(4, 7));
+  const auto revisions =
+      Unpack<PublishedResponse>(Pack(response), "peer").revisions_;
+  CHECK(ToRevision(revisions.at(2)) == core::StoreRevision(4, 7));
+}
+
 TEST_CASE("a rate limit keeps its age, and an invalid one is dropped",
           "[daemon]") {
   struct Row {
--- a/tests/membership/store_outage_test.cpp
+++ b/tests/membership/store_outage_test.cpp
@@ -64,5 +64,17 @@
   CHECK_FALSE(outage.LeasesMayHaveExpired(kStart + 4s));
 }
 
+TEST_CASE("a store that returned from an older copy may lack live endpoints",
+          "[membership][era]") {
+  // No read failed: the store was away for less than an interval between reads.
+  StoreOutage outage({});
+  outage.OnListReceived(kStart, kStart);
+  outage.OnListReceived(kStart + 600ms, kStart + 600ms);
+  CHECK_FALSE(outage.LeasesMayHaveExpired(kStart + 600ms));
+  outage.OnStoreReturned(kStart + 600ms);
+  CHECK(outage.LeasesMayHaveExpired(kStart + 3s));
+  CHECK_FALSE(outage.LeasesMayHaveExpired(kStart + 3100ms));
+}
+
 }  // namespace
 }  // namespace chalkwell::membership
--- a/tests/platform/foreign_rows_test.cpp
+++ b/tests/platform/foreign_rows_test.cpp
@@ -61,7 +61,7 @@
   daemon::HttpClient http(loop, 1s);
   const auto store = platform::MakeStoreClient(http, {"127.0.0.1", 1});
   const json page{{"items", items}, {"morePages", false}, {"asOf", 42}};
-  return store.decode_(Section::kEndpoints, {page.dump()});
+  return store.decode_(Section::kEndpoints, 0, {page.dump()});
 }
 
 TEST_CASE("a malformed row is skipped and the other rows are decoded",
--- a/tests/routing/endpoint_table_test.cpp
+++ b/tests/routing/endpoint_table_test.cpp
@@ -440,6 +440,169 @@
   }
 }
 
+core::StoreRevision Revision(std::uint64_t era, std::uint64_t number) {
+  return core::StoreRevision(era, number);
+}
+
+TEST_CASE("a list of a store that returned is not taken for an older one",
+          "[routing][era]") {
+  struct Case {
+    core::StoreRevision known_;
+    core::StoreRevision list_;
+    bool used_;
+  };
+  const auto row = GENERATE(Case{Revision(1, 9), Revision(1, 8), false},
+                            Case{Revision(1, 9), Revision(1, 9), true},
+                            Case{Revision(1, 9), Revision(2, 5), true},
+                            Case{Revision(1, 9), Revision(2, 12), true},
+                            Case{Revision(2, 5), Revision(1, 9), false},
+                            Case{Revision(2, 5), Revision(3, 1), true},
+                            Case{Revision(0, 9), Revision(1, 5), true},
+                            Case{Revision(1, 5), Revision(0, 9), false});
+  CAPTURE(row.known_.era_, row.known_.number_, row.list_.era_,
+          row.list_.number_);
+  EndpointTable table({.domain_ = core::FailureDomainId("near")}, 1);
+  CHECK(table.ApplyList({Row("a")}, row.known_, true, kStart));
+  CHECK(table.ApplyList({Row("b")}, row.list_, true, kStart) == row.used_);
+  REQUIRE(table.size() == 1);
+  CHECK(table.Rows().front().id_.value() == (row.used_ ? "b" : "a"));
+  CHECK(table.store_revision() == (row.used_ ? row.list_ : row.known_));
+}
+
+TEST_CASE("a list that is not used does not make the known one look fresh",
+          "[routing][era]") {
+  struct Case {
+    core::StoreRevision read_;
+    bool confirms_;
+  };
+  // A list of the same era that is older is included in the known one.
+  const auto row =
+      GENERATE(Case{Revision(2, 9), true}, Case{Revision(2, 7), true},
+               Case{Revision(2, 12), false}, Case{Revision(1, 9), false},
+               Case{Revision(1, 20), false}, Case{Revision(3, 5), false});
+  CAPTURE(row.read_.era_, row.read_.number_);
+  EndpointTable table({.domain_ = core::FailureDomainId("near")}, 1);
+  table.ApplyList({Row("a")}, Revision(2, 9), true, kStart);
+  table.ConfirmAsOf(Revision(2, 9), kStart);
+  table.ConfirmAsOf(row.read_, kStart + 1s);
+  CHECK(table.as_of() == (row.confirms_ ? kStart + 1s : kStart));
+}
+
+TEST_CASE("a list of a newer era is not confirmed by reads of the older one",
+          "[routing][era]") {
+  EndpointTable table({.domain_ = core::FailureDomainId("near")}, 1);
+  table.ApplyList({Row("a")}, Revision(1, 9), true, kStart);
+  table.ConfirmAsOf(Revision(1, 9), kStart + 2s);
+  table.ApplyList({Row("a")}, Revision(2, 5), true, kStart + 3s);
+  table.ConfirmAsOf(Revision(2, 5), kStart + 1s);
+  CHECK(table.as_of() == kStart + 1s);
+}
+
+TEST_CASE("a change is not applied to a list of another era",
+          "[routing][era]") {
+  struct Case {
+    std::string name_;
+    core::StoreRevision from_;
+    core::StoreRevision to_;
+    bool full_;
+    /// False if the list must be fetched.
+    bool done_;
+    std::size_t endpoints_;
+  };
+  const auto row = GENERATE(
+      Case{"same era", Revision(2, 3), Revision(2, 7), false, true, 2},
+      Case{"older era", Revision(1, 3), Revision(1, 9), false, true, 1},
+      Case{"newer era", Revision(3, 2), Revision(3, 4), false, false, 1},
+      Case{"between two eras", Revision(2, 5), Revision(3, 7), false, false, 1},
+      Case{"full list of a newer era", {}, Revision(3, 4), true, true, 2},
+      Case{"full list of an older era", {}, Revision(1, 9), true, true, 1});
+  CAPTURE(row.name_);
+  EndpointTable table({.domain_ = core::FailureDomainId("near")}, 1);
+  table.ApplyList({Row("a")}, Revision(2, 5), true, kStart);
+  EndpointListChange change;
+  change.from_ = row.from_;
+  change.to_ = row.to_;
+  change.full_ = row.full_;
+  change.rows_ = {Row("a"), Row("b")};
+  CHECK(table.ApplyChange(change, kStart) == row.done_);
+  CHECK(table.size() == row.endpoints_);
+}
+
+TEST_CASE("an endpoint that left is not used because an older copy lists it",
+          "[routing][era]") {
+  struct Case {
+    std::string name_;
+    std::function<void(EndpointTable&)> leave_;
+    /// Era of the list that has it again, and when that list is applied.
+    std::uint64_t era_;
+    core::Duration listed_after_;
+    /// Time since then at which it is chosen.
+    core::Duration after_;
+    bool used_;
+  };
+  const auto drain = [](EndpointTable& table) {
+    table.MarkLeaving({core::InstanceId("a"), std::nullopt});
+  };
+  const auto remove = [](EndpointTable& table) {
+    table.ApplyList({Row("b")}, Revision(1, 9), true, kStart);
+  };
+  const auto drain_and_remove = [=](EndpointTable& table) {
+    drain(table);
+    remove(table);
+  };
+  const auto row = GENERATE_COPY(
+      Case{"draining", drain, 2, 0ms, 0ms, false},
+      Case{"draining, much later", drain, 2, 0ms, 60s, false},
+      Case{"removed", remove, 2, 0ms, 0ms, false},
+      Case{"removed, before its lease expires", remove, 2, 0ms, 4100ms, false},
+      Case{"removed, its row was renewed", remove, 2, 0ms, 4200ms, true},
+      Case{"removed, listed a while after the return", remove, 2, 2s, 2100ms,
+           false},
+      Case{"removed, listed later", remove, 2, 4200ms, 0ms, true},
+      Case{"drained and removed", drain_and_remove, 2, 0ms, 4100ms, false},
+      Case{"listed again without a return", remove, 1, 0ms, 0ms, true});
+  CAPTURE(row.name_);
+  EndpointTable table({.domain_ = core::FailureDomainId("near")}, 1);
+  table.ApplyList({Row("a"), Row("b")}, Revision(1, 8), true, kStart);
+  row.leave_(table);
+  if (row.listed_after_ > 0ms) {
+    table.ApplyList({Row("b")}, Revision(row.era_, 5), true, kStart);
+  }
+  const auto listed_at = kStart + row.listed_after_;
+  table.ApplyList({Row("a"), Row("b")}, Revision(row.era_, 10), true,
+                  listed_at);
+  const auto engine = Engine();
+  const ChoiceRequest request{.service_ = "pool",
+                              .engine_ = &engine,
+                              .tried_ = {core::InstanceId("b")}};
+  CHECK(Chosen(table, request, listed_at + row.after_) ==
+        (row.used_ ? "a" : ""));
+  CHECK(table.AcceptsRequests({core::InstanceId("a"), std::nullopt},
+                              listed_at + row.after_) == row.used_);
+}
+
+TEST_CASE("a return of the store does not make an earlier incarnation current",
+          "[routing][era]") {
+  const auto row = [](const std::string& id, std::uint64_t era,
+                      std::uint64_t created) {
+    auto created_row = Row(id);
+    created_row.address_ = "shared:1";
+    created_row.created_revision_ = Revision(era, created);
+    return created_row;
+  };
+  EndpointTable table({.domain_ = core::FailureDomainId("near")}, 1);
+  table.ApplyList({row("z", 1, 6), row("a", 1, 5)}, Revision(1, 9), true,
+                  kStart);
+  table.ApplyList({row("a", 2, 5), row("z", 2, 6)}, Revision(2, 7), true,
+                  kStart);
+  const auto engine = Engine();
+  CHECK(Chosen(table, {.service_ = "pool", .engine_ = &engine}, kStart) == "z");
+  table.ApplyList({row("a", 2, 5), row("new", 2, 8)}, Revision(2, 8), true,
+                  kStart);
+  CHECK(Chosen(table, {.service_ = "pool", .engine_ = &engine}, kStart) ==
+        "new");
+}
+
 TEST_CASE("the wait for a free slot is predicted", "[routing]") {
   auto table = Table({Row("a")});
   const auto engine = Engine();
--- a/tests/routing/incarnation_table_test.cpp
+++ b/tests/routing/incarnation_table_test.cpp
@@ -14,8 +14,8 @@
   return core::StartTime(time);
 }
 
-core::StoreRevision Created(std::uint64_t revision) {
-  return core::StoreRevision(1, revision);
+core::StoreRevision Created(std::uint64_t revision, std::uint64_t era = 1) {
+  return core::StoreRevision(era, revision);
 }
 
 // Incarnations of two ids, with unknown start times.
@@ -53,6 +53,18 @@
              table.OnRow(kAddress, kOld, Created(5));
            },
            false, true},
+      Case{"newer row at a revision that the store passed again",
+           [](auto& table) {
+             table.OnRow(kAddress, kOld, Created(9));
+             table.OnRow(kAddress, kNew, Created(5, 2));
+           },
+           false, true},
+      Case{"row of the older era read late",
+           [](auto& table) {
+             table.OnRow(kAddress, kNew, Created(5, 2));
+             table.OnRow(kAddress, kOld, Created(9));
+           },
+           false, true},
       Case{"announced before its row is seen",
            [](auto& table) {
              table.OnRow(kAddress, kOld, Created(5));
--- a/tests/routing/list_history_test.cpp
+++ b/tests/routing/list_history_test.cpp
@@ -140,6 +140,29 @@
   CHECK(change.removed_.front().value() == "b");
 }
 
+TEST_CASE("no change spans two eras of the store", "[routing][era]") {
+  struct Row {
+    core::StoreRevision revision_;
+    bool full_;
+  };
+  const auto row = GENERATE(Row{core::StoreRevision(1, 7), false},
+                            Row{core::StoreRevision(2, 4), true},
+                            Row{core::StoreRevision(2, 9), true},
+                            Row{core::StoreRevision(0, 9), true});
+  CAPTURE(row.revision_.era_, row.revision_.number_);
+  ListHistory history;
+  for (std::uint64_t read = 1; read <= 6; ++read) {
+    (void)history.OnRead(core::StoreRevision(1, read), Rows({"a", "b"}), true,
+                         At(read));
+  }
+  const auto change = history.OnRead(row.revision_, Rows({"a"}), true, At(7));
+  CHECK(change.full_ == row.full_);
+  CHECK(change.from_.known() != row.full_);
+  CHECK(change.to_ == row.revision_);
+  CHECK(change.rows_.size() == (row.full_ ? 1 : 0));
+  CHECK(change.removed_.size() == (row.full_ ? 0 : 1));
+}
+
 TEST_CASE("a receiver of at least every third message has the current list",
           "[routing]") {
   CHECK(rc::check([](std::uint32_t seed) {
