Abandon silent attempts on weights that became outdated

A request that waited at an engine on older weights ran there after the version bound.

Cause: an attempt is held against the version constraint of when it was sent. While it was abandoned as silent after some 1.2 s, a version published in between could not matter; since silent attempts go on, it does. Now the first constraint that limits the attempt's version counts, also one that came later.

--- a/packages/chalkwell/src/chalkwell/routing/first_byte_timeout.cpp
+++ b/packages/chalkwell/src/chalkwell/routing/first_byte_timeout.cpp
@@ -47,10 +47,11 @@
 
 std::optional<core::TimePoint> LatestStart(const PendingAttempt& attempt) {
   const auto& constraint = attempt.version_constraint_;
-  const bool older_version =
-      attempt.weights_version_ &&
-      *attempt.weights_version_ < constraint.next_min_version_;
-  return older_version
+  const auto version = attempt.weights_version_;
+  if (version && *version < constraint.min_version_) {
+    return attempt.sent_at_;
+  }
+  return version && *version < constraint.next_min_version_
              ? std::optional(constraint.next_min_at_ + kOlderVersionGrace)
              : std::nullopt;
 }
--- a/packages/chalkwell/src/chalkwell/routing/first_byte_timeout.hpp
+++ b/packages/chalkwell/src/chalkwell/routing/first_byte_timeout.hpp
@@ -21,7 +21,8 @@
   bool on_time_ = true;
   /// Version of the weights it starts on; none for services without weights.
   std::optional<std::uint64_t> weights_version_;
-  /// The version constraint that was in force when the attempt was sent.
+  /// The first version constraint that limits its version, from when the
+  /// attempt was sent on.
   VersionConstraint version_constraint_;
   /// Its endpoint is unresponsive while others are not.
   bool unresponsive_ = false;
--- a/packages/daemon/src/daemon/direct/direct_attempt.hpp
+++ b/packages/daemon/src/daemon/direct/direct_attempt.hpp
@@ -25,7 +25,8 @@
   core::TimePoint sent_at_;
   /// When the last bytes of the response arrived; `sent_at_` before the first.
   core::TimePoint last_data_at_;
-  /// Constraint on the weights version when the endpoint was chosen.
+  /// Constraint on the weights version when the endpoint was chosen; replaced
+  /// while it does not limit the version of the endpoint.
   routing::VersionConstraint version_constraint_;
   Span span_;
   /// Null once the call has ended.
--- a/packages/daemon/src/daemon/direct/direct_request.cpp
+++ b/packages/daemon/src/daemon/direct/direct_request.cpp
@@ -295,8 +295,7 @@
                                     attempt.choice_.row_.incarnation(), now);
 }
 
-routing::PendingAttempt DirectRequest::PendingStateOf(
-    const Attempt& attempt) const {
+routing::PendingAttempt DirectRequest::PendingStateOf(Attempt& attempt) const {
   routing::PendingAttempt pending;
   pending.target_latency_ = request_.route_.target_latency_;
   pending.predicted_time_to_first_byte_ = attempt.choice_.time_to_first_byte_;
@@ -307,6 +306,11 @@
   if (request_.engine_) {
     pending.weights_version_ = attempt.choice_.row_.weights_version_;
     pending.version_constraint_ = attempt.version_constraint_;
+    if (!routing::LatestStart(pending)) {
+      attempt.version_constraint_ =
+          context_.version_constraint_(request_.engine_->model_);
+      pending.version_constraint_ = attempt.version_constraint_;
+    }
   }
   return pending;
 }
--- a/packages/daemon/src/daemon/direct/direct_request.hpp
+++ b/packages/daemon/src/daemon/direct/direct_request.hpp
@@ -112,8 +112,9 @@
   /// @brief Checks an attempt that awaits its first byte, and schedules the
   /// next check.
   void CheckFirstByte(const AttemptPtr& attempt);
-  [[nodiscard]] routing::PendingAttempt PendingStateOf(
-      const Attempt& attempt) const;
+  /// @brief State of an attempt that awaits its first byte. A version that was
+  /// published since it was sent limits it, too.
+  [[nodiscard]] routing::PendingAttempt PendingStateOf(Attempt& attempt) const;
   /// @brief Checks a stream that awaits its next event, and schedules the next
   /// check.
   void CheckEventGap(const AttemptPtr& attempt);
--- a/tests/platform/deployment.cpp
+++ b/tests/platform/deployment.cpp
@@ -197,9 +197,11 @@
 }
 
 std::string RequestText(const std::string& path, const std::string& key,
-                        const std::string& extra, const std::string& body) {
+                        const std::string& extra, const std::string& body,
+                        int deadline_ms) {
   return "POST " + path + " HTTP/1.1\r\nhost: h\r\nattempt-id: a1\r\n" +
-         "deadline-ms: 3000\r\ntenant: forged\r\nauthorization: Bearer " + key +
+         "deadline-ms: " + std::to_string(deadline_ms) +
+         "\r\ntenant: forged\r\nauthorization: Bearer " + key +
          "\r\nconnection: close\r\n" + extra +
          "content-length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
 }
--- a/tests/platform/deployment.hpp
+++ b/tests/platform/deployment.hpp
@@ -126,7 +126,8 @@
 [[nodiscard]] std::string RequestText(const std::string& path,
                                       const std::string& key = "k1",
                                       const std::string& extra = "",
-                                      const std::string& body = "body");
+                                      const std::string& body = "body",
+                                      int deadline_ms = 3000);
 /// @brief Sends a request to an entry and reads the response until the
 /// connection closes.
 [[nodiscard]] std::string SendRequest(const Node& node,
--- a/tests/platform/version_bound_test.cpp
+++ b/tests/platform/version_bound_test.cpp
@@ -3,9 +3,11 @@
 // Entries counted the bound from when they learned of a version. Entries that
 // restarted 8.5 s after its publication sent requests to older weights for four
 // more seconds, while the others refused them.
+#include <atomic>
 #include <catch2/catch.hpp>
 #include <regex>
 
+#include "../daemon/raw_socket.hpp"
 #include "deployment.hpp"
 
 namespace chalkwell::platform_tests {
@@ -46,5 +48,33 @@
   CHECK(status_at(second) == "503");
 }
 
+TEST_CASE("a silent attempt starts on older weights after the version bound",
+          "[platform][rollout][silent]") {
+  Deployment deployment;
+  deployment.limits_.request_timeout_ms_ = 2 * kVersionBoundMs;
+  deployment.PutRules(2, {"k1"});
+  deployment.engine_.SetVersion(1);
+  deployment.PutRows();
+  PublishVersion(deployment, 1);
+  NodeOptions options;
+  options.version_bound_ms_ = kVersionBoundMs;
+  const auto entry =
+      deployment.StartEntry("e1", deployment.store_.address(), options);
+  const auto status = [&] {
+    return Status(SendRequest(entry, RequestText("/model/x")));
+  };
+  REQUIRE(Eventually([&] { return status() == "200"; }));
+  deployment.engine_.SetRunDelay(std::chrono::milliseconds(kVersionBoundMs) +
+                                 std::chrono::seconds(2));
+  std::atomic<bool> arrived = false;
+  deployment.engine_.OnArrival([&](const std::string&) { arrived = true; });
+  const daemon::RawSocket caller(entry.caller_port_);
+  caller.Send(RequestText("/model/x", "k1", "", "body",
+                          deployment.limits_.request_timeout_ms_));
+  REQUIRE(Eventually([&] { return arrived.load(); }));
+  PublishVersion(deployment, 2);
+  CHECK(Status(caller.ReadUntil()) == "502");
+}
+
 }  // namespace
 }  // namespace chalkwell::platform_tests
--- a/tests/routing/first_byte_timeout_test.cpp
+++ b/tests/routing/first_byte_timeout_test.cpp
@@ -66,14 +66,18 @@
   struct Row {
     std::optional<std::uint64_t> version_;
     std::optional<core::TimePoint> latest_start_;
+    std::uint64_t min_version_ = 0;
   };
-  const auto row = GENERATE(Row{1, kSent + 1060ms}, Row{2, std::nullopt},
-                            Row{std::nullopt, std::nullopt});
+  const auto row =
+      GENERATE(Row{1, kSent + 1060ms}, Row{2, std::nullopt},
+               Row{std::nullopt, std::nullopt}, Row{1, kSent, 2},
+               Row{2, std::nullopt, 2}, Row{std::nullopt, std::nullopt, 2});
   const PendingAttempt attempt{
       .weights_version_ = row.version_,
-      .version_constraint_ = {.min_version_ = 0,
+      .version_constraint_ = {.min_version_ = row.min_version_,
                               .next_min_version_ = 2,
-                              .next_min_at_ = kSent + 260ms}};
+                              .next_min_at_ = kSent + 260ms},
+      .sent_at_ = kSent};
   CHECK(LatestStart(attempt) == row.latest_start_);
 }
 
