Respond to requests that are unfinished when a stopping entry exits

A request whose endpoint sent nothing until the drain time had passed ended with its connection, without a response.

Cause: the process exits with requests in flight. Repeatable ones ended with 502 before, once their attempts were abandoned as silent; since these go on, they last until the exit. Now the exit ends them as their deadline would.

--- a/packages/daemon/src/daemon/direct/direct_entry.cpp
+++ b/packages/daemon/src/daemon/direct/direct_entry.cpp
@@ -320,7 +320,7 @@
   reader_.Poll(
       Section::kEndpoints, [this] { return endpoint_list_.Interval(); },
       [this] { endpoint_list_.OnReadFailed(); }, FirstReadWait());
-  process_.Run([this] { BeginStop(); }, [this] { exiting_ = true; });
+  process_.Run([this] { BeginStop(); }, [this] { EndRequests(); });
 }
 
 core::Duration DirectEntry::FirstReadWait() const {
@@ -355,6 +355,15 @@
                            {{"cause", std::string(ToString(cause))}});
 }
 
+void DirectEntry::EndRequests() {
+  exiting_ = true;
+  for (const auto& [number, request] : std::map(in_flight_)) {
+    if (const auto unfinished = request.lock()) {
+      unfinished->Stop();
+    }
+  }
+}
+
 void DirectEntry::OnReadinessCheck(const HttpExchangePtr& exchange) {
   const auto reason = NotReadyReason();
   exchange->Respond(reason.empty() ? 200 : kUnavailable, {}, reason);
@@ -722,15 +731,16 @@
            retry_jitter_.Draw(*wait));
     return;
   }
-  ++in_flight_;
   process_.shutdown().OnWorkAccepted();
   budget_.SetReserve(RetryReserveShare());
-  std::make_shared<DirectRequest>(context_, exchange, std::move(request),
-                                  [this] {
-                                    --in_flight_;
-                                    process_.shutdown().OnWorkFinished();
-                                  })
-      ->Start();
+  const auto number = ++last_request_;
+  const auto admitted = std::make_shared<DirectRequest>(
+      context_, exchange, std::move(request), [this, number] {
+        in_flight_.erase(number);
+        process_.shutdown().OnWorkFinished();
+      });
+  in_flight_[number] = admitted;
+  admitted->Start();
 }
 
 routing::AllowedDomains DirectEntry::AllowedDomains(
@@ -802,7 +812,7 @@
                               {"bundle_version", 0},
                               {"model", ""},
                               {"members", mesh_.LiveMembers().size()},
-                              {"requests_in_flight", in_flight_},
+                              {"requests_in_flight", in_flight_.size()},
                               {"requests_waiting", 0},
                               {"quarantine", quarantine_.Status()},
                               {"endpoints", rows}};
--- a/packages/daemon/src/daemon/direct/direct_entry.hpp
+++ b/packages/daemon/src/daemon/direct/direct_entry.hpp
@@ -113,6 +113,8 @@
   /// for a seed, which reads them for the others.
   [[nodiscard]] core::Duration FirstReadWait() const;
   void BeginStop();
+  /// @brief Ends all requests in flight: the process exits.
+  void EndRequests();
   [[nodiscard]] std::string Status() const;
 
   ProcessBase& process_;
@@ -150,7 +152,9 @@
   Timer subscribe_timer_;
   /// When the subscription to an agent was last sent, by the agent's address.
   std::map<std::string, core::TimePoint> last_subscribed_;
-  std::size_t in_flight_ = 0;
+  /// Requests that have not ended, by a number of this process.
+  std::map<std::uint64_t, std::weak_ptr<DirectRequest>> in_flight_;
+  std::uint64_t last_request_ = 0;
   /// Whether the process ends without waiting for further work.
   bool exiting_ = false;
   /// Region of each failure domain of the deployment.
--- a/packages/daemon/src/daemon/direct/direct_request.cpp
+++ b/packages/daemon/src/daemon/direct/direct_request.cpp
@@ -112,6 +112,8 @@
   Perform(tracker_.Start(now));
 }
 
+void DirectRequest::Stop() { Perform(tracker_.Abort()); }
+
 void DirectRequest::Perform(const routing::RequestActions& actions) {
   for (const auto& action : actions) {
     if (const auto* choose = std::get_if<routing::ChooseEndpoint>(&action)) {
--- a/packages/daemon/src/daemon/direct/direct_request.hpp
+++ b/packages/daemon/src/daemon/direct/direct_request.hpp
@@ -87,6 +87,8 @@
   ~DirectRequest() = default;
 
   void Start();
+  /// @brief Ends the request, because the process exits.
+  void Stop();
 
  private:
   using Attempt = DirectAttempt;
