Add a soak of silent endpoints and rules that change, as failing

Some streams may be resumed now, some repeatable requests have a long deadline, and callers keep a connection until its entry closes it: before, no request of the soak met a timeout for silent endpoints. The run prints silent attempts and cut responses by the entries' metrics, both by the callers' side, and the versions.

--- a/tests/soak/callers.cpp
+++ b/tests/soak/callers.cpp
@@ -1,8 +1,11 @@
 // Open-loop load: a slow response does not delay later requests.
 #include "soak/callers.hpp"
 
+#include <algorithm>
 #include <utility>
 
+#include "soak/deployment.hpp"
+
 namespace chalkwell::soak {
 namespace {
 
@@ -18,18 +21,32 @@
 /// Prompt parts that requests share, apart from the one that all have.
 constexpr unsigned kPromptParts = 30;
 
+/// Callers keep a connection until its entry closes it.
+constexpr auto kMaxIdleTime = std::chrono::minutes(1);
+
 struct RequestKind {
   const char* path_;
   int deadline_ms_;
 };
 
+/// Half of the repeatable requests have a long deadline, and every second
+/// stream may be resumed.
 RequestKind KindOf(unsigned number) {
   if (number < kStreamsOfTen) {
-    return {"/stream/", 6000};
+    return {number % 2 == 0 ? "/stream/" : "/stream/resumable/", 6000};
+  }
+  if (number < kStreamsOfTen + kRepeatableOfTen) {
+    return number % 2 == 0 ? RequestKind{"/safe/slow/", 6000}
+                           : RequestKind{"/safe/", 1200};
   }
-  return number < kStreamsOfTen + kRepeatableOfTen
-             ? RequestKind{"/safe/", 1200}
-             : RequestKind{"/once/", 1200};
+  return {"/once/", 1200};
+}
+
+bool IsComplete(const daemon::HttpResponse& response, bool stream) {
+  const bool closed = response.end_ == daemon::HttpEnd::kCloseDelimited;
+  return response.end_ == daemon::HttpEnd::kComplete ||
+         (closed && (!stream || standins::CountEvents(response.body_) ==
+                                    standins::kStreamEvents));
 }
 
 }  // namespace
@@ -124,6 +141,8 @@
   request.body_ = body;
   daemon::HttpSendOptions options;
   options.keep_alive_ = true;
+  options.max_idle_time_ = kMaxIdleTime;
+  checker_.OnSent(id, std::min(milliseconds(deadline_ms), kLeastTimeout));
   http_->Fetch(
       daemon::ParseAddress(target.address_), request,
       [this, id, stream = path.starts_with("/stream/")](
@@ -132,6 +151,10 @@
         if (stream && response.ok()) {
           checker_.OnStream(id, response.body_, complete);
         }
+        if (response.end_ != daemon::HttpEnd::kNotSent &&
+            !IsComplete(response, stream && response.ok())) {
+          checker_.OnIncomplete(id, response.status_ != 0);
+        }
         checker_.OnResponse(id, complete ? response.status_ : 0,
                             response.body_);
       },
--- a/tests/soak/checker.cpp
+++ b/tests/soak/checker.cpp
@@ -18,6 +18,11 @@
   return request.substr(0, request.find('/'));
 }
 
+/// The address in the id of an endpoint, which ends with its incarnation.
+std::string AddressOf(const std::string& endpoint) {
+  return endpoint.substr(0, endpoint.rfind('-'));
+}
+
 /// Name of a crashing request; empty for others.
 std::string CrashingName(const std::string& request) {
   const auto begin = request.find('/') + 1;
@@ -53,6 +58,26 @@
   disturbed_at_[entry] = Now();
   stated_leaving_.OnDisturbed(entry);
   retry_after_.OnDisturbed(entry);
+  incomplete_.OnDisturbed(entry, Now());
+}
+
+void Checker::OnBreaks(const std::string& endpoint, milliseconds duration) {
+  const std::lock_guard lock(mutex_);
+  incomplete_.OnBreaks(AddressOf(endpoint), Now() + duration);
+}
+
+void Checker::OnSent(const std::string& request, milliseconds timeout) {
+  const std::lock_guard lock(mutex_);
+  incomplete_.OnSent(request, EntryOf(request), timeout, Now());
+}
+
+void Checker::OnIncomplete(const std::string& request, bool started) {
+  const std::lock_guard lock(mutex_);
+  const auto after = incomplete_.OnIncomplete(request, started, Now());
+  if (after) {
+    findings_.push_back(
+        {started ? "response cut off" : "no response", "", request, *after});
+  }
 }
 
 void Checker::OnPathHeld(const std::string& endpoint) {
@@ -92,6 +117,7 @@
   CheckRateLimit(endpoint, request, now);
   CheckStatedLeaving(endpoint, request, now);
   CheckRetryAfter(endpoint, request, now);
+  incomplete_.OnArrival(AddressOf(endpoint), request, now);
 }
 
 void Checker::CheckCrashing(const std::string& endpoint,
@@ -225,6 +251,7 @@
     }
   }
   const auto now = Now();
+  incomplete_.OnEnded(request);
   responded_at_[request] = now;
   if (status != 0) {
     stated_leaving_.OnResponse(request, now);
@@ -285,6 +312,11 @@
   return retry_after_.refusals();
 }
 
+ResponseCheck Checker::incomplete() const {
+  const std::lock_guard lock(mutex_);
+  return incomplete_;
+}
+
 std::uint64_t Checker::refused_as_suspected() const {
   const std::lock_guard lock(mutex_);
   return refused_as_suspected_;
--- a/tests/soak/checker.hpp
+++ b/tests/soak/checker.hpp
@@ -12,6 +12,7 @@
 #include <vector>
 
 #include "soak/rate_limit_check.hpp"
+#include "soak/response_check.hpp"
 #include "soak/retry_after_check.hpp"
 #include "soak/stated_leaving_check.hpp"
 
@@ -84,7 +85,9 @@
 class Checker {
  public:
   explicit Checker(Bounds bounds)
-      : bounds_(bounds), stated_leaving_(bounds.drain_) {}
+      : bounds_(bounds),
+        stated_leaving_(bounds.drain_),
+        incomplete_({.recovery_ = bounds.recovery_}) {}
 
   /// @brief The store acknowledged that an endpoint is draining or that its row
   /// is removed.
@@ -94,6 +97,9 @@
   /// @brief A disturbance of an entry starts or ends now; the empty name stands
   /// for the store.
   void OnDisturbed(const std::string& entry);
+  /// @brief Responses of an endpoint, or of the next one at its address, may
+  /// break off from now on for so long.
+  void OnBreaks(const std::string& endpoint, milliseconds duration);
   /// @brief The path to an endpoint is held until `OnPathReleased`.
   void OnPathHeld(const std::string& endpoint);
   void OnPathReleased(const std::string& endpoint);
@@ -105,6 +111,11 @@
   /// @brief From now on an endpoint refuses all requests for so long each; zero
   /// if it accepts them again.
   void OnRefusing(const std::string& endpoint, milliseconds time);
+  /// @brief A caller sends a request, which may time out after `timeout`.
+  void OnSent(const std::string& request, milliseconds timeout);
+  /// @brief The connection of a request ended without a complete response.
+  /// @param started whether a part of the response arrived.
+  void OnIncomplete(const std::string& request, bool started);
   /// @brief A request arrived at an endpoint.
   /// @param request "ENTRY/NUMBER", its attempt id.
   void OnArrival(const std::string& endpoint, const std::string& request);
@@ -141,6 +152,8 @@
   [[nodiscard]] std::size_t forwarded_departures() const;
   /// @brief Number of refusals whose time had to be kept.
   [[nodiscard]] std::size_t refusals() const;
+  /// @brief State of the check of incomplete responses.
+  [[nodiscard]] ResponseCheck incomplete() const;
 
  private:
   [[nodiscard]] bool IsUndisturbed(const std::string& entry,
@@ -179,6 +192,7 @@
   RateLimitCheck rate_limits_;
   StatedLeavingCheck stated_leaving_;
   RetryAfterCheck retry_after_;
+  ResponseCheck incomplete_;
   std::uint64_t refused_as_suspected_ = 0;
   std::uint64_t unframed_streams_ = 0;
   std::vector<Finding> findings_;
--- a/tests/soak/deployment.cpp
+++ b/tests/soak/deployment.cpp
@@ -2,7 +2,9 @@
 // of entry N to the store 127.3.D.N, relay to endpoint N 127.4.D.N.
 #include "soak/deployment.hpp"
 
+#include <cstdlib>
 #include <fstream>
+#include <sstream>
 #include <thread>
 #include <utility>
 
@@ -17,7 +19,6 @@
 /// Large enough for all items in one response of the store.
 constexpr std::size_t kStorePageSize = 500;
 constexpr auto kStartTimeout = 30s;
-constexpr auto kEndpointRunDelay = milliseconds(60);
 /// Time for the endpoints' pending responses to end.
 constexpr auto kSettle = milliseconds(200);
 
@@ -128,6 +129,7 @@
       added.endpoint_->CrashOn(kCrashMark);
       added.endpoint_->OnCrash([this, &added](const std::string& request) {
         checker_.OnCrash(request);
+        checker_.OnBreaks(added.endpoint_->id(), milliseconds(0));
         const std::lock_guard lock(mutex_);
         crashed_.push_back(&added);
       });
@@ -136,13 +138,41 @@
   }
 }
 
+void Deployment::ChangeRules() {
+  switch (rules_version_ % 4) {
+    case 0:
+      long_timeout_ = long_timeout_ > kLeastTimeout ? kLeastTimeout : 8000ms;
+      break;
+    case 1:
+      idle_timeout_ = idle_timeout_ > 1000ms ? 1000ms : 30000ms;
+      break;
+    case 2:
+      extra_route_ = !extra_route_;
+      break;
+    default:
+      account_keys_.push_back("key-" + std::to_string(rules_version_));
+      break;
+  }
+  PutRules();
+}
+
 void Deployment::PutRules() {
+  const auto timeout_ms = static_cast<int>(long_timeout_.count());
+  nlohmann::json routes{
+      Route("/stream/", "streaming", "pool", 400, timeout_ms),
+      Route("/stream/resumable/", "streaming", "pool", 400, timeout_ms),
+      Route("/safe/", "idempotent", "plain", 120, 1200),
+      Route("/safe/slow/", "idempotent", "plain", 120, timeout_ms),
+      Route("/once/", "non_idempotent", "plain", 120, 1200)};
+  routes[1]["resumable"] = true;
+  if (extra_route_) {
+    routes.push_back(Route("/extra/", "idempotent", "plain", 120, 1200));
+  }
   store_->Put("op/config",
-              {{"version", 1},
-               {"routes",
-                {Route("/stream/", "streaming", "pool", 400, 6000),
-                 Route("/safe/", "idempotent", "plain", 120, 1200),
-                 Route("/once/", "non_idempotent", "plain", 120, 1200)}},
+              {{"version", ++rules_version_},
+               {"routes", routes},
+               {"limits", {{"idleTimeoutMs", idle_timeout_.count()}}},
+               {"tenants", {{{"name", "account"}, {"apiKeys", account_keys_}}}},
                {"services",
                 {{{"name", "plain"}, {"maxConns", 520}},
                  {{"name", "pool"},
@@ -195,17 +225,20 @@
 
 void Deployment::StartEntry(Entry& entry) {
   const auto path = (settings_.folder_ / (entry.name_ + ".ini")).string();
-  std::ofstream(path)
-      << "[instance]\nid = " << entry.name_ << "\ndomain = " << entry.domain_
-      << "\n[listen]\ncaller = " << JoinAddress(entry.ip_, caller_port_)
-      << "\nready = " << JoinAddress(entry.ip_, ready_port_)
-      << "\npeer = " << JoinAddress(entry.ip_, peer_port_)
-      << "\nadmin = " << JoinAddress(entry.ip_, admin_port_)
-      << "\n[platform]\naddress = " << entry.store_address_
-      << "\nwatch_wait_ms = 25000\nleave_bound_ms = "
-      << settings_.bounds_.drain_.count() << "\n[mesh]\nseeds = " << MeshSeeds()
-      << "\n[requests]\nretry_share = 0.2\nretry_reserve = 228\n"
-         "[stop]\ndrain_ms = 7500\n[log]\nformat = json\n";
+  std::ofstream(path) << "[instance]\nid = " << entry.name_
+                      << "\ndomain = " << entry.domain_
+                      << "\n[listen]\ncaller = "
+                      << JoinAddress(entry.ip_, caller_port_)
+                      << "\nready = " << JoinAddress(entry.ip_, ready_port_)
+                      << "\npeer = " << JoinAddress(entry.ip_, peer_port_)
+                      << "\nadmin = " << JoinAddress(entry.ip_, admin_port_)
+                      << "\n[platform]\naddress = " << entry.store_address_
+                      << "\nwatch_wait_ms = 25000\nleave_bound_ms = "
+                      << settings_.bounds_.drain_.count()
+                      << "\n[mesh]\nseeds = " << MeshSeeds() << "\n[requests]\n"
+                      << settings_.retry_budget_
+                      << "[stop]\ndrain_ms = 7500\n"
+                         "[log]\nformat = json\n";
   entry.child_ = fleet::Child(
       {settings_.daemon_, "entry", "--adapter", "platform", "--config", path},
       (settings_.folder_ / (entry.name_ + ".log")).string(),
@@ -271,4 +304,14 @@
   return fleet::Get(JoinAddress(entry.ip_, admin_port_), "/metrics").body_;
 }
 
+void Deployment::CollectMetrics(const Entry& entry) {
+  std::istringstream lines(Metrics(entry));
+  for (std::string line; std::getline(lines, line);) {
+    if (!line.starts_with('#')) {
+      totals_[line.substr(0, line.find_first_of("{ "))] +=
+          std::strtod(line.c_str() + line.rfind(' '), nullptr);
+    }
+  }
+}
+
 }  // namespace chalkwell::soak
--- a/tests/soak/deployment.hpp
+++ b/tests/soak/deployment.hpp
@@ -6,6 +6,7 @@
 #include <cstdint>
 #include <deque>
 #include <filesystem>
+#include <map>
 #include <memory>
 #include <mutex>
 #include <string>
@@ -19,6 +20,11 @@
 
 namespace chalkwell::soak {
 
+/// From the arrival of a request at an endpoint to its run.
+inline constexpr milliseconds kEndpointRunDelay{60};
+/// Least timeout of requests with a long deadline in any version of the rules.
+inline constexpr milliseconds kLeastTimeout{4000};
+
 /// @brief Size and bounds of a deployment.
 struct DeploymentSettings {
   std::size_t domains_ = 3;
@@ -28,6 +34,8 @@
   /// Engines per failure domain that are reached through a relay; plain
   /// services always are.
   std::size_t relayed_ = 3;
+  /// Settings of the entries' retry budget.
+  std::string retry_budget_ = "retry_share = 0.2\nretry_reserve = 228\n";
   Bounds bounds_;
   /// Path of the chalkwelld to run; may be of another revision, to compare.
   std::string daemon_ = fleet::DaemonPath();
@@ -78,6 +86,17 @@
   [[nodiscard]] bool IsReady(const Entry& entry) const;
   /// @brief Metrics page of an entry.
   [[nodiscard]] std::string Metrics(const Entry& entry) const;
+  /// @brief Adds the counters of an entry's current process to the totals.
+  void CollectMetrics(const Entry& entry);
+  /// @brief Collected values by name, over all labels.
+  [[nodiscard]] std::map<std::string, double>& totals() { return totals_; }
+  /// @brief Publishes the next version of the rules: it changes, in turn, the
+  /// timeout of requests with a long deadline, the one of idle connections, a
+  /// route that no caller uses, and the keys of a client account.
+  void ChangeRules();
+  [[nodiscard]] unsigned rules_version() const noexcept {
+    return rules_version_;
+  }
 
   /// @brief Writes the row of the current incarnation to the store.
   void PutRow(EndpointHost& host, const std::string& state);
@@ -121,6 +140,12 @@
   std::unique_ptr<fleet::Relay> relay_;
   std::deque<EndpointHost> hosts_;
   std::deque<Entry> entries_;
+  milliseconds long_timeout_{6000};
+  milliseconds idle_timeout_{30000};
+  bool extra_route_ = false;
+  std::vector<std::string> account_keys_;
+  unsigned rules_version_ = 0;
+  std::map<std::string, double> totals_;
   std::mutex mutex_;
   /// Guarded by `mutex_`.
   std::vector<EndpointHost*> crashed_;
--- a/tests/soak/fault_injector.cpp
+++ b/tests/soak/fault_injector.cpp
@@ -33,6 +33,15 @@
 /// Longer than the drain bound.
 constexpr int kMinLeavingMs = 4000;
 constexpr int kMaxLeavingMs = 7000;
+constexpr int kMinSilenceMs = 900;
+constexpr int kMaxSilenceMs = 2500;
+/// Share of the endpoints that are silent at once, if it is not one.
+constexpr double kMinSilentShare = 0.05;
+constexpr double kMaxSilentShare = 0.3;
+constexpr int kMinRulesVersions = 3;
+constexpr int kMaxRulesVersions = 6;
+constexpr int kMinRulesIntervalMs = 200;
+constexpr int kMaxRulesIntervalMs = 700;
 /// Longer than the drain time in the entries' settings.
 constexpr auto kEntryStopTimeout = std::chrono::seconds(9);
 
@@ -88,6 +97,8 @@
       {"rate-limits", [this] { StateRateLimits(); }},
       {"refuse-retry-after", [this] { RefuseForAWhile(); }},
       {"states-leaving", [this] { StateLeaving(); }},
+      {"silent-endpoints", [this] { SilenceEndpoints(); }},
+      {"config-changes", [this] { ChangeRules(); }},
       {"store-fails-some",
        [this] { RejectStoreCalls(150, DrawBetween(2000, 8000)); }},
       {"store-down",
@@ -206,6 +217,7 @@
 }
 
 void FaultInjector::StopThenRestart(EndpointHost& host, bool same_id) {
+  checker_.OnBreaks(host.endpoint_->id(), milliseconds(0));
   host.endpoint_->Stop();
   Schedule(kAddressReuseDelay, [this, &host, same_id] {
     host.endpoint_->SetVersion(host.is_engine_ ? 1 : 0);
@@ -301,6 +313,7 @@
     return;
   }
   entry->stopped_ = true;
+  deployment_.CollectMetrics(*entry);
   checker_.OnDisturbed(entry->name_);
   entry->child_.Signal(signal);
   const auto restart_delay = signal == SIGKILL
@@ -343,6 +356,7 @@
                              milliseconds duration) {
   const auto id = host.endpoint_->id();
   checker_.OnPathHeld(id);
+  checker_.OnBreaks(id, duration);
   deployment_.relay().Hold(host.address_, direction);
   Schedule(duration, [this, &host, id] {
     deployment_.relay().Release(host.address_);
@@ -353,6 +367,7 @@
 void FaultInjector::ResetEndpointConnections() {
   for (auto& host : deployment_.hosts()) {
     if (host.relayed_ && random_() % 4 == 0) {
+      checker_.OnBreaks(host.endpoint_->id(), milliseconds(0));
       deployment_.relay().ResetAll(host.address_);
     }
   }
@@ -368,6 +383,7 @@
     }
     const auto cut = random_() % 2 == 0 ? StreamCut::kInsideEvent
                                         : StreamCut::kBetweenEvents;
+    checker_.OnBreaks(host.endpoint_->id(), duration);
     host.endpoint_->SetStreamForm({Framing::kConnectionEnd, cut},
                                   {Framing::kConnectionEnd, StreamCut::kNone});
     Schedule(duration, [&host] { host.endpoint_->SetStreamForm({}, {}); });
@@ -419,6 +435,42 @@
   }
 }
 
+void FaultInjector::SilenceEndpoints() {
+  const double share =
+      std::uniform_real_distribution(kMinSilentShare, kMaxSilentShare)(random_);
+  const auto hosts = static_cast<double>(deployment_.hosts().size());
+  const int count = random_() % 2 == 0 ? 1 : static_cast<int>(share * hosts);
+  for (int i = 0; i < count; ++i) {
+    if (auto* host = PickIdleHost()) {
+      Silence(*host);
+    }
+  }
+}
+
+void FaultInjector::Silence(EndpointHost& host) {
+  busy_[&host] = true;
+  const auto duration = DrawBetween(kMinSilenceMs, kMaxSilenceMs);
+  if (host.is_engine_ && random_() % 4 != 0) {
+    host.endpoint_->SetSilence({random_() % standins::kStreamEvents, duration});
+  } else {
+    host.endpoint_->SetRunDelay(duration);
+  }
+  Schedule(duration, [this, &host] {
+    host.endpoint_->SetSilence({});
+    host.endpoint_->SetRunDelay(kEndpointRunDelay);
+    busy_[&host] = false;
+  });
+}
+
+void FaultInjector::ChangeRules() {
+  milliseconds at(0);
+  for (auto i = DrawBetween(kMinRulesVersions, kMaxRulesVersions).count();
+       i > 0; --i) {
+    Schedule(at, [this] { deployment_.ChangeRules(); });
+    at += DrawBetween(kMinRulesIntervalMs, kMaxRulesIntervalMs);
+  }
+}
+
 void FaultInjector::StateLeaving() {
   const auto duration = DrawBetween(kMinLeavingMs, kMaxLeavingMs);
   for (int i = 0; i < kLeavingPerInjection; ++i) {
--- a/tests/soak/fault_injector.hpp
+++ b/tests/soak/fault_injector.hpp
@@ -109,6 +109,12 @@
   /// Some endpoints state that they leave while the store is down, and leave
   /// when it is back.
   void StateLeaving();
+  /// One endpoint, or a share of all, sends nothing for a while: within streams
+  /// or before responses.
+  void SilenceEndpoints();
+  void Silence(EndpointHost& host);
+  /// Publishes several versions of the rules in a row.
+  void ChangeRules();
   /// @param per_mille share of the store's calls that get 503.
   void RejectStoreCalls(unsigned per_mille, milliseconds duration);
   void DelayStore();
--- a/tests/soak/soak.cpp
+++ b/tests/soak/soak.cpp
@@ -70,6 +70,19 @@
   }
 }
 
+void PrintIncomplete(const RunResult& result, std::ostream& out) {
+  const auto& check = result.incomplete_;
+  out << "silent attempts " << result.silent_attempts_
+      << ", responses cut off by entries " << result.cut_by_entries_
+      << "; responses cut off " << check.cut()
+      << ", requests without a response " << check.unanswered()
+      << "; of both, those that entries caused";
+  for (const auto& [entry, count] : check.counted()) {
+    out << " " << entry << ":" << count;
+  }
+  out << "; versions of rules " << result.rules_versions_ << "\n";
+}
+
 }  // namespace
 
 RunResult Run(const RunSettings& settings) {
@@ -93,6 +106,14 @@
     fault_injector.Run();
     std::this_thread::sleep_for(kSettle);
     result.injected_ = fault_injector.injected();
+    for (const auto& entry : deployment.entries()) {
+      deployment.CollectMetrics(entry);
+    }
+    result.silent_attempts_ =
+        deployment.totals()["chalkwell_silent_attempts_total"];
+    result.cut_by_entries_ =
+        deployment.totals()["chalkwell_responses_cut_total"];
+    result.rules_versions_ = deployment.rules_version();
   }
   result.findings_ = checker.findings();
   result.responses_ = checker.responses();
@@ -104,6 +125,7 @@
   result.rate_limited_arrivals_ = checker.rate_limited_arrivals();
   result.forwarded_departures_ = checker.forwarded_departures();
   result.refusals_ = checker.refusals();
+  result.incomplete_ = checker.incomplete();
   result.list_ages_ = ReadLogField(settings.deployment_.folder_, "list_age_ms");
   if (result.findings_.empty() && !HasUnexpectedCrashes(result)) {
     std::filesystem::remove_all(settings.deployment_.folder_);
@@ -127,6 +149,7 @@
     out << " " << kind << ":" << count;
   }
   out << "\n";
+  PrintIncomplete(result, out);
   PrintDurations(
       "arrivals from undisturbed entries after an acknowledged departure",
       result.arrivals_after_departure_, out);
--- a/tests/soak/soak.hpp
+++ b/tests/soak/soak.hpp
@@ -34,6 +34,11 @@
   std::size_t forwarded_departures_ = 0;
   /// See Checker::refusals().
   std::size_t refusals_ = 0;
+  ResponseCheck incomplete_;
+  double silent_attempts_ = 0;
+  /// Responses that the entries cut off, by their own count.
+  double cut_by_entries_ = 0;
+  unsigned rules_versions_ = 0;
   /// Snapshot ages of the endpoint list when attempts were routed, as logged
   /// by the entries.
   DurationSample list_ages_;
--- a/tests/soak/soak_test.cpp
+++ b/tests/soak/soak_test.cpp
@@ -97,6 +97,20 @@
   CHECK(result.forwarded_departures_ > 0);
 }
 
+TEST_CASE("responses are cut while silent endpoints are about to go on",
+          "[soak]") {
+  auto settings =
+      SmallRunSettings(13, "silent-endpoints,config-changes,path-reset");
+  settings.deployment_.entries_ = 2;
+  settings.deployment_.retry_budget_ =
+      "retry_share = 0.01\nretry_reserve = 1\n";
+  settings.rate_ = 400;
+  const auto result = Run(settings);
+  INFO(Describe(result));
+  CheckRun(result);
+  CHECK(result.silent_attempts_ > 0);
+}
+
 TEST_CASE("endpoints that left get no work, whatever happens meanwhile",
           "[soak]") {
   struct Row {
