Restore the store from an older copy in the soak

The fault store-restored saves a copy of the store, lets other writers raise its revision, takes it away for up to 3 s when the copy is 1 to 8 s old and returns to the copy. Rows, departures, removals and rules that it lost are written again 0.2 to 1.2 s later, only where the store differs, as it changes no entry otherwise. The checker counts the store as disturbed from the outage until then.

--- a/tests/soak/deployment.cpp
+++ b/tests/soak/deployment.cpp
@@ -138,6 +138,30 @@
   }
 }
 
+void Deployment::Write(const std::string& key, const nlohmann::json& value) {
+  written_[key] = value;
+  if (value.is_null()) {
+    store_->Remove(key);
+  } else {
+    store_->Put(key, value);
+  }
+}
+
+std::vector<std::string> Deployment::WrittenKeys() const {
+  std::vector<std::string> keys;
+  for (const auto& [key, value] : written_) {
+    keys.push_back(key);
+  }
+  return keys;
+}
+
+void Deployment::WriteAgain(const std::string& key) {
+  const auto value = written_.at(key);
+  if (store_->Value(key) != value) {
+    Write(key, value);
+  }
+}
+
 void Deployment::ChangeRules() {
   switch (rules_version_ % 4) {
     case 0:
@@ -168,24 +192,24 @@
   if (extra_route_) {
     routes.push_back(Route("/extra/", "idempotent", "plain", 120, 1200));
   }
-  store_->Put("op/config",
-              {{"version", ++rules_version_},
-               {"routes", routes},
-               {"limits", {{"idleTimeoutMs", idle_timeout_.count()}}},
-               {"tenants", {{{"name", "account"}, {"apiKeys", account_keys_}}}},
-               {"services",
-                {{{"name", "plain"}, {"maxConns", 520}},
-                 {{"name", "pool"},
-                  {"maxConns", 668},
-                  {"engine",
-                   {{"slots", 12},
-                    {"chunks", kChunks},
-                    {"step_ms", 6.7},
-                    {"read_per_s", 30600},
-                    {"models", {{{"name", "m"}}}}}}},
-                 {{"name", "source"},
-                  {"origin", origin_->address()},
-                  {"zone", DomainName(0)}}}}});
+  Write("op/config",
+        {{"version", ++rules_version_},
+         {"routes", routes},
+         {"limits", {{"idleTimeoutMs", idle_timeout_.count()}}},
+         {"tenants", {{{"name", "account"}, {"apiKeys", account_keys_}}}},
+         {"services",
+          {{{"name", "plain"}, {"maxConns", 520}},
+           {{"name", "pool"},
+            {"maxConns", 668},
+            {"engine",
+             {{"slots", 12},
+              {"chunks", kChunks},
+              {"step_ms", 6.7},
+              {"read_per_s", 30600},
+              {"models", {{{"name", "m"}}}}}}},
+           {{"name", "source"},
+            {"origin", origin_->address()},
+            {"zone", DomainName(0)}}}}});
 }
 
 void Deployment::StartIncarnation(EndpointHost& host, bool same_id) {
@@ -210,12 +234,12 @@
 
 void Deployment::PutRow(EndpointHost& host, const std::string& state) {
   const auto& endpoint = *host.endpoint_;
-  store_->Put("servers/" + endpoint.id(),
-              endpoint.Row(host.service_, host.domain_, state));
+  Write("servers/" + endpoint.id(),
+        endpoint.Row(host.service_, host.domain_, state));
 }
 
 void Deployment::RemoveRow(EndpointHost& host) {
-  store_->Remove("servers/" + host.endpoint_->id());
+  Write("servers/" + host.endpoint_->id(), nullptr);
 }
 
 std::vector<EndpointHost*> Deployment::TakeCrashed() {
--- a/tests/soak/deployment.hpp
+++ b/tests/soak/deployment.hpp
@@ -9,6 +9,7 @@
 #include <map>
 #include <memory>
 #include <mutex>
+#include <nlohmann/json.hpp>
 #include <string>
 #include <vector>
 
@@ -101,6 +102,11 @@
   /// @brief Writes the row of the current incarnation to the store.
   void PutRow(EndpointHost& host, const std::string& state);
   void RemoveRow(EndpointHost& host);
+  /// @brief Keys that endpoints and operators wrote or removed.
+  [[nodiscard]] std::vector<std::string> WrittenKeys() const;
+  /// @brief Writes or removes a key as its writer did last, unless the store
+  /// still has it so.
+  void WriteAgain(const std::string& key);
   /// @brief Starts the next incarnation at a host and lists it as ready.
   /// @param same_id whether it keeps the id of the previous one.
   void StartIncarnation(EndpointHost& host, bool same_id);
@@ -119,6 +125,8 @@
 
  private:
   void PutRules();
+  /// @param value null to remove the key.
+  void Write(const std::string& key, const nlohmann::json& value);
   void AddEntries();
   void AddHosts();
   void StartAgent(EndpointHost& host);
@@ -135,6 +143,8 @@
   std::uint16_t endpoint_port_ = fleet::FreePort();
   std::uint16_t store_port_ = fleet::FreePort();
   std::unique_ptr<standins::StoreStandin> store_;
+  /// By key, as its writer wrote it last; null once it was removed.
+  std::map<std::string, nlohmann::json> written_;
   std::unique_ptr<standins::OriginStandin> origin_;
   std::vector<fleet::RelayRoute> routes_;
   std::unique_ptr<fleet::Relay> relay_;
--- a/tests/soak/fault_injector.cpp
+++ b/tests/soak/fault_injector.cpp
@@ -44,6 +44,16 @@
 constexpr int kMaxRulesIntervalMs = 700;
 /// Longer than the drain time in the entries' settings.
 constexpr auto kEntryStopTimeout = std::chrono::seconds(9);
+constexpr int kMinCopyAgeMs = 1000;
+constexpr int kMaxCopyAgeMs = 8000;
+constexpr int kMaxRestoringMs = 3000;
+/// Writes of others to keys that entries do not read, after the copy.
+constexpr std::uint64_t kMaxOtherWrites = 100;
+constexpr int kMinWriteAgainMs = 200;
+constexpr int kMaxWriteAgainMs = 1200;
+/// From the return of the store to the next copy; longer than the checker
+/// remembers a disturbance, so that it checks in between.
+constexpr auto kRestoredInterval = milliseconds(10'000);
 
 }  // namespace
 
@@ -103,7 +113,8 @@
        [this] { RejectStoreCalls(150, DrawBetween(2000, 8000)); }},
       {"store-down",
        [this] { RejectStoreCalls(1000, DrawBetween(500, 3000)); }},
-      {"store-slow", [this] { DelayStore(); }}};
+      {"store-slow", [this] { DelayStore(); }},
+      {"store-restored", [this] { RestoreStore(); }}};
   if (!settings_.only_kinds_.empty()) {
     std::erase_if(disturbance_kinds_, [this](const Kind& kind) {
       return ("," + settings_.only_kinds_ + ",").find("," + kind.name_ + ",") ==
@@ -514,4 +525,36 @@
   });
 }
 
+void FaultInjector::RestoreStore() {
+  if (std::exchange(restoring_store_, true)) {
+    return;
+  }
+  deployment_.store().SaveCopy();
+  // The entries read the revision that these raise before the outage.
+  for (auto count = random_() % kMaxOtherWrites; count > 0; --count) {
+    deployment_.store().Put("other", count);
+  }
+  const auto outage = DrawBetween(kMinCopyAgeMs, kMaxCopyAgeMs);
+  const auto restored = outage + DrawBetween(0, kMaxRestoringMs);
+  const auto written_again = restored + milliseconds(kMaxWriteAgainMs);
+  Schedule(outage, [this] { deployment_.store().SetBusy(true); });
+  for (auto at = outage; at < written_again; at += kOutageMarkInterval) {
+    Schedule(at, [this] { checker_.OnDisturbed(""); });
+  }
+  Schedule(restored, [this] {
+    deployment_.store().RestoreCopy();
+    deployment_.store().SetBusy(false);
+    WriteLostValuesAgain();
+  });
+  Schedule(written_again, [this] { checker_.OnDisturbed(""); });
+  Schedule(restored + kRestoredInterval, [this] { restoring_store_ = false; });
+}
+
+void FaultInjector::WriteLostValuesAgain() {
+  for (const auto& key : deployment_.WrittenKeys()) {
+    Schedule(DrawBetween(kMinWriteAgainMs, kMaxWriteAgainMs),
+             [this, key] { deployment_.WriteAgain(key); });
+  }
+}
+
 }  // namespace chalkwell::soak
--- a/tests/soak/fault_injector.hpp
+++ b/tests/soak/fault_injector.hpp
@@ -118,6 +118,10 @@
   /// @param per_mille share of the store's calls that get 503.
   void RejectStoreCalls(unsigned per_mille, milliseconds duration);
   void DelayStore();
+  /// The store is down for a while and returns from an older copy; its writers
+  /// write again what it lost.
+  void RestoreStore();
+  void WriteLostValuesAgain();
 
   FaultSettings settings_;
   Deployment& deployment_;
@@ -130,6 +134,8 @@
   /// Hosts whose endpoint is departing or is not listed again yet.
   std::map<const EndpointHost*, bool> busy_;
   std::map<std::string, unsigned> injected_;
+  /// From the copy of the store until the next one may be saved.
+  bool restoring_store_ = false;
 };
 
 }  // namespace chalkwell::soak
--- a/tests/soak/soak_test.cpp
+++ b/tests/soak/soak_test.cpp
@@ -111,6 +111,16 @@
   CHECK(result.silent_attempts_ > 0);
 }
 
+TEST_CASE("endpoints that left get work after the store was restored",
+          "[soak]") {
+  auto settings = SmallRunSettings(10, "store-restored,kill");
+  settings.faults_.duration_ = 30s;
+  const auto result = Run(settings);
+  INFO(Describe(result));
+  CheckRun(result);
+  CHECK(result.injected_.contains("store-restored"));
+}
+
 TEST_CASE("endpoints that left get no work, whatever happens meanwhile",
           "[soak]") {
   struct Row {
