Close connections whose response ends after a stop closed idle ones

Cause: since responses that arrive before a stop's close are answered, a connection whose response had begun before the stop was kept, as its head had not announced a close. If the response ended after the idle connections had been closed, nothing closed this one.

Now closing idle connections also closes each connection that becomes idle later, unless its next request has arrived. The unit test failed before: the second request was taken.

--- a/packages/daemon/src/daemon/http1_server.cpp
+++ b/packages/daemon/src/daemon/http1_server.cpp
@@ -410,6 +410,12 @@
     return;
   }
   stream_->SetReading(true);
+  if (server_.closes_idle_) {
+    CloseIfIdle();
+    if (!registered_ || handling_ || parser_.started()) {
+      return;
+    }
+  }
   StartIdleTimer();
   if (!buffered_input_.empty()) {
     server_.loop_.Post([weak = weak_from_this()] {
@@ -541,6 +547,7 @@
 }
 
 void Http1Server::CloseIdle() {
+  closes_idle_ = true;
   const auto all = connections_;
   for (const auto& connection : all) {
     connection->CloseIfIdle();
--- a/packages/daemon/src/daemon/http1_server.hpp
+++ b/packages/daemon/src/daemon/http1_server.hpp
@@ -67,7 +67,8 @@
   void CloseAfterResponses() noexcept { closing_ = true; }
   /// @brief Accepts no further connections.
   void StopAccepting() { listener_.Stop(); }
-  /// @brief Closes connections without a request in progress.
+  /// @brief Closes the connections that have no request, and from now on each
+  /// connection once it has none.
   void CloseIdle();
 
  private:
@@ -78,6 +79,7 @@
   HttpHandler handler_;
   std::set<std::shared_ptr<internal::Http1Connection>> connections_;
   bool closing_ = false;
+  bool closes_idle_ = false;
   TcpListener listener_;
 };
 
--- a/tests/daemon/http1_server_test.cpp
+++ b/tests/daemon/http1_server_test.cpp
@@ -467,6 +467,44 @@
   CHECK(handled == 2);
 }
 
+TEST_CASE(
+    "a stopping server takes requests on a connection whose response ends",
+    "[daemon]") {
+  HttpExchangePtr held;
+  std::atomic<int> handled{0};
+  Fixture fixture([&](const HttpExchangePtr& exchange) {
+    if (++handled > 1) {
+      exchange->Respond(200, {}, "taken");
+      return;
+    }
+    held = exchange;
+    exchange->Start(200, {});
+  });
+  std::atomic<bool> end{false};
+  Timer poll(fixture.loop_);
+  poll.Every(1ms, [&] {
+    if (end.exchange(false)) {
+      fixture.server_.CloseAfterResponses();
+      fixture.server_.CloseIdle();
+      held->End(true);
+    }
+  });
+  std::string response;
+  fixture.Run([&](std::uint16_t port) {
+    const RawSocket caller(port);
+    caller.Send(std::string(kRequest));
+    while (handled == 0) {
+      std::this_thread::sleep_for(1ms);
+    }
+    end = true;
+    response = caller.ReadUntil("0\r\n\r\n");
+    caller.Send(std::string(kNextRequest));
+    (void)caller.ReadUntil("taken");
+  });
+  CHECK(response.ends_with("0\r\n\r\n"));
+  CHECK(handled == 1);
+}
+
 TEST_CASE("an unannounced close after a response takes the next request",
           "[daemon]") {
   HttpExchangePtr held;
