Name the event of a restored store without the wire's term

The name of event 213 contained a header of the platform. It is store-restored now, and the test that no other folder knows the platform's names holds the era's header, too.

--- a/packages/chalkwell/src/chalkwell/core/event.cpp
+++ b/packages/chalkwell/src/chalkwell/core/event.cpp
@@ -73,7 +73,7 @@
      "A failure domain was evacuated, so that its endpoints get no further "
      "request, or its evacuation was withdrawn.",
      "None; publish or withdraw the evacuation to change it."},
-    {kStoreEraChanged, kWarning, "store-era-changed",
+    {kStoreRestored, kWarning, "store-restored",
      "The configuration store returned from an older copy of its data: its "
      "revisions went back, and what was written since the copy is lost until "
      "its writers write it again.",
--- a/packages/chalkwell/src/chalkwell/core/event.hpp
+++ b/packages/chalkwell/src/chalkwell/core/event.hpp
@@ -32,7 +32,7 @@
   kControlTraffic = 210,
   kStoreCalls = 211,
   kEvacuationChanged = 212,
-  kStoreEraChanged = 213,
+  kStoreRestored = 213,
   kListNotUsed = 214,
   kPeerConnected = 300,
   kPeerLost = 301,
--- a/packages/daemon/src/daemon/direct/published_reader.cpp
+++ b/packages/daemon/src/daemon/direct/published_reader.cpp
@@ -188,7 +188,7 @@
     last_revision_ = revision;
   }
   if (returned) {
-    log_.Write(core::EventNumber::kStoreEraChanged,
+    log_.Write(core::EventNumber::kStoreRestored,
                {{"from", std::to_string(before.era_)},
                 {"to", std::to_string(revision.era_)},
                 {"revision_before", std::to_string(before.number_)},
--- a/tests/daemon/mesh_node_test.cpp
+++ b/tests/daemon/mesh_node_test.cpp
@@ -13,7 +13,7 @@
 
 using namespace std::chrono_literals;
 
-/// Ends a test that waits in vain; no requirement on the node.
+/// Ends a test whose wait has no result; no requirement on the node.
 constexpr auto kTestTimeout = 10s;
 
 membership::Member Member(const std::string& id, membership::MemberKind kind,
--- a/tests/daemon/published_reader_test.cpp
+++ b/tests/daemon/published_reader_test.cpp
@@ -11,7 +11,7 @@
 
 using namespace std::chrono_literals;
 
-/// Ends a test that waits in vain; no requirement on the reader.
+/// Ends a test whose wait has no result; no requirement on the reader.
 constexpr auto kTestTimeout = 10s;
 
 core::StoreRevision Revision(std::uint64_t era, std::uint64_t number) {
--- a/tests/platform/names_test.cpp
+++ b/tests/platform/names_test.cpp
@@ -29,8 +29,9 @@
      "coldLeftMs",      "targetLatencyMs",  "targetGapMs",
      "trafficSplit",    "pathPrefix",       "apiKeys",
      "maxAttempts",     "maxConns",         "op/config",
-     "op/version",      "op/evacuate",      "allowedRegions",
-     "coldPerS",        "servers/"});
+     "store-era",       "Store-Era",        "op/version",
+     "op/evacuate",     "allowedRegions",   "coldPerS",
+     "servers/"});
 
 /// Whether a text contains a name other than as the product's own "x-" header
 /// or command-line option.
