End truncated streams of the soak with its faults

Cause: the injector ends a truncation by a scheduled action. One that was due after the end of the run was never made, so that endpoints went on truncating while callers still sent, beyond the time for which the check knows that they break. Now the injector ends all truncations with its run. The check is the same.

--- a/tests/soak/fault_injector.cpp
+++ b/tests/soak/fault_injector.cpp
@@ -173,6 +173,10 @@
   for (auto& entry : deployment_.entries()) {
     entry.child_.Signal(SIGCONT);
   }
+  // Actions that are still scheduled do not run any more.
+  for (auto& host : deployment_.hosts()) {
+    host.endpoint_->SetStreamForm({}, {});
+  }
   deployment_.relay().Heal();
 }
 
