Take the ended attempt by move

The linter found a parameter by value that is only read. It is moved into a local now, which keeps the attempt while its call is released. No behaviour changes.

--- a/packages/daemon/src/daemon/direct/direct_request.cpp
+++ b/packages/daemon/src/daemon/direct/direct_request.cpp
@@ -487,7 +487,8 @@
   });
 }
 
-void DirectRequest::OnEnd(AttemptPtr attempt, HttpEnd end) {
+void DirectRequest::OnEnd(AttemptPtr ended, HttpEnd end) {
+  const auto attempt = std::move(ended);
   if (!current(*attempt)) {
     return;
   }
--- a/packages/daemon/src/daemon/direct/direct_request.hpp
+++ b/packages/daemon/src/daemon/direct/direct_request.hpp
@@ -109,8 +109,8 @@
               const HttpHeaders& headers);
   void OnData(const AttemptPtr& attempt, std::string_view bytes);
   void OnBufferedData(const AttemptPtr& attempt, std::string_view bytes);
-  /// @param attempt by value: the call, which is released, holds another one.
-  void OnEnd(AttemptPtr attempt, HttpEnd end);
+  /// @param ended by value: the call, which is released, holds another one.
+  void OnEnd(AttemptPtr ended, HttpEnd end);
   /// @brief Checks an attempt that awaits its first byte, and schedules the
   /// next check.
   void CheckFirstByte(const AttemptPtr& attempt);
