--- a/tests/platform/silent_endpoint_test.cpp
+++ b/tests/platform/silent_endpoint_test.cpp
@@ -15,7 +15,6 @@
 using daemon::RawSocket;
 using standins::Behaviour;
 using standins::EndpointStandin;
-using standins::Silence;
 using namespace std::chrono_literals;
 
 /// Longer than an entry waits for an event or for a first byte.
