Log and measure how far an entry lags behind announced rules

A refusal with 401 or 404 showed the version in force, but not whether another entry had announced a newer one, when and which. Refusals (600, 606, 607) now hold rules_announced, rules_announced_by and rules_lag_ms, 206 holds lag_ms, and rules_lag_seconds and rules_max_lag_seconds are exported. The lag is the age of the first announcement above the version in force; no decision uses it yet.

--- a/packages/chalkwell/src/chalkwell/config/fwd.hpp
+++ b/packages/chalkwell/src/chalkwell/config/fwd.hpp
@@ -15,6 +15,8 @@
 struct TrafficService;
 struct TrafficRules;
 class TrafficTable;
+struct AnnouncedVersion;
+class AnnouncedVersions;
 class RulesPeerSelector;
 struct RulesPeerSelectorSettings;
 struct RulesSource;
--- a/packages/chalkwell/src/chalkwell/config/rules_peer_selector.cpp
+++ b/packages/chalkwell/src/chalkwell/config/rules_peer_selector.cpp
@@ -20,6 +20,7 @@
   if (version <= version_) {
     return;
   }
+  announced_.OnAnnounced(version, source.id_, now);
   auto& known = sources_[source.id_];
   known.version_ = std::max(known.version_, version);
   known.local_ = source.local_;
@@ -31,6 +32,7 @@
 
 void RulesPeerSelector::OnApplied(std::uint64_t version, core::TimePoint now) {
   version_ = std::max(version_, version);
+  announced_.OnApplied(version_);
   std::erase_if(sources_, [this](const auto& entry) {
     return entry.second.version_ <= version_;
   });
--- a/packages/chalkwell/src/chalkwell/config/rules_peer_selector.hpp
+++ b/packages/chalkwell/src/chalkwell/config/rules_peer_selector.hpp
@@ -6,6 +6,7 @@
 #include <map>
 #include <optional>
 
+#include "chalkwell/config/announced_versions.hpp"
 #include "chalkwell/core/fwd.hpp"
 #include "chalkwell/core/identifier.hpp"
 
@@ -63,6 +64,10 @@
   /// @brief Whether the process has been behind for `max_lag_` without applying
   /// a newer version.
   [[nodiscard]] bool IsOverdue(core::TimePoint now) const;
+  /// @brief Announced versions that are not active in this process yet.
+  [[nodiscard]] const AnnouncedVersions& announced() const noexcept {
+    return announced_;
+  }
 
  private:
   struct Source {
@@ -81,6 +86,7 @@
   core::InstanceId self_;
   RulesPeerSelectorSettings settings_;
   std::map<core::InstanceId, Source> sources_;
+  AnnouncedVersions announced_;
   std::uint64_t version_ = 0;
   /// Newest version that a peer announced.
   std::uint64_t newest_ = 0;
--- a/packages/daemon/src/daemon/direct/direct_entry.cpp
+++ b/packages/daemon/src/daemon/direct/direct_entry.cpp
@@ -258,6 +258,7 @@
            [this] {
              quarantine_.RefreshMetrics();
              rate_limits_.RefreshMetrics();
+             rules_manager_.RefreshMetrics();
              statements_.RefreshMetrics();
            },
        .lift_quarantine_ =
@@ -483,10 +484,13 @@
   if (!rules_.Accept(rules)) {
     return;
   }
-  process_.log().Write(core::EventNumber::kRulesActivated,
-                       {{"version", std::to_string(rules.version_)},
-                        {"routes", std::to_string(rules.routes_.size())},
-                        {"source", source}});
+  process_.log().Write(
+      core::EventNumber::kRulesActivated,
+      {{"version", std::to_string(rules.version_)},
+       {"lag_ms",
+        Millis(rules_manager_.announced().LagAt(process_.loop().Now()))},
+       {"routes", std::to_string(rules.routes_.size())},
+       {"source", source}});
   process_.metrics().Set("rules_version", {},
                          static_cast<double>(rules.version_));
   std::map<std::string, config::SlowStart> slow_starts;
@@ -774,12 +778,18 @@
                          int status, core::EventNumber event,
                          const std::string& reason,
                          std::optional<core::Duration> retry_after) {
+  const auto& announced = rules_manager_.announced();
+  const auto newest = announced.Newest();
   process_.log().Write(
-      event, {{"request", caller.id_},
-              {"status", std::to_string(status)},
-              {"reason", reason},
-              {"rules", std::to_string(rules_.rules().version_)},
-              {"retry_after_ms", retry_after ? Millis(*retry_after) : "none"}});
+      event,
+      {{"request", caller.id_},
+       {"status", std::to_string(status)},
+       {"reason", reason},
+       {"rules", std::to_string(rules_.rules().version_)},
+       {"rules_announced", newest ? std::to_string(newest->version_) : "none"},
+       {"rules_announced_by", newest ? newest->source_.value() : "none"},
+       {"rules_lag_ms", Millis(announced.LagAt(process_.loop().Now()))},
+       {"retry_after_ms", retry_after ? Millis(*retry_after) : "none"}});
   process_.metrics().Count("refused_total",
                            {{"status", std::to_string(status)}});
   exchange.Respond(status,
--- a/packages/daemon/src/daemon/direct/rules_manager.cpp
+++ b/packages/daemon/src/daemon/direct/rules_manager.cpp
@@ -21,6 +21,10 @@
 constexpr std::string_view kStoreSource = "store";
 constexpr std::string_view kPeerSource = "peer";
 
+double ToSeconds(core::Duration span) {
+  return std::chrono::duration<double>(span).count();
+}
+
 }  // namespace
 
 RulesManager::RulesManager(Loop& loop, const StoreClient& store,
@@ -31,6 +35,7 @@
       reader_(reader),
       mesh_(mesh),
       log_(log),
+      metrics_(metrics),
       handler_(std::move(handler)),
       watcher_role_(mesh.self().id_),
       peer_selector_(mesh.self().id_),
@@ -66,6 +71,7 @@
   if (rules.version_ <= version_) {
     return;
   }
+  max_lag_ = std::max(max_lag_, announced().LagAt(loop_.Now()));
   version_ = rules.version_;
   watcher_role_.OnDocumentReceived(document.text_.size());
   peer_selector_.OnApplied(version_, loop_.Now());
@@ -94,6 +100,7 @@
 
 void RulesManager::Tick() {
   const auto now = loop_.Now();
+  max_lag_ = std::max(max_lag_, announced().LagAt(now));
   UpdateRole(now);
   CatchUp(now);
 }
@@ -150,6 +157,13 @@
   }
 }
 
+void RulesManager::RefreshMetrics() {
+  const auto lag = announced().LagAt(loop_.Now());
+  metrics_.Set("rules_lag_seconds", {}, ToSeconds(lag));
+  metrics_.Set("rules_max_lag_seconds", {},
+               ToSeconds(std::max(std::exchange(max_lag_, {}), lag)));
+}
+
 void RulesManager::FetchFromPeer(const membership::Member& peer) {
   exchange_.Fetch(peer.address_,
                   [this, id = peer.id_](std::optional<RulesDocument> document) {
--- a/packages/daemon/src/daemon/direct/rules_manager.hpp
+++ b/packages/daemon/src/daemon/direct/rules_manager.hpp
@@ -51,6 +51,13 @@
 
   /// @brief Version of the active rules; 0 for none.
   [[nodiscard]] std::uint64_t version() const noexcept { return version_; }
+  /// @brief Versions that other entries announced and that are not active here
+  /// yet.
+  [[nodiscard]] const config::AnnouncedVersions& announced() const noexcept {
+    return peer_selector_.announced();
+  }
+  /// @brief Sets the gauges of the lag behind announced versions.
+  void RefreshMetrics();
   /// @brief Whether this entry has the watcher role.
   [[nodiscard]] bool is_watcher() const noexcept { return is_watcher_; }
 
@@ -71,6 +78,7 @@
   PublishedReader& reader_;
   MeshNode& mesh_;
   EventLog& log_;
+  Metrics& metrics_;
   Handler handler_;
   membership::WatcherRole watcher_role_;
   config::RulesPeerSelector peer_selector_;
@@ -79,6 +87,8 @@
   bool is_watcher_ = true;
   /// Until then the store is not read, unless the rules are known.
   core::TimePoint wait_until_;
+  /// Greatest lag since the metrics were last read.
+  core::Duration max_lag_{};
   /// When this entry, as a watcher, last announced its versions.
   core::TimePoint announced_at_;
   /// When the rules were last read because a newer version was overdue.
