Measure the lag of rules from the first announcement that is not in force

What callers saw: refusals with 401 by rules a dozen versions old, 3.0 to 3.2 s after the newer ones were acknowledged, during a series of changes. Cause: each version that was applied, however old, restarted the time since when an entry is behind. In a series a new one arrives every quarter of a second, so that neither the fetch from another domain (0.5 s) nor the read of the store (1.3 s) was ever due. Change: both count from the first announcement above the version in force. Large documents that are overdue are read in the order of rank, since reads by all at once would fill the shared link. The check that a version counts as progress is replaced: one just announced is not overdue.

--- a/packages/chalkwell/src/chalkwell/config/rules_peer_selector.cpp
+++ b/packages/chalkwell/src/chalkwell/config/rules_peer_selector.cpp
@@ -24,25 +24,14 @@
   auto& known = sources_[source.id_];
   known.version_ = std::max(known.version_, version);
   known.local_ = source.local_;
-  newest_ = std::max(newest_, version);
-  if (!behind_since_) {
-    behind_since_ = now;
-  }
 }
 
-void RulesPeerSelector::OnApplied(std::uint64_t version, core::TimePoint now) {
+void RulesPeerSelector::OnApplied(std::uint64_t version) {
   version_ = std::max(version_, version);
   announced_.OnApplied(version_);
   std::erase_if(sources_, [this](const auto& entry) {
     return entry.second.version_ <= version_;
   });
-  if (newest_ <= version_) {
-    behind_since_.reset();
-  } else {
-    // Counts as progress: during a series of changes the newest announced
-    // version is always slightly ahead.
-    behind_since_ = now;
-  }
 }
 
 void RulesPeerSelector::OnFetchEnded(const core::InstanceId& id, bool succeeded,
@@ -58,12 +47,11 @@
 
 bool RulesPeerSelector::IsEligible(const Source& source, bool watches,
                                    core::TimePoint now) const {
-  const auto elapsed = now - *behind_since_;
   const auto min_delay =
       watches ? settings_.watch_delay_
               : (source.local_ ? core::Duration{} : settings_.remote_delay_);
   return source.version_ > version_ && now >= source.retry_at_ &&
-         elapsed >= min_delay;
+         announced_.LagAt(now) >= min_delay;
 }
 
 std::optional<core::InstanceId> RulesPeerSelector::Next(bool watches,
@@ -71,7 +59,7 @@
   if (pending_ && now - pending_->since_ >= settings_.response_timeout_) {
     OnFetchEnded(core::InstanceId(pending_->id_), false, now);
   }
-  if (!behind_since_ || pending_) {
+  if (announced_.empty() || pending_) {
     return std::nullopt;
   }
   const core::InstanceId* best = nullptr;
@@ -92,8 +80,9 @@
   return *best;
 }
 
-bool RulesPeerSelector::IsOverdue(core::TimePoint now) const {
-  return behind_since_ && now - *behind_since_ >= settings_.max_lag_;
+bool RulesPeerSelector::IsOverdue(core::TimePoint now,
+                                  core::Duration delay) const {
+  return announced_.LagAt(now) >= settings_.max_lag_ + delay;
 }
 
 }  // namespace chalkwell::config
--- a/packages/chalkwell/src/chalkwell/config/rules_peer_selector.hpp
+++ b/packages/chalkwell/src/chalkwell/config/rules_peer_selector.hpp
@@ -26,7 +26,7 @@
   core::Duration response_timeout_ = std::chrono::milliseconds(2000);
   /// A peer that failed is not selected again for this long.
   core::Duration retry_delay_ = std::chrono::milliseconds(500);
-  /// After being behind for this long the process reads the rules from the
+  /// With this lag the process reads the rules from the
   /// store. Well below the 2 s within which rules must be active in all
   /// processes.
   core::Duration max_lag_ = std::chrono::milliseconds(1300);
@@ -50,7 +50,7 @@
                    core::TimePoint now);
   void OnPeerLost(const core::InstanceId& id) { sources_.erase(id); }
   /// @brief Rules of this version are now active in this process.
-  void OnApplied(std::uint64_t version, core::TimePoint now);
+  void OnApplied(std::uint64_t version);
   /// @brief The request to a peer ended.
   /// @param succeeded whether it returned newer rules.
   void OnFetchEnded(const core::InstanceId& id, bool succeeded,
@@ -61,9 +61,11 @@
   /// @param watches whether this process watches the store.
   [[nodiscard]] std::optional<core::InstanceId> Next(bool watches,
                                                      core::TimePoint now);
-  /// @brief Whether the process has been behind for `max_lag_` without applying
-  /// a newer version.
-  [[nodiscard]] bool IsOverdue(core::TimePoint now) const;
+  /// @brief Whether the lag has reached `max_lag_`, however many outdated
+  /// versions were applied meanwhile.
+  /// @param delay additional lag that is waited for.
+  [[nodiscard]] bool IsOverdue(core::TimePoint now,
+                               core::Duration delay = {}) const;
   /// @brief Announced versions that are not active in this process yet.
   [[nodiscard]] const AnnouncedVersions& announced() const noexcept {
     return announced_;
@@ -88,12 +90,6 @@
   std::map<core::InstanceId, Source> sources_;
   AnnouncedVersions announced_;
   std::uint64_t version_ = 0;
-  /// Newest version that a peer announced.
-  std::uint64_t newest_ = 0;
-  /// Since when this process is behind: when a newer version was first
-  /// announced or, if later, when a version was applied that was not the
-  /// newest. Empty while no newer version is known.
-  std::optional<core::TimePoint> behind_since_;
   std::optional<Request> pending_;
 };
 
--- a/packages/chalkwell/src/chalkwell/membership/watcher_role.cpp
+++ b/packages/chalkwell/src/chalkwell/membership/watcher_role.cpp
@@ -57,6 +57,12 @@
          settings_.takeover_timeout_ + settings_.rank_delay_ * standbys_ahead;
 }
 
+core::Duration WatcherRole::ReadDelay(core::TimePoint now) const {
+  return WatcherCount(now) == settings_.max_watchers_
+             ? core::Duration{}
+             : settings_.read_rank_delay_ * static_cast<int>(rank_);
+}
+
 bool WatcherRole::MustAnnounce(core::TimePoint now) const {
   return WatcherCount(now) < members_.size() && IsWatcher(now);
 }
--- a/packages/chalkwell/src/chalkwell/membership/watcher_role.hpp
+++ b/packages/chalkwell/src/chalkwell/membership/watcher_role.hpp
@@ -37,6 +37,9 @@
   core::Duration takeover_timeout_ = std::chrono::milliseconds(1500);
   /// Additional takeover delay per rank.
   core::Duration rank_delay_ = std::chrono::milliseconds(400);
+  /// Delay per rank of a read of a large document that is overdue. Read by all
+  /// members at once, it would fill the link that they share.
+  core::Duration read_rank_delay_ = std::chrono::milliseconds(100);
 };
 
 /// @brief Decides whether one member is a watcher.
@@ -68,6 +71,9 @@
   /// @brief Number of watchers without takeovers: `max_watchers_`, or fewer for
   /// a large document.
   [[nodiscard]] std::size_t WatcherCount(core::TimePoint now) const;
+  /// @brief How much later than the first one this member reads an overdue
+  /// document; zero for a small document.
+  [[nodiscard]] core::Duration ReadDelay(core::TimePoint now) const;
   /// @brief Whether this member must send announcements: it watches, and other
   /// members of the domain do not as long as they receive announcements.
   [[nodiscard]] bool MustAnnounce(core::TimePoint now) const;
--- a/packages/daemon/src/daemon/direct/rules_manager.cpp
+++ b/packages/daemon/src/daemon/direct/rules_manager.cpp
@@ -74,7 +74,7 @@
   max_lag_ = std::max(max_lag_, announced().LagAt(loop_.Now()));
   version_ = rules.version_;
   watcher_role_.OnDocumentReceived(document.text_.size());
-  peer_selector_.OnApplied(version_, loop_.Now());
+  peer_selector_.OnApplied(version_);
   if (source != kStoreSource) {
     reader_.AdvanceTo(Section::kOperations, document.revision_);
   }
@@ -151,7 +151,8 @@
       FetchFromPeer(*found);
     }
   }
-  if (peer_selector_.IsOverdue(now) && now - read_at_ >= kReadInterval) {
+  if (peer_selector_.IsOverdue(now, watcher_role_.ReadDelay(now)) &&
+      now - read_at_ >= kReadInterval) {
     read_at_ = now;
     reader_.ReadNow(Section::kRules);
   }
--- a/tests/config/rules_peer_selector_test.cpp
+++ b/tests/config/rules_peer_selector_test.cpp
@@ -1,6 +1,7 @@
 // Selection of the peer from which newer rules are fetched.
 #include "chalkwell/config/rules_peer_selector.hpp"
 
+#include <algorithm>
 #include <catch2/catch.hpp>
 
 namespace chalkwell::config {
@@ -36,7 +37,7 @@
           settings.watch_delay_, true});
   CAPTURE(row.name_);
   RulesPeerSelector catch_up(kSelf);
-  catch_up.OnApplied(3, kStart);
+  catch_up.OnApplied(3);
   catch_up.OnAnnounced(row.source_, 4, kStart);
   CHECK(catch_up.Next(row.watches_, kStart + row.after_).has_value() ==
         row.requested_);
@@ -44,12 +45,12 @@
 
 TEST_CASE("a known version is requested from no peer", "[config]") {
   RulesPeerSelector catch_up(kSelf);
-  catch_up.OnApplied(4, kStart);
+  catch_up.OnApplied(4);
   catch_up.OnAnnounced(kLocal, 4, kStart);
   CHECK_FALSE(catch_up.Next(false, kStart + 1s));
   CHECK_FALSE(catch_up.IsOverdue(kStart + 1h));
   catch_up.OnAnnounced(kLocal, 5, kStart);
-  catch_up.OnApplied(5, kStart);
+  catch_up.OnApplied(5);
   CHECK_FALSE(catch_up.Next(false, kStart + 1s));
   CHECK_FALSE(catch_up.IsOverdue(kStart + 1h));
 }
@@ -62,7 +63,7 @@
   CHECK(catch_up.Next(true, kStart + 1s) == kLocal.id_);
   CHECK_FALSE(catch_up.Next(true, kStart + 1s));
   catch_up.OnFetchEnded(kLocal.id_, true, kStart + 1s);
-  catch_up.OnApplied(4, kStart + 1s);
+  catch_up.OnApplied(4);
   CHECK(catch_up.Next(true, kStart + 2s) == kRemote.id_);
 }
 
@@ -92,11 +93,32 @@
   CHECK_FALSE(catch_up.Next(false, kStart + 1s));
   CHECK_FALSE(catch_up.IsOverdue(kStart + settings.max_lag_ - 1ms));
   CHECK(catch_up.IsOverdue(kStart + settings.max_lag_));
-  // During a series of changes each version that arrives counts as progress.
+  // A version that was just announced is not overdue.
   catch_up.OnAnnounced(kLocal, 9, kStart + settings.max_lag_);
-  catch_up.OnApplied(8, kStart + settings.max_lag_);
+  catch_up.OnApplied(8);
   CHECK_FALSE(catch_up.IsOverdue(kStart + settings.max_lag_));
 }
 
+TEST_CASE("a process that applies outdated versions is never overdue",
+          "[config]") {
+  constexpr auto kInterval = 250ms;
+  constexpr std::uint64_t kBehind = 12;
+  const RulesPeerSelectorSettings settings;
+  RulesPeerSelector catch_up(kSelf);
+  catch_up.OnApplied(1);
+  for (std::uint64_t version = 2; version <= 40; ++version) {
+    const auto now = kStart + static_cast<std::int64_t>(version) * kInterval;
+    catch_up.OnAnnounced(kRemote, version, now);
+    if (version > kBehind) {
+      catch_up.OnApplied(version - kBehind);
+    }
+    const bool late =
+        (std::min(kBehind, version - 1) - 1) * kInterval >= settings.max_lag_;
+    CAPTURE(version);
+    CHECK(catch_up.IsOverdue(now) == late);
+    CHECK_FALSE(catch_up.IsOverdue(now, kBehind * kInterval));
+  }
+}
+
 }  // namespace
 }  // namespace chalkwell::config
--- a/tests/config/rules_series_test.cpp
+++ b/tests/config/rules_series_test.cpp
@@ -139,7 +139,7 @@
       entry.watcher_role_->OnDocumentReceived(1);
       entry.watcher_role_->OnWatcherAnnounced(watchers.front(), now_);
       entry.peer_selector_ = std::make_unique<RulesPeerSelector>(id);
-      entry.peer_selector_->OnApplied(1, now_);
+      entry.peer_selector_->OnApplied(1);
       entry.disturbed_ = disturbance_ != Disturbance::kNone && first &&
                          std::ranges::find(watchers, id) != watchers.end();
       entries_.push_back(std::move(entry));
@@ -208,7 +208,7 @@
 
   void Apply(Entry& entry, const Transfer& transfer) {
     entry.version_ = transfer.version_;
-    entry.peer_selector_->OnApplied(entry.version_, now_);
+    entry.peer_selector_->OnApplied(entry.version_);
     if (!Watches(entry) && !transfer.peer_.empty()) {
       return;
     }
--- a/tests/config/rules_spread_test.cpp
+++ b/tests/config/rules_spread_test.cpp
@@ -110,7 +110,7 @@
     entry.watcher_role_->OnDocumentReceived(static_cast<std::size_t>(bytes_));
     entry.watcher_role_->OnWatcherAnnounced(members_[domain].front(), now_);
     entry.peer_selector_ = std::make_unique<RulesPeerSelector>(id);
-    entry.peer_selector_->OnApplied(1, now_);
+    entry.peer_selector_->OnApplied(1);
     entries_.push_back(std::move(entry));
   }
 
@@ -171,7 +171,7 @@
       return;
     }
     const bool watches = entry.watcher_role_->IsWatcher(now_);
-    entry.peer_selector_->OnApplied(kNewVersion, now_);
+    entry.peer_selector_->OnApplied(kNewVersion);
     if (policy_ == Policy::kWatchersAndPeers) {
       // Transfers in progress would deliver the same version.
       entry.transfers_.clear();
--- a/tests/membership/watcher_role_test.cpp
+++ b/tests/membership/watcher_role_test.cpp
@@ -139,5 +139,20 @@
   CHECK(role.IsWatcher(kStart + row.reading_) == row.watches_);
 }
 
+TEST_CASE("all members read an overdue large document at once",
+          "[membership]") {
+  struct Row {
+    std::size_t bytes_;
+    std::size_t rank_;
+    core::Duration delay_;
+  };
+  const auto row =
+      GENERATE(Row{kSmall, 0, 0ms}, Row{kSmall, 8, 0ms}, Row{kLarge, 0, 0ms},
+               Row{kLarge, 1, 100ms}, Row{kLarge, 8, 800ms});
+  auto role = RoleOf(Members(9), row.rank_);
+  role.OnDocumentReceived(row.bytes_);
+  CHECK(role.ReadDelay(kStart) == row.delay_);
+}
+
 }  // namespace
 }  // namespace chalkwell::membership
