Prefer a remote source of rules to a neighbour that lacks a known version

Cause: a peer of the own domain that is one version ahead went before any remote one, however new, so that all entries of a domain follow its watchers. Change: of the sources, those that have the newest version which has been known for the remote delay (0.5 s) go first; among these local ones as before.

--- a/packages/chalkwell/src/chalkwell/config/rules_peer_selector.cpp
+++ b/packages/chalkwell/src/chalkwell/config/rules_peer_selector.cpp
@@ -62,10 +62,13 @@
   if (announced_.empty() || pending_) {
     return std::nullopt;
   }
+  // A peer of the local domain that lacks a version which is known for this
+  // long follows watchers that are behind themselves.
+  const auto due = announced_.NewestAt(now - settings_.remote_delay_);
   const core::InstanceId* best = nullptr;
-  std::tuple<bool, std::uint64_t, std::uint64_t> best_key;
+  std::tuple<bool, bool, std::uint64_t, std::uint64_t> best_key;
   for (const auto& [id, source] : sources_) {
-    const std::tuple key(source.local_, source.version_,
+    const std::tuple key(source.version_ >= due, source.local_, source.version_,
                          core::RendezvousScore(self_.value(), id.value()));
     if (IsEligible(source, watches, now) &&
         (best == nullptr || key > best_key)) {
--- a/packages/chalkwell/src/chalkwell/config/rules_peer_selector.hpp
+++ b/packages/chalkwell/src/chalkwell/config/rules_peer_selector.hpp
@@ -21,6 +21,8 @@
   /// failure domain before it requests rules from a remote peer. The watcher
   /// receives 1 MB of rules from the store in 0.5 s; a fetch from a remote peer
   /// would compete with it for the link that all machines of the domain share.
+  /// A version that is known for this long is also fetched from a remote peer
+  /// that has it rather than from a local one that does not.
   core::Duration remote_delay_ = std::chrono::milliseconds(500);
   /// A request without a response for this long has failed.
   core::Duration response_timeout_ = std::chrono::milliseconds(2000);
