Announce rules past the delegates, and within the domain that lacked them

Cause: versions were announced to the first two members of a remote domain only, which are its watchers, and forwarded by watchers only. While both are live but slow, nobody takes over their role, and the domain's other members follow them. Change: the third member that is known of each remote domain is told, too, and an entry that took rules from a remote domain announces them in its own. Cost: one more datagram for each remote domain and change.

--- a/packages/chalkwell/src/chalkwell/config/fwd.hpp
+++ b/packages/chalkwell/src/chalkwell/config/fwd.hpp
@@ -20,6 +20,8 @@
 class RulesPeerSelector;
 struct RulesPeerSelectorSettings;
 struct RulesSource;
+enum class RulesOrigin : std::uint8_t;
+enum class AnnounceScope : std::uint8_t;
 struct DeltaPart;
 struct SlowStart;
 struct Evacuation;
--- a/packages/chalkwell/src/chalkwell/config/rules_peer_selector.cpp
+++ b/packages/chalkwell/src/chalkwell/config/rules_peer_selector.cpp
@@ -10,6 +10,15 @@
 
 namespace chalkwell::config {
 
+AnnounceScope AnnounceScopeOf(RulesOrigin origin, bool watches) noexcept {
+  if (watches || origin == RulesOrigin::kStore) {
+    return AnnounceScope::kAllDomains;
+  }
+  // The watchers of the local domain lack them, so nobody announced them there.
+  return origin == RulesOrigin::kRemotePeer ? AnnounceScope::kLocalDomain
+                                            : AnnounceScope::kNone;
+}
+
 RulesPeerSelector::RulesPeerSelector(core::InstanceId self,
                                      RulesPeerSelectorSettings settings)
     : self_(std::move(self)), settings_(settings) {}
--- a/packages/chalkwell/src/chalkwell/config/rules_peer_selector.hpp
+++ b/packages/chalkwell/src/chalkwell/config/rules_peer_selector.hpp
@@ -41,6 +41,22 @@
   bool local_ = false;
 };
 
+/// @brief Where rules were received from.
+enum class RulesOrigin : std::uint8_t { kStore, kLocalPeer, kRemotePeer };
+
+/// @brief Members to which a process announces rules that it has applied.
+enum class AnnounceScope : std::uint8_t {
+  kNone,
+  kLocalDomain,
+  /// The local failure domain and some members of each remote one.
+  kAllDomains,
+};
+
+/// @brief Determines who is told of rules that a process has applied.
+/// @param watches whether the process watches the configuration store.
+[[nodiscard]] AnnounceScope AnnounceScopeOf(RulesOrigin origin,
+                                            bool watches) noexcept;
+
 /// @brief Selects the peer from which one process fetches newer rules.
 class RulesPeerSelector {
  public:
--- a/packages/chalkwell/src/chalkwell/membership/propagation_plan.cpp
+++ b/packages/chalkwell/src/chalkwell/membership/propagation_plan.cpp
@@ -13,6 +13,18 @@
 
 std::uint64_t Score(const Member& member) { return WatcherScore(member.id_); }
 
+std::size_t MembersPerDomain(DelegateFanout fanout) {
+  switch (fanout) {
+    case DelegateFanout::kOneDelegate:
+      return 1;
+    case DelegateFanout::kTwoDelegates:
+      return kWatchersPerDomain;
+    case DelegateFanout::kDelegatesAndSpare:
+      return kWatchersPerDomain + 1;
+  }
+  return kWatchersPerDomain;
+}
+
 }  // namespace
 
 PropagationPlan::PropagationPlan(Member self, std::vector<Member> live)
@@ -37,8 +49,7 @@
 
 std::vector<Member> PropagationPlan::AnnounceTargets(
     DelegateFanout fanout) const {
-  auto targets = RemoteDelegates(
-      fanout == DelegateFanout::kTwoDelegates ? kWatchersPerDomain : 1);
+  auto targets = RemoteDelegates(MembersPerDomain(fanout));
   targets.insert(targets.end(), local_.begin(), local_.end());
   return targets;
 }
--- a/packages/chalkwell/src/chalkwell/membership/propagation_plan.hpp
+++ b/packages/chalkwell/src/chalkwell/membership/propagation_plan.hpp
@@ -3,7 +3,7 @@
 // domain and to the delegates of each remote domain, that is, the first two
 // members in the priority order of the watcher role. A delegate forwards what
 // came from a remote domain within its own. So a process sends to its own
-// domain and to at most two members of each remote one, whatever their sizes.
+// domain and to at most three members of each remote one, whatever their sizes.
 #pragma once
 
 #include <cstdint>
@@ -20,6 +20,9 @@
   kTwoDelegates,
   /// One, for what is sent periodically.
   kOneDelegate,
+  /// The delegates and the next member, for a change that must also arrive
+  /// while both delegates are live but slow.
+  kDelegatesAndSpare,
 };
 
 /// @brief Receivers of the changes of one process, from the members it knows.
--- a/packages/daemon/src/daemon/direct/mesh_node.cpp
+++ b/packages/daemon/src/daemon/direct/mesh_node.cpp
@@ -434,7 +434,7 @@
 void MeshNode::AnnounceVersions() {
   last_domain_announcement_ = loop_.Now();
   AnnounceVersions(
-      Plan().AnnounceTargets(membership::DelegateFanout::kTwoDelegates));
+      Plan().AnnounceTargets(membership::DelegateFanout::kDelegatesAndSpare));
 }
 
 void MeshNode::SendHeldChunks(const std::string& agent,
--- a/packages/daemon/src/daemon/direct/rules_manager.cpp
+++ b/packages/daemon/src/daemon/direct/rules_manager.cpp
@@ -62,12 +62,12 @@
                               : core::StoreRevision();
     Apply(*snapshot.rules_,
           {snapshot.rules_->version_, revision, snapshot.encoded_rules_},
-          std::string(kStoreSource));
+          config::RulesOrigin::kStore);
   }
 }
 
 void RulesManager::Apply(const config::TrafficRules& rules,
-                         RulesDocument document, const std::string& source) {
+                         RulesDocument document, config::RulesOrigin origin) {
   if (rules.version_ <= version_) {
     return;
   }
@@ -75,13 +75,25 @@
   version_ = rules.version_;
   watcher_role_.OnDocumentReceived(document.text_.size());
   peer_selector_.OnApplied(version_);
-  if (source != kStoreSource) {
+  const bool from_store = origin == config::RulesOrigin::kStore;
+  if (!from_store) {
     reader_.AdvanceTo(Section::kOperations, document.revision_);
   }
   exchange_.Add(std::move(document));
-  handler_(rules, source);
-  if (is_watcher_ || source == kStoreSource) {
-    mesh_.AnnounceVersions();
+  handler_(rules, std::string(from_store ? kStoreSource : kPeerSource));
+  Announce(origin);
+}
+
+void RulesManager::Announce(config::RulesOrigin origin) {
+  switch (config::AnnounceScopeOf(origin, is_watcher_)) {
+    case config::AnnounceScope::kNone:
+      return;
+    case config::AnnounceScope::kLocalDomain:
+      mesh_.AnnounceVersions(mesh_.LocalEntries());
+      return;
+    case config::AnnounceScope::kAllDomains:
+      mesh_.AnnounceVersions();
+      return;
   }
 }
 
@@ -167,29 +179,32 @@
 
 void RulesManager::FetchFromPeer(const membership::Member& peer) {
   exchange_.Fetch(peer.address_,
-                  [this, id = peer.id_](std::optional<RulesDocument> document) {
-                    OnFetched(id, std::move(document));
+                  [this, peer](std::optional<RulesDocument> document) {
+                    OnFetched(peer, std::move(document));
                   });
 }
 
-void RulesManager::OnFetched(const core::InstanceId& peer,
+void RulesManager::OnFetched(const membership::Member& peer,
                              std::optional<RulesDocument> document) {
   const auto now = loop_.Now();
   if (!document) {
-    peer_selector_.OnFetchEnded(peer, false, now);
+    peer_selector_.OnFetchEnded(peer.id_, false, now);
     return;
   }
   const auto snapshot = store_.decode_rules_(document->text_);
   const bool newer = snapshot.rules_ && snapshot.rules_->version_ > version_;
-  peer_selector_.OnFetchEnded(peer, newer, now);
+  peer_selector_.OnFetchEnded(peer.id_, newer, now);
   if (!newer) {
     return;
   }
   log_.Write(core::EventNumber::kLearnedFromPeer,
-             {{"peer", peer.value()},
+             {{"peer", peer.id_.value()},
               {"section", "rules"},
               {"revision", std::to_string(document->revision_.number_)}});
-  Apply(*snapshot.rules_, std::move(*document), std::string(kPeerSource));
+  Apply(*snapshot.rules_, std::move(*document),
+        peer.domain_ == mesh_.self().domain_
+            ? config::RulesOrigin::kLocalPeer
+            : config::RulesOrigin::kRemotePeer);
 }
 
 }  // namespace chalkwell::daemon::direct
--- a/packages/daemon/src/daemon/direct/rules_manager.hpp
+++ b/packages/daemon/src/daemon/direct/rules_manager.hpp
@@ -65,12 +65,13 @@
   /// @brief Activates rules if they are newer, and announces them.
   /// @param document the same rules, undecoded.
   void Apply(const config::TrafficRules& rules, RulesDocument document,
-             const std::string& source);
+             config::RulesOrigin origin);
+  void Announce(config::RulesOrigin origin);
   void Tick();
   void UpdateRole(core::TimePoint now);
   void CatchUp(core::TimePoint now);
   void FetchFromPeer(const membership::Member& peer);
-  void OnFetched(const core::InstanceId& peer,
+  void OnFetched(const membership::Member& peer,
                  std::optional<RulesDocument> document);
 
   Loop& loop_;
--- a/tests/config/rules_series_test.cpp
+++ b/tests/config/rules_series_test.cpp
@@ -209,15 +209,34 @@
   void Apply(Entry& entry, const Transfer& transfer) {
     entry.version_ = transfer.version_;
     entry.peer_selector_->OnApplied(entry.version_);
-    if (!Watches(entry) && !transfer.peer_.empty()) {
-      return;
-    }
-    for (const auto& target : entry.plan_->AnnounceTargets(
-             membership::DelegateFanout::kTwoDelegates)) {
+    for (const auto& target : TargetsOf(entry, OriginOf(entry, transfer))) {
       Announce(entry, Find(target.id_));
     }
   }
 
+  RulesOrigin OriginOf(const Entry& entry, const Transfer& transfer) {
+    if (transfer.peer_.empty()) {
+      return RulesOrigin::kStore;
+    }
+    return Find(transfer.peer_).member_.domain_ == entry.member_.domain_
+               ? RulesOrigin::kLocalPeer
+               : RulesOrigin::kRemotePeer;
+  }
+
+  [[nodiscard]] std::vector<membership::Member> TargetsOf(
+      const Entry& entry, RulesOrigin origin) const {
+    switch (AnnounceScopeOf(origin, Watches(entry))) {
+      case AnnounceScope::kNone:
+        return {};
+      case AnnounceScope::kLocalDomain:
+        return entry.plan_->local_members();
+      case AnnounceScope::kAllDomains:
+        return entry.plan_->AnnounceTargets(
+            membership::DelegateFanout::kDelegatesAndSpare);
+    }
+    return {};
+  }
+
   void Announce(const Entry& from, Entry& to) {
     const bool local = from.member_.domain_ == to.member_.domain_;
     if (from.version_ > to.version_) {
