--- a/tests/platform/watcher_takeover_test.cpp
+++ b/tests/platform/watcher_takeover_test.cpp
@@ -1,6 +1,5 @@
 // Entries whose watchers of the store terminate.
 #include <catch2/catch.hpp>
-#include <map>
 #include <string>
 #include <vector>
 
@@ -10,7 +9,10 @@
 namespace chalkwell::platform_tests {
 namespace {
 
-constexpr auto kOperationsPrefix = "op/";
+/// Not in the rules that a deployment starts with.
+constexpr auto kNewKey = "k9";
+/// The last one in rank knows two watchers when it gets its first rules.
+constexpr std::size_t kEntries = 5;
 /// Longer than a test: such an entry gets its first rules from a seed.
 constexpr int kFirstReadWaitMs = 60'000;
 
@@ -27,32 +29,38 @@
   return names;
 }
 
+/// Whether the log of an entry shows that it got the watcher role.
+bool TookOver(const Deployment& deployment, const std::string& name) {
+  return deployment.Log(name).find("watches=\"yes\"") != std::string::npos;
+}
+
 TEST_CASE("an entry that becomes a watcher later never watches the store",
           "[platform]") {
   Deployment deployment;
-  const auto names = NamesInRank(3);
+  const auto names = NamesInRank(kEntries);
   const auto store = deployment.store_.address();
-  auto first = deployment.StartEntry(names[0], store);
-  REQUIRE(Eventually([&] { return first.Ready(); }));
-  NodeOptions options{&first, 2};
+  std::vector<Node> others;
+  others.push_back(deployment.StartEntry(names[0], store));
+  REQUIRE(Eventually([&] { return others[0].Ready(); }));
+  NodeOptions options{&others[0], 2};
   options.first_read_wait_ms_ = kFirstReadWaitMs;
-  auto second = deployment.StartEntry(names[1], store, options);
-  REQUIRE(Eventually([&] { return second.Ready(); }));
-  REQUIRE(Eventually([&] {
-    return deployment.store_.WaitingWatches(kOperationsPrefix) == 2;
-  }));
-  options.host_number_ = 3;
-  const auto third = deployment.StartEntry(names[2], store, options);
-  REQUIRE(Eventually([&] { return third.Ready(); }));
-  first.child_.Kill();
-  second.child_.Kill();
-  REQUIRE(Eventually([&] {
-    return deployment.Log(names[2]).find("watches=\"yes\"") !=
-           std::string::npos;
-  }));
-  deployment.PutRules(9, {"k2"});
+  for (std::size_t i = 1; i + 1 < kEntries; ++i, ++options.host_number_) {
+    options.seed_ = &others[0];
+    others.push_back(deployment.StartEntry(names[i], store, options));
+    REQUIRE(Eventually([&] { return others.back().Ready(); }));
+  }
+  options.seed_ = &others[0];
+  const auto last = deployment.StartEntry(names.back(), store, options);
+  REQUIRE(Eventually([&] { return last.Ready(); }));
+  REQUIRE_FALSE(TookOver(deployment, names.back()));
+  for (auto& other : others) {
+    other.child_.Kill();
+  }
+  REQUIRE(Eventually([&] { return TookOver(deployment, names.back()); }));
+
+  deployment.PutRules(9, {kNewKey});
   CHECK(Eventually([&] {
-    return Status(SendRequest(third, RequestText("/safe/x", "k2"))) == "200";
+    return Status(SendRequest(last, RequestText("/safe/x", kNewKey))) == "200";
   }));
 }
 
