Start the watch of an entry that becomes a watcher later

What callers saw: refusals with 401 by outdated rules, for as long as the first watchers of a failure domain are gone. Cause: SetWatchWait() creates the record of a section, which counted as watched from the start. An entry that is no watcher when it gets its first rules sets the wait at its next check; when it takes over, Watch() found the section watched already and made no call. It logged 205 and announced itself as a watcher, so that nobody else took over. Change: a section is watched between Watch() and Unwatch() only.

--- a/packages/daemon/src/daemon/direct/published_reader.cpp
+++ b/packages/daemon/src/daemon/direct/published_reader.cpp
@@ -62,13 +62,8 @@
       timer_(loop) {}
 
 void PublishedReader::Watch(Section section) {
-  const bool known = tasks_.contains(section);
   auto& task = TaskFor(section, true);
-  if (known && task.active_) {
-    return;
-  }
-  task.active_ = true;
-  if (!task.call_pending_) {
+  if (!std::exchange(task.active_, true) && !task.call_pending_) {
     StartCall(task);
   }
 }
--- a/packages/daemon/src/daemon/direct/published_reader.hpp
+++ b/packages/daemon/src/daemon/direct/published_reader.hpp
@@ -89,8 +89,8 @@
     Task(Loop& loop, Section section, bool watched, core::Duration wait);
     Section section_;
     bool watched_;
-    /// False after Unwatch().
-    bool active_ = true;
+    /// Between Watch() and Unwatch().
+    bool active_ = false;
     /// None until the full section was received.
     core::StoreRevision revision_;
     core::Backoff backoff_;
