Ask another peer for rules beside one that stays silent

What callers saw: outdated rules for up to 2 s more per silent peer, and longer when all connections between entries go silent at once: calls to a peer share a connection that is closed 3 s after the last byte. Cause: a fetch that is pending kept out any other for 2 s, and the next call to the same peer waited behind it on the silent connection. Evidence: without the replacement the test's server waits for a second connection for good.

--- a/packages/daemon/src/daemon/direct/rules_exchange.cpp
+++ b/packages/daemon/src/daemon/direct/rules_exchange.cpp
@@ -113,23 +113,26 @@
   return true;
 }
 
-void RulesExchange::Fetch(const std::string& address, Done done) {
+void RulesExchange::Fetch(const std::string& address, Done done,
+                          std::function<void()> on_silent) {
   RulesRequest request;
   if (!documents_.empty()) {
     request.version_ = documents_.front().document_.version_;
     request.digest_ = ToBytes(documents_.front().digest_);
   }
-  connections_.Fetch(address, std::string(kRulesPath), Pack(request),
-                     [this, done = std::move(done)](PeerEnd end, int status,
-                                                    const std::string& body) {
-                       if (end != PeerEnd::kComplete || status != kOk) {
-                         done(std::nullopt);
-                         return;
-                       }
-                       metrics_.Count("rules_peer_bytes_total", {{"way", "in"}},
-                                      static_cast<double>(body.size()));
-                       done(Apply(Unpack<RulesResponse>(body, "peer")));
-                     });
+  connections_.Fetch(
+      address, std::string(kRulesPath), Pack(request),
+      [this, done = std::move(done)](PeerEnd end, int status,
+                                     const std::string& body) {
+        if (end != PeerEnd::kComplete || status != kOk) {
+          done(std::nullopt);
+          return;
+        }
+        metrics_.Count("rules_peer_bytes_total", {{"way", "in"}},
+                       static_cast<double>(body.size()));
+        done(Apply(Unpack<RulesResponse>(body, "peer")));
+      },
+      std::move(on_silent));
 }
 
 std::optional<RulesDocument> RulesExchange::Apply(
--- a/packages/daemon/src/daemon/direct/rules_exchange.hpp
+++ b/packages/daemon/src/daemon/direct/rules_exchange.hpp
@@ -68,7 +68,9 @@
   /// @return false when the call is not a request for rules.
   bool HandleCall(const PeerCallPtr& call);
   /// @brief Fetches rules newer than the stored ones from a peer.
-  void Fetch(const std::string& address, Done done);
+  /// @param on_silent see PeerConnections::Fetch().
+  void Fetch(const std::string& address, Done done,
+             std::function<void()> on_silent);
 
  private:
   struct StoredDocument {
--- a/packages/daemon/src/daemon/direct/rules_manager.cpp
+++ b/packages/daemon/src/daemon/direct/rules_manager.cpp
@@ -178,10 +178,17 @@
 }
 
 void RulesManager::FetchFromPeer(const membership::Member& peer) {
-  exchange_.Fetch(peer.address_,
-                  [this, peer](std::optional<RulesDocument> document) {
-                    OnFetched(peer, std::move(document));
-                  });
+  exchange_.Fetch(
+      peer.address_,
+      [this, peer](std::optional<RulesDocument> document) {
+        OnFetched(peer, std::move(document));
+      },
+      [this, id = peer.id_] {
+        // Another peer is asked while this call goes on.
+        const auto now = loop_.Now();
+        peer_selector_.OnFetchEnded(id, false, now);
+        CatchUp(now);
+      });
 }
 
 void RulesManager::OnFetched(const membership::Member& peer,
--- a/tests/daemon/peer_test.cpp
+++ b/tests/daemon/peer_test.cpp
@@ -1,9 +1,12 @@
 // HTTP/2 streams between processes: check of the protocol version.
+#include <atomic>
 #include <catch2/catch.hpp>
+#include <thread>
 
 #include "daemon/direct/peer_connections.hpp"
 #include "daemon/h2_session.hpp"
 #include "daemon/peer_server.hpp"
+#include "raw_socket.hpp"
 
 namespace chalkwell::daemon {
 namespace {
@@ -79,6 +82,46 @@
   CHECK(responses == "/a/b/c");
 }
 
+TEST_CASE("calls wait behind a connection that went silent", "[daemon]") {
+  constexpr auto kTestTimeout = std::chrono::seconds(10);
+  const RawListener listener;
+  std::atomic<int> accepted = 0;
+  std::thread server([&] {
+    // Neither connection gets a byte.
+    const auto first = listener.Accept();
+    ++accepted;
+    const auto second = listener.Accept();
+    ++accepted;
+    (void)second.ReadUntil();
+  });
+  Loop loop;
+  bool silent = false;
+  bool ended = false;
+  {
+    direct::PeerConnections connections(loop);
+    const auto address = Address{"127.0.0.1", listener.port()}.ToString();
+    const auto on_end = [&](PeerEnd, int, const std::string&) { ended = true; };
+    connections.Fetch(address, "/a", "", on_end, [&] {
+      silent = true;
+      connections.Fetch(address, "/b", "", on_end);
+    });
+    Timer poll(loop);
+    poll.Every(std::chrono::milliseconds(10), [&] {
+      if (accepted == 2) {
+        loop.Stop();
+      }
+    });
+    loop.After(kTestTimeout, [&] { loop.Stop(); });
+    loop.Run();
+    CHECK(silent);
+    CHECK(accepted == 2);
+    CHECK_FALSE(ended);
+  }
+  // Ends the wait of the server if the client made one connection only.
+  RawSocket(listener.port()).Close();
+  server.join();
+}
+
 TEST_CASE("a peer with another or no protocol version gets status 426",
           "[daemon]") {
   struct Row {
