Check for missed rules when a read of the endpoint list has failed

What callers saw: refusals with 401 by outdated rules for some seconds after all open connections went silent at once. Cause: a watch that is shared by two entries waits 4 s, and a margin of 1.5 s passes before it counts as failed. If the watches of all entries go silent together, nobody hears of a new version and nobody announces it. Change: the entry that reads the endpoint list does so each 600 ms over a kept connection, which goes silent with the others and fails after 400 ms. Once it can read again, it asks on a new connection what was published since the known revision, and announces it. No call is added while reads succeed.

--- a/packages/daemon/src/daemon/direct/direct_entry.cpp
+++ b/packages/daemon/src/daemon/direct/direct_entry.cpp
@@ -320,7 +320,11 @@
   });
   reader_.Poll(
       Section::kEndpoints, [this] { return endpoint_list_.Interval(); },
-      [this] { endpoint_list_.OnReadFailed(); }, FirstReadWait());
+      [this] {
+        list_read_failed_ = true;
+        endpoint_list_.OnReadFailed();
+      },
+      FirstReadWait());
   process_.Run([this] { BeginStop(); }, [this] { EndRequests(); });
 }
 
@@ -399,6 +403,10 @@
   // Last, because rules are announced together with the versions and
   // evacuations that were published before them.
   rules_manager_.OnPublished(section, snapshot);
+  if (section == Section::kEndpoints &&
+      std::exchange(list_read_failed_, false)) {
+    reader_.Confirm(Section::kOperations);
+  }
 }
 
 void DirectEntry::ReadFromPeersIfStoreUnreachable() {
--- a/packages/daemon/src/daemon/direct/direct_entry.hpp
+++ b/packages/daemon/src/daemon/direct/direct_entry.hpp
@@ -137,6 +137,9 @@
   EndpointStatements statements_;
   EndpointList endpoint_list_;
   RulesManager rules_manager_;
+  /// The last read of the endpoint list failed: connections to the store may
+  /// have gone silent, those of watches included.
+  bool list_read_failed_ = false;
   PublishedRelay relay_;
   config::EvacuationTable evacuations_;
   /// The evacuations in force in the endpoint table.
--- a/packages/daemon/src/daemon/direct/published_reader.cpp
+++ b/packages/daemon/src/daemon/direct/published_reader.cpp
@@ -18,6 +18,8 @@
 constexpr auto kCallLogInterval = std::chrono::seconds(10);
 /// Minimum interval between two log lines about responses of an older era.
 constexpr auto kOlderEraLogInterval = std::chrono::seconds(1);
+/// Wait of the watch that Confirm() makes: the store responds at once.
+constexpr auto kConfirmWait = std::chrono::milliseconds(1);
 /// Interval of checking whether a poll is due: its due time may move forward.
 constexpr auto kPollCheckInterval = std::chrono::milliseconds(200);
 
@@ -157,6 +159,44 @@
   });
 }
 
+void PublishedReader::Confirm(Section section) {
+  auto& task = TaskFor(section, true);
+  if (!task.revision_.known()) {
+    if (!task.active_) {
+      ReadNow(section);
+    }
+    return;
+  }
+  if (std::exchange(task.confirming_, true)) {
+    return;
+  }
+  call_count_.OnCall(section, StoreCallCause::kConfirm);
+  (void)store_.watch_(
+      section, task.revision_, kConfirmWait,
+      [this, &task, after = task.revision_](const StoreSnapshot& snapshot) {
+        task.confirming_ = false;
+        CountResponse(task.section_, snapshot);
+        OnConfirmed(task, after, snapshot);
+      });
+}
+
+void PublishedReader::OnConfirmed(Task& task, const core::StoreRevision& after,
+                                  const StoreSnapshot& snapshot) {
+  if (snapshot.outcome_ == ReadOutcome::kCompacted) {
+    ReadNow(task.section_);
+    return;
+  }
+  const bool changed = snapshot.rules_ || !snapshot.weights_.empty() ||
+                       !snapshot.evacuations_.empty();
+  if (snapshot.outcome_ != ReadOutcome::kRead || !changed ||
+      BreaksWatch(after, snapshot)) {
+    return;
+  }
+  handler_(task.section_, snapshot);
+  // Replaces the watch that missed the change.
+  AdvanceTo(task.section_, snapshot.revision_);
+}
+
 void PublishedReader::NoteEra(Section section, const StoreSnapshot& snapshot) {
   if (snapshot.outcome_ == ReadOutcome::kUnreachable) {
     return;
--- a/packages/daemon/src/daemon/direct/published_reader.hpp
+++ b/packages/daemon/src/daemon/direct/published_reader.hpp
@@ -72,6 +72,11 @@
   void ReadNow(Section section,
                std::optional<core::Duration> timeout = std::nullopt);
 
+  /// @brief Checks once whether a watched section has changed since the known
+  /// revision, on a new connection: that of the watch may have gone silent, as
+  /// may those of all other processes that would announce the change.
+  void Confirm(Section section);
+
   /// @brief Whether the last call reached the store.
   [[nodiscard]] bool reachable() const noexcept { return reachable_; }
   /// @brief When reachable() last changed.
@@ -99,6 +104,8 @@
     /// The last call failed.
     bool failed_ = false;
     bool call_pending_ = false;
+    /// A call of Confirm() is in flight.
+    bool confirming_ = false;
     /// Cancels the call in flight.
     CancelCall cancel_;
     /// When the last call was sent.
@@ -115,6 +122,8 @@
   void Probe(Task& task);
   void CancelCallInFlight(Task& task);
   void PollWhenDue(Task& task);
+  void OnConfirmed(Task& task, const core::StoreRevision& after,
+                   const StoreSnapshot& snapshot);
   void OnResponse(Task& task, const StoreSnapshot& snapshot);
   /// @param first whether the section was read for the first time.
   void Schedule(Task& task, bool succeeded, bool first);
--- a/packages/daemon/src/daemon/direct/store_call_counter.cpp
+++ b/packages/daemon/src/daemon/direct/store_call_counter.cpp
@@ -32,6 +32,8 @@
       return "probe";
     case StoreCallCause::kSingleRead:
       return "once";
+    case StoreCallCause::kConfirm:
+      return "confirm";
   }
   return "";
 }
@@ -70,7 +72,8 @@
               {"watch", by_cause(StoreCallCause::kWatch)},
               {"poll", by_cause(StoreCallCause::kPoll)},
               {"probe", by_cause(StoreCallCause::kProbe)},
-              {"once", by_cause(StoreCallCause::kSingleRead)}});
+              {"once", by_cause(StoreCallCause::kSingleRead)},
+              {"confirm", by_cause(StoreCallCause::kConfirm)}});
   by_section_ = {};
   by_cause_ = {};
 }
--- a/packages/daemon/src/daemon/direct/store_call_counter.hpp
+++ b/packages/daemon/src/daemon/direct/store_call_counter.hpp
@@ -24,6 +24,8 @@
   kProbe,
   /// Single read on demand, before a decision that needs a newer snapshot.
   kSingleRead,
+  /// Check whether a watch missed a change.
+  kConfirm,
 };
 
 [[nodiscard]] std::string_view ToString(Section section);
@@ -41,7 +43,7 @@
 
  private:
   static constexpr std::size_t kSections = 4;
-  static constexpr std::size_t kCauses = 5;
+  static constexpr std::size_t kCauses = 6;
 
   EventLog& log_;
   Metrics& metrics_;
--- a/tests/platform/path_test.cpp
+++ b/tests/platform/path_test.cpp
@@ -311,6 +311,25 @@
   }));
 }
 
+TEST_CASE("new rules wait for a watch that went silent with other connections",
+          "[platform]") {
+  Deployment deployment;
+  deployment.store_.SetLongWatchesSilent(500ms);
+  const auto entry = deployment.StartEntry("e1", deployment.store_.address());
+  REQUIRE(Eventually([&] { return entry.Ready(); }));
+  deployment.PutRules(9, {"k9"});
+  // Longer than an entry waits for a page of the endpoint list.
+  deployment.store_.SetDelay(1s);
+  REQUIRE(Eventually([&] {
+    return deployment.Log("e1").find("platform-unreachable") !=
+           std::string::npos;
+  }));
+  deployment.store_.SetDelay(0ms);
+  CHECK(Eventually([&] {
+    return Status(SendRequest(entry, RequestText("/safe/x", "k9"))) == "200";
+  }));
+}
+
 TEST_CASE("one entry of a failure domain reads the endpoint list for the other",
           "[platform]") {
   Deployment deployment;
--- a/tests/platform/standins.cpp
+++ b/tests/platform/standins.cpp
@@ -196,7 +196,9 @@
       Respond(exchange, 410, "");
       return;
     }
-    if (watches_silent_) {
+    const auto wait =
+        std::chrono::milliseconds(NumberOr(QueryParameter(path, "waitMs"), 0));
+    if (watches_silent_ || wait >= min_silent_wait_.load()) {
       dropped_watches_.push_back(exchange);
       return;
     }
@@ -216,8 +218,6 @@
         return waiting.exchange_.get() == aborted;
       });
     });
-    const auto wait =
-        std::chrono::milliseconds(NumberOr(QueryParameter(path, "waitMs"), 0));
     thread_.loop().After(wait, [this, exchange] {
       const auto erased = std::erase_if(watches_, [&](const Watch& waiting) {
         return waiting.exchange_ == exchange;
--- a/tests/platform/standins.hpp
+++ b/tests/platform/standins.hpp
@@ -95,6 +95,11 @@
   /// @brief From now on watches are accepted and never get a response, as on a
   /// connection that delivers nothing more.
   void SetWatchesSilent() { watches_silent_ = true; }
+  /// @brief As SetWatchesSilent(), but only watches whose wait is as long or
+  /// longer are silent.
+  void SetLongWatchesSilent(std::chrono::milliseconds wait) {
+    min_silent_wait_ = wait;
+  }
   [[nodiscard]] std::uint64_t calls() const { return calls_; }
   /// @brief Number of responses to reads and watches of a prefix that contained
   /// at least one value.
@@ -145,6 +150,8 @@
   std::minstd_rand random_{1};
   std::atomic<bool> history_compacted_{false};
   std::atomic<bool> watches_silent_{false};
+  std::atomic<std::chrono::milliseconds> min_silent_wait_{
+      std::chrono::milliseconds::max()};
   std::atomic<std::uint64_t> calls_{0};
   /// By requested prefix.
   std::map<std::string, int> responses_with_values_;
