Keep the rate limit shares of entries that are not known to be live

What callers saw: endpoints that state a rate limit got far more than it allows. Cause: shares followed the list of live entries. Entries that lose each other take over each other's shares although both sides reach the endpoint: an entry that is cut off from all others took the whole limit of every endpoint, and an entry that restarts sends its share again at once. Change: an entry keeps its share for 60 s after it was last known to be live, and one that has just started waits for a window before it sends.

--- a/packages/chalkwell/src/chalkwell/routing/endpoint_choice.cpp
+++ b/packages/chalkwell/src/chalkwell/routing/endpoint_choice.cpp
@@ -160,9 +160,10 @@
     return now + MeanRequestInterval(*rate);
   }
   const auto& sent = endpoint.last_sent_at_;
-  return sent.size() < share->requests_
-             ? now
-             : sent[sent.size() - share->requests_] + share->window_;
+  const auto next = sent.size() < share->requests_
+                        ? now
+                        : sent[sent.size() - share->requests_] + share->window_;
+  return std::max(next, share->not_before_);
 }
 
 core::TimePoint EndpointTable::NextSend(const Endpoint& endpoint,
--- a/packages/chalkwell/src/chalkwell/routing/rate_limit_senders.cpp
+++ b/packages/chalkwell/src/chalkwell/routing/rate_limit_senders.cpp
@@ -42,13 +42,20 @@
     : self_(std::move(self)), local_{self_.id_}, domains_{self_.domain_} {}
 
 void RateLimitSenders::SetEntries(const std::vector<EntryLocation>& others,
-                                  bool complete) {
+                                  bool complete, core::TimePoint now) {
   complete_ = complete;
+  started_at_ = started_at_.value_or(now);
+  for (const auto& entry : others) {
+    known_[entry.id_] = {entry.domain_, now};
+  }
+  std::erase_if(known_, [now](const auto& entry) {
+    return now - entry.second.last_seen_ > kMissingEntryRetention;
+  });
   local_ = {self_.id_};
   domains_ = {self_.domain_};
-  for (const auto& entry : others) {
+  for (const auto& [id, entry] : known_) {
     if (entry.domain_ == self_.domain_) {
-      local_.push_back(entry.id_);
+      local_.push_back(id);
     } else if (std::ranges::find(domains_, entry.domain_) == domains_.end()) {
       domains_.push_back(entry.domain_);
     }
@@ -68,7 +75,7 @@
 
 std::optional<RateLimitShare> RateLimitSenders::ShareOf(
     const RateLimitedEndpoint& endpoint) const {
-  if (!complete_ || SenderDomain(endpoint) != self_.domain_) {
+  if (!complete_ || !started_at_ || SenderDomain(endpoint) != self_.domain_) {
     return std::nullopt;
   }
   const auto senders =
@@ -88,6 +95,7 @@
   share.requests_ = static_cast<std::size_t>(requests);
   share.window_ = MeanRequestInterval(endpoint.requests_per_second_) *
                   static_cast<std::int64_t>(senders * share.requests_);
+  share.not_before_ = *started_at_ + share.window_;
   return share;
 }
 
--- a/packages/chalkwell/src/chalkwell/routing/rate_limit_senders.hpp
+++ b/packages/chalkwell/src/chalkwell/routing/rate_limit_senders.hpp
@@ -4,7 +4,9 @@
 // large deployment.
 #pragma once
 
+#include <chrono>
 #include <cstddef>
+#include <map>
 #include <optional>
 #include <vector>
 
@@ -36,11 +38,19 @@
 struct RateLimitShare {
   std::size_t requests_ = 1;
   core::Duration window_{};
+  /// Nothing is sent before: an earlier incarnation of this process may have
+  /// used the share just before it ended.
+  core::TimePoint not_before_;
 };
 
 /// @brief Largest number of requests of a share.
 inline constexpr std::size_t kMaxShareRequests = 32;
 
+/// @brief How long an entry that is not known to be live counts as a sender. It
+/// may be alive beyond a partition, or return within seconds under the same id.
+inline constexpr core::Duration kMissingEntryRetention =
+    std::chrono::seconds(60);
+
 /// @brief Requests that all senders together may send at once. In t seconds
 /// they send at most this many beyond t times the limit.
 [[nodiscard]] double BurstOf(double requests_per_second);
@@ -57,10 +67,12 @@
   explicit RateLimitSenders(EntryLocation self);
 
   /// @brief Sets the other live entries: all of the local failure domain, and
-  /// at least one of each remote one that has any.
+  /// at least one of each remote one that has any. Entries that are no longer
+  /// among them keep their shares for kMissingEntryRetention.
   /// @param complete false while this entry may not know all of them; it is no
   /// sender until then.
-  void SetEntries(const std::vector<EntryLocation>& others, bool complete);
+  void SetEntries(const std::vector<EntryLocation>& others, bool complete,
+                  core::TimePoint now);
 
   /// @brief Share of this entry in the limit of an endpoint; none if only other
   /// entries send to it. The senders are entries of the endpoint's failure
@@ -73,8 +85,17 @@
   [[nodiscard]] core::FailureDomainId SenderDomain(
       const RateLimitedEndpoint& endpoint) const;
 
+  struct KnownEntry {
+    core::FailureDomainId domain_;
+    core::TimePoint last_seen_;
+  };
+
   EntryLocation self_;
   bool complete_ = true;
+  /// When the entries were first set; none before.
+  std::optional<core::TimePoint> started_at_;
+  /// Other entries, live or missing for at most kMissingEntryRetention.
+  std::map<core::InstanceId, KnownEntry> known_;
   /// Entries of the local failure domain, including this one.
   std::vector<core::InstanceId> local_;
   /// Failure domains with entries, each once.
--- a/packages/daemon/src/daemon/direct/direct_entry.cpp
+++ b/packages/daemon/src/daemon/direct/direct_entry.cpp
@@ -554,7 +554,7 @@
   for (const auto& member : mesh_.LiveMembers()) {
     others.push_back({member.id_, member.domain_});
   }
-  endpoints_.rate_limit_senders().SetEntries(others, known);
+  endpoints_.rate_limit_senders().SetEntries(others, known, now);
 }
 
 void DirectEntry::Subscribe() {
--- a/packages/emulator/src/emulator/fleet.cpp
+++ b/packages/emulator/src/emulator/fleet.cpp
@@ -18,6 +18,8 @@
 const core::TimePoint kStart{std::chrono::seconds(1000)};
 /// Upper limit of sizes, as a multiple of the mean.
 constexpr double kMaxSizeFactor = 3;
+/// Time for which the entries have run before the simulation.
+constexpr auto kRunningBefore = std::chrono::seconds(60);
 
 /// @brief State of an entry; lost in an outage.
 struct Entry {
@@ -167,7 +169,7 @@
     entries_.back().endpoints_->ApplyList(rows, core::StoreRevision(1, 1), true,
                                           now_);
     entries_.back().endpoints_->rate_limit_senders().SetEntries(
-        OtherEntries(entry), true);
+        OtherEntries(entry), true, now_ - kRunningBefore);
   }
 }
 
--- a/tests/routing/placement_property_test.cpp
+++ b/tests/routing/placement_property_test.cpp
@@ -17,6 +17,8 @@
 using namespace std::chrono_literals;
 
 const core::TimePoint kStart{1000s};
+/// Time for which the entries have run before the test.
+constexpr auto kRunningBefore = 60s;
 constexpr auto kStep = 10ms;
 constexpr auto kEnd = 20s;
 constexpr config::SlowStart kSlowStart{3s, 5};
@@ -65,7 +67,8 @@
       auto table = std::make_unique<EndpointTable>(settings, seed + i, faults);
       table->SetSlowStarts({{"pool", kSlowStart}});
       table->SetEntryCount(entries, true);
-      table->rate_limit_senders().SetEntries(OtherEntries(i, entries), true);
+      table->rate_limit_senders().SetEntries(OtherEntries(i, entries), true,
+                                             kStart - kRunningBefore);
       entries_.push_back(std::move(table));
     }
     std::vector<EndpointRow> rows;
--- a/tests/routing/rate_limit_senders_test.cpp
+++ b/tests/routing/rate_limit_senders_test.cpp
@@ -4,6 +4,8 @@
 #include <algorithm>
 #include <catch2/catch.hpp>
 #include <deque>
+#include <iostream>
+#include <map>
 #include <random>
 #include <string>
 #include <vector>
@@ -16,6 +18,7 @@
 /// Window in which an endpoint's requests are counted, in seconds.
 constexpr double kWindowSeconds = 4;
 const core::FailureDomainId kDomain("d0");
+const core::TimePoint kStart(1h);
 
 /// Requests that the platform allows in a window.
 double AllowedInWindow(double requests_per_second) {
@@ -39,7 +42,7 @@
       }
     }
     entries.emplace_back(EntryLocation{EntryId(self), kDomain});
-    entries.back().SetEntries(others, true);
+    entries.back().SetEntries(others, true, kStart);
   }
   return entries;
 }
@@ -90,7 +93,7 @@
   for (const auto& domain : row.other_domains_) {
     others.push_back({EntryId(1), core::FailureDomainId(domain)});
   }
-  senders.SetEntries(others, row.complete_);
+  senders.SetEntries(others, row.complete_, kStart);
   CHECK(senders
             .ShareOf({core::InstanceId("i-1"),
                       core::FailureDomainId(row.endpoint_domain_), 2})
@@ -110,7 +113,7 @@
     std::erase_if(others,
                   [&](const auto& entry) { return entry.id_ == self.id_; });
     RateLimitSenders entry(self);
-    entry.SetEntries(others, true);
+    entry.SetEntries(others, true, kStart);
     senders += entry.ShareOf(
                    {core::InstanceId("i-1"), core::FailureDomainId("other"), 2})
                    ? 1
@@ -210,5 +213,163 @@
   }
 }
 
+/// What happens to the entries while they send to a limited endpoint.
+enum class Membership : std::uint8_t {
+  kStable,
+  /// The failure domains lose each other for kAbsence; all reach the endpoint.
+  kPartition,
+  /// All entries but one lose the others, and these lose them.
+  kIsolation,
+  /// Entries of the endpoint's domain restart one after the other.
+  kRestarts,
+};
+
+constexpr std::size_t kDomainCount = 4;
+constexpr std::size_t kEntriesPerDomain = 9;
+constexpr double kOfferedPerEntry = 5;
+constexpr double kRunSeconds = 25;
+constexpr double kFirstChange = 10;
+constexpr double kAbsence = 8;
+constexpr double kRestartInterval = 0.6;
+constexpr double kDowntime = 1;
+constexpr double kViewInterval = 0.1;
+
+/// Entries that each decide by their own view of the others.
+class ChangingEntries {
+ public:
+  ChangingEntries(Membership membership, double rate, std::uint64_t seed)
+      : membership_(membership), random_(seed) {
+    endpoint_ = {core::InstanceId("i-" + std::to_string(seed)),
+                 core::FailureDomainId("d0"), rate};
+    for (std::size_t i = 0; i < kDomainCount * kEntriesPerDomain; ++i) {
+      locations_.push_back(
+          {EntryId(i),
+           core::FailureDomainId("d" + std::to_string(i / kEntriesPerDomain))});
+      Start(i, -kStartedBefore);
+    }
+  }
+
+  /// @return most requests that the endpoint got in any kWindowSeconds.
+  std::size_t Run() {
+    std::exponential_distribution<> pause(kOfferedPerEntry *
+                                          static_cast<double>(entries_.size()));
+    std::size_t most = 0;
+    std::deque<double> window;
+    double view_at = 0;
+    for (double now = 0; now < kRunSeconds; now += pause(random_)) {
+      for (; view_at <= now; view_at += kViewInterval) {
+        UpdateViews(view_at);
+      }
+      if (!TrySend(random_() % entries_.size(), now)) {
+        continue;
+      }
+      window.push_back(now);
+      while (now - window.front() >= kWindowSeconds) {
+        window.pop_front();
+      }
+      most = std::max(most, window.size());
+    }
+    return most;
+  }
+
+ private:
+  struct Entry {
+    RateLimitSenders senders_;
+    std::deque<double> sent_at_;
+  };
+
+  static constexpr double kStartedBefore = 1000;
+
+  static core::TimePoint TimeAt(double seconds) {
+    return kStart + std::chrono::duration_cast<core::Duration>(
+                        std::chrono::duration<double>(seconds));
+  }
+
+  void Start(std::size_t index, double now) {
+    entries_.insert_or_assign(index,
+                              Entry{RateLimitSenders(locations_[index]), {}});
+    SetView(index, now);
+  }
+
+  [[nodiscard]] bool IsRunning(std::size_t index, double now) const {
+    const auto stopped_at =
+        kFirstChange + kRestartInterval * static_cast<double>(index);
+    return membership_ != Membership::kRestarts || index >= kEntriesPerDomain ||
+           now < stopped_at || now >= stopped_at + kDowntime;
+  }
+
+  [[nodiscard]] bool Knows(std::size_t index, std::size_t other,
+                           double now) const {
+    const bool disturbed = now >= kFirstChange && now < kFirstChange + kAbsence;
+    if (!IsRunning(other, now)) {
+      return false;
+    }
+    if (disturbed && membership_ == Membership::kPartition) {
+      return locations_[index].domain_ == locations_[other].domain_;
+    }
+    return !(disturbed && membership_ == Membership::kIsolation);
+  }
+
+  void SetView(std::size_t index, double now) {
+    std::vector<EntryLocation> others;
+    for (std::size_t other = 0; other < locations_.size(); ++other) {
+      if (other != index && Knows(index, other, now)) {
+        others.push_back(locations_[other]);
+      }
+    }
+    entries_.at(index).senders_.SetEntries(others, true, TimeAt(now));
+  }
+
+  void UpdateViews(double now) {
+    for (std::size_t index = 0; index < locations_.size(); ++index) {
+      const bool runs = IsRunning(index, now);
+      if (runs && !IsRunning(index, now - kViewInterval)) {
+        Start(index, now);
+      } else if (runs) {
+        SetView(index, now);
+      }
+    }
+  }
+
+  bool TrySend(std::size_t index, double now) {
+    auto& entry = entries_.at(index);
+    const auto share = entry.senders_.ShareOf(endpoint_);
+    if (!share || !IsRunning(index, now) || TimeAt(now) < share->not_before_) {
+      return false;
+    }
+    auto& sent = entry.sent_at_;
+    if (sent.size() >= share->requests_) {
+      const auto reference = sent[sent.size() - share->requests_];
+      if (TimeAt(now) < TimeAt(reference) + share->window_) {
+        return false;
+      }
+    }
+    sent.push_back(now);
+    return true;
+  }
+
+  Membership membership_;
+  std::mt19937_64 random_;
+  RateLimitedEndpoint endpoint_;
+  std::vector<EntryLocation> locations_;
+  std::map<std::size_t, Entry> entries_;
+};
+
+TEST_CASE("entries that lose each other or restart exceed a limit together",
+          "[routing]") {
+  const auto membership =
+      GENERATE(Membership::kStable, Membership::kPartition,
+               Membership::kIsolation, Membership::kRestarts);
+  const double rate = GENERATE(0.3, 1, 2, 4);
+  std::size_t most = 0;
+  for (std::uint64_t seed = 1; seed <= 3; ++seed) {
+    most = std::max(most, ChangingEntries(membership, rate, seed).Run());
+  }
+  std::cout << "figure rate_limit_most " << static_cast<int>(membership) << " "
+            << rate << ": " << most << " of " << AllowedInWindow(rate) << "\n";
+  CAPTURE(static_cast<int>(membership), rate);
+  CHECK(static_cast<double>(most) <= AllowedInWindow(rate));
+}
+
 }  // namespace
 }  // namespace chalkwell::routing
