Bound responses in size, number and total time in the HTTP client

Cause: a response that never ends kept a call open for good: each byte renewed the idle timeout, a body beyond the limit was discarded but still read, and any number of interim responses was skipped. A read of the endpoint list could so keep out the next one. Evidence: 'a server that sends bytes without end keeps a request open', nine places, passes; it was not run on the code before, which lacks the option that it sets.

--- a/packages/daemon/src/daemon/http_client.cpp
+++ b/packages/daemon/src/daemon/http_client.cpp
@@ -18,6 +18,9 @@
 constexpr double kKeepAliveShare = 0.5;
 /// Idle connections to one address; beyond it the oldest is closed.
 constexpr std::size_t kMaxIdlePerAddress = 16;
+/// Interim responses, and responses to earlier requests, that may precede the
+/// response to a request.
+constexpr int kMaxSkippedResponses = 16;
 
 std::string Serialize(const Address& address, const HttpRequest& request,
                       bool keep) {
@@ -99,7 +102,8 @@
       : state_(std::move(state)),
         address_(std::move(address)),
         parser_(HttpParser::Kind::kResponse, HttpLimits{}),
-        timer_(state_->loop_) {
+        timer_(state_->loop_),
+        total_timer_(state_->loop_) {
     ++state_->connections_[address_];
   }
   ~Connection() override {
@@ -123,7 +127,12 @@
     options_ = std::move(options);
     timer_.Cancel();
     request_bytes_ = Serialize(address_, request, options_.keep_alive_);
-    parser_.Next(HttpLimits{});
+    skipped_ = 0;
+    parser_.Next(Limits());
+    if (options_.total_timeout_) {
+      total_timer_.Once(*options_.total_timeout_,
+                        [this] { Finish(HttpEnd::kBroken); });
+    }
     if (request.method_ == "HEAD") {
       parser_.ExpectNoBody();
     }
@@ -190,6 +199,7 @@
 
   void Close() {
     timer_.Cancel();
+    total_timer_.Cancel();
     if (stream_ != nullptr) {
       stream_->Close();
     }
@@ -200,6 +210,12 @@
  private:
   [[nodiscard]] bool busy() const noexcept { return self_ != nullptr; }
 
+  [[nodiscard]] HttpLimits Limits() const {
+    HttpLimits limits;
+    limits.body_bytes_ = options_.max_body_bytes_;
+    return limits;
+  }
+
   [[nodiscard]] bool ShouldSend() const {
     return !options_.may_send_ || options_.may_send_();
   }
@@ -299,10 +315,10 @@
       return false;
     }
     const bool more = parser_.status() < 200 || parser_.keep_alive();
-    if (!more) {
+    if (!more || ++skipped_ > kMaxSkippedResponses) {
       return false;
     }
-    parser_.Next(HttpLimits{});
+    parser_.Next(Limits());
     head_delivered_ = false;
     return true;
   }
@@ -330,6 +346,7 @@
       return;
     }
     timer_.Cancel();
+    total_timer_.Cancel();
     const auto self = std::move(self_);
     const auto done = std::move(callbacks_.on_end_);
     const auto max_idle = options_.max_idle_time_;
@@ -371,6 +388,10 @@
   core::Duration keep_alive_timeout_ = core::Duration::max();
   core::TimePoint idle_since_;
   Timer timer_;
+  /// Runs while a request with a total timeout is in flight.
+  Timer total_timer_;
+  /// Responses skipped before that to the current request.
+  int skipped_ = 0;
   /// Set while a request is in flight; keeps the connection alive.
   std::shared_ptr<Connection> self_;
 };
@@ -450,23 +471,20 @@
     std::function<void(HttpResponse)> done, std::size_t max_bytes,
     HttpSendOptions options) {
   auto response = std::make_shared<HttpResponse>();
-  auto oversized = std::make_shared<bool>(false);
   HttpCallbacks callbacks;
   callbacks.on_headers_ = [response](int status, const HttpHeaders& headers) {
     response->status_ = status;
     response->headers_ = headers;
   };
-  callbacks.on_data_ = [response, oversized, max_bytes](std::string_view data) {
-    *oversized = *oversized || response->body_.size() + data.size() > max_bytes;
-    if (!*oversized) {
-      response->body_.append(data);
-    }
+  callbacks.on_data_ = [response](std::string_view data) {
+    response->body_.append(data);
   };
-  callbacks.on_end_ = [response, oversized,
-                       done = std::move(done)](HttpEnd end) {
-    response->end_ = *oversized ? HttpEnd::kBroken : end;
+  callbacks.on_end_ = [response, done = std::move(done)](HttpEnd end) {
+    response->end_ = end;
     done(std::move(*response));
   };
+  options.max_body_bytes_ = max_bytes;
+  options.total_timeout_ = options.total_timeout_.value_or(kFetchTimeout);
   return Send(address, request, std::move(callbacks), std::move(options));
 }
 
--- a/packages/daemon/src/daemon/http_client.hpp
+++ b/packages/daemon/src/daemon/http_client.hpp
@@ -55,6 +55,11 @@
   /// Longest time without a byte from the server. Without a value, the client's
   /// `io_timeout`.
   std::optional<core::Duration> idle_timeout_;
+  /// Longest time until the end of the response, however many bytes arrive
+  /// meanwhile. Without a value it is not limited.
+  std::optional<core::Duration> total_timeout_;
+  /// A response with a larger body ends as kBroken.
+  std::size_t max_body_bytes_ = HttpLimits{}.body_bytes_;
   /// Called once a new connection is open; the request is sent only if it
   /// returns true. Without it, the request is always sent.
   std::function<bool()> may_send_;
@@ -100,6 +105,9 @@
 /// @brief Client on one loop. Idle connections are kept per address.
 class HttpClient {
  public:
+  /// Total timeout of a collected response.
+  static constexpr auto kFetchTimeout = std::chrono::seconds(30);
+
   /// @param io_timeout default of the longest time without a byte from the
   /// server.
   HttpClient(Loop& loop, core::Duration io_timeout);
@@ -115,6 +123,7 @@
   /// @brief Sends a request and collects the response.
   /// @param done called once, unless cancelled.
   /// @param max_bytes limit of the body; a longer one ends as kBroken.
+  /// @param options without a total timeout, kFetchTimeout applies.
   std::shared_ptr<HttpCall> Fetch(const Address& address,
                                   const HttpRequest& request,
                                   std::function<void(HttpResponse)> done,
--- a/tests/daemon/http_client_test.cpp
+++ b/tests/daemon/http_client_test.cpp
@@ -25,9 +25,12 @@
   /// Sends a GET request and waits for its end.
   /// @param response_id accept only a response with this header `id`, if given.
   /// @param max_idle how long the connection may be idle to be used again.
+  /// @param total_timeout of the request.
   HttpResponse Fetch(const std::string& response_id = "",
-                     core::Duration max_idle = 2s) {
+                     core::Duration max_idle = 2s,
+                     core::Duration total_timeout = 20s) {
     HttpSendOptions options;
+    options.total_timeout_ = total_timeout;
     options.keep_alive_ = true;
     options.max_idle_time_ = max_idle;
     if (!response_id.empty()) {
@@ -109,6 +112,53 @@
   }
 }
 
+TEST_CASE("a server that sends bytes without end keeps a request open",
+          "[daemon]") {
+  /// Bytes after which the server gives up; the client accepts 1 MiB.
+  constexpr std::size_t kMaxSent = std::size_t{64} << 20;
+  constexpr auto kTrickleInterval = 5ms;
+  struct Row {
+    std::string name_;
+    std::string begin_;
+    std::string repeated_;
+    /// Whether the bytes arrive slowly, so that only the time ends the request.
+    bool trickles_;
+  };
+  const std::string block(std::size_t{16} << 10, 'x');
+  const auto row = GENERATE_COPY(
+      Row{"no response", "", block, false},
+      Row{"a header", "HTTP/1.1 200 OK\r\na: ", block, false},
+      Row{"headers", "HTTP/1.1 200 OK\r\n", "a: b\r\n", false},
+      Row{"interim responses", "", "HTTP/1.1 102 Processing\r\n\r\n", false},
+      Row{"a body without a length", "HTTP/1.1 200 OK\r\n\r\n", block, false},
+      Row{"chunks", "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n",
+          "4000\r\n" + block + "\r\n", false},
+      Row{"a chunk's size",
+          "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n", "0", false},
+      Row{"a header, slowly", "HTTP/1.1 200 OK\r\na: ", "x", true},
+      Row{"a body, slowly", "HTTP/1.1 200 OK\r\n\r\n", "x", true});
+  CAPTURE(row.name_);
+  Fixture fixture;
+  std::atomic<bool> closed = false;
+  std::thread server([&] {
+    const auto peer = fixture.listener_.Accept();
+    (void)peer.ReadUntil(kHeadEnd);
+    peer.Send(row.begin_);
+    for (std::size_t sent = 0; sent < kMaxSent && !closed;
+         sent += row.repeated_.size()) {
+      closed = !peer.TrySend(row.repeated_);
+      if (row.trickles_) {
+        std::this_thread::sleep_for(kTrickleInterval);
+      }
+    }
+  });
+  const auto result = fixture.Fetch("", 2s, row.trickles_ ? 100ms : 20s);
+  server.join();
+  CHECK(closed);
+  CHECK(result.end_ == HttpEnd::kBroken);
+  CHECK(result.body_.size() <= std::size_t{1} << 20);
+}
+
 TEST_CASE("the framing of a response is known with its head", "[daemon]") {
   struct Row {
     std::string head_;
--- a/tests/daemon/raw_socket.hpp
+++ b/tests/daemon/raw_socket.hpp
@@ -42,6 +42,11 @@
   void Send(const std::string& bytes) const {
     (void)::send(descriptor_, bytes.data(), bytes.size(), MSG_NOSIGNAL);
   }
+  /// @brief Sends bytes.
+  /// @return false once the other end has closed the connection.
+  [[nodiscard]] bool TrySend(const std::string& bytes) const {
+    return ::send(descriptor_, bytes.data(), bytes.size(), MSG_NOSIGNAL) >= 0;
+  }
   /// @brief Reads until the connection ends, or until `text` was received.
   /// @param text to wait for; empty reads until the end.
   /// @return all bytes received.
