End attempts whose response holds bytes without end

In the test a stream and a plain request wait for their deadline and get 504, although another endpoint would serve them. Cause: any byte counted as progress of a stream, so that an event that never ends was not silent; it was held whole, as was a response that must not be forwarded, up to 64 MB each. Change: only complete events are progress of a stream, and 256 KB of an event or of a response that is not forwarded end the attempt. The connection is closed and the request goes on at another endpoint. Evidence: 'a response without an end holds up its request' fails on the commit before (504 for both) and passes.

--- a/packages/daemon/src/daemon/direct/direct_attempt.hpp
+++ b/packages/daemon/src/daemon/direct/direct_attempt.hpp
@@ -23,7 +23,8 @@
   routing::AttemptNumber number_ = 0;
   routing::EndpointChoice choice_;
   core::TimePoint sent_at_;
-  /// When the last bytes of the response arrived; `sent_at_` before the first.
+  /// When the head or the last part of the response arrived, of a stream the
+  /// last event; `sent_at_` before the first.
   core::TimePoint last_data_at_;
   /// Constraint on the weights version when the endpoint was chosen; replaced
   /// while it does not limit the version of the endpoint.
--- a/packages/daemon/src/daemon/direct/direct_request.cpp
+++ b/packages/daemon/src/daemon/direct/direct_request.cpp
@@ -20,6 +20,9 @@
 /// once it is complete, so that the request can be retried if the connection
 /// breaks. Larger responses are forwarded as they arrive.
 constexpr std::size_t kMaxBufferedBytes = std::size_t{64} << 10;
+/// A response that must not be forwarded, such as an error, and a single event
+/// end their attempt when they are larger: they may never end.
+constexpr std::size_t kMaxHeldBytes = std::size_t{256} << 10;
 /// Bytes that may wait for a slow caller before reading from the endpoint
 /// stops.
 constexpr std::size_t kMaxPendingBytes = std::size_t{64} << 10;
@@ -421,15 +424,19 @@
   if (!current(*attempt)) {
     return;
   }
-  attempt->last_data_at_ = context_.loop_.Now();
-  attempt->silent_ = false;
-  context_.endpoints_.OnProgress(attempt->endpoint(), attempt->last_data_at_);
   if (!attempt->streaming_) {
+    RecordProgress(*attempt);
     OnBufferedData(attempt, bytes);
     return;
   }
   const auto complete = attempt->events_.Append(bytes);
+  if (attempt->events_.partial_event().size() > kMaxHeldBytes) {
+    EndOversized(attempt);
+    return;
+  }
+  // Bytes that complete no event may be anything.
   if (complete.count_ > 0) {
+    RecordProgress(*attempt);
     Perform(tracker_.Select(attempt->number_));
     if (tracker_.AcceptResponseBytes(attempt->number_, complete.count_)) {
       forwarded_events_ = attempt->events_;
@@ -439,11 +446,34 @@
   }
 }
 
+void DirectRequest::RecordProgress(Attempt& attempt) {
+  attempt.last_data_at_ = context_.loop_.Now();
+  attempt.silent_ = false;
+  context_.endpoints_.OnProgress(attempt.endpoint(), attempt.last_data_at_);
+}
+
+void DirectRequest::EndOversized(const AttemptPtr& attempt) {
+  attempt->abandon_reason_ = "response-too-large";
+  std::exchange(attempt->call_, nullptr)->Cancel();
+  // Its head may state that the request was not run.
+  const bool refused =
+      ClassifyResponse(*attempt) == routing::AttemptEnd::kRefusedNotRun;
+  EndAttempt(attempt,
+             refused ? routing::AttemptEnd::kRefusedNotRun
+                     : routing::AttemptEnd::kLost,
+             routing::EndpointOutcome::kFailed);
+}
+
 void DirectRequest::OnBufferedData(const AttemptPtr& attempt,
                                    std::string_view bytes) {
   attempt->body_.append(bytes);
-  if (attempt->body_.size() <= kMaxBufferedBytes ||
-      ClassifyResponse(*attempt) != routing::AttemptEnd::kComplete) {
+  if (attempt->body_.size() <= kMaxBufferedBytes) {
+    return;
+  }
+  if (ClassifyResponse(*attempt) != routing::AttemptEnd::kComplete) {
+    if (attempt->body_.size() > kMaxHeldBytes) {
+      EndOversized(attempt);
+    }
     return;
   }
   Perform(tracker_.Select(attempt->number_));
--- a/packages/daemon/src/daemon/direct/direct_request.hpp
+++ b/packages/daemon/src/daemon/direct/direct_request.hpp
@@ -108,6 +108,10 @@
   void OnHead(const AttemptPtr& attempt, int status,
               const HttpHeaders& headers);
   void OnData(const AttemptPtr& attempt, std::string_view bytes);
+  /// @brief The endpoint of an attempt delivered a part of its response.
+  void RecordProgress(Attempt& attempt);
+  /// @brief Ends an attempt whose response is larger than what is held of it.
+  void EndOversized(const AttemptPtr& attempt);
   void OnBufferedData(const AttemptPtr& attempt, std::string_view bytes);
   /// @param ended by value: the call, which is released, holds another one.
   void OnEnd(AttemptPtr ended, HttpEnd end);
--- a/tests/platform/endpoint_standin.cpp
+++ b/tests/platform/endpoint_standin.cpp
@@ -15,6 +15,9 @@
 /// From sending the response head of a request that crashes its endpoint to the
 /// crash.
 constexpr std::chrono::milliseconds kCrashDelay(20);
+/// Bytes that a response without an end sends at each interval.
+constexpr std::size_t kEndlessBlock = std::size_t{32} << 10;
+constexpr auto kEndlessInterval = std::chrono::milliseconds(5);
 /// From closing that request's connection to closing the listener and all other
 /// connections.
 constexpr std::chrono::milliseconds kListenerCloseDelay(10);
@@ -289,6 +292,9 @@
       hanging_.push_back(exchange);
       exchange->OnAbort([this] { ++cancelled_; });
       return;
+    case Behaviour::kEndless:
+      RespondWithoutEnd(exchange);
+      return;
     default:
       break;
   }
@@ -347,6 +353,39 @@
   });
 }
 
+void EndpointStandin::RespondWithoutEnd(const HttpExchangePtr& exchange) {
+  const auto& request = exchange->request();
+  const std::string request_id(FindHeader(request.headers_, "attempt-id"));
+  if (request.path_.starts_with("/stream/")) {
+    auto headers = SignedHeaders(request_id);
+    headers.emplace_back("content-type", "text/event-stream");
+    exchange->Start(200, headers);
+    exchange->Write("id: 1\ndata: ");
+  } else {
+    exchange->Start(200, {{"attempt-id", request_id}});
+  }
+  const auto closed = std::make_shared<bool>(false);
+  exchange->OnAbort([this, closed] {
+    *closed = true;
+    ++cancelled_;
+  });
+  SendWithoutEnd(exchange, closed);
+}
+
+void EndpointStandin::SendWithoutEnd(const HttpExchangePtr& exchange,
+                                     const std::shared_ptr<bool>& closed) {
+  if (*closed) {
+    return;
+  }
+  exchange->Write(std::string(kEndlessBlock, 'x'));
+  thread_.loop().After(kEndlessInterval, [this, exchange, closed,
+                                          alive = std::weak_ptr<int>(alive_)] {
+    if (!alive.expired() && server_ != nullptr) {
+      SendWithoutEnd(exchange, closed);
+    }
+  });
+}
+
 void EndpointStandin::RespondWithStream(const HttpExchangePtr& exchange,
                                         bool truncate) {
   const auto& headers = exchange->request().headers_;
--- a/tests/platform/silent_endpoint_test.cpp
+++ b/tests/platform/silent_endpoint_test.cpp
@@ -100,6 +100,31 @@
   CHECK(response.ends_with("answer to body"));
 }
 
+TEST_CASE("a response without an end holds up its request",
+          "[platform][silent]") {
+  const std::string path = GENERATE("/stream/x", "/safe/x");
+  CAPTURE(path);
+  Deployment deployment;
+  deployment.first_.SetBehaviour(Behaviour::kEndless);
+  deployment.second_.SetBehaviour(Behaviour::kEndless);
+  SetOther(deployment.first_, deployment.second_, Behaviour::kServe);
+  const auto entry = deployment.StartEntry("e1", deployment.store_.address());
+  REQUIRE(Eventually([&] { return entry.Ready(); }));
+  const RawSocket caller(entry.caller_port_);
+  caller.Send(RequestText(path));
+  const auto response = caller.ReadUntil();
+  CHECK(Status(response) == "200");
+  if (path == "/stream/x") {
+    CHECK(standins::CountEvents(response) == standins::kStreamEvents);
+    CHECK(response.ends_with("0\r\n\r\n"));
+  } else {
+    CHECK(response.ends_with("answer to body"));
+  }
+  CHECK(Eventually([&] {
+    return deployment.first_.cancelled() + deployment.second_.cancelled() == 1;
+  }));
+}
+
 TEST_CASE("a cut stream ends with the body of a response that is no stream",
           "[platform][silent]") {
   Deployment deployment;
--- a/tests/platform/standins.hpp
+++ b/tests/platform/standins.hpp
@@ -186,6 +186,9 @@
   kUnsigned,
   /// Runs the request and never responds.
   kHang,
+  /// Begins a response without a signature, or a stream, and sends bytes of its
+  /// body, or of an event, until the caller closes the connection.
+  kEndless,
 };
 
 /// @brief How the responses of an endpoint to requests are framed.
@@ -329,6 +332,9 @@
   void SendEvents(const daemon::HttpExchangePtr& exchange, StreamForm form,
                   std::uint64_t last);
   void Crash(const daemon::HttpExchangePtr& exchange);
+  void RespondWithoutEnd(const daemon::HttpExchangePtr& exchange);
+  void SendWithoutEnd(const daemon::HttpExchangePtr& exchange,
+                      const std::shared_ptr<bool>& closed);
   void HandleReport(const daemon::HttpExchangePtr& exchange) const;
   void HandleOrder(const daemon::HttpExchangePtr& exchange);
   void HandleStageGet(const daemon::HttpExchangePtr& exchange) const;
