--- a/tests/config/rules_series_test.cpp
+++ b/tests/config/rules_series_test.cpp
@@ -318,7 +318,9 @@
       Row{"39 entries, turned away", {3, 13}, Disturbance::kTurnedAway},
       Row{"330 entries, delayed", {5, 66}, Disturbance::kDelayed},
       Row{"330 entries, slow", {5, 66}, Disturbance::kSlow},
-      Row{"330 entries, turned away", {5, 66}, Disturbance::kTurnedAway});
+      Row{"330 entries, turned away", {5, 66}, Disturbance::kTurnedAway},
+      Row{"640 entries, delayed", {10, 64}, Disturbance::kDelayed},
+      Row{"640 entries, slow", {10, 64}, Disturbance::kSlow});
   CAPTURE(row.name_);
   const auto worst = Simulation(row.deployment_, row.disturbance_).Run();
   std::cout << "figure rules_series_worst_ms " << row.name_ << ": "
