Let entries return one after the other when a rate limit expires

Cause: a limit that no response states for 10 s was forgotten by all entries at the same moment, and all sent until the first response stated it again. Change: for 120 s after the expiry its senders keep to their shares, and each other entry sends one request at a time that is spread by hashing, until a response states or lifts the limit. The test of expiry checked that a limit is forgotten at once; it now checks both times.

--- a/packages/chalkwell/src/chalkwell/routing/endpoint_choice.cpp
+++ b/packages/chalkwell/src/chalkwell/routing/endpoint_choice.cpp
@@ -148,16 +148,23 @@
       interval, SlowStartOffset(settings_.entry_, endpoint.row_.id_, interval));
 }
 
+// An endpoint whose limit expired may be limited still. Its senders keep to
+// their shares; the others begin one after the other, so that the first
+// response that states the limit again reaches most of them before they send.
 core::TimePoint EndpointTable::NextRateLimitedSend(const Endpoint& endpoint,
                                                    core::TimePoint now) const {
   const auto& row = endpoint.row_;
   const auto rate = rate_limits_.RateOf(row.incarnation(), now);
-  if (!rate) {
+  const auto expired =
+      rate ? std::nullopt : rate_limits_.ExpiredLimitOf(row.incarnation(), now);
+  if (!rate && !expired) {
     return {};
   }
-  const auto share = rate_limit_senders_.ShareOf({row.id_, row.domain_, *rate});
+  const auto limit = rate ? *rate : expired->requests_per_second_;
+  const auto share = rate_limit_senders_.ShareOf({row.id_, row.domain_, limit});
   if (!share) {
-    return now + MeanRequestInterval(*rate);
+    return expired ? NextSendAfterExpiry(endpoint, *expired)
+                   : now + MeanRequestInterval(limit);
   }
   const auto& sent = endpoint.last_sent_at_;
   const auto next = sent.size() < share->requests_
@@ -166,6 +173,19 @@
   return std::max(next, share->not_before_);
 }
 
+core::TimePoint EndpointTable::NextSendAfterExpiry(
+    const Endpoint& endpoint, const ExpiredRateLimit& expired) const {
+  const auto spread = std::min<core::Duration>(
+      MeanRequestInterval(expired.requests_per_second_) *
+          static_cast<std::int64_t>(entries_),
+      EndpointRateLimits::kMaxReturnTime);
+  const auto first =
+      expired.expired_at_ +
+      SlowStartOffset(settings_.entry_, endpoint.row_.id_, spread);
+  const auto& sent = endpoint.last_sent_at_;
+  return sent.empty() ? first : std::max(first, sent.back() + spread);
+}
+
 core::TimePoint EndpointTable::NextSend(const Endpoint& endpoint,
                                         core::TimePoint now) const {
   const auto by_slow_start = faults_.ignore_slow_start_
--- a/packages/chalkwell/src/chalkwell/routing/endpoint_rate_limits.cpp
+++ b/packages/chalkwell/src/chalkwell/routing/endpoint_rate_limits.cpp
@@ -132,6 +132,21 @@
   return known->second.requests_per_second_;
 }
 
+std::optional<ExpiredRateLimit> EndpointRateLimits::ExpiredLimitOf(
+    const EndpointIncarnation& endpoint, core::TimePoint now) const {
+  const auto known = statements_.find(endpoint.id_);
+  if (known == statements_.end() ||
+      !MayBeSameIncarnation(known->second.endpoint_, endpoint) ||
+      !known->second.requests_per_second_ || !IsExpired(known->second, now)) {
+    return std::nullopt;
+  }
+  const auto expired_at = known->second.stated_at_ + ExpiryOf(known->second);
+  if (now - expired_at >= kMaxReturnTime) {
+    return std::nullopt;
+  }
+  return ExpiredRateLimit{*known->second.requests_per_second_, expired_at};
+}
+
 std::size_t EndpointRateLimits::LimitedCount(core::TimePoint now) const {
   return static_cast<std::size_t>(
       std::ranges::count_if(statements_, [now](const auto& entry) {
@@ -142,7 +157,7 @@
 
 void EndpointRateLimits::Expire(core::TimePoint now) {
   std::erase_if(statements_, [now](const auto& entry) {
-    return IsExpired(entry.second, now);
+    return IsExpired(entry.second, now - kMaxReturnTime);
   });
 }
 
--- a/packages/chalkwell/src/chalkwell/routing/endpoint_rate_limits.hpp
+++ b/packages/chalkwell/src/chalkwell/routing/endpoint_rate_limits.hpp
@@ -3,6 +3,7 @@
 // later response without one lifts it.
 #pragma once
 
+#include <chrono>
 #include <cstdint>
 #include <map>
 #include <optional>
@@ -37,9 +38,19 @@
 
 [[nodiscard]] std::string_view ToString(RateLimitChange change) noexcept;
 
+/// @brief A limit that expired because it was not stated again.
+struct ExpiredRateLimit {
+  double requests_per_second_ = 0;
+  core::TimePoint expired_at_;
+};
+
 /// @brief The newest statements of endpoints, as known to one entry.
 class EndpointRateLimits {
  public:
+  /// Longest time over which the entries begin to send to an endpoint whose
+  /// limit expired.
+  static constexpr auto kMaxReturnTime = std::chrono::seconds(120);
+
   /// @brief Applies what a response to a request of this entry stated.
   /// @param sent_at when the request was sent. A response without a limit lifts
   /// only one that was stated before: responses on different connections may
@@ -56,9 +67,13 @@
   /// @brief Limit of an incarnation; none if it has none.
   [[nodiscard]] std::optional<double> RateOf(
       const EndpointIncarnation& endpoint, core::TimePoint now) const;
+  /// @brief Limit of an incarnation that expired within kMaxReturnTime; none if
+  /// it applies or was lifted.
+  [[nodiscard]] std::optional<ExpiredRateLimit> ExpiredLimitOf(
+      const EndpointIncarnation& endpoint, core::TimePoint now) const;
   /// @brief Number of endpoints with a limit.
   [[nodiscard]] std::size_t LimitedCount(core::TimePoint now) const;
-  /// @brief Forgets statements that no longer apply.
+  /// @brief Forgets statements that expired before kMaxReturnTime.
   void Expire(core::TimePoint now);
 
  private:
--- a/packages/chalkwell/src/chalkwell/routing/endpoint_table.hpp
+++ b/packages/chalkwell/src/chalkwell/routing/endpoint_table.hpp
@@ -503,6 +503,10 @@
                                          core::TimePoint now) const;
   /// @brief NextSend() with regard to its rate limit only. If only other
   /// entries send to the endpoint, it is the time of their next request.
+  /// @brief When this entry, which is no sender, may send to an endpoint whose
+  /// limit expired: once until a response states or lifts the limit.
+  [[nodiscard]] core::TimePoint NextSendAfterExpiry(
+      const Endpoint& endpoint, const ExpiredRateLimit& expired) const;
   [[nodiscard]] core::TimePoint NextRateLimitedSend(const Endpoint& endpoint,
                                                     core::TimePoint now) const;
   /// @brief NextSend() with regard to its slow start only.
--- a/tests/routing/endpoint_rate_limits_test.cpp
+++ b/tests/routing/endpoint_rate_limits_test.cpp
@@ -147,6 +147,11 @@
   CHECK(limits.RateOf(kEndpoint, kNow + row.after_).has_value() ==
         row.limited_);
   limits.Expire(kNow + row.after_);
+  CHECK(limits.LimitedCount(kNow + row.after_) == (row.limited_ ? 1 : 0));
+  // Entries know for a while that it was limited.
+  CHECK(limits.ExpiredLimitOf(kEndpoint, kNow + row.after_).has_value() ==
+        !row.limited_);
+  limits.Expire(kNow + row.after_ + EndpointRateLimits::kMaxReturnTime);
   CHECK(limits.LimitedCount(kNow) == (row.limited_ ? 1 : 0));
 }
 
