--- a/tests/routing/rate_limit_senders_test.cpp
+++ b/tests/routing/rate_limit_senders_test.cpp
@@ -142,10 +142,11 @@
 constexpr double kSeconds = 200;
 
 /// Times of requests at random intervals, in seconds.
-std::vector<double> DrawTimes(double per_second, std::mt19937_64& random) {
+std::vector<double> DrawTimes(double per_second, double seconds,
+                              std::mt19937_64& random) {
   std::exponential_distribution<> pause(per_second);
   std::vector<double> times{pause(random)};
-  while (times.back() < kSeconds) {
+  while (times.back() < seconds) {
     times.push_back(times.back() + pause(random));
   }
   return times;
@@ -169,7 +170,7 @@
   std::deque<double> window;
   Usage usage;
   std::size_t sent = 0;
-  for (const auto now : DrawTimes(load.offered_, random)) {
+  for (const auto now : DrawTimes(load.offered_, kSeconds, random)) {
     const auto entry = entry_of(random);
     const auto share = entries[entry].ShareOf(endpoint);
     if (!share) {
@@ -251,14 +252,15 @@
 
   /// @return most requests that the endpoint got in any kWindowSeconds.
   std::size_t Run() {
-    std::exponential_distribution<> pause(kOfferedPerEntry *
-                                          static_cast<double>(entries_.size()));
     std::size_t most = 0;
     std::deque<double> window;
-    double view_at = 0;
-    for (double now = 0; now < kRunSeconds; now += pause(random_)) {
-      for (; view_at <= now; view_at += kViewInterval) {
-        UpdateViews(view_at);
+    std::size_t views = 0;
+    const auto offered =
+        kOfferedPerEntry * static_cast<double>(entries_.size());
+    for (const auto now : DrawTimes(offered, kRunSeconds, random_)) {
+      while (static_cast<double>(views) * kViewInterval <= now) {
+        UpdateViews(static_cast<double>(views) * kViewInterval);
+        ++views;
       }
       if (!TrySend(random_() % entries_.size(), now)) {
         continue;
