Soak: a series of rules while the watchers of a domain lose the store

25 versions are published 0.24 s apart, and each has a route of its own. The newest one that was acknowledged 3 s before is probed at all entries in turn; an undisturbed entry that answers 404 is a finding. One series at a time: in overlapping ones the route of a due version was no longer published.

--- a/tests/soak/callers.cpp
+++ b/tests/soak/callers.cpp
@@ -18,6 +18,8 @@
 /// Upper bound of the pause between two attempts of a crashing request.
 constexpr unsigned kMaxCrashingPauseMs = 400;
 constexpr int kCrashingDeadlineMs = 6000;
+constexpr auto kProbeInterval = milliseconds(20);
+constexpr int kProbeDeadlineMs = 1200;
 /// Prompt parts that requests share, apart from the one that all have.
 constexpr unsigned kPromptParts = 30;
 
@@ -76,10 +78,31 @@
   const std::chrono::duration<double> elapsed =
       std::chrono::steady_clock::now() - started_at_;
   const auto due = static_cast<std::uint64_t>(elapsed.count() * rate_);
-  while (sent_ - crashing_sent_ < due) {
+  while (sent_ - extra_sent_ < due) {
     SendRegular(RandomTarget());
   }
   SendCrashing();
+  SendProbes();
+}
+
+void Callers::ProbeRules(std::chrono::milliseconds duration) {
+  thread_.RunAndWait(
+      [&] { probes_end_ = std::chrono::steady_clock::now() + duration; });
+}
+
+void Callers::SendProbes() {
+  const auto now = std::chrono::steady_clock::now();
+  const auto version = checker_.DueRules();
+  if (now >= probes_end_ || now < next_probe_ || version == 0) {
+    return;
+  }
+  next_probe_ = now + kProbeInterval;
+  const auto& target = targets_[next_probed_++ % targets_.size()];
+  const auto number = std::to_string(version);
+  Send(target, "/version/" + number + "/x", kProbeDeadlineMs,
+       target.name_ + "/" + kProbeMark + number + "/" + std::to_string(++sent_),
+       "probe", RandomPart());
+  ++extra_sent_;
 }
 
 void Callers::StartCrashingSeries(Cause cause,
@@ -109,7 +132,7 @@
     Send(target, series.path_ + "x", kCrashingDeadlineMs, id,
          by_body ? series.name_ : std::to_string(sent_),
          RandomPart() + (by_body ? "" : "," + series.name_ + ":100"));
-    ++crashing_sent_;
+    ++extra_sent_;
   }
 }
 
--- a/tests/soak/callers.hpp
+++ b/tests/soak/callers.hpp
@@ -40,6 +40,10 @@
   /// crash each endpoint that runs them.
   void StartCrashingSeries(Cause cause, std::chrono::milliseconds duration);
 
+  /// @brief Sends probes of the newest rules that must be in force to all
+  /// entries in turn, for so long.
+  void ProbeRules(std::chrono::milliseconds duration);
+
  private:
   /// Attempts of requests that crash endpoints for one cause.
   struct CrashingSeries {
@@ -53,6 +57,7 @@
 
   void SendDue();
   void SendCrashing();
+  void SendProbes();
   void SendRegular(const Target& target);
   /// The part that all prompts begin with, and one that some share.
   [[nodiscard]] std::string RandomPart();
@@ -68,8 +73,11 @@
   std::minstd_rand random_;
   Checker& checker_;
   std::uint64_t sent_ = 0;
-  /// Attempts of crashing requests, which `sent_` counts too.
-  std::uint64_t crashing_sent_ = 0;
+  /// Attempts of crashing requests and probes, which `sent_` counts too.
+  std::uint64_t extra_sent_ = 0;
+  std::chrono::steady_clock::time_point probes_end_;
+  std::chrono::steady_clock::time_point next_probe_;
+  std::size_t next_probed_ = 0;
   std::uint64_t series_started_ = 0;
   std::vector<CrashingSeries> series_;
   std::chrono::steady_clock::time_point started_at_;
--- a/tests/soak/checker.cpp
+++ b/tests/soak/checker.cpp
@@ -8,6 +8,8 @@
 namespace chalkwell::soak {
 namespace {
 
+constexpr int kNotFound = 404;
+
 TimePoint Now() { return std::chrono::steady_clock::now(); }
 
 milliseconds Since(TimePoint then, TimePoint now) {
@@ -23,11 +25,17 @@
   return endpoint.substr(0, endpoint.rfind('-'));
 }
 
-/// Name of a crashing request; empty for others.
-std::string CrashingName(const std::string& request) {
+/// Name of a request "ENTRY/NAME/NUMBER" that begins with a mark; empty for
+/// others.
+std::string NameWith(const std::string& mark, const std::string& request) {
   const auto begin = request.find('/') + 1;
   const auto name = request.substr(begin, request.find('/', begin) - begin);
-  return name.starts_with(kCrashMark) ? name : "";
+  return name.starts_with(mark) ? name : "";
+}
+
+/// Name of a crashing request; empty for others.
+std::string CrashingName(const std::string& request) {
+  return NameWith(kCrashMark, request);
 }
 
 }  // namespace
@@ -80,6 +88,34 @@
   }
 }
 
+void Checker::OnRulesAcknowledged(unsigned version) {
+  const std::lock_guard lock(mutex_);
+  rules_.OnAcknowledged(version, Now());
+}
+
+unsigned Checker::DueRules() const {
+  const std::lock_guard lock(mutex_);
+  return rules_.Due(Now());
+}
+
+std::size_t Checker::rules_probes() const {
+  const std::lock_guard lock(mutex_);
+  return rules_.probes();
+}
+
+void Checker::CheckProbe(const std::string& request, int status,
+                         TimePoint now) {
+  if (status == 0 || !IsUndisturbed(EntryOf(request), now)) {
+    return;
+  }
+  const auto name = NameWith(kProbeMark, request);
+  const auto version = std::stoul(name.substr(kProbeMark.size()));
+  if (const auto after = rules_.OnProbe(static_cast<unsigned>(version),
+                                        status == kNotFound, now)) {
+    findings_.push_back({"rules not in force", "", request, *after});
+  }
+}
+
 void Checker::OnPathHeld(const std::string& endpoint) {
   const std::lock_guard lock(mutex_);
   path_held_until_[endpoint] = TimePoint::max();
@@ -260,6 +296,10 @@
     rate_limits_.OnResponse(request, now);
   }
   ++responses_[status];
+  if (!NameWith(kProbeMark, request).empty()) {
+    CheckProbe(request, status, now);
+    return;
+  }
   if (status >= 400 && status < 500) {
     findings_.push_back(
         {"valid request rejected with " + std::to_string(status), "", request,
--- a/tests/soak/checker.hpp
+++ b/tests/soak/checker.hpp
@@ -14,6 +14,7 @@
 #include "soak/rate_limit_check.hpp"
 #include "soak/response_check.hpp"
 #include "soak/retry_after_check.hpp"
+#include "soak/rules_check.hpp"
 #include "soak/stated_leaving_check.hpp"
 
 namespace chalkwell::soak {
@@ -22,6 +23,9 @@
 /// such a request contain its name.
 inline const std::string kCrashMark = "crash-";
 
+/// @brief Prefix of the names of probes of the rules; the version follows.
+inline const std::string kProbeMark = "probe-";
+
 /// @brief Guaranteed bounds that are checked.
 struct Bounds {
   /// From the store's acknowledgement that an endpoint is draining or removed
@@ -29,6 +33,8 @@
   milliseconds drain_{3000};
   /// From the end of a disturbance until the guarantees apply again.
   milliseconds recovery_{4000};
+  /// From the store's acknowledgement of rules until they are in force.
+  milliseconds rules_{3000};
   /// From the response to a caller to the last arrival of its request at an
   /// endpoint.
   milliseconds late_arrival_{500};
@@ -87,6 +93,7 @@
   explicit Checker(Bounds bounds)
       : bounds_(bounds),
         stated_leaving_(bounds.drain_),
+        rules_(bounds.rules_),
         incomplete_({.recovery_ = bounds.recovery_}) {}
 
   /// @brief The store acknowledged that an endpoint is draining or that its row
@@ -111,6 +118,10 @@
   /// @brief From now on an endpoint refuses all requests for so long each; zero
   /// if it accepts them again.
   void OnRefusing(const std::string& endpoint, milliseconds time);
+  /// @brief The store acknowledged a version of the rules.
+  void OnRulesAcknowledged(unsigned version);
+  /// @return the newest version of the rules that must be in force; 0 for none.
+  [[nodiscard]] unsigned DueRules() const;
   /// @brief A caller sends a request, which may time out after `timeout`.
   void OnSent(const std::string& request, milliseconds timeout);
   /// @brief The connection of a request ended without a complete response.
@@ -152,6 +163,8 @@
   [[nodiscard]] std::size_t forwarded_departures() const;
   /// @brief Number of refusals whose time had to be kept.
   [[nodiscard]] std::size_t refusals() const;
+  /// @brief Number of probes of the rules that were checked.
+  [[nodiscard]] std::size_t rules_probes() const;
   /// @brief State of the check of incomplete responses.
   [[nodiscard]] ResponseCheck incomplete() const;
 
@@ -170,6 +183,7 @@
                       TimePoint now);
   void CheckRetryAfter(const std::string& endpoint, const std::string& request,
                        TimePoint now);
+  void CheckProbe(const std::string& request, int status, TimePoint now);
   void CheckStatedLeaving(const std::string& endpoint,
                           const std::string& request, TimePoint now);
 
@@ -192,6 +206,7 @@
   RateLimitCheck rate_limits_;
   StatedLeavingCheck stated_leaving_;
   RetryAfterCheck retry_after_;
+  RulesCheck rules_;
   ResponseCheck incomplete_;
   std::uint64_t refused_as_suspected_ = 0;
   std::uint64_t unframed_streams_ = 0;
--- a/tests/soak/deployment.cpp
+++ b/tests/soak/deployment.cpp
@@ -15,6 +15,9 @@
 
 using namespace std::chrono_literals;
 
+/// Newest versions of the rules that have a route of their own: all that are
+/// published within the time until one must be in force.
+constexpr unsigned kVersionRoutes = 100;
 constexpr std::size_t kChunks = 5;
 /// Large enough for all items in one response of the store.
 constexpr std::size_t kStorePageSize = 500;
@@ -192,8 +195,15 @@
   if (extra_route_) {
     routes.push_back(Route("/extra/", "idempotent", "plain", 120, 1200));
   }
+  ++rules_version_;
+  const auto oldest =
+      rules_version_ > kVersionRoutes ? rules_version_ - kVersionRoutes + 1 : 1;
+  for (auto version = oldest; version <= rules_version_; ++version) {
+    routes.push_back(Route("/version/" + std::to_string(version) + "/",
+                           "idempotent", "plain", 120, 1200));
+  }
   Write("op/config",
-        {{"version", ++rules_version_},
+        {{"version", rules_version_},
          {"routes", routes},
          {"limits", {{"idleTimeoutMs", idle_timeout_.count()}}},
          {"tenants", {{{"name", "account"}, {"apiKeys", account_keys_}}}},
@@ -210,6 +220,7 @@
            {{"name", "source"},
             {"origin", origin_->address()},
             {"zone", DomainName(0)}}}}});
+  checker_.OnRulesAcknowledged(rules_version_);
 }
 
 void Deployment::StartIncarnation(EndpointHost& host, bool same_id) {
--- a/tests/soak/fault_injector.cpp
+++ b/tests/soak/fault_injector.cpp
@@ -1,9 +1,13 @@
 // All faults are injected by one thread; later steps are scheduled by time.
 #include "soak/fault_injector.hpp"
 
+#include <algorithm>
 #include <csignal>
 #include <thread>
 #include <utility>
+#include <vector>
+
+#include "chalkwell/membership/watcher_role.hpp"
 
 namespace chalkwell::soak {
 namespace {
@@ -38,6 +42,11 @@
 /// Share of the endpoints that are silent at once, if it is not one.
 constexpr double kMinSilentShare = 0.05;
 constexpr double kMaxSilentShare = 0.3;
+/// A long series of rules, and how long it is probed after its end.
+constexpr int kSeriesVersions = 25;
+constexpr milliseconds kSeriesInterval(240);
+constexpr milliseconds kSeriesDuration = kSeriesInterval * kSeriesVersions;
+constexpr milliseconds kProbesAfterSeries(4000);
 constexpr int kMinRulesVersions = 3;
 constexpr int kMaxRulesVersions = 6;
 constexpr int kMinRulesIntervalMs = 200;
@@ -109,6 +118,7 @@
       {"states-leaving", [this] { StateLeaving(); }},
       {"silent-endpoints", [this] { SilenceEndpoints(); }},
       {"config-changes", [this] { ChangeRules(); }},
+      {"config-series", [this] { ChangeRulesInSeries(); }},
       {"store-fails-some",
        [this] { RejectStoreCalls(150, DrawBetween(2000, 8000)); }},
       {"store-down",
@@ -486,6 +496,45 @@
   }
 }
 
+void FaultInjector::ChangeRulesInSeries() {
+  if (std::exchange(in_series_, true)) {
+    return;
+  }
+  auto& entries = deployment_.entries();
+  const auto domain = entries[random_() % entries.size()].domain_;
+  std::vector<core::InstanceId> members;
+  for (const auto& entry : entries) {
+    if (entry.domain_ == domain) {
+      members.emplace_back(entry.name_);
+    }
+  }
+  const auto watchers = membership::WatcherRole::FirstInRank(
+      members, membership::kWatchersPerDomain);
+  for (auto& entry : entries) {
+    if (std::ranges::find(watchers, core::InstanceId(entry.name_)) !=
+        watchers.end()) {
+      HoldStorePathOf(entry, kSeriesDuration);
+    }
+  }
+  for (int i = 0; i < kSeriesVersions; ++i) {
+    Schedule(kSeriesInterval * i, [this] { deployment_.ChangeRules(); });
+  }
+  callers_.ProbeRules(kSeriesDuration + kProbesAfterSeries);
+  Schedule(kSeriesDuration + kProbesAfterSeries,
+           [this] { in_series_ = false; });
+}
+
+void FaultInjector::HoldStorePathOf(Entry& entry, milliseconds duration) {
+  deployment_.relay().Hold(entry.store_address_, fleet::Direction::kBoth);
+  for (milliseconds at(0); at < duration; at += kOutageMarkInterval) {
+    Schedule(at, [this, &entry] { checker_.OnDisturbed(entry.name_); });
+  }
+  Schedule(duration, [this, &entry] {
+    deployment_.relay().Release(entry.store_address_);
+    checker_.OnDisturbed(entry.name_);
+  });
+}
+
 void FaultInjector::StateLeaving() {
   const auto duration = DrawBetween(kMinLeavingMs, kMaxLeavingMs);
   for (int i = 0; i < kLeavingPerInjection; ++i) {
--- a/tests/soak/fault_injector.hpp
+++ b/tests/soak/fault_injector.hpp
@@ -115,6 +115,10 @@
   void Silence(EndpointHost& host);
   /// Publishes several versions of the rules in a row.
   void ChangeRules();
+  /// Publishes a long series of rules while the watchers of a random failure
+  /// domain do not reach the store, and probes whether they are in force.
+  void ChangeRulesInSeries();
+  void HoldStorePathOf(Entry& entry, milliseconds duration);
   /// @param per_mille share of the store's calls that get 503.
   void RejectStoreCalls(unsigned per_mille, milliseconds duration);
   void DelayStore();
@@ -136,6 +140,8 @@
   std::map<std::string, unsigned> injected_;
   /// From the copy of the store until the next one may be saved.
   bool restoring_store_ = false;
+  /// While a series of rules is published and probed.
+  bool in_series_ = false;
 };
 
 }  // namespace chalkwell::soak
--- a/tests/soak/soak.cpp
+++ b/tests/soak/soak.cpp
@@ -80,7 +80,8 @@
   for (const auto& [entry, count] : check.counted()) {
     out << " " << entry << ":" << count;
   }
-  out << "; versions of rules " << result.rules_versions_ << "\n";
+  out << "; versions of rules " << result.rules_versions_ << ", probes of them "
+      << result.rules_probes_ << "\n";
 }
 
 }  // namespace
@@ -125,6 +126,7 @@
   result.rate_limited_arrivals_ = checker.rate_limited_arrivals();
   result.forwarded_departures_ = checker.forwarded_departures();
   result.refusals_ = checker.refusals();
+  result.rules_probes_ = checker.rules_probes();
   result.incomplete_ = checker.incomplete();
   result.list_ages_ = ReadLogField(settings.deployment_.folder_, "list_age_ms");
   if (result.findings_.empty() && !HasUnexpectedCrashes(result)) {
--- a/tests/soak/soak.hpp
+++ b/tests/soak/soak.hpp
@@ -39,6 +39,8 @@
   /// Responses that the entries cut off, by their own count.
   double cut_by_entries_ = 0;
   unsigned rules_versions_ = 0;
+  /// See Checker::rules_probes().
+  std::size_t rules_probes_ = 0;
   /// Snapshot ages of the endpoint list when attempts were routed, as logged
   /// by the entries.
   DurationSample list_ages_;
--- a/tests/soak/soak_test.cpp
+++ b/tests/soak/soak_test.cpp
@@ -111,6 +111,14 @@
   CHECK(result.silent_attempts_ > 0);
 }
 
+TEST_CASE("rules of a series are not in force while watchers lose the store",
+          "[soak]") {
+  const auto result = RunSmall(15, "config-series,kill,path-reset");
+  INFO(Describe(result));
+  CheckRun(result);
+  CHECK(result.rules_probes_ > 0);
+}
+
 TEST_CASE("endpoints that left get work after the store was restored",
           "[soak]") {
   auto settings = SmallRunSettings(10, "store-restored,kill");
