Log and count retries by service and cause

To tell apart why the retries of all entries exceed a service's budget: 608 lines name what an attempt follows, what the entry's budget has left and which part of the reserve it takes; retries_total, retries_denied_total, requests_admitted_total and retried_requests_total count by service. Summed over the entries, their increase in 10 s is what the platform's bound is about.

--- a/packages/chalkwell/src/chalkwell/routing/retry_budget.hpp
+++ b/packages/chalkwell/src/chalkwell/routing/retry_budget.hpp
@@ -45,6 +45,7 @@
 
   /// @brief Counts a request in the window.
   void OnRequest(core::TimePoint now) noexcept;
+  [[nodiscard]] double reserve() const noexcept { return settings_.reserve_; }
   /// @brief Sets this entry's part of a reserve that is divided between the
   /// entries; it changes with their number.
   void SetReserve(double reserve) noexcept { settings_.reserve_ = reserve; }
--- a/packages/daemon/src/daemon/direct/direct_request.cpp
+++ b/packages/daemon/src/daemon/direct/direct_request.cpp
@@ -13,6 +13,8 @@
 using std::chrono::milliseconds;
 
 constexpr std::string_view kTraceparent = "traceparent";
+/// Cause of an attempt beside silent ones, as logged and counted.
+constexpr std::string_view kSilentCause = "silent";
 constexpr int kBadGateway = 502;
 constexpr int kUnavailable = 503;
 constexpr int kGatewayTimeout = 504;
@@ -101,6 +103,8 @@
   span_ = context_.tracer_.Begin(
       "entry.request", FindHeader(exchange_->request().headers_, kTraceparent));
   context_.budget_.OnRequest(now);
+  context_.metrics_.Count("requests_admitted_total",
+                          {{"service", request_.service_}});
   quarantine_token_ = context_.quarantine_.OnAdmitted(
       request_.identity_, request_.service_, request_.deadline_,
       [weak = weak_from_this()] {
@@ -270,6 +274,9 @@
        {"parts", Join(request_.caller_.shared_prompt_parts_)},
        {"attempt", std::to_string(attempt.number_)},
        {"beside", std::to_string(attempts_.size())},
+       {"retry_cause", std::string(retried_after_)},
+       {"retries_left", RetriesLeftText()},
+       {"retry_reserve", std::to_string(context_.budget_.reserve())},
        {"endpoint", choice.row_.id_.value()},
        {"service", request_.service_},
        {"rules", std::to_string(request_.rules_version_)},
@@ -382,6 +389,7 @@
           attempts_, &Attempt::silent_,
           [](const AttemptPtr& each) -> const Attempt& { return *each; })) {
     last_possible_run_ = PossibleRunOf(*attempt);
+    last_cause_ = kSilentCause;
     Perform(tracker_.OnSilent(now));
   }
 }
@@ -653,6 +661,7 @@
     LogAttemptEnded(*attempt, routing::ToString(end));
   }
   ReportToQuarantine(*attempt, end);
+  last_cause_ = routing::ToString(end);
   Perform(tracker_.OnEnded(attempt->number_, end, context_.loop_.Now()));
 }
 
@@ -689,7 +698,20 @@
     return false;
   }
   retry_rejected_by_ = "retry budget";
-  return context_.budget_.TryConsume(kind, now);
+  const bool allowed = context_.budget_.TryConsume(kind, now);
+  context_.metrics_.Count(
+      allowed ? "retries_total" : "retries_denied_total",
+      {{"service", request_.service_}, {"cause", std::string(last_cause_)}});
+  if (allowed) {
+    retried_after_ = last_cause_;
+  }
+  return allowed;
+}
+
+std::string DirectRequest::RetriesLeftText() const {
+  const auto left = context_.budget_.Available(routing::RetryKind::kResume,
+                                               context_.loop_.Now());
+  return std::to_string(static_cast<std::uint64_t>(left));
 }
 
 std::string DirectRequest::RetryDenialText() const {
@@ -797,6 +819,13 @@
   } else {
     RespondFailure(finish);
   }
+  if (tracker_.attempt() > 1) {
+    context_.metrics_.Count(
+        "retried_requests_total",
+        {{"service", request_.service_},
+         {"cause", std::string(retried_after_)},
+         {"outcome", std::string(routing::ToString(finish.outcome_))}});
+  }
   const auto elapsed = now - request_.received_at_;
   context_.metrics_.Observe(
       "request_seconds",
--- a/packages/daemon/src/daemon/direct/direct_request.hpp
+++ b/packages/daemon/src/daemon/direct/direct_request.hpp
@@ -175,6 +175,8 @@
   [[nodiscard]] bool MayRetry(routing::RetryKind kind, core::TimePoint now);
   /// @brief Why the last attempt was not followed by another, as logged.
   [[nodiscard]] std::string RetryDenialText() const;
+  /// @brief What the retry budget still allows, as logged.
+  [[nodiscard]] std::string RetriesLeftText() const;
   /// @brief Whether the attempt is in flight.
   [[nodiscard]] bool current(const Attempt& attempt) const noexcept {
     return !ended_ && attempt.call_ != nullptr;
@@ -207,6 +209,10 @@
   std::optional<routing::LostAttempt> last_possible_run_;
   /// What rejected the last retry that the tracker would have made.
   std::string_view retry_rejected_by_;
+  /// What the last attempt came to, or that it is silent.
+  std::string_view last_cause_ = "none";
+  /// What the last retry followed; "none" before the first.
+  std::string_view retried_after_ = "none";
   QuarantineManager::Token quarantine_token_ = 0;
   /// The last error response that an endpoint sent after running the request.
   std::optional<HttpResponse> last_failure_;
