Keep a retry budget for each service

What callers saw: attempts of one service beyond what the platform allows for it, paid for by requests for another. Cause: one budget an entry; the platform's bound is of each service.

--- a/packages/chalkwell/src/chalkwell/routing/fwd.hpp
+++ b/packages/chalkwell/src/chalkwell/routing/fwd.hpp
@@ -10,6 +10,7 @@
 class TicketIssuer;
 class FairQueue;
 class RetryBudget;
+class RetryBudgets;
 class RetryJitter;
 class SlotQueue;
 class AffinityChooser;
--- a/packages/daemon/src/daemon/direct/direct_entry.cpp
+++ b/packages/daemon/src/daemon/direct/direct_entry.cpp
@@ -95,14 +95,14 @@
       adapter_(std::move(adapter)),
       endpoints_({.domain_ = process.domain(), .entry_ = process.id()},
                  std::random_device{}()),
-      budget_(RetryBudgetOf(process.settings())),
+      retry_budgets_(RetryBudgetOf(process.settings())),
       retry_jitter_(std::random_device{}()),
       context_{
           process.loop(),
           process.http_client(),
           adapter_,
           endpoints_,
-          budget_,
+          retry_budgets_,
           retry_jitter_,
           quarantine_,
           statements_,
@@ -744,7 +744,7 @@
     return;
   }
   process_.shutdown().OnWorkAccepted();
-  budget_.SetReserve(RetryReserveShare());
+  retry_budgets_.SetReserve(RetryReserveShare());
   const auto number = ++last_request_;
   const auto admitted = std::make_shared<DirectRequest>(
       context_, exchange, std::move(request), [this, number] {
--- a/packages/daemon/src/daemon/direct/direct_entry.hpp
+++ b/packages/daemon/src/daemon/direct/direct_entry.hpp
@@ -17,7 +17,7 @@
 #include "chalkwell/rollout/version_bound.hpp"
 #include "chalkwell/routing/endpoint_table.hpp"
 #include "chalkwell/routing/request_age_estimator.hpp"
-#include "chalkwell/routing/retry_budget.hpp"
+#include "chalkwell/routing/retry_budgets.hpp"
 #include "chalkwell/routing/retry_jitter.hpp"
 #include "daemon/direct/adapter.hpp"
 #include "daemon/direct/direct_request.hpp"
@@ -121,7 +121,7 @@
   Adapter adapter_;
   config::TrafficTable rules_;
   routing::EndpointTable endpoints_;
-  routing::RetryBudget budget_;
+  routing::RetryBudgets retry_budgets_;
   routing::RetryJitter retry_jitter_;
   routing::RequestAgeEstimator request_ages_;
   /// Published versions and when each was received, by model.
--- a/packages/daemon/src/daemon/direct/direct_request.cpp
+++ b/packages/daemon/src/daemon/direct/direct_request.cpp
@@ -102,7 +102,7 @@
   const auto now = context_.loop_.Now();
   span_ = context_.tracer_.Begin(
       "entry.request", FindHeader(exchange_->request().headers_, kTraceparent));
-  context_.budget_.OnRequest(now);
+  context_.budgets_.OnRequest(request_.service_, now);
   context_.metrics_.Count("requests_admitted_total",
                           {{"service", request_.service_}});
   quarantine_token_ = context_.quarantine_.OnAdmitted(
@@ -276,7 +276,7 @@
        {"beside", std::to_string(attempts_.size())},
        {"retry_cause", std::string(retried_after_)},
        {"retries_left", RetriesLeftText()},
-       {"retry_reserve", std::to_string(context_.budget_.reserve())},
+       {"retry_reserve", std::to_string(context_.budgets_.reserve())},
        {"endpoint", choice.row_.id_.value()},
        {"service", request_.service_},
        {"rules", std::to_string(request_.rules_version_)},
@@ -698,7 +698,8 @@
     return false;
   }
   retry_rejected_by_ = "retry budget";
-  const bool allowed = context_.budget_.TryConsume(kind, now);
+  const bool allowed =
+      context_.budgets_.TryConsume(request_.service_, kind, now);
   context_.metrics_.Count(
       allowed ? "retries_total" : "retries_denied_total",
       {{"service", request_.service_}, {"cause", std::string(last_cause_)}});
@@ -709,8 +710,8 @@
 }
 
 std::string DirectRequest::RetriesLeftText() const {
-  const auto left = context_.budget_.Available(routing::RetryKind::kResume,
-                                               context_.loop_.Now());
+  const auto left = context_.budgets_.Available(
+      request_.service_, routing::RetryKind::kResume, context_.loop_.Now());
   return std::to_string(static_cast<std::uint64_t>(left));
 }
 
--- a/packages/daemon/src/daemon/direct/direct_request.hpp
+++ b/packages/daemon/src/daemon/direct/direct_request.hpp
@@ -16,7 +16,7 @@
 #include "chalkwell/routing/first_byte_timeout.hpp"
 #include "chalkwell/routing/request_digest.hpp"
 #include "chalkwell/routing/request_tracker.hpp"
-#include "chalkwell/routing/retry_budget.hpp"
+#include "chalkwell/routing/retry_budgets.hpp"
 #include "chalkwell/routing/retry_jitter.hpp"
 #include "daemon/direct/adapter.hpp"
 #include "daemon/direct/direct_attempt.hpp"
@@ -34,7 +34,7 @@
   HttpClient& http_;
   const Adapter& adapter_;
   routing::EndpointTable& endpoints_;
-  routing::RetryBudget& budget_;
+  routing::RetryBudgets& budgets_;
   routing::RetryJitter& retry_jitter_;
   QuarantineManager& quarantine_;
   EndpointStatements& statements_;
--- a/tests/routing/retry_budget_simulation_test.cpp
+++ b/tests/routing/retry_budget_simulation_test.cpp
@@ -11,7 +11,7 @@
 #include <string>
 #include <vector>
 
-#include "chalkwell/routing/retry_budget.hpp"
+#include "chalkwell/routing/retry_budgets.hpp"
 
 namespace chalkwell::routing {
 namespace {
@@ -24,8 +24,8 @@
 constexpr double kShare = 0.2;
 const core::TimePoint kStart(1h + 37ms);
 /// The service whose attempts fail, and another one of the same entries.
-constexpr std::string_view kFailing = "failing";
-constexpr std::string_view kOther = "other";
+const std::string kFailing = "failing";
+const std::string kOther = "other";
 
 /// Size of a deployment, and the retries that all its entries may make in a
 /// window beyond the share of a service's requests.
@@ -69,25 +69,25 @@
 class SimulatedEntry {
  public:
   SimulatedEntry(Size size, core::TimePoint /*started*/)
-      : reserve_(size.reserve_), budget_({.share_ = kShare, .reserve_ = 0}) {}
+      : reserve_(size.reserve_), budgets_({.share_ = kShare, .reserve_ = 0}) {}
 
   /// @param local live entries of the own failure domain that it knows,
   /// itself included.
   /// @param all live entries of the deployment that it knows.
   void SetView(std::size_t /*local*/, std::size_t all,
                core::TimePoint /*now*/) {
-    budget_.SetReserve(0.5 * reserve_ / static_cast<double>(all));
+    budgets_.SetReserve(0.5 * reserve_ / static_cast<double>(all));
   }
-  void OnRequest(std::string_view /*service*/, core::TimePoint now) {
-    budget_.OnRequest(now);
+  void OnRequest(const std::string& service, core::TimePoint now) {
+    budgets_.OnRequest(service, now);
   }
-  bool TryConsume(std::string_view /*service*/, core::TimePoint now) {
-    return budget_.TryConsume(RetryKind::kResume, now);
+  bool TryConsume(const std::string& service, core::TimePoint now) {
+    return budgets_.TryConsume(service, RetryKind::kResume, now);
   }
 
  private:
   double reserve_;
-  RetryBudget budget_;
+  RetryBudgets budgets_;
 };
 
 /// Times of what the failing service got, over all entries.
