Bound retries in any window, whatever was spent before it

What callers saw: two bursts of attempts 9 to 10 s apart, each as large as the budget; and each start of an entry brought a share of requests again whose retries its predecessor had already made. Cause: the budget counted slices of the time, which cover 9 to 10 s of the 10 s window, and allowed a whole window's share at once. A process that ends after such a burst forgets it. Change: a request earns its share of a retry when it arrives; what is kept for later is at most a burst, which is part of the allowance beyond the share. The reserve is counted in an exact window. So nothing that is forgotten is needed. The property test of the budget allowed a window of 9 s for 10 s of requests; it checks 10 s.

--- a/packages/chalkwell/src/chalkwell/routing/fwd.hpp
+++ b/packages/chalkwell/src/chalkwell/routing/fwd.hpp
@@ -9,6 +9,7 @@
 class ExecutionGuard;
 class TicketIssuer;
 class FairQueue;
+struct RetryAllowance;
 class RetryBudget;
 class RetryBudgets;
 class RetryJitter;
--- a/packages/chalkwell/src/chalkwell/routing/retry_budget.hpp
+++ b/packages/chalkwell/src/chalkwell/routing/retry_budget.hpp
@@ -1,9 +1,9 @@
-// Retry budget: limits retries to a share of the requests in a sliding window,
-// so that failures do not multiply the load.
+// Retry budget: limits retries to a share of the requests and a reserve, so
+// that failures do not multiply the load.
 #pragma once
 
-#include <array>
 #include <cstdint>
+#include <deque>
 
 #include "chalkwell/core/fwd.hpp"
 #include "chalkwell/routing/fwd.hpp"
@@ -18,19 +18,34 @@
   kResume,
 };
 
+/// @brief Retries that are allowed beyond those that requests earn while they
+/// arrive.
+struct RetryAllowance {
+  /// Most earned retries that are kept for later; below 1 no retry is allowed.
+  double burst_ = 1;
+  /// Retries per window in addition to earned ones.
+  double reserve_ = 20;
+};
+
+/// @brief Divides the number of retries that a budget may allow in any window
+/// beyond its share of the requests in that window.
+[[nodiscard]] RetryAllowance AllowanceOf(double retries) noexcept;
+
 /// @brief Settings of RetryBudget.
 struct RetryBudgetSettings {
-  /// Retries allowed per request in the window, 0 to 1.
+  /// Retries earned by each request, 0 to 1.
   double share_ = 0.1;
-  /// Retries allowed per window in addition to that share.
-  double reserve_ = 20;
+  RetryAllowance allowance_;
   /// Fraction of the reserve that is available to resumes only, 0 to 1.
   double resume_reserve_share_ = 0.5;
   core::Duration window_ = std::chrono::seconds(10);
 };
 
-/// @brief Decides whether a retry is allowed, from the numbers of requests and
-/// retries in the last window.
+/// @brief Decides whether a retry is allowed.
+///
+/// In any window, retries are at most the share of the requests in that window,
+/// the burst and the reserve: a retry that was earned before the window counts
+/// towards the burst.
 ///
 /// The loss of an endpoint breaks all its responses at once. Resuming these has
 /// priority, so part of the reserve is not available to other retries.
@@ -39,35 +54,33 @@
   explicit RetryBudget(RetryBudgetSettings settings = {}) noexcept
       : settings_(settings) {}
 
-  /// @brief Number of retries still allowed in the window; at least 0.
-  [[nodiscard]] double Available(RetryKind kind,
-                                 core::TimePoint now) const noexcept;
+  /// @brief Number of retries still allowed; at least 0.
+  [[nodiscard]] double Available(RetryKind kind, core::TimePoint now) const;
 
-  /// @brief Counts a request in the window.
-  void OnRequest(core::TimePoint now) noexcept;
-  [[nodiscard]] double reserve() const noexcept { return settings_.reserve_; }
-  /// @brief Sets this entry's part of a reserve that is divided between the
+  /// @brief Counts a request, which earns a share of a retry.
+  void OnRequest() noexcept;
+  /// @brief Sets this entry's part of an allowance that is divided between the
   /// entries; it changes with their number.
-  void SetReserve(double reserve) noexcept { settings_.reserve_ = reserve; }
+  void SetAllowance(RetryAllowance allowance) noexcept;
   /// @brief Consumes one retry if the budget allows it.
-  [[nodiscard]] bool TryConsume(RetryKind kind, core::TimePoint now) noexcept;
+  [[nodiscard]] bool TryConsume(RetryKind kind, core::TimePoint now);
 
  private:
-  static constexpr std::size_t kSlices = 10;
-
-  /// @brief Counts for a tenth of the window.
-  struct Slice {
-    std::int64_t index_ = -1;
-    std::uint64_t requests_ = 0;
-    std::uint64_t retries_ = 0;
+  /// @brief Use of the reserve by one retry.
+  struct Use {
+    core::TimePoint at_;
+    /// Part of the retry that was not earned, above 0 and at most 1.
+    double retries_ = 0;
   };
 
-  [[nodiscard]] std::int64_t SliceIndexAt(core::TimePoint now) const noexcept;
-  [[nodiscard]] Slice& SliceAt(core::TimePoint now) noexcept;
+  [[nodiscard]] double UsedReserve(core::TimePoint now) const;
 
   RetryBudgetSettings settings_;
-  /// Ring buffer; only slices whose index is in the last window count.
-  std::array<Slice, kSlices> slices_{};
+  /// Earned and not consumed; at most the burst.
+  double earned_ = 0;
+  /// In order of time. Holds those of the last window, and older ones until the
+  /// next retry.
+  std::deque<Use> uses_;
 };
 
 }  // namespace chalkwell::routing
--- a/packages/chalkwell/src/chalkwell/routing/retry_budgets.cpp
+++ b/packages/chalkwell/src/chalkwell/routing/retry_budgets.cpp
@@ -3,15 +3,15 @@
 
 namespace chalkwell::routing {
 
-void RetryBudgets::SetReserve(double reserve) {
-  settings_.reserve_ = reserve;
+void RetryBudgets::SetAllowance(RetryAllowance allowance) {
+  settings_.allowance_ = allowance;
   for (auto& [service, row] : rows_) {
-    row.budget_.SetReserve(reserve);
+    row.budget_.SetAllowance(allowance);
   }
 }
 
 void RetryBudgets::OnRequest(const std::string& service, core::TimePoint now) {
-  BudgetOf(service, now).OnRequest(now);
+  BudgetOf(service, now).OnRequest();
 }
 
 double RetryBudgets::Available(const std::string& service, RetryKind kind,
--- a/packages/chalkwell/src/chalkwell/routing/retry_budgets.hpp
+++ b/packages/chalkwell/src/chalkwell/routing/retry_budgets.hpp
@@ -17,9 +17,11 @@
   explicit RetryBudgets(RetryBudgetSettings settings) noexcept
       : settings_(settings) {}
 
-  [[nodiscard]] double reserve() const noexcept { return settings_.reserve_; }
-  /// @brief Sets the reserve of each service.
-  void SetReserve(double reserve);
+  [[nodiscard]] const RetryAllowance& allowance() const noexcept {
+    return settings_.allowance_;
+  }
+  /// @brief Sets the allowance of each service.
+  void SetAllowance(RetryAllowance allowance);
   /// @brief Counts a request for a service.
   void OnRequest(const std::string& service, core::TimePoint now);
   /// @brief Number of retries still allowed for a service; at least 0.
--- a/packages/daemon/src/daemon/direct/direct_entry.cpp
+++ b/packages/daemon/src/daemon/direct/direct_entry.cpp
@@ -744,7 +744,7 @@
     return;
   }
   process_.shutdown().OnWorkAccepted();
-  retry_budgets_.SetReserve(RetryReserveShare());
+  retry_budgets_.SetAllowance(routing::AllowanceOf(RetryReserveShare()));
   const auto number = ++last_request_;
   const auto admitted = std::make_shared<DirectRequest>(
       context_, exchange, std::move(request), [this, number] {
--- a/packages/daemon/src/daemon/direct/direct_settings.cpp
+++ b/packages/daemon/src/daemon/direct/direct_settings.cpp
@@ -23,7 +23,6 @@
 routing::RetryBudgetSettings RetryBudgetOf(const Settings& settings) {
   routing::RetryBudgetSettings budget;
   budget.share_ = settings.Real("requests", "retry_share");
-  budget.reserve_ = settings.Real("requests", "retry_reserve");
   return budget;
 }
 
--- a/packages/daemon/src/daemon/entry.cpp
+++ b/packages/daemon/src/daemon/entry.cpp
@@ -47,7 +47,8 @@
           std::random_device{}()),
       retry_budget_(
           {.share_ = process.settings().Real("requests", "retry_share"),
-           .reserve_ = process.settings().Real("requests", "retry_reserve")}),
+           .allowance_ = routing::AllowanceOf(
+               process.settings().Real("requests", "retry_reserve"))}),
       queue_limits_({.max_in_flight_ =
                          process.settings().Number("requests", "max_in_flight"),
                      .max_waiting_ =
--- a/packages/daemon/src/daemon/request_runner.cpp
+++ b/packages/daemon/src/daemon/request_runner.cpp
@@ -87,7 +87,7 @@
   });
   deadline_timer_.Once(request_.deadline_ - services_.loop_.Now(),
                        [self] { self->Perform(self->tracker_.Abort()); });
-  services_.budget_.OnRequest(services_.loop_.Now());
+  services_.budget_.OnRequest();
   Perform(tracker_.Start(services_.loop_.Now()));
 }
 
--- a/tests/routing/choice_test.cpp
+++ b/tests/routing/choice_test.cpp
@@ -59,13 +59,14 @@
 }
 
 TEST_CASE("retries are limited to a share of requests", "[routing]") {
-  RetryBudget budget(
-      {.share_ = 0.1, .reserve_ = 2, .resume_reserve_share_ = 0});
+  RetryBudget budget({.share_ = 0.1,
+                      .allowance_ = {.reserve_ = 2},
+                      .resume_reserve_share_ = 0});
   CHECK(budget.TryConsume(RetryKind::kRestart, kStart));
   CHECK(budget.TryConsume(RetryKind::kRestart, kStart));
   CHECK_FALSE(budget.TryConsume(RetryKind::kRestart, kStart));
   for (int i = 0; i < 11; ++i) {
-    budget.OnRequest(kStart);
+    budget.OnRequest();
   }
   CHECK(budget.TryConsume(RetryKind::kRestart, kStart));
   CHECK_FALSE(budget.TryConsume(RetryKind::kRestart, kStart));
@@ -81,7 +82,7 @@
   const auto row = GENERATE(
       Row{RetryKind::kRestart, 0s, 0}, Row{RetryKind::kResume, 0s, 10},
       Row{RetryKind::kRestart, 10s, 10}, Row{RetryKind::kResume, 10s, 20});
-  RetryBudget budget({.share_ = 0, .reserve_ = 20});
+  RetryBudget budget({.share_ = 0, .allowance_ = {.reserve_ = 20}});
   int fresh = 0;
   while (budget.TryConsume(RetryKind::kRestart, kStart)) {
     ++fresh;
@@ -98,9 +99,12 @@
           "[routing]") {
   rc::prop("retry budget", [] {
     const auto share = *rc::gen::inRange(0, 50) / 100.0;
+    const auto burst = *rc::gen::inRange(1, 10);
     const auto reserve = *rc::gen::inRange(0, 30);
     RetryBudget budget(
-        {.share_ = share, .reserve_ = static_cast<double>(reserve)});
+        {.share_ = share,
+         .allowance_ = {.burst_ = static_cast<double>(burst),
+                        .reserve_ = static_cast<double>(reserve)}});
     std::vector<core::TimePoint> requests;
     std::vector<core::TimePoint> retries;
     auto now = kStart;
@@ -108,7 +112,7 @@
          *rc::gen::container<std::vector<int>>(200, rc::gen::inRange(0, 300))) {
       now += std::chrono::milliseconds(gap);
       requests.push_back(now);
-      budget.OnRequest(now);
+      budget.OnRequest();
       if (gap % 3 != 0 || !budget.TryConsume(RetryKind::kResume, now)) {
         continue;
       }
@@ -118,9 +122,9 @@
         return std::ranges::count_if(
             times, [&](core::TimePoint at) { return at > now - span; });
       };
-      // The budget counts whole slices, so its window is exact to a tenth only.
-      RC_ASSERT(static_cast<double>(since(retries, 9s)) <=
-                share * static_cast<double>(since(requests, 10s)) + reserve);
+      RC_ASSERT(static_cast<double>(since(retries, 10s)) <=
+                share * static_cast<double>(since(requests, 10s)) + burst +
+                    reserve + 1e-6);
     }
   });
 }
--- a/tests/routing/retry_budget_simulation_test.cpp
+++ b/tests/routing/retry_budget_simulation_test.cpp
@@ -69,14 +69,15 @@
 class SimulatedEntry {
  public:
   SimulatedEntry(Size size, core::TimePoint /*started*/)
-      : reserve_(size.reserve_), budgets_({.share_ = kShare, .reserve_ = 0}) {}
+      : reserve_(size.reserve_), budgets_({.share_ = kShare}) {}
 
   /// @param local live entries of the own failure domain that it knows,
   /// itself included.
   /// @param all live entries of the deployment that it knows.
   void SetView(std::size_t /*local*/, std::size_t all,
                core::TimePoint /*now*/) {
-    budgets_.SetReserve(0.5 * reserve_ / static_cast<double>(all));
+    budgets_.SetAllowance(
+        AllowanceOf(0.5 * reserve_ / static_cast<double>(all)));
   }
   void OnRequest(const std::string& service, core::TimePoint now) {
     budgets_.OnRequest(service, now);
