Let a new incarnation use no reserve of retries for a window

What callers saw: more attempts of a service than the platform allows after entries were killed, several times in a window. Cause: each start of an entry got a part of the deployment's reserve, which its predecessor on that machine may have used a moment before; it forgot that. Change: RetryReserve gives a process nothing of the reserve until it has run for a window. Its burst has to be earned by requests of its own.

--- a/packages/chalkwell/src/chalkwell/routing/fwd.hpp
+++ b/packages/chalkwell/src/chalkwell/routing/fwd.hpp
@@ -12,6 +12,7 @@
 struct RetryAllowance;
 class RetryBudget;
 class RetryBudgets;
+class RetryReserve;
 class RetryJitter;
 class SlotQueue;
 class AffinityChooser;
--- a/packages/daemon/src/daemon/direct/direct_entry.cpp
+++ b/packages/daemon/src/daemon/direct/direct_entry.cpp
@@ -26,10 +26,6 @@
 constexpr auto kMinSendWait = milliseconds(100);
 /// A request with less time left than this is refused.
 constexpr auto kMinTimeLeft = milliseconds(30);
-/// Fraction of the fleet-wide retry reserve that the entries share. It is below
-/// 1 because an entry may not know all others, and then overestimates its
-/// share.
-constexpr double kRetryReserveFraction = 0.5;
 /// Requests stop being sent to older weights this long before the version
 /// bound: a request may take long to cross a degraded link, and then wait at
 /// its endpoint before it starts, since all entries choose the last engines
@@ -96,6 +92,8 @@
       endpoints_({.domain_ = process.domain(), .entry_ = process.id()},
                  std::random_device{}()),
       retry_budgets_(RetryBudgetOf(process.settings())),
+      retry_reserve_(process.loop().Now(),
+                     routing::RetryBudgetSettings{}.window_),
       retry_jitter_(std::random_device{}()),
       context_{
           process.loop(),
@@ -241,7 +239,7 @@
 void DirectEntry::ApplySettings() {
   const auto& settings = process_.settings();
   older_version_use_limit_ = OlderVersionUseLimitOf(settings);
-  retry_reserve_ = settings.Real("requests", "retry_reserve");
+  retry_reserve_.SetTotal(settings.Real("requests", "retry_reserve"));
   regions_ = DomainRegionsOf(settings);
   mesh_.SetSeeds(MeshSettingsOf(settings).seeds_);
 }
@@ -744,7 +742,8 @@
     return;
   }
   process_.shutdown().OnWorkAccepted();
-  retry_budgets_.SetAllowance(routing::AllowanceOf(RetryReserveShare()));
+  retry_reserve_.SetView(mesh_.EntryCount());
+  retry_budgets_.SetAllowance(retry_reserve_.PartAt(now));
   const auto number = ++last_request_;
   const auto admitted = std::make_shared<DirectRequest>(
       context_, exchange, std::move(request), [this, number] {
@@ -768,11 +767,6 @@
       regions_);
 }
 
-double DirectEntry::RetryReserveShare() {
-  return kRetryReserveFraction * retry_reserve_ /
-         static_cast<double>(mesh_.EntryCount());
-}
-
 std::uint32_t DirectEntry::MaxInFlight(const std::string& service) {
   const auto* found = rules_.FindService(service);
   if (found == nullptr || found->max_connections_ == 0) {
--- a/packages/daemon/src/daemon/direct/direct_entry.hpp
+++ b/packages/daemon/src/daemon/direct/direct_entry.hpp
@@ -19,6 +19,7 @@
 #include "chalkwell/routing/request_age_estimator.hpp"
 #include "chalkwell/routing/retry_budgets.hpp"
 #include "chalkwell/routing/retry_jitter.hpp"
+#include "chalkwell/routing/retry_reserve.hpp"
 #include "daemon/direct/adapter.hpp"
 #include "daemon/direct/direct_request.hpp"
 #include "daemon/direct/endpoint_list.hpp"
@@ -97,8 +98,6 @@
   [[nodiscard]] std::string NotReadyReason() const;
   [[nodiscard]] routing::VersionConstraint VersionConstraintFor(
       const std::string& model) const;
-  /// @brief Part of the retry reserve that this entry may use.
-  [[nodiscard]] double RetryReserveShare();
   /// @brief Limit of this entry's requests in flight at one endpoint of a
   /// service: its part of the service's connection limit, at least 1; 0 for no
   /// limit.
@@ -122,6 +121,7 @@
   config::TrafficTable rules_;
   routing::EndpointTable endpoints_;
   routing::RetryBudgets retry_budgets_;
+  routing::RetryReserve retry_reserve_;
   routing::RetryJitter retry_jitter_;
   routing::RequestAgeEstimator request_ages_;
   /// Published versions and when each was received, by model.
@@ -165,9 +165,6 @@
   /// Time from the publication of a target version until no request may start
   /// on an older one.
   core::Duration older_version_use_limit_{};
-  /// Retries that all entries together may make beyond the share of requests
-  /// that the setting `requests.retry_share` allows.
-  double retry_reserve_ = 0;
 };
 
 }  // namespace chalkwell::daemon::direct
--- a/tests/routing/retry_budget_simulation_test.cpp
+++ b/tests/routing/retry_budget_simulation_test.cpp
@@ -12,6 +12,7 @@
 #include <vector>
 
 #include "chalkwell/routing/retry_budgets.hpp"
+#include "chalkwell/routing/retry_reserve.hpp"
 
 namespace chalkwell::routing {
 namespace {
@@ -68,16 +69,17 @@
 /// One life of an entry, with the product's decisions.
 class SimulatedEntry {
  public:
-  SimulatedEntry(Size size, core::TimePoint /*started*/)
-      : reserve_(size.reserve_), budgets_({.share_ = kShare}) {}
+  SimulatedEntry(Size size, core::TimePoint started)
+      : reserve_(started, kWindow), budgets_({.share_ = kShare}) {
+    reserve_.SetTotal(size.reserve_);
+  }
 
   /// @param local live entries of the own failure domain that it knows,
   /// itself included.
   /// @param all live entries of the deployment that it knows.
-  void SetView(std::size_t /*local*/, std::size_t all,
-               core::TimePoint /*now*/) {
-    budgets_.SetAllowance(
-        AllowanceOf(0.5 * reserve_ / static_cast<double>(all)));
+  void SetView(std::size_t /*local*/, std::size_t all, core::TimePoint now) {
+    reserve_.SetView(all);
+    budgets_.SetAllowance(reserve_.PartAt(now));
   }
   void OnRequest(const std::string& service, core::TimePoint now) {
     budgets_.OnRequest(service, now);
@@ -87,7 +89,7 @@
   }
 
  private:
-  double reserve_;
+  RetryReserve reserve_;
   RetryBudgets budgets_;
 };
 
