--- a/packages/daemon/src/daemon/settings_table.cpp
+++ b/packages/daemon/src/daemon/settings_table.cpp
@@ -118,12 +118,13 @@
      "attempts", "Maximum attempts of one request, each at another endpoint."},
     {kAnyEntry, "requests", "retry_share", kReal, "0.1", false, 0, 100, "",
      "share",
-     "Retries as a share of requests, so that failures do not multiply the "
-     "load."},
+     "Retries of a service as a share of its requests, so that failures do "
+     "not multiply the load."},
     {kAnyEntry, "requests", "retry_reserve", kReal, "20", false, 0, 1e9, "",
      "retries",
-     "Retries that this entry may make in 10 s beyond that share; half of "
-     "them are reserved for responses that have already started."},
+     "Retries of a service in 10 s beyond that share, by this entry, or by all "
+     "entries together if an adapter is used; part of them is reserved for "
+     "responses that have already started."},
     {kEntry, "requests", "retry_after_ms", kReal, "1000", false, 1, kDayMs, "",
      "ms",
      "Least value of Retry-After, also used when no wait can be estimated."},
