Soak: retries of all entries while herds of them are killed

A check of arrivals beyond the first of their request, by service, in any 10 s; disturbances excuse nobody. New kinds: failing-endpoints, kill-herd.

--- a/tests/soak/checker.cpp
+++ b/tests/soak/checker.cpp
@@ -142,7 +142,7 @@
           now - found->second < bounds_.recovery_);
 }
 
-void Checker::OnArrival(const std::string& endpoint,
+void Checker::OnArrival(const std::string& endpoint, const std::string& service,
                         const std::string& request) {
   const auto now = Now();
   const std::lock_guard lock(mutex_);
@@ -153,6 +153,7 @@
   CheckRateLimit(endpoint, request, now);
   CheckStatedLeaving(endpoint, request, now);
   CheckRetryAfter(endpoint, request, now);
+  CheckRetries(endpoint, service, request, now);
   incomplete_.OnArrival(AddressOf(endpoint), request, now);
 }
 
@@ -203,6 +204,20 @@
   }
 }
 
+// Disturbances excuse nobody: the bound is of all entries, whatever they know.
+void Checker::CheckRetries(const std::string& endpoint,
+                           const std::string& service,
+                           const std::string& request, TimePoint now) {
+  if (retries_.OnArrival(service, request, now)) {
+    findings_.push_back({"retries beyond their budget", endpoint, request, {}});
+  }
+}
+
+RetryBudgetCheck Checker::retries() const {
+  const std::lock_guard lock(mutex_);
+  return retries_;
+}
+
 void Checker::CheckStatedLeaving(const std::string& endpoint,
                                  const std::string& request, TimePoint now) {
   const auto after =
--- a/tests/soak/checker.hpp
+++ b/tests/soak/checker.hpp
@@ -14,6 +14,7 @@
 #include "soak/rate_limit_check.hpp"
 #include "soak/response_check.hpp"
 #include "soak/retry_after_check.hpp"
+#include "soak/retry_budget_check.hpp"
 #include "soak/rules_check.hpp"
 #include "soak/stated_leaving_check.hpp"
 
@@ -43,6 +44,7 @@
   /// Arrivals of a quarantined request that are allowed, from undisturbed
   /// entries, once `recovery_` has passed since the last of these crashes.
   std::size_t max_attempts_after_quarantine_ = 3;
+  RetryBudgetBounds retries_;
 };
 
 /// Kind of a finding: a request that crashes no endpoint was refused as
@@ -94,6 +96,7 @@
       : bounds_(bounds),
         stated_leaving_(bounds.drain_),
         rules_(bounds.rules_),
+        retries_(bounds.retries_),
         incomplete_({.recovery_ = bounds.recovery_}) {}
 
   /// @brief The store acknowledged that an endpoint is draining or that its row
@@ -129,7 +132,8 @@
   void OnIncomplete(const std::string& request, bool started);
   /// @brief A request arrived at an endpoint.
   /// @param request "ENTRY/NUMBER", its attempt id.
-  void OnArrival(const std::string& endpoint, const std::string& request);
+  void OnArrival(const std::string& endpoint, const std::string& service,
+                 const std::string& request);
   /// @brief A request crashed an endpoint.
   /// @param request "ENTRY/NAME/NUMBER", where NAME begins with kCrashMark.
   void OnCrash(const std::string& request);
@@ -165,6 +169,8 @@
   [[nodiscard]] std::size_t refusals() const;
   /// @brief Number of probes of the rules that were checked.
   [[nodiscard]] std::size_t rules_probes() const;
+  /// @brief State of the check of retries.
+  [[nodiscard]] RetryBudgetCheck retries() const;
   /// @brief State of the check of incomplete responses.
   [[nodiscard]] ResponseCheck incomplete() const;
 
@@ -183,6 +189,8 @@
                       TimePoint now);
   void CheckRetryAfter(const std::string& endpoint, const std::string& request,
                        TimePoint now);
+  void CheckRetries(const std::string& endpoint, const std::string& service,
+                    const std::string& request, TimePoint now);
   void CheckProbe(const std::string& request, int status, TimePoint now);
   void CheckStatedLeaving(const std::string& endpoint,
                           const std::string& request, TimePoint now);
@@ -207,6 +215,7 @@
   StatedLeavingCheck stated_leaving_;
   RetryAfterCheck retry_after_;
   RulesCheck rules_;
+  RetryBudgetCheck retries_;
   ResponseCheck incomplete_;
   std::uint64_t refused_as_suspected_ = 0;
   std::uint64_t unframed_streams_ = 0;
--- a/tests/soak/deployment.cpp
+++ b/tests/soak/deployment.cpp
@@ -236,8 +236,9 @@
   endpoint.SetStatesLeaving(false);
   endpoint.SetStartTime(static_cast<std::uint64_t>(
       std::chrono::duration_cast<milliseconds>(now).count()));
-  endpoint.OnArrival([this, id = endpoint.id()](const std::string& request) {
-    checker_.OnArrival(id, request);
+  endpoint.OnArrival([this, id = endpoint.id(),
+                      service = host.service_](const std::string& request) {
+    checker_.OnArrival(id, service, request);
   });
   checker_.OnListed(endpoint.id());
   PutRow(host, "ready");
--- a/tests/soak/fault_injector.cpp
+++ b/tests/soak/fault_injector.cpp
@@ -33,6 +33,11 @@
 constexpr int kMaxRetryAfterMs = 4000;
 constexpr int kMinRefusingMs = 2000;
 constexpr int kMaxRefusingMs = 8000;
+/// Share of the endpoints that fail at once.
+constexpr double kMinFailingShare = 0.6;
+constexpr double kMaxFailingShare = 1;
+constexpr int kMinFailingMs = 2000;
+constexpr int kMaxFailingMs = 8000;
 constexpr int kLeavingPerInjection = 2;
 /// Longer than the drain bound.
 constexpr int kMinLeavingMs = 4000;
@@ -115,6 +120,8 @@
       {"truncated-streams", [this] { TruncateStreams(); }},
       {"rate-limits", [this] { StateRateLimits(); }},
       {"refuse-retry-after", [this] { RefuseForAWhile(); }},
+      {"failing-endpoints", [this] { FailRequests(); }},
+      {"kill-herd", [this] { KillHerd(); }},
       {"states-leaving", [this] { StateLeaving(); }},
       {"silent-endpoints", [this] { SilenceEndpoints(); }},
       {"config-changes", [this] { ChangeRules(); }},
@@ -460,6 +467,31 @@
   }
 }
 
+void FaultInjector::FailRequests() {
+  const double share = std::uniform_real_distribution(
+      kMinFailingShare, kMaxFailingShare)(random_);
+  for (auto& host : deployment_.hosts()) {
+    const bool fails = std::bernoulli_distribution(share)(random_);
+    if (!fails || busy_[&host]) {
+      continue;
+    }
+    busy_[&host] = true;
+    host.endpoint_->SetBehaviour(standins::Behaviour::kFail);
+    Schedule(DrawBetween(kMinFailingMs, kMaxFailingMs), [this, &host] {
+      host.endpoint_->SetBehaviour(standins::Behaviour::kServe);
+      busy_[&host] = false;
+    });
+  }
+}
+
+void FaultInjector::KillHerd() {
+  // Some are drawn twice and do not run any more.
+  const auto entries = deployment_.entries().size();
+  for (std::size_t i = 0; i < entries; ++i) {
+    RestartEntry(SIGKILL);
+  }
+}
+
 void FaultInjector::SilenceEndpoints() {
   const double share =
       std::uniform_real_distribution(kMinSilentShare, kMaxSilentShare)(random_);
--- a/tests/soak/fault_injector.hpp
+++ b/tests/soak/fault_injector.hpp
@@ -106,6 +106,10 @@
   /// Some endpoints refuse all requests for a while, and state for how long
   /// they accept none.
   void RefuseForAWhile();
+  /// Many endpoints fail all requests for a while.
+  void FailRequests();
+  /// Most entries are killed at once.
+  void KillHerd();
   /// Some endpoints state that they leave while the store is down, and leave
   /// when it is back.
   void StateLeaving();
--- a/tests/soak/soak.cpp
+++ b/tests/soak/soak.cpp
@@ -81,7 +81,9 @@
     out << " " << entry << ":" << count;
   }
   out << "; versions of rules " << result.rules_versions_ << ", probes of them "
-      << result.rules_probes_ << "\n";
+      << result.rules_probes_ << "; retries " << result.retries_
+      << ", in the worst window " << result.worst_retries_
+      << " of the allowed\n";
 }
 
 }  // namespace
@@ -127,6 +129,8 @@
   result.forwarded_departures_ = checker.forwarded_departures();
   result.refusals_ = checker.refusals();
   result.rules_probes_ = checker.rules_probes();
+  result.retries_ = checker.retries().retries();
+  result.worst_retries_ = checker.retries().worst();
   result.incomplete_ = checker.incomplete();
   result.list_ages_ = ReadLogField(settings.deployment_.folder_, "list_age_ms");
   if (result.findings_.empty() && !HasUnexpectedCrashes(result)) {
--- a/tests/soak/soak.hpp
+++ b/tests/soak/soak.hpp
@@ -41,6 +41,10 @@
   unsigned rules_versions_ = 0;
   /// See Checker::rules_probes().
   std::size_t rules_probes_ = 0;
+  /// See Checker::retries().
+  std::uint64_t retries_ = 0;
+  /// Of the allowed ones, in the worst window.
+  double worst_retries_ = 0;
   /// Snapshot ages of the endpoint list when attempts were routed, as logged
   /// by the entries.
   DurationSample list_ages_;
--- a/tests/soak/soak_test.cpp
+++ b/tests/soak/soak_test.cpp
@@ -119,6 +119,21 @@
   CHECK(result.rules_probes_ > 0);
 }
 
+TEST_CASE("retries exceed their budget while herds of entries are killed",
+          "[soak]") {
+  auto settings = SmallRunSettings(17, "failing-endpoints,kill-herd");
+  settings.deployment_.retry_budget_ =
+      "retry_share = 0.2\nretry_reserve = 40\n";
+  settings.deployment_.bounds_.retries_.extra_ = 40;
+  settings.faults_.mean_disturbance_interval_ = 1200ms;
+  settings.faults_.mean_departure_interval_ = 20s;
+  settings.rate_ = 900;
+  const auto result = Run(settings);
+  INFO(Describe(result));
+  CheckRun(result);
+  CHECK(result.retries_ > 0);
+}
+
 TEST_CASE("endpoints that left get work after the store was restored",
           "[soak]") {
   auto settings = SmallRunSettings(10, "store-restored,kill");
