Send the request of a stop's test after the server has closed

Cause: its caller sends the next request once it has read the end of the response, which the server writes before it closes in the same callback. If the server is held up in between, the request arrives before the close, and is taken as designed.

--- a/tests/daemon/http1_server_test.cpp
+++ b/tests/daemon/http1_server_test.cpp
@@ -481,12 +481,14 @@
     exchange->Start(200, {});
   });
   std::atomic<bool> end{false};
+  std::atomic<bool> ended{false};
   Timer poll(fixture.loop_);
   poll.Every(1ms, [&] {
     if (end.exchange(false)) {
       fixture.server_.CloseAfterResponses();
       fixture.server_.CloseIdle();
       held->End(true);
+      ended = true;
     }
   });
   std::string response;
@@ -498,7 +500,11 @@
     }
     end = true;
     response = caller.ReadUntil("0\r\n\r\n");
-    caller.Send(std::string(kNextRequest));
+    // A request that arrives before the close may be taken.
+    while (!ended) {
+      std::this_thread::sleep_for(1ms);
+    }
+    (void)caller.TrySend(std::string(kNextRequest));
     (void)caller.ReadUntil("taken");
   });
   CHECK(response.ends_with("0\r\n\r\n"));
