Soak: freeze the watchers of a domain during a series of rules

An entry that is stopped already is left alone; the checker is told of the whole pause. 'rules of a series are not in force while watchers lose the store' passes.

--- a/tests/soak/fault_injector.cpp
+++ b/tests/soak/fault_injector.cpp
@@ -281,15 +281,19 @@
   return entry.stopped_ ? nullptr : &entry;
 }
 
-void FaultInjector::Freeze(Entry& entry) { PauseEntry(entry, false); }
+void FaultInjector::Freeze(Entry& entry) {
+  PauseEntry(entry, false, DrawBetween(300, 4000));
+}
 
-void FaultInjector::Suspend(Entry& entry) { PauseEntry(entry, true); }
+void FaultInjector::Suspend(Entry& entry) {
+  PauseEntry(entry, true, DrawBetween(300, 4000));
+}
 
-void FaultInjector::PauseEntry(Entry& entry, bool suspended) {
+void FaultInjector::PauseEntry(Entry& entry, bool suspended,
+                               milliseconds duration) {
   entry.stopped_ = true;
-  checker_.OnDisturbed(entry.name_);
+  MarkDisturbed(entry, duration);
   entry.child_.Signal(SIGSTOP);
-  const auto duration = DrawBetween(300, 4000);
   Schedule(duration, [this, &entry, suspended, duration] {
     if (suspended) {
       entry.suspension_->AddSuspendedTime(duration);
@@ -542,9 +546,16 @@
   }
   const auto watchers = membership::WatcherRole::FirstInRank(
       members, membership::kWatchersPerDomain);
+  const bool freezes = random_() % 2 == 0;
   for (auto& entry : entries) {
-    if (std::ranges::find(watchers, core::InstanceId(entry.name_)) !=
-        watchers.end()) {
+    if (entry.stopped_ ||
+        std::ranges::find(watchers, core::InstanceId(entry.name_)) ==
+            watchers.end()) {
+      continue;
+    }
+    if (freezes) {
+      PauseEntry(entry, false, kSeriesDuration);
+    } else {
       HoldStorePathOf(entry, kSeriesDuration);
     }
   }
@@ -556,11 +567,17 @@
            [this] { in_series_ = false; });
 }
 
-void FaultInjector::HoldStorePathOf(Entry& entry, milliseconds duration) {
-  deployment_.relay().Hold(entry.store_address_, fleet::Direction::kBoth);
-  for (milliseconds at(0); at < duration; at += kOutageMarkInterval) {
+void FaultInjector::MarkDisturbed(const Entry& entry, milliseconds duration) {
+  checker_.OnDisturbed(entry.name_);
+  for (auto at = kOutageMarkInterval; at < duration;
+       at += kOutageMarkInterval) {
     Schedule(at, [this, &entry] { checker_.OnDisturbed(entry.name_); });
   }
+}
+
+void FaultInjector::HoldStorePathOf(Entry& entry, milliseconds duration) {
+  deployment_.relay().Hold(entry.store_address_, fleet::Direction::kBoth);
+  MarkDisturbed(entry, duration);
   Schedule(duration, [this, &entry] {
     deployment_.relay().Release(entry.store_address_);
     checker_.OnDisturbed(entry.name_);
--- a/tests/soak/fault_injector.hpp
+++ b/tests/soak/fault_injector.hpp
@@ -84,7 +84,7 @@
   void Suspend(Entry& entry);
   /// @param suspended whether the machine is suspended: its steady clock does
   /// not count the pause.
-  void PauseEntry(Entry& entry, bool suspended);
+  void PauseEntry(Entry& entry, bool suspended, milliseconds duration);
   void CrashEndpoints(Callers::Cause cause);
   /// Schedules the next incarnations of endpoints that crashed.
   void RestartCrashed();
@@ -120,8 +120,12 @@
   /// Publishes several versions of the rules in a row.
   void ChangeRules();
   /// Publishes a long series of rules while the watchers of a random failure
-  /// domain do not reach the store, and probes whether they are in force.
+  /// domain do not reach the store, or are frozen, and probes whether they are
+  /// in force.
   void ChangeRulesInSeries();
+  /// Tells the checker now and repeatedly: a disturbance may last longer than
+  /// it remembers one.
+  void MarkDisturbed(const Entry& entry, milliseconds duration);
   void HoldStorePathOf(Entry& entry, milliseconds duration);
   /// @param per_mille share of the store's calls that get 503.
   void RejectStoreCalls(unsigned per_mille, milliseconds duration);
