--- a/tests/soak/fault_injector.hpp
+++ b/tests/soak/fault_injector.hpp
@@ -123,8 +123,8 @@
   /// domain do not reach the store, or are frozen, and probes whether they are
   /// in force.
   void ChangeRulesInSeries();
-  /// Tells the checker now and repeatedly: a disturbance may last longer than
-  /// it remembers one.
+  /// Marks it in the checker now and repeatedly: a disturbance may last longer
+  /// than it remembers one.
   void MarkDisturbed(const Entry& entry, milliseconds duration);
   void HoldStorePathOf(Entry& entry, milliseconds duration);
   /// @param per_mille share of the store's calls that get 503.
