Divide an endpoint's connections by the entries that there may be

Cause: MaxInFlight divided an endpoint's connection limit by the live entries in view. Each side of a cut, and each entry that is cut off, took a larger part; the endpoint resets connections beyond its limit. Change: DeploymentParts holds the view for both limits: the failure domains of the settings times the most local entries of a minute. RetryReserve had it alone. Until an entry has found others it takes its domain's part.

--- a/packages/chalkwell/src/chalkwell/routing/fwd.hpp
+++ b/packages/chalkwell/src/chalkwell/routing/fwd.hpp
@@ -13,6 +13,7 @@
 class RetryBudget;
 class RetryBudgets;
 class RetryReserve;
+class DeploymentParts;
 class RetryJitter;
 class SlotQueue;
 class AffinityChooser;
--- a/packages/chalkwell/src/chalkwell/routing/retry_budget.hpp
+++ b/packages/chalkwell/src/chalkwell/routing/retry_budget.hpp
@@ -33,7 +33,7 @@
 
 /// @brief Settings of RetryBudget.
 struct RetryBudgetSettings {
-  /// Retries earned by each request, 0 to 1.
+  /// Retries earned by each request; at least 0.
   double share_ = 0.1;
   RetryAllowance allowance_;
   /// Fraction of the reserve that is available to resumes only, 0 to 1.
--- a/packages/daemon/src/daemon/direct/direct_entry.cpp
+++ b/packages/daemon/src/daemon/direct/direct_entry.cpp
@@ -557,22 +557,23 @@
     others.push_back({member.id_, member.domain_});
   }
   endpoints_.rate_limit_senders().SetEntries(others, known, now);
-  UpdateRetryReserve(now);
+  UpdateParts(others, now);
 }
 
-void DirectEntry::UpdateRetryReserve(core::TimePoint now) {
+void DirectEntry::UpdateParts(const std::vector<routing::EntryLocation>& others,
+                              core::TimePoint now) {
   std::set<core::FailureDomainId> domains{process_.domain()};
-  for (const auto& member : mesh_.LiveMembers()) {
-    domains.insert(member.domain_);
+  for (const auto& other : others) {
+    domains.insert(other.domain_);
   }
   for (const auto& [domain, region] : regions_) {
     domains.insert(domain);
   }
-  if (mesh_.EntryCount() > 1 || !has_other_seeds_) {
-    const auto local_entries = mesh_.LocalEntries().size() + 1;
-    retry_reserve_.SetView(domains.size(), local_entries, now);
+  parts_.SetDomains(domains.size(), now);
+  if (!others.empty() || !has_other_seeds_) {
+    parts_.SetLocalEntries(mesh_.LocalEntries().size() + 1, now);
   }
-  retry_budgets_.SetAllowance(retry_reserve_.PartAt(now));
+  retry_budgets_.SetAllowance(retry_reserve_.PartOf(parts_, now));
 }
 
 void DirectEntry::Subscribe() {
@@ -790,7 +791,8 @@
   if (found == nullptr || found->max_connections_ == 0) {
     return 0;
   }
-  const auto share = found->max_connections_ / mesh_.EntryCount();
+  const auto share =
+      found->max_connections_ / parts_.Count(process_.loop().Now());
   return std::max(1U, static_cast<std::uint32_t>(share));
 }
 
--- a/packages/daemon/src/daemon/direct/direct_entry.hpp
+++ b/packages/daemon/src/daemon/direct/direct_entry.hpp
@@ -15,6 +15,7 @@
 #include "chalkwell/membership/message_order.hpp"
 #include "chalkwell/membership/path_delay.hpp"
 #include "chalkwell/rollout/version_bound.hpp"
+#include "chalkwell/routing/deployment_parts.hpp"
 #include "chalkwell/routing/endpoint_table.hpp"
 #include "chalkwell/routing/request_age_estimator.hpp"
 #include "chalkwell/routing/retry_budgets.hpp"
@@ -75,9 +76,10 @@
   void OnEvacuationsChanged(const std::string& source);
   /// @brief Applies the known live entries to the limits that they share.
   void UpdateEntries();
-  /// @brief Applies the known live entries to this entry's part of the retry
-  /// reserve.
-  void UpdateRetryReserve(core::TimePoint now);
+  /// @brief Applies the known live entries to this entry's part of limits of
+  /// the whole deployment.
+  void UpdateParts(const std::vector<routing::EntryLocation>& others,
+                   core::TimePoint now);
   /// @brief Queries a peer if the store has been unreachable for some time.
   void ReadFromPeersIfStoreUnreachable();
   void OnLoadReport(const LoadMessage& message);
@@ -125,6 +127,7 @@
   routing::EndpointTable endpoints_;
   routing::RetryBudgets retry_budgets_;
   routing::RetryReserve retry_reserve_;
+  routing::DeploymentParts parts_;
   routing::RetryJitter retry_jitter_;
   routing::RequestAgeEstimator request_ages_;
   /// Published versions and when each was received, by model.
--- a/tests/routing/retry_budget_simulation_test.cpp
+++ b/tests/routing/retry_budget_simulation_test.cpp
@@ -72,7 +72,7 @@
   return time >= from && time < to;
 }
 
-/// One life of an entry, with the product's decisions.
+/// One incarnation of an entry, with the product's decisions.
 class SimulatedEntry {
  public:
   SimulatedEntry(Size size, core::TimePoint started)
@@ -86,10 +86,11 @@
   /// itself included.
   void SetView(std::size_t domains, std::size_t local, core::TimePoint now) {
     // The settings name all domains.
-    reserve_.SetView(std::max(domains, kDomains), local, now);
+    parts_.SetDomains(std::max(domains, kDomains), now);
+    parts_.SetLocalEntries(local, now);
   }
   void Update(core::TimePoint now) {
-    budgets_.SetAllowance(reserve_.PartAt(now));
+    budgets_.SetAllowance(reserve_.PartOf(parts_, now));
   }
   void OnRequest(const std::string& service, core::TimePoint now) {
     budgets_.OnRequest(service, now);
@@ -100,6 +101,7 @@
 
  private:
   RetryReserve reserve_;
+  DeploymentParts parts_;
   RetryBudgets budgets_;
 };
 
@@ -253,6 +255,10 @@
 const auto kCutTwice = [](core::Duration time) {
   return Between(time, 3s, 15s) || Between(time, 19s, 24s);
 };
+/// All lose power twice in a window, and at both ends of one.
+const auto kPowerLost = [](std::size_t, core::Duration time) {
+  return InStep(time, 3s) || InStep(time, 7s) || InStep(time, 12800ms);
+};
 /// Entries of one domain are cut off from all others, twice.
 const auto kIsolated = [](std::size_t entry, core::Duration time) {
   return entry % kDomains == 0 &&
@@ -266,7 +272,8 @@
 
 TEST_CASE("retries of all entries exceed the budget of a service",
           "[routing][retry_budget]") {
-  const auto size = GENERATE(Size{9, 106}, Size{39, 228}, Size{330, 654});
+  const auto size =
+      GENERATE(Size{9, 106}, Size{39, 228}, Size{330, 654}, Size{660, 1308});
   const auto scenario = GENERATE(
       Scenario{.name_ = "equal views", .least_used_ = 0.9},
       Scenario{.name_ = "beside another service", .other_rate_ = 60},
@@ -276,6 +283,25 @@
       Scenario{.name_ = "bursts, domains cut off",
                .failed_ = kBursts,
                .cut_ = kCutTwice},
+      Scenario{.name_ = "loss of power", .killed_ = kPowerLost},
+      Scenario{.name_ = "loss of power, domains cut off",
+               .cut_ = kCutTwice,
+               .killed_ = kPowerLost},
+      Scenario{.name_ = "loss of power beside another service",
+               .other_rate_ = 60,
+               .killed_ = kPowerLost},
+      Scenario{.name_ = "loss of power between bursts",
+               .failed_ = kBursts,
+               .killed_ = kPowerLost},
+      Scenario{.name_ = "bursts beside another service",
+               .other_rate_ = 60,
+               .failed_ = kBursts},
+      Scenario{.name_ = "bursts, restarts in turn",
+               .failed_ = kBursts,
+               .killed_ = kKilledInTurn},
+      Scenario{.name_ = "restarts in turn beside another service",
+               .other_rate_ = 60,
+               .killed_ = kKilledInTurn},
       Scenario{.name_ = "restarts in turn", .killed_ = kKilledInTurn},
       Scenario{.name_ = "herds of kills", .killed_ = kKilledTogether},
       Scenario{.name_ = "herds of kills beside another service, domains cut",
