Count a denied retry once for each request

What operators saw: retries_denied_total grew ten times a second while an attempt was silent, since a silent attempt asks for a retry at each check. Change: a request counts its first denial only. Evidence: 'a denied retry counts at each check of a silent attempt' fails with the code before, passes now.

--- a/packages/daemon/src/daemon/direct/direct_request.cpp
+++ b/packages/daemon/src/daemon/direct/direct_request.cpp
@@ -606,11 +606,12 @@
   retry_rejected_by_ = "retry budget";
   const bool allowed =
       context_.budgets_.TryConsume(request_.service_, kind, now);
-  context_.metrics_.Count(
-      allowed ? "retries_total" : "retries_denied_total",
-      {{"service", request_.service_}, {"cause", std::string(last_cause_)}});
   if (allowed) {
     retried_after_ = last_cause_;
+    CountRetry("retries_total");
+  } else if (!std::exchange(retry_denied_, true)) {
+    // A silent attempt asks again at each check.
+    CountRetry("retries_denied_total");
   }
   return allowed;
 }
--- a/packages/daemon/src/daemon/direct/direct_request.hpp
+++ b/packages/daemon/src/daemon/direct/direct_request.hpp
@@ -175,6 +175,8 @@
   [[nodiscard]] bool MayRetry(routing::RetryKind kind, core::TimePoint now);
   /// @brief Why the last attempt was not followed by another, as logged.
   [[nodiscard]] std::string RetryDenialText() const;
+  /// @brief Counts a retry, or its denial, by service and cause.
+  void CountRetry(const std::string& counter) const;
   /// @brief What the retry budget still allows, as logged.
   [[nodiscard]] std::string RetriesLeftText() const;
   /// @brief Whether the attempt is in flight.
@@ -213,6 +215,8 @@
   std::string_view last_cause_ = "none";
   /// What the last retry followed; "none" before the first.
   std::string_view retried_after_ = "none";
+  /// The budget has denied a retry.
+  bool retry_denied_ = false;
   QuarantineManager::Token quarantine_token_ = 0;
   /// The last error response that an endpoint sent after running the request.
   std::optional<HttpResponse> last_failure_;
--- a/packages/daemon/src/daemon/direct/direct_request_log.cpp
+++ b/packages/daemon/src/daemon/direct/direct_request_log.cpp
@@ -105,6 +105,11 @@
   context_.metrics_.Count("attempts_ended_total", {{"end", std::string(end)}});
 }
 
+void DirectRequest::CountRetry(const std::string& counter) const {
+  context_.metrics_.Count(counter, {{"service", request_.service_},
+                                    {"cause", std::string(last_cause_)}});
+}
+
 std::string DirectRequest::RetriesLeftText() const {
   const auto left = context_.budgets_.Available(
       request_.service_, routing::RetryKind::kResume, context_.loop_.Now());
--- a/tests/platform/silent_endpoint_test.cpp
+++ b/tests/platform/silent_endpoint_test.cpp
@@ -100,6 +100,25 @@
   CHECK(response.ends_with("answer to body"));
 }
 
+TEST_CASE("a denied retry counts at each check of a silent attempt",
+          "[platform][silent]") {
+  Deployment deployment;
+  for (auto* endpoint : {&deployment.first_, &deployment.second_}) {
+    endpoint->SetRunDelay(kPause);
+  }
+  NodeOptions options;
+  options.retry_share_ = 0;
+  const auto entry =
+      deployment.StartEntry("e1", deployment.store_.address(), options);
+  REQUIRE(Eventually([&] { return entry.Ready(); }));
+  CHECK(Status(SendRequest(entry, RequestText("/safe/x"))) == "200");
+  const RawSocket admin(entry.admin_port_);
+  admin.Send("GET /metrics HTTP/1.1\r\nhost: a\r\nconnection: close\r\n\r\n");
+  const auto metrics = admin.ReadUntil();
+  CHECK(metrics.find("chalkwell_retries_denied_total{cause=\"silent\","
+                     "service=\"plain\"} 1\n") != std::string::npos);
+}
+
 TEST_CASE("a response without an end holds up its request",
           "[platform][silent]") {
   const std::string path = GENERATE("/stream/x", "/safe/x");
