--- a/review/1/run.sh
+++ b/review/1/run.sh
@@ -1,2 +1,2 @@
 #!/usr/bin/env bash
-exec "$(dirname "$0")/../run-case.sh" "$(dirname "$0")" case_rotten_piece
+exec "$(dirname "$0")/../run-case.sh" "$(dirname "$0")" case_killed_entry
--- a/review/standins/deployment.cpp
+++ b/review/standins/deployment.cpp
@@ -662,6 +662,15 @@
                 {"limits.linkMbps", "7.3"}});
 }
 
+void Deployment::KillOne(const std::string& name) {
+  for (const auto& node : nodes_) {
+    if (node->name_ == name) {
+      record_.Line(name + " is killed");
+      node->process_->Kill();
+    }
+  }
+}
+
 void Deployment::KillAll() {
   record_.Line("all processes are killed");
   for (const auto& node : nodes_) {
--- a/review/standins/deployment.hpp
+++ b/review/standins/deployment.hpp
@@ -242,6 +242,8 @@
   Node& StartAgent(int machine, const Runner& runner,
                    const std::string& service,
                    const std::string& zone = "pl-hall-a");
+  /// @brief Ends a process with SIGKILL.
+  void KillOne(const std::string& name);
   /// @brief Ends all processes with SIGKILL.
   void KillAll();
   /// @brief Starts them again, with the settings of a later start. To be called
