--- a/review/2/run.sh
+++ b/review/2/run.sh
@@ -1,2 +1,7 @@
 #!/usr/bin/env bash
-exec "$(dirname "$0")/../run-case.sh" "$(dirname "$0")" case_rotten_piece
+# TROUBLE=0 does the same without the disruption.
+# Exits with 1 if the rule was broken, 0 if it held, 2 if the case couldn't run.
+set -uo pipefail
+export TROUBLE="${TROUBLE:-1}"
+folder="$(cd "$(dirname "$0")" && pwd)"
+"$folder/../run-case.sh" "$folder" case_rotten_piece "$TROUBLE"
