Log the age of the oldest comparison with an activation order

The agent's log could not tell why: whether the chunks were compared long before the order, whether they were not read at all, or whether the order itself was late. 501 now states how many chunks were read and how old the first of these reads is; the age is a histogram, order_comparison_age_seconds.

--- a/packages/daemon/src/daemon/direct/weights_manager.hpp
+++ b/packages/daemon/src/daemon/direct/weights_manager.hpp
@@ -135,6 +135,8 @@
   void FetchFromOrigin(std::size_t chunk);
   void Verify();
   void VerifyNext(std::size_t chunk);
+  /// @brief Records a read of a staged chunk that is compared with its digest.
+  void NoteStagingRead(std::size_t chunk);
   void SendActivationOrder();
   void SetPhase(Phase phase);
   /// @brief Announces the held chunks to neighbours and importers.
@@ -214,6 +216,10 @@
   std::size_t corrupt_count_ = 0;
   /// When all of the staging was last read.
   core::TimePoint verified_at_;
+  /// When the first read of the last pass over the staging was sent.
+  core::TimePoint first_read_at_;
+  /// Reads of that pass.
+  std::size_t verification_reads_ = 0;
   Timer tick_;
 };
 
--- a/packages/daemon/src/daemon/direct/weights_manager_switch.cpp
+++ b/packages/daemon/src/daemon/direct/weights_manager_switch.cpp
@@ -40,6 +40,7 @@
 }
 
 void WeightsManager::ReadStagedChunk(std::size_t chunk) {
+  NoteStagingRead(chunk);
   client_.read_staged_chunk_(
       model_, chunk,
       [this, fetch_id = fetch_id_,
@@ -173,6 +174,7 @@
     StartPlanner();
     return;
   }
+  NoteStagingRead(chunk);
   client_.read_staged_chunk_(
       model_, chunk,
       [this, fetch_id = fetch_id_,
@@ -192,11 +194,26 @@
       });
 }
 
+void WeightsManager::NoteStagingRead(std::size_t chunk) {
+  if (chunk == 0) {
+    first_read_at_ = process_.loop().Now();
+    verification_reads_ = 0;
+  }
+  ++verification_reads_;
+}
+
 void WeightsManager::SendActivationOrder() {
   SetPhase(Phase::kOrdered);
+  const auto age = process_.loop().Now() - first_read_at_;
   process_.log().Write(
       core::EventNumber::kOrderSent,
-      {{"model", model_}, {"version", std::to_string(fetch_target_.version_)}});
+      {{"model", model_},
+       {"version", std::to_string(fetch_target_.version_)},
+       {"reads", std::to_string(verification_reads_)},
+       {"oldest_comparison_ms",
+        std::to_string(
+            std::chrono::duration_cast<milliseconds>(age).count())}});
+  process_.metrics().Observe("order_comparison_age_seconds", {}, age);
   client_.activate_(
       model_, fetch_target_.version_,
       [this, fetch_id = fetch_id_](OrderOutcome outcome) {
