Reset a close-delimited response unless it was completed

Cause: a response without a length or chunks is delimited by the close of its connection, and the system closes the connections of an ended process in order. It does so however the process ends; the destruction of the server, and the timeout of a slow caller, closed in order as well.

While such a response is open, its socket now has a linger time of zero, so that every close resets the connection, except the graceful one, which restores the default when all bytes are with the system. So a caller that is slow still gets a complete response of a process that has ended since.

--- a/packages/daemon/src/daemon/http1_server.cpp
+++ b/packages/daemon/src/daemon/http1_server.cpp
@@ -76,6 +76,9 @@
   [[nodiscard]] bool DecideClose();
   [[nodiscard]] bool http_1_0() const noexcept { return http_1_0_; }
   void CloseAfterResponse() noexcept { keep_alive_ = false; }
+  /// From now on only the normal end of a response closes the connection
+  /// without a reset.
+  void ResetUnlessCompleted() { stream_->SetResetOnClose(true); }
 
   /// Called when the exchange has written its response.
   /// @param complete false resets the connection.
@@ -198,12 +201,14 @@
     }
     started_ = true;
     auto head = BuildHead(*connection, status, headers);
-    const bool bodyless = request_.method_ == "HEAD" || !HasBody(status);
-    chunked_ = !bodyless && !close_delimited_ && !connection->http_1_0() &&
-               FindHeader(headers, "content-length").empty();
-    bodyless_ = bodyless;
+    bodyless_ = request_.method_ == "HEAD" || !HasBody(status);
+    const bool has_length = !FindHeader(headers, "content-length").empty();
+    const bool framed = bodyless_ || has_length;
+    chunked_ = !framed && !close_delimited_ && !connection->http_1_0();
     if (chunked_) {
       head += "transfer-encoding: chunked\r\n";
+    } else if (!framed) {
+      connection->ResetUnlessCompleted();
     }
     connection->Write(head + "\r\n");
   }
--- a/packages/daemon/src/daemon/tcp_stream.cpp
+++ b/packages/daemon/src/daemon/tcp_stream.cpp
@@ -313,18 +313,22 @@
 }
 
 void TcpStream::Reset() {
-  auto* handle = handle_;
-  if (handle == nullptr) {
-    return;
-  }
+  SetResetOnClose(true);
+  Close();
+}
+
+void TcpStream::SetResetOnClose(bool reset) {
   uv_os_fd_t descriptor = -1;
-  if (uv_fileno(reinterpret_cast<uv_handle_t*>(&handle->tcp_), &descriptor) ==
-      0) {
-    const linger abort{.l_onoff = 1, .l_linger = 0};
-    (void)::setsockopt(descriptor, SOL_SOCKET, SO_LINGER, &abort,
-                       sizeof(abort));
+  if (handle_ == nullptr ||
+      uv_fileno(reinterpret_cast<uv_handle_t*>(&handle_->tcp_), &descriptor) !=
+          0) {
+    return;
   }
-  Close();
+  // Closing a socket with a linger time of zero sends a reset and discards
+  // unsent bytes.
+  const linger option{.l_onoff = reset ? 1 : 0, .l_linger = 0};
+  (void)::setsockopt(descriptor, SOL_SOCKET, SO_LINGER, &option,
+                     sizeof(option));
 }
 
 void TcpStream::CloseGracefully() {
@@ -343,6 +347,9 @@
 }
 
 void TcpStream::ShutDownWrites() {
+  // All bytes have been handed to the system, which delivers them before the
+  // end of the connection.
+  SetResetOnClose(false);
   auto* request = new uv_shutdown_t;
   const int error =
       uv_shutdown(request, reinterpret_cast<uv_stream_t*>(&handle_->tcp_),
--- a/packages/daemon/src/daemon/tcp_stream.hpp
+++ b/packages/daemon/src/daemon/tcp_stream.hpp
@@ -89,6 +89,10 @@
   void CloseGracefully();
   /// @brief Closes with a TCP reset, so that the peer sees an abnormal end.
   void Reset();
+  /// @brief Sets whether every close except CloseGracefully resets the
+  /// connection. This includes the close by the system when the process ends in
+  /// any way, which otherwise looks like a normal end to the peer.
+  void SetResetOnClose(bool reset);
 
  private:
   struct Handle;
--- a/tests/platform/unframed_response_test.cpp
+++ b/tests/platform/unframed_response_test.cpp
@@ -1,7 +1,9 @@
 // Responses of endpoints that only the end of their connection delimits, with a
 // real entry: callers must be able to tell a truncated one from a complete one.
 #include <catch2/catch.hpp>
+#include <csignal>
 #include <string>
+#include <vector>
 
 #include "../daemon/raw_socket.hpp"
 #include "deployment.hpp"
@@ -16,6 +18,8 @@
 using standins::StreamForm;
 
 constexpr auto kEvents = standins::kStreamEvents;
+/// Pause of an endpoint within a stream, longer than its entry runs on.
+constexpr std::chrono::milliseconds kSilence(10'000);
 /// More than an entry buffers of a response that is no stream.
 constexpr std::size_t kLargeBody = 100'000;
 
@@ -117,6 +121,40 @@
   CHECK(response.end_ == row.end_);
 }
 
+TEST_CASE("a stream cut off by the end of its entry does not look complete",
+          "[platform][unframed]") {
+  struct Row {
+    std::string name_;
+    std::vector<int> signals_;
+  };
+  const auto row = GENERATE(Row{"killed", {SIGKILL}}, Row{"aborted", {SIGABRT}},
+                            Row{"stopped at once", {SIGTERM, SIGTERM}});
+  const std::string version = GENERATE("HTTP/1.0", "HTTP/1.1");
+  CAPTURE(row.name_, version);
+  Deployment deployment;
+  for (auto* endpoint : {&deployment.first_, &deployment.second_}) {
+    endpoint->SetStreamForm({Framing::kConnectionEnd, StreamCut::kNone}, {});
+    endpoint->SetSilence({.after_events_ = kEvents / 2, .duration_ = kSilence});
+  }
+  auto entry = deployment.StartEntry("e1", deployment.store_.address());
+  REQUIRE(Eventually([&] { return entry.Ready(); }));
+  auto request = RequestText("/stream/x");
+  request.replace(request.find("HTTP/1.1"), version.size(), version);
+  const RawSocket caller(entry.caller_port_);
+  caller.Send(request);
+  auto response =
+      caller.ReadUntil("token-" + std::to_string(kEvents / 2) + "\n\n");
+  REQUIRE(standins::CountEvents(response) == kEvents / 2);
+  for (const int signal : row.signals_) {
+    entry.child_.Signal(signal);
+    // Signals that are pending together are delivered as one.
+    REQUIRE(Eventually([&] { return !entry.Ready(); }));
+  }
+  response += caller.ReadUntil();
+  CHECK(EndOf(response, caller.reset()) == End::kReset);
+  CHECK(entry.child_.Wait(kSilence));
+}
+
 TEST_CASE("a response without a length gets none on the way to the caller",
           "[platform][unframed]") {
   struct Row {
