Take a reset behind the last bytes for a broken response

A response without a length that its endpoint resets could reach its caller as complete, cut off anywhere.

Cause: if a reset arrives together with bytes, poll reports data and hang-up at once; libuv reads the bytes, finds less than its buffer holds and reports the end of the stream without another read, so that the error is never seen. TcpStream took that for an orderly close. It now asks the system whether the socket has an error when libuv reports the end.

--- a/packages/daemon/src/daemon/tcp_stream.cpp
+++ b/packages/daemon/src/daemon/tcp_stream.cpp
@@ -202,7 +202,8 @@
 void TcpStream::OnRead(ssize_t size, const char* bytes) {
   const auto self = shared_from_this();
   if (size < 0) {
-    CloseAndNotify(size == UV_EOF ? StreamEnd::kClosed : StreamEnd::kBroken);
+    const bool closed = size == UV_EOF && !HasSocketError();
+    CloseAndNotify(closed ? StreamEnd::kClosed : StreamEnd::kBroken);
     return;
   }
   if (closing_ || !callbacks_.on_data_) {
@@ -213,6 +214,17 @@
   });
 }
 
+bool TcpStream::HasSocketError() const {
+  uv_os_fd_t descriptor = -1;
+  int error = 0;
+  socklen_t length = sizeof(error);
+  return handle_ != nullptr &&
+         uv_fileno(reinterpret_cast<uv_handle_t*>(&handle_->tcp_),
+                   &descriptor) == 0 &&
+         ::getsockopt(descriptor, SOL_SOCKET, SO_ERROR, &error, &length) == 0 &&
+         error != 0;
+}
+
 void TcpStream::ReadAvailable() {
   const auto self = shared_from_this();
   // ReadBuffer() may hold the bytes of the stream that the loop is reading.
--- a/packages/daemon/src/daemon/tcp_stream.hpp
+++ b/packages/daemon/src/daemon/tcp_stream.hpp
@@ -103,6 +103,10 @@
   void StartReading();
   void ApplyOptions();
   void OnRead(ssize_t size, const char* bytes);
+  /// @brief Whether the system holds an error of the connection, such as a
+  /// reset. If a reset arrives together with bytes, libuv reports the end of
+  /// the stream after them and leaves the error with the system.
+  [[nodiscard]] bool HasSocketError() const;
   void OnWritten(std::size_t size, int status);
   void CloseAndNotify(StreamEnd end);
   void ShutDownWrites();
--- a/tests/daemon/http_client_test.cpp
+++ b/tests/daemon/http_client_test.cpp
@@ -112,6 +112,33 @@
   }
 }
 
+TEST_CASE("a response that is reset behind its bytes looks complete",
+          "[daemon]") {
+  // Regression: a reset that arrived together with the last bytes was taken for
+  // the end of a response without a length.
+  const std::string begin = "HTTP/1.1 200 OK\r\n\r\n";
+  const auto bytes = GENERATE(std::size_t{1}, std::size_t{3}, std::size_t{1000},
+                              std::size_t{100'000});
+  const bool kept = GENERATE(false, true);
+  CAPTURE(bytes, kept);
+  Fixture fixture;
+  std::thread server([&] {
+    auto peer = fixture.listener_.Accept();
+    (void)peer.ReadUntil(kHeadEnd);
+    if (kept) {
+      peer.Send("HTTP/1.1 200 OK\r\ncontent-length: 0\r\n\r\n");
+      (void)peer.ReadUntil(kHeadEnd);
+    }
+    peer.Send(begin + std::string(bytes, 'x'));
+    peer.Reset();
+  });
+  if (kept) {
+    REQUIRE(fixture.Fetch().end_ == HttpEnd::kComplete);
+  }
+  CHECK(fixture.Fetch().end_ == HttpEnd::kBroken);
+  server.join();
+}
+
 TEST_CASE("a server that sends bytes without end keeps a request open",
           "[daemon]") {
   /// Bytes after which the server gives up; the client accepts 1 MiB.
