Send streams to HTTP/1.0 callers of the own interface with a length

HttpServer streams to an HTTP/1.0 caller by closing the connection at the end, which h2o does for a response that broke off as well, and the system for a process that ended: a part looked complete. It is the fault of the close-delimited responses of Http1Server, on another path.

h2o keeps the socket and its send buffer to itself, so that the connection cannot be reset unless the response was completed. The body is collected instead and sent with its length; a response that breaks off becomes a 502, since nothing has been sent yet.

--- a/packages/daemon/src/daemon/http_server.cpp
+++ b/packages/daemon/src/daemon/http_server.cpp
@@ -8,6 +8,7 @@
 #include <cctype>
 #include <deque>
 #include <unordered_set>
+#include <utility>
 
 #include "chalkwell/core/error.hpp"
 
@@ -23,6 +24,9 @@
 namespace {
 
 constexpr int kBacklog = 1024;
+/// Version number of HTTP/1.1 in h2o.
+constexpr int kHttp11 = 0x101;
+constexpr int kBadGateway = 502;
 
 std::string ToText(const h2o_iovec_t& text) { return {text.base, text.len}; }
 
@@ -84,6 +88,11 @@
     if (!open()) {
       return;
     }
+    if (req_->version < kHttp11) {
+      buffered_status_ = status;
+      buffered_headers_ = headers;
+      return;
+    }
     Begin(status, headers);
     Flush();
   }
@@ -96,11 +105,16 @@
   }
 
   void End(bool complete) override {
-    if (open()) {
-      ended_ = true;
-      complete_ = complete;
-      Flush();
+    if (!open()) {
+      return;
     }
+    if (buffered_status_ != 0) {
+      RespondBuffered(complete);
+      return;
+    }
+    ended_ = true;
+    complete_ = complete;
+    Flush();
   }
 
   void OnAbort(std::function<void()> handler) override {
@@ -125,6 +139,16 @@
     (*reinterpret_cast<Generator*>(self)->exchange_)->Detach();
   }
 
+  /// Sends the whole response with its length.
+  void RespondBuffered(bool complete) {
+    auto body = std::exchange(pending_, {});
+    if (complete) {
+      Respond(buffered_status_, buffered_headers_, std::move(body));
+    } else {
+      Respond(kBadGateway, {}, "the response broke off");
+    }
+  }
+
   void Begin(int status, const HttpHeaders& headers) {
     req_->res.status = status;
     req_->res.reason = status < 400 ? "OK" : "Error";
@@ -186,6 +210,12 @@
   bool ended_ = false;
   bool complete_ = true;
   bool finished_ = false;
+  /// Head of a streamed response to an HTTP/1.0 request. The protocol delimits
+  /// it by the close of the connection, which does not differ from the close by
+  /// a process that ends, so the body is collected and sent with a length. The
+  /// status is 0 for other requests.
+  int buffered_status_ = 0;
+  HttpHeaders buffered_headers_;
   std::function<void()> on_abort_;
 };
 
--- a/tests/daemon/http_test.cpp
+++ b/tests/daemon/http_test.cpp
@@ -121,6 +121,28 @@
   CHECK(result.find("hunked") != std::string::npos);
 }
 
+TEST_CASE("a stream has a length for a caller that does not know chunks",
+          "[daemon]") {
+  struct Row {
+    std::string path_;
+    std::string status_;
+    std::string body_;
+  };
+  const auto row =
+      GENERATE(Row{"/whole", "200", "answer"}, Row{"/stream", "200", "one two"},
+               Row{"/cut", "502", "the response broke off"});
+  CAPTURE(row.path_);
+  Fixture fixture;
+  const auto result = fixture.SendRaw("POST " + row.path_ +
+                                      " HTTP/1.0\r\nhost: a\r\n"
+                                      "content-length: 0\r\n\r\n");
+  CAPTURE(result);
+  CHECK(result.find(" " + row.status_ + " ") != std::string::npos);
+  CHECK(result.find("Content-Length: " + std::to_string(row.body_.size())) !=
+        std::string::npos);
+  CHECK(result.ends_with("\r\n\r\n" + row.body_));
+}
+
 TEST_CASE("a body over the limit is refused by its content length",
           "[daemon]") {
   Fixture fixture;
--- a/tests/daemon/process_end_test.cpp
+++ b/tests/daemon/process_end_test.cpp
@@ -186,7 +186,7 @@
   const auto form =
       GENERATE(ResponseForm::kChunked, ResponseForm::kCloseDelimited,
                ResponseForm::kLength);
-  const auto kind = GENERATE(ServerKind::kHttp1Server);
+  const auto kind = GENERATE(ServerKind::kHttp1Server, ServerKind::kHttpServer);
   const std::string version = GENERATE("1.0", "1.1");
   CAPTURE(static_cast<int>(end), static_cast<int>(form), static_cast<int>(kind),
           version);
