Order an engine only after recent comparisons of all its chunks

Cause: each staged chunk was compared with its digest once, and the order followed the last comparison, however long ago the first one was.

StagingVerification, without a clock or a network, now decides which chunk to read next and whether the order may be sent: only while all comparisons are younger than 1 s, counted from when their reads were sent. One read is in flight at a time unless the measured read time asks for more, 32 at most. A pass that cannot be that fast is given up after 5 s (409), and the engine serves its old version. On related paths: a chunk that a peer found bad, or that was staged again, has no comparison; the pass after a restart counts by the age of each chunk; a read without a reply is repeated and is no corrupt chunk.

--- a/packages/chalkwell/src/chalkwell/core/event.hpp
+++ b/packages/chalkwell/src/chalkwell/core/event.hpp
@@ -49,6 +49,7 @@
   kStageFailed = 406,
   kStagedChunkCorrupt = 407,
   kOlderWeightsFirst = 408,
+  kVerificationTimedOut = 409,
   kRolloutSlotObtained = 500,
   kOrderSent = 501,
   kOrderRefused = 502,
--- a/packages/chalkwell/src/chalkwell/rollout/fwd.hpp
+++ b/packages/chalkwell/src/chalkwell/rollout/fwd.hpp
@@ -15,5 +15,9 @@
 enum class VersionChange : std::uint8_t;
 struct FirstFetchForecast;
 struct FirstFetchSettings;
+class StagingVerification;
+struct StagingVerificationSettings;
+enum class ChunkComparison : std::uint8_t;
+enum class VerificationState : std::uint8_t;
 
 }  // namespace chalkwell::rollout
--- a/packages/daemon/src/daemon/direct/adapter.hpp
+++ b/packages/daemon/src/daemon/direct/adapter.hpp
@@ -220,6 +220,14 @@
   std::vector<core::Digest> chunk_digests_;
 };
 
+/// @brief Result of reading a staged chunk back from the engine.
+struct StagedChunk {
+  /// Whether the engine replied to the read.
+  bool replied_ = false;
+  /// Empty if the chunk is not staged, or there was no reply.
+  std::optional<std::string> bytes_;
+};
+
 /// @brief Calls to the engine that an agent manages, and to the origin, the
 /// service from which all agents fetch weights.
 struct WeightsClient {
@@ -239,7 +247,7 @@
       stage_chunk_;
   /// Reads a staged chunk back from the engine.
   std::function<void(const std::string& model, std::size_t chunk,
-                     std::function<void(std::optional<std::string>)>)>
+                     std::function<void(StagedChunk)>)>
       read_staged_chunk_;
   /// Fetches a manifest from the origin; version 0 requests the newest.
   std::function<void(const Address& origin, const std::string& model,
--- a/packages/daemon/src/daemon/direct/chunk_exchange.cpp
+++ b/packages/daemon/src/daemon/direct/chunk_exchange.cpp
@@ -247,13 +247,13 @@
     return;
   }
   client_.read_staged_chunk_(
-      message.model_, message.chunk_,
-      [this, call, message](std::optional<std::string> bytes) {
+      message.model_, message.chunk_, [this, call, message](StagedChunk read) {
         // If the chunk was overwritten during the read, a copy was saved
         // before.
         const auto* copy = provider_.find_copy_(message);
-        SendChunk(call, message,
-                  copy == nullptr ? std::move(bytes) : std::optional(*copy));
+        SendChunk(
+            call, message,
+            copy == nullptr ? std::move(read.bytes_) : std::optional(*copy));
       });
 }
 
--- a/packages/daemon/src/daemon/direct/weights_manager.cpp
+++ b/packages/daemon/src/daemon/direct/weights_manager.cpp
@@ -28,6 +28,10 @@
 /// refusing connections; longer pauses would leave it idle after it recovers.
 constexpr core::BackoffSettings kOriginBackoff{milliseconds(100),
                                                milliseconds(600)};
+/// Between these attempts an engine that is too slow to be verified serves its
+/// old version.
+constexpr core::BackoffSettings kVerificationBackoff{milliseconds(1000),
+                                                     milliseconds(8000)};
 constexpr auto kChunkTimeout = milliseconds(2500);
 constexpr auto kOriginTakeoverTimeout = milliseconds(900);
 constexpr std::size_t kMaxRequestsPerPeer = 1;
@@ -70,6 +74,7 @@
       manifest_search_({exchange_.self(), process.domain()}),
       planner_({exchange_.self(), process.domain()}, PlannerSettingsOf(),
                std::random_device{}()),
+      verification_backoff_(kVerificationBackoff, std::random_device{}()),
       origin_backoff_(kOriginBackoff, std::random_device{}()),
       window_(WindowSettingsOf(process.settings())),
       rollout_slots_(exchange_.self(), kMaxDrainingShare, kSlotLease),
@@ -182,6 +187,7 @@
       TryStartSwitch();
       break;
     case Phase::kVerifying:
+      ContinueVerification();
       break;
     case Phase::kOrdered:
       if (now - phase_since_ >= kOrderTimeout) {
@@ -208,8 +214,7 @@
   manifest_.reset();
   held_ = {};
   origin_chunks_.clear();
-  staging_reads_ = 0;
-  verified_all_ = false;
+  scanning_ = false;
   manifest_search_.Start(process_.loop().Now());
   SetPhase(Phase::kManifest);
   process_.log().Write(core::EventNumber::kFetchStarted,
--- a/packages/daemon/src/daemon/direct/weights_manager.hpp
+++ b/packages/daemon/src/daemon/direct/weights_manager.hpp
@@ -11,6 +11,7 @@
 
 #include "chalkwell/core/backoff.hpp"
 #include "chalkwell/rollout/rollout_slots.hpp"
+#include "chalkwell/rollout/staging_verification.hpp"
 #include "chalkwell/rollout/version_bound.hpp"
 #include "chalkwell/swarm/availability_forecast.hpp"
 #include "chalkwell/swarm/chunk_set.hpp"
@@ -109,7 +110,14 @@
   void RequestManifest();
   void OnManifest(const std::optional<WeightsManifest>& manifest);
   void ApplyManifest(const WeightsManifest& manifest);
-  void ReadStagedChunk(std::size_t chunk);
+  /// @brief Reads the staged chunks that are due.
+  void ReadStagedChunks();
+  void OnStagedChunkRead(std::size_t chunk, const StagedChunk& read);
+  /// @brief Reads all chunks that were staged before a restart.
+  void StartScan();
+  void ContinueScan(std::size_t chunk, const StagedChunk& read);
+  /// @brief Handles a staged chunk that is missing or differs from its digest.
+  void DropStagedChunk(std::size_t chunk);
   void RequestChunks();
   void FetchChunk(const swarm::FetchRequest& request);
   /// @brief Records whether a request to the origin succeeded.
@@ -134,9 +142,8 @@
   void FetchFromPeer(const swarm::FetchRequest& request);
   void FetchFromOrigin(std::size_t chunk);
   void Verify();
-  void VerifyNext(std::size_t chunk);
-  /// @brief Records a read of a staged chunk that is compared with its digest.
-  void NoteStagingRead(std::size_t chunk);
+  void ContinueVerification();
+  void OnVerificationTimedOut();
   void SendActivationOrder();
   void SetPhase(Phase phase);
   /// @brief Announces the held chunks to neighbours and importers.
@@ -193,15 +200,16 @@
   std::optional<WeightsManifest> manifest_;
   /// Chunks that are verified and staged at the engine.
   swarm::ChunkSet held_;
-  /// 1 while the chunks that were staged before a restart are read one by one
-  /// and verified, else 0.
-  std::size_t staging_reads_ = 0;
+  /// Comparisons of the staged chunks with the digests of `manifest_`.
+  rollout::StagingVerification verification_;
   ChunkExchange exchange_;
   swarm::ManifestSearch manifest_search_;
   swarm::Planner planner_;
   /// Chunks whose request to the origin has ended during this fetch, also those
   /// that failed: only held ones are announced to importers.
   std::set<std::size_t> origin_chunks_;
+  /// Backoff of switches whose verification timed out.
+  core::Backoff verification_backoff_;
   /// Backoff of origin requests while they fail.
   core::Backoff origin_backoff_;
   swarm::FetchWindow window_;
@@ -211,15 +219,8 @@
   /// Whether the staging was checked for a version that the engine served from
   /// the start.
   bool staged_checked_ = false;
-  /// Whether all staged chunks matched their digests when last read.
-  bool verified_all_ = false;
-  std::size_t corrupt_count_ = 0;
-  /// When all of the staging was last read.
-  core::TimePoint verified_at_;
-  /// When the first read of the last pass over the staging was sent.
-  core::TimePoint first_read_at_;
-  /// Reads of that pass.
-  std::size_t verification_reads_ = 0;
+  /// Whether the chunks that were staged before a restart are being read.
+  bool scanning_ = false;
   Timer tick_;
 };
 
--- a/packages/daemon/src/daemon/direct/weights_manager_fetch.cpp
+++ b/packages/daemon/src/daemon/direct/weights_manager_fetch.cpp
@@ -177,12 +177,12 @@
   }
   manifest_ = manifest;
   held_ = swarm::ChunkSet(manifest.chunk_digests_.size());
+  verification_.Reset(held_.size());
   SetPhase(Phase::kFetching);
   announce_due_ = true;
   if (serving_ == 0) {
     // Chunks staged before a restart may still be there.
-    staging_reads_ = 1;
-    ReadStagedChunk(0);
+    StartScan();
   } else {
     StartPlanner();
   }
@@ -207,8 +207,8 @@
 }
 
 void WeightsManager::RequestChunks() {
-  // Waits until a chunk staged before a restart has been verified.
-  if (staging_reads_ > 0 && !planner_.outstanding() && held_.count() == 0) {
+  if (scanning_) {
+    ReadStagedChunks();
     return;
   }
   const auto now = process_.loop().Now();
--- a/packages/daemon/src/daemon/direct/weights_manager_switch.cpp
+++ b/packages/daemon/src/daemon/direct/weights_manager_switch.cpp
@@ -10,14 +10,16 @@
 
 using std::chrono::milliseconds;
 
-/// Chunks whose digests were verified within this time are not verified again
-/// before the order.
-constexpr auto kVerificationValidity = milliseconds(500);
 /// An ordered engine starts no request on its old weights. If the switch has
 /// not started this long before the served version expires, it starts without a
 /// rollout slot: time to verify what is staged and to order.
 constexpr auto kSwitchLeadTime = milliseconds(1700);
 
+std::string ToText(core::Duration duration) {
+  return std::to_string(
+      std::chrono::duration_cast<milliseconds>(duration).count());
+}
+
 }  // namespace
 
 void WeightsManager::CheckStagedAtStart() {
@@ -27,41 +29,68 @@
     return;
   }
   staged_checked_ = true;
-  client_.read_staged_chunk_(
-      model_, 0, [this](const std::optional<std::string>& bytes) {
-        if (bytes && !manifest_ && phase_ == Phase::kIdle) {
-          held_ = swarm::ChunkSet(model_chunks_);
-          for (std::size_t chunk = 0; chunk < model_chunks_; ++chunk) {
-            held_.Add(chunk);
+  client_.read_staged_chunk_(model_, 0, [this](const StagedChunk& read) {
+    if (read.bytes_ && !manifest_ && phase_ == Phase::kIdle) {
+      held_ = swarm::ChunkSet(model_chunks_);
+      for (std::size_t chunk = 0; chunk < model_chunks_; ++chunk) {
+        held_.Add(chunk);
+      }
+      announce_due_ = true;
+    }
+  });
+}
+
+void WeightsManager::ReadStagedChunks() {
+  for (const auto chunk : verification_.Next(process_.loop().Now())) {
+    client_.read_staged_chunk_(
+        model_, chunk,
+        [this, fetch_id = fetch_id_, chunk](const StagedChunk& read) {
+          if (IsCurrentFetch(fetch_id)) {
+            OnStagedChunkRead(chunk, read);
           }
-          announce_due_ = true;
-        }
-      });
+        });
+  }
 }
 
-void WeightsManager::ReadStagedChunk(std::size_t chunk) {
-  NoteStagingRead(chunk);
-  client_.read_staged_chunk_(
-      model_, chunk,
-      [this, fetch_id = fetch_id_,
-       chunk](const std::optional<std::string>& bytes) {
-        if (!IsCurrentFetch(fetch_id)) {
-          return;
-        }
-        if (bytes && core::Digest::Sha256Of(*bytes) ==
-                         manifest_->chunk_digests_[chunk]) {
-          held_.Add(chunk);
-        }
-        const bool not_staged = chunk == 0 && !bytes;
-        if (not_staged || chunk + 1 == held_.size()) {
-          staging_reads_ = 0;
-          verified_at_ = process_.loop().Now();
-          verified_all_ = held_.full();
-          StartPlanner();
-        } else {
-          ReadStagedChunk(chunk + 1);
-        }
-      });
+void WeightsManager::OnStagedChunkRead(std::size_t chunk,
+                                       const StagedChunk& read) {
+  using rollout::ChunkComparison;
+  auto comparison = ChunkComparison::kFailed;
+  if (read.replied_) {
+    const bool good = read.bytes_ && core::Digest::Sha256Of(*read.bytes_) ==
+                                         manifest_->chunk_digests_[chunk];
+    comparison = good ? ChunkComparison::kMatch : ChunkComparison::kMismatch;
+  }
+  verification_.OnRead(chunk, comparison, process_.loop().Now());
+  if (scanning_) {
+    if (comparison == ChunkComparison::kMatch) {
+      held_.Add(chunk);
+    }
+    ContinueScan(chunk, read);
+    return;
+  }
+  if (comparison == ChunkComparison::kMismatch) {
+    DropStagedChunk(chunk);
+  }
+  if (phase_ == Phase::kVerifying) {
+    ContinueVerification();
+  }
+}
+
+void WeightsManager::StartScan() {
+  scanning_ = true;
+  verification_.Begin(process_.loop().Now());
+  ReadStagedChunks();
+}
+
+void WeightsManager::ContinueScan(std::size_t chunk, const StagedChunk& read) {
+  const bool nothing_staged = chunk == 0 && !read.bytes_;
+  if (nothing_staged || verification_.AllRead()) {
+    scanning_ = false;
+    StartPlanner();
+  } else {
+    ReadStagedChunks();
+  }
 }
 
 void WeightsManager::StageChunk(std::size_t chunk, std::string bytes) {
@@ -72,8 +101,8 @@
   client_.read_staged_chunk_(
       model_, chunk,
       [this, fetch_id = fetch_id_, chunk,
-       bytes = std::move(bytes)](std::optional<std::string> served) mutable {
-        older_.OnOverwritten(chunk, std::move(served));
+       bytes = std::move(bytes)](StagedChunk served) mutable {
+        older_.OnOverwritten(chunk, std::move(served.bytes_));
         if (IsCurrentFetch(fetch_id)) {
           WriteStaged(chunk, std::move(bytes));
         }
@@ -95,6 +124,7 @@
                            return;
                          }
                          held_.Add(chunk);
+                         verification_.OnStaged(chunk);
                          planner_.OnChunkReceived(chunk, now);
                          announce_due_ = true;
                          RequestChunks();
@@ -107,6 +137,16 @@
     return;
   }
   const std::size_t chunk = request.chunk_;
+  if (!held_.Has(chunk)) {
+    return;
+  }
+  if (manifest_) {
+    verification_.OnMismatch(chunk);
+  }
+  DropStagedChunk(chunk);
+}
+
+void WeightsManager::DropStagedChunk(std::size_t chunk) {
   if (!held_.Has(chunk)) {
     return;
   }
@@ -129,6 +169,9 @@
 
 void WeightsManager::TryStartSwitch() {
   const auto now = process_.loop().Now();
+  if (!verification_backoff_.IsReady(now)) {
+    return;
+  }
   std::set<core::InstanceId> local_members{exchange_.self()};
   for (const auto& [id, peer] : exchange_.peers()) {
     if (peer.member_.domain_ != process_.domain()) {
@@ -154,66 +197,55 @@
 
 void WeightsManager::Verify() {
   SetPhase(Phase::kVerifying);
-  corrupt_count_ = 0;
-  if (verified_all_ &&
-      process_.loop().Now() - verified_at_ < kVerificationValidity) {
-    SendActivationOrder();
-    return;
-  }
-  VerifyNext(0);
+  verification_.Begin(process_.loop().Now());
+  ContinueVerification();
 }
 
-void WeightsManager::VerifyNext(std::size_t chunk) {
-  if (chunk == held_.size()) {
-    if (corrupt_count_ == 0) {
+void WeightsManager::ContinueVerification() {
+  switch (verification_.StateAt(process_.loop().Now())) {
+    case rollout::VerificationState::kReading:
+      ReadStagedChunks();
+      break;
+    case rollout::VerificationState::kVerified:
+      verification_backoff_.OnSuccess();
       SendActivationOrder();
-      return;
-    }
-    switching_ = false;
-    SetPhase(Phase::kFetching);
-    StartPlanner();
-    return;
+      break;
+    case rollout::VerificationState::kMismatch:
+      switching_ = false;
+      SetPhase(Phase::kFetching);
+      StartPlanner();
+      break;
+    case rollout::VerificationState::kTimedOut:
+      OnVerificationTimedOut();
+      break;
   }
-  NoteStagingRead(chunk);
-  client_.read_staged_chunk_(
-      model_, chunk,
-      [this, fetch_id = fetch_id_,
-       chunk](const std::optional<std::string>& bytes) {
-        if (!IsCurrentFetch(fetch_id)) {
-          return;
-        }
-        const bool good = bytes && core::Digest::Sha256Of(*bytes) ==
-                                       manifest_->chunk_digests_[chunk];
-        if (!good) {
-          ++corrupt_count_;
-          held_.Remove(chunk);
-          process_.log().Write(core::EventNumber::kStagedChunkCorrupt,
-                               {{"piece", std::to_string(chunk)}});
-        }
-        VerifyNext(chunk + 1);
-      });
 }
 
-void WeightsManager::NoteStagingRead(std::size_t chunk) {
-  if (chunk == 0) {
-    first_read_at_ = process_.loop().Now();
-    verification_reads_ = 0;
-  }
-  ++verification_reads_;
+void WeightsManager::OnVerificationTimedOut() {
+  const auto now = process_.loop().Now();
+  const auto pause = verification_backoff_.OnFailure(now);
+  process_.log().Write(core::EventNumber::kVerificationTimedOut,
+                       {{"version", std::to_string(fetch_target_.version_)},
+                        {"chunks", std::to_string(held_.size())},
+                        {"reads", std::to_string(verification_.reads())},
+                        {"after_ms", ToText(verification_.Elapsed(now))},
+                        {"again_in_ms", ToText(pause)}});
+  switching_ = false;
+  SetPhase(Phase::kStaged);
 }
 
 void WeightsManager::SendActivationOrder() {
+  const auto now = process_.loop().Now();
+  const auto age = verification_.OldestAge(now).value_or(core::Duration{});
   SetPhase(Phase::kOrdered);
-  const auto age = process_.loop().Now() - first_read_at_;
-  process_.log().Write(
-      core::EventNumber::kOrderSent,
-      {{"model", model_},
-       {"version", std::to_string(fetch_target_.version_)},
-       {"reads", std::to_string(verification_reads_)},
-       {"oldest_comparison_ms",
-        std::to_string(
-            std::chrono::duration_cast<milliseconds>(age).count())}});
+  process_.log().Write(core::EventNumber::kOrderSent,
+                       {{"model", model_},
+                        {"version", std::to_string(fetch_target_.version_)},
+                        {"reads", std::to_string(verification_.reads())},
+                        {"oldest_comparison_ms", ToText(age)}});
   process_.metrics().Observe("order_comparison_age_seconds", {}, age);
+  process_.metrics().Observe("verification_seconds", {},
+                             verification_.Elapsed(now));
   client_.activate_(
       model_, fetch_target_.version_,
       [this, fetch_id = fetch_id_](OrderOutcome outcome) {
--- a/tests/platform/endpoint_standin.cpp
+++ b/tests/platform/endpoint_standin.cpp
@@ -161,6 +161,16 @@
   staged_.at(chunk) += "spoilt";
 }
 
+void EndpointStandin::OnStagedRead(
+    std::function<std::chrono::milliseconds(std::size_t)> handler) {
+  thread_.RunAndWait([&] { on_staged_read_ = std::move(handler); });
+}
+
+std::map<std::size_t, std::string> EndpointStandin::loaded() const {
+  const std::lock_guard lock(mutex_);
+  return loaded_;
+}
+
 void EndpointStandin::OnCall(const HttpExchangePtr& exchange) {
   const auto& path = exchange->request().path_;
   if (path == "/report") {
@@ -199,20 +209,32 @@
 void EndpointStandin::HandleOrder(const HttpExchangePtr& exchange) {
   const auto order = nlohmann::json::parse(exchange->request().body_);
   ++orders_;
+  {
+    const std::lock_guard lock(mutex_);
+    loaded_ = staged_;
+  }
   version_ = order.at("version").get<std::uint64_t>();
   exchange->Respond(202, {}, "");
 }
 
-void EndpointStandin::HandleStageGet(const HttpExchangePtr& exchange) const {
-  const std::lock_guard lock(mutex_);
+void EndpointStandin::HandleStageGet(const HttpExchangePtr& exchange) {
   const auto chunk =
       NumberOr(QueryParameter(exchange->request().path_, "sampleSize"), 0);
-  const auto found = staged_.find(chunk);
-  if (found == staged_.end()) {
+  const auto chunks = staged();
+  const auto found = chunks.find(chunk);
+  if (found == chunks.end()) {
     exchange->Respond(404, {}, "");
-  } else {
+    return;
+  }
+  const auto delay =
+      on_staged_read_ ? on_staged_read_(chunk) : std::chrono::milliseconds(0);
+  if (delay == std::chrono::milliseconds(0)) {
     exchange->Respond(200, {}, found->second);
+    return;
   }
+  thread_.loop().After(delay, [exchange, bytes = found->second] {
+    exchange->Respond(200, {}, bytes);
+  });
 }
 
 void EndpointStandin::HandleRequest(const HttpExchangePtr& exchange) {
--- a/tests/platform/standins.hpp
+++ b/tests/platform/standins.hpp
@@ -310,6 +310,12 @@
   [[nodiscard]] std::map<std::size_t, std::string> staged() const;
   /// @brief Changes the content of a staged chunk.
   void CorruptChunk(std::size_t chunk);
+  /// @brief Sets a handler that is called on the loop when a staged chunk was
+  /// read; it returns the delay of the response.
+  void OnStagedRead(
+      std::function<std::chrono::milliseconds(std::size_t chunk)> handler);
+  /// @brief Contents of the chunks when the last order was taken, by index.
+  [[nodiscard]] std::map<std::size_t, std::string> loaded() const;
 
  private:
   void OnCall(const daemon::HttpExchangePtr& exchange);
@@ -337,7 +343,7 @@
                       const std::shared_ptr<bool>& closed);
   void HandleReport(const daemon::HttpExchangePtr& exchange) const;
   void HandleOrder(const daemon::HttpExchangePtr& exchange);
-  void HandleStageGet(const daemon::HttpExchangePtr& exchange) const;
+  void HandleStageGet(const daemon::HttpExchangePtr& exchange);
 
   LoopThread& thread_;
   daemon::Address listen_;
@@ -366,6 +372,8 @@
   mutable std::atomic<int> report_queries_{0};
   std::vector<daemon::HttpRequest> requests_;
   std::map<std::size_t, std::string> staged_;
+  std::map<std::size_t, std::string> loaded_;
+  std::function<std::chrono::milliseconds(std::size_t)> on_staged_read_;
   std::vector<daemon::HttpExchangePtr> hanging_;
   std::unique_ptr<daemon::Http1Server> server_;
   /// Timers hold weak references to it: they must not touch a destroyed object.
