Answer 502 when an endpoint ran a request and says 503

Cause: the attempt is classified as failed and ran, but the endpoint's status was forwarded all the same; a 408 or 429 was even taken for a success. Only the endpoint's own statement says that a request was not run. A status that promises so without the statement now counts as a failure of a run, and callers get the entry's own 502 without the endpoint's signature.

--- a/packages/daemon/src/daemon/direct/direct_request.cpp
+++ b/packages/daemon/src/daemon/direct/direct_request.cpp
@@ -2,6 +2,7 @@
 #include "daemon/direct/direct_request.hpp"
 
 #include <algorithm>
+#include <array>
 #include <utility>
 
 #include "chalkwell/routing/first_byte_timeout.hpp"
@@ -47,6 +48,12 @@
 /// still reach this process if the endpoint uses all of it.
 constexpr auto kReturnTransitTime = milliseconds(5);
 
+/// Whether callers take a status as a promise that the request was not run.
+bool PromisesNotRun(int status) {
+  static constexpr auto kPromises = std::to_array({408, 421, 429, 503});
+  return std::ranges::find(kPromises, status) != kPromises.end();
+}
+
 }  // namespace
 
 DirectRequest::DirectRequest(RequestContext& context, HttpExchangePtr exchange,
@@ -514,8 +521,9 @@
     // Only a stream can continue the one that the caller has a part of.
     return routing::AttemptEnd::kFailedRan;
   }
-  return attempt.status_ >= 500 ? routing::AttemptEnd::kFailedRan
-                                : routing::AttemptEnd::kComplete;
+  return attempt.status_ >= 500 || PromisesNotRun(attempt.status_)
+             ? routing::AttemptEnd::kFailedRan
+             : routing::AttemptEnd::kComplete;
 }
 
 void DirectRequest::EndResponse(const AttemptPtr& attempt) {
@@ -733,7 +741,9 @@
 
 void DirectRequest::RespondFailure(const routing::FinishRequest& finish) {
   const auto& codec = context_.adapter_.requests_;
-  if (finish.outcome_ == routing::Outcome::kFailedRan && last_failure_) {
+  const bool forwardable =
+      last_failure_ && !PromisesNotRun(last_failure_->status_);
+  if (finish.outcome_ == routing::Outcome::kFailedRan && forwardable) {
     RespondWith(*std::move(last_failure_));
     return;
   }
--- a/tests/platform/endpoint_standin.cpp
+++ b/tests/platform/endpoint_standin.cpp
@@ -299,7 +299,7 @@
       exchange->End(false);
       return;
     case Behaviour::kFail:
-      Respond(exchange, 500, headers, "failed");
+      Respond(exchange, failure_status_, headers, "failed");
       return;
     case Behaviour::kReject:
       Respond(exchange, 404, headers, "rejected");
--- a/tests/platform/standins.hpp
+++ b/tests/platform/standins.hpp
@@ -174,7 +174,8 @@
   kShed,
   /// Runs the request and resets the connection without a response.
   kReset,
-  /// Runs the request and responds 500.
+  /// Runs the request and responds with a failure status, 500 unless another
+  /// one is set.
   kFail,
   /// Runs the request and responds 404.
   kReject,
@@ -236,6 +237,7 @@
                                    const std::string& zone,
                                    const std::string& state = "ready") const;
   void SetBehaviour(Behaviour behaviour) { behaviour_ = behaviour; }
+  void SetFailureStatus(int status) { failure_status_ = status; }
   void SetVersion(std::uint64_t version) { version_ = version; }
   /// @brief Changes the instance id, as after a restart at the same address.
   ///
@@ -359,6 +361,7 @@
   std::function<void(const std::string&)> on_crash_;
   std::atomic<int> crashes_{0};
   std::atomic<Behaviour> behaviour_{Behaviour::kServe};
+  std::atomic<int> failure_status_{500};
   std::atomic<Framing> framing_{Framing::kMessage};
   std::atomic<StreamForm> stream_form_{};
   std::atomic<StreamForm> resumed_stream_form_{};
--- a/tests/rollout/staging_verification_test.cpp
+++ b/tests/rollout/staging_verification_test.cpp
@@ -59,7 +59,7 @@
     verification_.Reset(scenario_.chunks_);
     verification_.Begin(kStart);
     for (const auto& [at, chunk] : scenario_.corruptions_) {
-      At(at, [this, chunk] { bad_since_.emplace(chunk, now_); });
+      At(at, [this, chunk = chunk] { bad_since_.emplace(chunk, now_); });
     }
     At(0ms, [this] { Tick(); });
     while (!done_ && now_ < kTimeLimit && outcome_.timeouts_ < kMaxTimeouts) {
