Ignore a read of a staged chunk that was staged again meanwhile

A read that was sent before a chunk was staged again, and answered afterwards, dropped the new chunk: it was fetched once more, or no longer announced to peers.

OnRead now returns the comparison that counts, and the agent goes by it. The new case of staging_verification_test needs this result and does not compile without it: 6 rows. The text of event 409 is wrapped as the others are.

--- a/packages/chalkwell/src/chalkwell/core/event.cpp
+++ b/packages/chalkwell/src/chalkwell/core/event.cpp
@@ -126,8 +126,7 @@
      "If it persists, check the origin of weights."},
     {kVerificationTimedOut, kWarning, "verification-timed-out",
      "The staged chunks could not be read fast enough for all comparisons to "
-     "be "
-     "recent; the engine keeps its version, and it is tried again.",
+     "be recent; the engine keeps its version, and it is tried again.",
      "Check why the engine reads its staging slowly."},
     {kRolloutSlotObtained, kInfo, "turn-taken",
      "This endpoint obtained a rollout slot and drains before it switches.",
--- a/packages/chalkwell/src/chalkwell/rollout/staging_verification.cpp
+++ b/packages/chalkwell/src/chalkwell/rollout/staging_verification.cpp
@@ -74,11 +74,12 @@
          now - *chunk.matched_at_ >= settings_.max_age_ / kCycleFraction;
 }
 
-void StagingVerification::OnRead(std::size_t index, ChunkComparison comparison,
-                                 core::TimePoint now) {
+ChunkComparison StagingVerification::OnRead(std::size_t index,
+                                            ChunkComparison comparison,
+                                            core::TimePoint now) {
   auto& chunk = chunks_.at(index);
   if (!chunk.sent_at_) {
-    return;
+    return ChunkComparison::kFailed;
   }
   const auto sent_at = *chunk.sent_at_;
   chunk.sent_at_.reset();
@@ -90,20 +91,24 @@
   }
   if (comparison == ChunkComparison::kFailed) {
     chunk.retry_at_ = now + settings_.retry_delay_;
-    return;
+    return comparison;
   }
   const auto time = now - sent_at;
   read_time_ = read_time_ == core::Duration{}
                    ? time
                    : read_time_ + (time - read_time_) / kReadTimeWeight;
-  if (chunk.changed_ || chunk.mismatch_) {
-    return;
+  if (chunk.changed_) {
+    return ChunkComparison::kFailed;
+  }
+  if (chunk.mismatch_) {
+    return ChunkComparison::kMismatch;
   }
   if (comparison == ChunkComparison::kMatch) {
     chunk.matched_at_ = sent_at;
   } else {
     OnMismatch(index);
   }
+  return comparison;
 }
 
 void StagingVerification::OnMismatch(std::size_t index) {
--- a/packages/chalkwell/src/chalkwell/rollout/staging_verification.hpp
+++ b/packages/chalkwell/src/chalkwell/rollout/staging_verification.hpp
@@ -65,8 +65,10 @@
   /// @brief Returns the chunks to read now; they count as in flight.
   [[nodiscard]] std::vector<std::size_t> Next(core::TimePoint now);
   /// @brief A read that Next() returned has ended.
-  void OnRead(std::size_t chunk, ChunkComparison comparison,
-              core::TimePoint now);
+  /// @return the comparison that counts: kFailed if the chunk was staged again
+  /// during the read.
+  ChunkComparison OnRead(std::size_t chunk, ChunkComparison comparison,
+                         core::TimePoint now);
   /// @brief A chunk is known to differ from its digest.
   void OnMismatch(std::size_t chunk);
   /// @brief A chunk was staged again. It has to be compared before an order.
--- a/packages/daemon/src/daemon/direct/weights_manager_switch.cpp
+++ b/packages/daemon/src/daemon/direct/weights_manager_switch.cpp
@@ -61,7 +61,7 @@
                                          manifest_->chunk_digests_[chunk];
     comparison = good ? ChunkComparison::kMatch : ChunkComparison::kMismatch;
   }
-  verification_.OnRead(chunk, comparison, process_.loop().Now());
+  comparison = verification_.OnRead(chunk, comparison, process_.loop().Now());
   if (scanning_) {
     if (comparison == ChunkComparison::kMatch) {
       held_.Add(chunk);
--- a/tests/rollout/staging_verification_test.cpp
+++ b/tests/rollout/staging_verification_test.cpp
@@ -280,6 +280,29 @@
   CHECK(verification.Next(kStart).empty() == mismatch);
 }
 
+TEST_CASE("a late read drops a chunk that was staged again meanwhile",
+          "[rollout]") {
+  struct Row {
+    bool staged_;
+    ChunkComparison read_;
+    ChunkComparison counted_;
+  };
+  using enum ChunkComparison;
+  const auto row =
+      GENERATE(Row{true, kMismatch, kFailed}, Row{true, kMatch, kFailed},
+               Row{true, kFailed, kFailed}, Row{false, kMismatch, kMismatch},
+               Row{false, kMatch, kMatch}, Row{false, kFailed, kFailed});
+  CAPTURE(row.staged_, static_cast<int>(row.read_));
+  StagingVerification verification;
+  verification.Reset(1);
+  verification.Begin(kStart);
+  CHECK(verification.Next(kStart).size() == 1);
+  if (row.staged_) {
+    verification.OnStaged(0);
+  }
+  CHECK(verification.OnRead(0, row.read_, kStart) == row.counted_);
+}
+
 TEST_CASE("a failed read is repeated after a delay", "[rollout]") {
   struct Row {
     core::Duration after_;
