Limit what the HTTP parser keeps of a chunk header or trailer

Cause: Beast limits heads only. The parser now keeps at most as much as a head may have, and then reports the message as malformed; that bounds the work for it as well.

http_parser_test failed in 8 of 8 rows before (64 KB of size, extension, trailer or trailers without an error, as response and request), none after.

--- a/packages/daemon/src/daemon/http_parser.cpp
+++ b/packages/daemon/src/daemon/http_parser.cpp
@@ -106,7 +106,16 @@
   HttpParseError error_ = HttpParseError::kNone;
   bool started_ = false;
   /// Bytes that Beast did not consume yet; passed again together with the next.
+  /// Beast limits heads, but not chunk headers and trailers.
   std::string unparsed_;
+  std::size_t max_unparsed_ = 0;
+
+  void Keep(std::string_view bytes) {
+    unparsed_.assign(bytes);
+    if (unparsed_.size() > max_unparsed_) {
+      error_ = HttpParseError::kMalformed;
+    }
+  }
 
   template <typename Task>
   [[nodiscard]] auto WithParser(Task task) const {
@@ -174,6 +183,7 @@
   state_->error_ = HttpParseError::kNone;
   state_->started_ = false;
   state_->unparsed_.clear();
+  state_->max_unparsed_ = limits.header_bytes_;
   if (state_->kind_ == Kind::kRequest) {
     state_->request_.emplace(state_->message_, limits);
   } else {
@@ -197,7 +207,7 @@
     if (done() || state_->error_ != HttpParseError::kNone) {
       return consumed;
     }
-    state_->unparsed_.assign(bytes.substr(consumed));
+    state_->Keep(bytes.substr(consumed));
     return bytes.size();
   }
   const auto unparsed_size = state_->unparsed_.size();
@@ -207,7 +217,7 @@
   if (done() || state_->error_ != HttpParseError::kNone) {
     return consumed > unparsed_size ? consumed - unparsed_size : 0;
   }
-  state_->unparsed_.assign(joined, consumed);
+  state_->Keep(std::string_view(joined).substr(consumed));
   return bytes.size();
 }
 
