Accept memory and descriptors of the machine as settings

The entry's template now passes on the memory and the descriptors that the platform gives to a process (limits.memoryMb, limits.maxFds), as process.memory_mb and process.max_descriptors. No decision changes.

--- a/packages/daemon/src/daemon/settings_table.cpp
+++ b/packages/daemon/src/daemon/settings_table.cpp
@@ -99,6 +99,12 @@
      "ip:port",
      "Collector to which spans are sent as OTLP/JSON; without it, no spans "
      "are sent."},
+    {kAnyEntry, "process", "memory_mb", kReal, "256", false, 16, 1e6, "", "MB",
+     "Memory that the machine gives to this process; set by the platform."},
+    {kAnyEntry, "process", "max_descriptors", kNumber, "0", false, 0, 1e7, "",
+     "descriptors",
+     "Descriptors that this process may open; set by the platform. 0 for the "
+     "system's limit (RLIMIT_NOFILE)."},
     {kAll, "stop", "drain_ms", kReal, "120000", false, 0, kDayMs, "", "ms",
      "Longest time for which a graceful shutdown waits for pending work; at "
      "least the longest deadline."},
