--- a/tests/platform/deployment.cpp
+++ b/tests/platform/deployment.cpp
@@ -50,6 +50,18 @@
   return options.seed_ == nullptr ? "" : "\nfacts_wait_ms = 10000";
 }
 
+std::string ProcessSettings(const NodeOptions& options) {
+  std::string settings = "\n[process]";
+  if (options.memory_mb_ > 0) {
+    settings += "\nmemory_mb = " + std::to_string(options.memory_mb_);
+  }
+  if (options.max_descriptors_ > 0) {
+    settings +=
+        "\nmax_descriptors = " + std::to_string(options.max_descriptors_);
+  }
+  return settings;
+}
+
 }  // namespace
 
 std::string LocalAddress(std::uint16_t port) {
@@ -160,7 +172,7 @@
       << "\n[requests]\nretry_share = " << options.retry_share_
       << "\nretry_reserve = 100"
       << "\n[rollout]\nversion_bound_ms = " << options.version_bound_ms_
-      << "\n[stop]\ndrain_ms = 5000\n";
+      << ProcessSettings(options) << "\n[stop]\ndrain_ms = 5000\n";
   node.child_ = Child(
       {fleet::DaemonPath(), "entry", "--adapter", "platform", "--config", path},
       (folder_ / (name + ".log")).string(), environment_);
--- a/tests/platform/deployment.hpp
+++ b/tests/platform/deployment.hpp
@@ -69,6 +69,10 @@
   /// Retries that each request earns. An entry that has just started may make
   /// no others.
   int retry_share_ = 1;
+  /// Settings process.memory_mb and process.max_descriptors of an entry; 0 for
+  /// the default.
+  int memory_mb_ = 0;
+  int max_descriptors_ = 0;
 };
 
 /// @brief Store, weights origin, two endpoints of service "plain" and one
