Limit what callers' connections hold together

150 callers whose bodies stop short of their end took an entry to 181 to 224 MB of the 96 that its settings give it; with the published limits the process ended (reported: 1,168 MB).

Cause: each body is limited, their sum is not, and nothing knows it. RequestMemory now accounts for what callers' connections and requests of a process hold: bodies by their capacity, heads, pipelined bytes, responses not yet sent. It decides without a clock or a network. Nothing waits for memory, since waiting bytes are held by the system and unfinished bodies could wait for each other: a request that does not fit is refused with 503 and Retry-After, an announced one before its body arrives. If requests have been received for over 1 s, the oldest are ended instead, so that bodies without end do not keep others out. A quarter is left to requests of up to 64 KiB; one request of the largest size always fits while no other large one is held. New setting: requests.memory_share. A 503 states the request's id and Retry-After, as other refusals do.

--- a/packages/chalkwell/src/chalkwell/routing/fwd.hpp
+++ b/packages/chalkwell/src/chalkwell/routing/fwd.hpp
@@ -32,6 +32,8 @@
 class IncarnationTable;
 struct EndpointIncarnation;
 class RequestAgeEstimator;
+class RequestMemory;
+struct RequestMemorySettings;
 class RequestDigest;
 struct RequestContent;
 struct RequestIdentity;
--- /dev/null
+++ b/packages/daemon/src/daemon/caller_memory.cpp
@@ -0,0 +1,81 @@
+// Sizes are counted in whole pages, so that small changes cost nothing.
+#include "daemon/caller_memory.hpp"
+
+#include <utility>
+
+namespace chalkwell::daemon {
+namespace {
+
+constexpr std::size_t kPageBytes = 4096;
+
+std::size_t ToWholePages(std::size_t bytes) {
+  return (bytes + kPageBytes - 1) / kPageBytes * kPageBytes;
+}
+
+}  // namespace
+
+CallerMemory::CallerMemory(Loop& loop, routing::RequestMemorySettings settings)
+    : loop_(loop), memory_(settings) {}
+
+MemoryLease::MemoryLease(std::shared_ptr<CallerMemory> memory,
+                         std::function<void()> on_ended)
+    : memory_(std::move(memory)) {
+  if (memory_ == nullptr) {
+    return;
+  }
+  holder_ = memory_->memory_.Add();
+  if (on_ended) {
+    memory_->on_ended_.emplace(holder_, std::move(on_ended));
+  }
+}
+
+MemoryLease::~MemoryLease() {
+  if (memory_ != nullptr) {
+    memory_->on_ended_.erase(holder_);
+    memory_->memory_.Remove(holder_);
+  }
+}
+
+void MemoryLease::BeginReceiving() {
+  if (memory_ != nullptr) {
+    memory_->memory_.BeginReceiving(holder_, memory_->loop_.Now());
+  }
+}
+
+void MemoryLease::EndReceiving() {
+  if (memory_ != nullptr) {
+    memory_->memory_.EndReceiving(holder_);
+  }
+}
+
+bool MemoryLease::Grow(std::size_t bytes) {
+  const auto pages = ToWholePages(bytes);
+  if (memory_ == nullptr || pages == bytes_) {
+    return true;
+  }
+  const auto growth =
+      memory_->memory_.Grow(holder_, pages, memory_->loop_.Now());
+  for (const auto ended : growth.ended_) {
+    const auto found = memory_->on_ended_.find(ended);
+    if (found != memory_->on_ended_.end()) {
+      // Moved out, because the call destroys the lease.
+      const auto on_ended = std::move(found->second);
+      memory_->on_ended_.erase(found);
+      Guarded(on_ended);
+    }
+  }
+  if (growth.granted_) {
+    bytes_ = pages;
+  }
+  return growth.granted_;
+}
+
+void MemoryLease::Set(std::size_t bytes) {
+  const auto pages = ToWholePages(bytes);
+  if (memory_ != nullptr && pages != bytes_) {
+    bytes_ = pages;
+    memory_->memory_.Set(holder_, pages);
+  }
+}
+
+}  // namespace chalkwell::daemon
--- a/packages/daemon/src/daemon/direct/direct_entry.cpp
+++ b/packages/daemon/src/daemon/direct/direct_entry.cpp
@@ -44,6 +44,8 @@
 /// Interval of the check for due subscriptions; bounds the delay until a newly
 /// used endpoint's agent is subscribed to.
 constexpr auto kSubscribeTick = milliseconds(100);
+/// What a connection holds beside the body and the head of a request.
+constexpr std::size_t kHeadOverhead = std::size_t{256} << 10;
 /// Time from its start in which an entry discovers the others.
 constexpr auto kDiscoveryTime = milliseconds(1000);
 /// The number of entries that share the endpoints is the largest of this time:
@@ -232,6 +234,8 @@
              }),
       entry_count_(kEntryCountWindow),
       started_at_(process.loop().Now()),
+      caller_memory_(std::make_shared<CallerMemory>(
+          process.loop(), RequestMemoryOf(process.settings()))),
       stop_timer_(process.loop()),
       relay_timer_(process.loop()),
       subscribe_timer_(process.loop()) {}
@@ -262,6 +266,7 @@
              rate_limits_.RefreshMetrics();
              rules_manager_.RefreshMetrics();
              statements_.RefreshMetrics();
+             RefreshCallerMetrics();
            },
        .lift_quarantine_ =
            [this](const std::string& content) {
@@ -283,10 +288,8 @@
       Http1ServerHooks{
           .limits_ = [this] { return Limits(); },
           .on_refused_ =
-              [this](int status, const std::string& peer) {
-                process_.log().Write(
-                    core::EventNumber::kRequestLimitViolated,
-                    {{"status", std::to_string(status)}, {"peer", peer}});
+              [this](const HttpRefusal& refusal) {
+                return OnServerRefusal(refusal);
               },
           .on_unanswered_ =
               [this](UnansweredCause cause, const HttpRequest& request) {
@@ -301,7 +304,8 @@
             OnCallerRequest(exchange, now);
           }
         });
-      });
+      },
+      caller_memory_);
   process_.log().Write(core::EventNumber::kListening,
                        {{"caller", settings.Text("listen", "caller")}});
   peer_server_ = std::make_unique<PeerServer>(
@@ -508,6 +512,8 @@
     slow_starts[service.name_] = service.slow_start_;
   }
   endpoints_.SetSlowStarts(std::move(slow_starts));
+  caller_memory_->SetLargestRequest(
+      rules.limits_.body_bytes_ + rules.limits_.header_bytes_ + kHeadOverhead);
 }
 
 std::vector<PublishedVersionMessage> DirectEntry::LimitingVersions() const {
@@ -796,6 +802,33 @@
   return std::max(1U, static_cast<std::uint32_t>(share));
 }
 
+HttpHeaders DirectEntry::OnServerRefusal(const HttpRefusal& refusal) {
+  const std::string cause(ToString(refusal.cause_));
+  const auto id =
+      adapter_.requests_.read_request_({.headers_ = refusal.headers_}).id_;
+  const auto wait =
+      refusal.retry_after_
+          ? std::optional(retry_jitter_.Draw(*refusal.retry_after_))
+          : std::nullopt;
+  process_.log().Write(core::EventNumber::kRequestLimitViolated,
+                       {{"request", id},
+                        {"status", std::to_string(refusal.status_)},
+                        {"cause", cause},
+                        {"peer", refusal.peer_ip_},
+                        {"body_bytes", std::to_string(refusal.body_bytes_)},
+                        {"held_bytes", std::to_string(caller_memory_->held())},
+                        {"retry_after_ms", wait ? Millis(*wait) : "none"}});
+  process_.metrics().Count("caller_refusals_total", {{"cause", cause}});
+  return adapter_.requests_.own_headers_(id, wait);
+}
+
+void DirectEntry::RefreshCallerMetrics() {
+  process_.metrics().Set("caller_memory_bytes", {{"kind", "held"}},
+                         static_cast<double>(caller_memory_->held()));
+  process_.metrics().Set("caller_memory_bytes", {{"kind", "limit"}},
+                         static_cast<double>(caller_memory_->limit()));
+}
+
 void DirectEntry::Refuse(HttpExchange& exchange, const CallerRequest& caller,
                          int status, core::EventNumber event,
                          const std::string& reason,
--- a/packages/daemon/src/daemon/direct/direct_entry.hpp
+++ b/packages/daemon/src/daemon/direct/direct_entry.hpp
@@ -90,6 +90,9 @@
   /// @brief Logs and counts a caller's request that got no response.
   void OnUnanswered(UnansweredCause cause, const HttpRequest& request);
   void OnReadinessCheck(const HttpExchangePtr& exchange);
+  /// @brief Logs and counts a request that the server refused.
+  /// @return headers of the response.
+  [[nodiscard]] HttpHeaders OnServerRefusal(const HttpRefusal& refusal);
   void Refuse(HttpExchange& exchange, const CallerRequest& caller, int status,
               core::EventNumber event, const std::string& reason,
               std::optional<core::Duration> retry_after);
@@ -99,6 +102,7 @@
   [[nodiscard]] std::optional<core::Duration> CheckAdmission(
       AdmittedDirectRequest& request, core::TimePoint now, std::string& reason);
   [[nodiscard]] HttpLimits Limits() const;
+  void RefreshCallerMetrics();
   /// @brief Why this entry is not ready for requests; empty when it is.
   [[nodiscard]] std::string NotReadyReason() const;
   [[nodiscard]] routing::VersionConstraint VersionConstraintFor(
@@ -153,6 +157,7 @@
   core::WindowMaximum entry_count_;
   core::TimePoint started_at_;
   std::unique_ptr<PeerServer> peer_server_;
+  std::shared_ptr<CallerMemory> caller_memory_;
   std::unique_ptr<Http1Server> caller_server_;
   std::unique_ptr<Http1Server> readiness_server_;
   std::unique_ptr<HttpServer> admin_server_;
--- a/packages/daemon/src/daemon/direct/direct_settings.cpp
+++ b/packages/daemon/src/daemon/direct/direct_settings.cpp
@@ -27,6 +27,15 @@
   return budget;
 }
 
+routing::RequestMemorySettings RequestMemoryOf(const Settings& settings) {
+  constexpr double kBytesPerMegabyte = 1e6;
+  routing::RequestMemorySettings memory;
+  memory.total_bytes_ = static_cast<std::size_t>(
+      settings.Real("process", "memory_mb") * kBytesPerMegabyte *
+      settings.Real("requests", "memory_share"));
+  return memory;
+}
+
 PublishedReaderSettings ReaderSettingsOf(const Settings& settings) {
   PublishedReaderSettings reader;
   reader.watch_wait_ = settings.Milliseconds("platform", "watch_wait_ms");
--- a/packages/daemon/src/daemon/direct/direct_settings.hpp
+++ b/packages/daemon/src/daemon/direct/direct_settings.hpp
@@ -3,6 +3,7 @@
 
 #include "chalkwell/core/fwd.hpp"
 #include "chalkwell/routing/data_residency.hpp"
+#include "chalkwell/routing/request_memory.hpp"
 #include "chalkwell/routing/retry_budget.hpp"
 #include "daemon/direct/endpoint_list.hpp"
 #include "daemon/direct/mesh_node.hpp"
@@ -17,6 +18,9 @@
 /// @brief Settings before the entry knows its part of the reserve.
 [[nodiscard]] routing::RetryBudgetSettings RetryBudgetOf(
     const Settings& settings);
+/// @brief Memory that callers' connections may hold.
+[[nodiscard]] routing::RequestMemorySettings RequestMemoryOf(
+    const Settings& settings);
 [[nodiscard]] PublishedReaderSettings ReaderSettingsOf(
     const Settings& settings);
 [[nodiscard]] EndpointListSettings EndpointListSettingsOf(
--- a/packages/daemon/src/daemon/fwd.hpp
+++ b/packages/daemon/src/daemon/fwd.hpp
@@ -10,6 +10,8 @@
 class HttpServer;
 class HttpExchange;
 class HttpClient;
+class CallerMemory;
+class MemoryLease;
 class PeerServer;
 class PeerCall;
 class PeerConnection;
--- a/packages/daemon/src/daemon/http1_server.cpp
+++ b/packages/daemon/src/daemon/http1_server.cpp
@@ -3,6 +3,7 @@
 #include "daemon/http1_server.hpp"
 
 #include <algorithm>
+#include <charconv>
 #include <utility>
 
 namespace chalkwell::daemon {
@@ -13,16 +14,42 @@
 constexpr std::size_t kMaxPipelinedBytes = std::size_t{16} << 10;
 
 constexpr int kInternalError = 500;
+constexpr int kUnavailable = 503;
 
-int ToStatus(HttpParseError error) {
+RefusalCause ToCause(HttpParseError error) {
   switch (error) {
     case HttpParseError::kHeaderTooLarge:
-      return 431;
+      return RefusalCause::kHeaderTooLarge;
     case HttpParseError::kBodyTooLarge:
-      return 413;
+      return RefusalCause::kBodyTooLarge;
     default:
+      return RefusalCause::kMalformed;
+  }
+}
+
+int ToStatus(RefusalCause cause) {
+  switch (cause) {
+    case RefusalCause::kMalformed:
       return 400;
+    case RefusalCause::kHeaderTooLarge:
+      return 431;
+    case RefusalCause::kBodyTooLarge:
+      return 413;
+    case RefusalCause::kSlow:
+      return 408;
+    case RefusalCause::kNoMemory:
+    case RefusalCause::kEndedForAnother:
+      return kUnavailable;
   }
+  return kUnavailable;
+}
+
+/// Length that the headers announce for a body; 0 if none.
+std::size_t AnnouncedBytes(const HttpHeaders& headers) {
+  const auto text = FindHeader(headers, "content-length");
+  std::size_t bytes = 0;
+  (void)std::from_chars(text.data(), text.data() + text.size(), bytes);
+  return bytes;
 }
 
 std::size_t CountHeader(const HttpHeaders& headers, std::string_view name) {
@@ -50,11 +77,13 @@
         stream_(std::move(stream)),
         limits_(server.hooks_.limits_()),
         parser_(HttpParser::Kind::kRequest, limits_),
+        lease_(server.memory_,
+               [this] { Reject(RefusalCause::kEndedForAnother); }),
         timer_(server.loop_) {}
 
   void Begin() {
     peer_ip_ = stream_->PeerIp();
-    parser_.OnBody([this](std::string_view bytes) { body_.append(bytes); });
+    parser_.OnBody([this](std::string_view bytes) { AppendBody(bytes); });
     StartIdleTimer();
     stream_->SetCallbacks(
         {.on_data_ = [this](std::string_view bytes) { OnData(bytes); },
@@ -69,7 +98,10 @@
   [[nodiscard]] std::size_t pending() const noexcept {
     return stream_->pending();
   }
-  void Write(std::string bytes) { stream_->Write(std::move(bytes)); }
+  void Write(std::string bytes) {
+    stream_->Write(std::move(bytes));
+    lease_.Set(HeldBytes());
+  }
   /// Whether the connection closes after the response whose head is about to be
   /// written. If the server is stopping, a request that has arrived is still
   /// answered, and the close is announced with its response.
@@ -92,7 +124,7 @@
   void CloseIfIdle();
   /// Closes the connection after sending queued bytes.
   void CloseGracefully() {
-    buffered_input_.clear();
+    buffered_input_ = {};
     stream_->CloseGracefully();
     Unregister();
   }
@@ -100,8 +132,22 @@
  private:
   void OnData(std::string_view bytes);
   void OnDrained();
-  void Reject(int status);
+  void Reject(RefusalCause cause);
   void ProcessInput();
+  /// Parses input up to the end of the request.
+  /// @return false if the request was refused.
+  [[nodiscard]] bool ParseInput();
+  void BeginRequest();
+  /// Adds received bytes to the body, if they may be held.
+  void AppendBody(std::string_view bytes);
+  /// Makes room for a body of this size.
+  /// @return false if it must not be held.
+  [[nodiscard]] bool ReserveBody(std::size_t bytes);
+  /// Bytes that the connection holds, without those of exchanges.
+  [[nodiscard]] std::size_t HeldBytes() const noexcept {
+    return daemon::HeldBytes(body_) + daemon::HeldBytes(buffered_input_) +
+           parser_.held_bytes() + stream_->pending();
+  }
   void Dispatch();
   void StartIdleTimer() {
     idle_since_ = server_.loop_.Now();
@@ -126,6 +172,10 @@
   HttpLimits limits_;
   HttpParser parser_;
   std::string body_;
+  /// Counts HeldBytes().
+  MemoryLease lease_;
+  /// The body of the request must not be held.
+  bool out_of_memory_ = false;
   /// Received bytes not yet parsed, such as those of a next request.
   std::string buffered_input_;
   std::string peer_ip_;
@@ -147,8 +197,13 @@
 /// One request and its response. It may outlive the connection.
 class Http1Exchange final : public HttpExchange {
  public:
-  Http1Exchange(std::weak_ptr<Http1Connection> connection, HttpRequest request)
-      : connection_(std::move(connection)), request_(std::move(request)) {}
+  Http1Exchange(std::weak_ptr<Http1Connection> connection, HttpRequest request,
+                std::shared_ptr<CallerMemory> memory)
+      : connection_(std::move(connection)),
+        request_(std::move(request)),
+        lease_(std::move(memory)) {
+    lease_.Set(HeldBytes(request_.body_) + HeldBytes(request_.headers_));
+  }
   ~Http1Exchange() override;
   Http1Exchange(const Http1Exchange&) = delete;
   Http1Exchange& operator=(const Http1Exchange&) = delete;
@@ -287,6 +342,8 @@
 
   std::weak_ptr<Http1Connection> connection_;
   HttpRequest request_;
+  /// Counts the request.
+  MemoryLease lease_;
   bool started_ = false;
   bool close_delimited_ = false;
   bool chunked_ = false;
@@ -312,37 +369,24 @@
 }
 
 void Http1Connection::OnData(std::string_view bytes) {
-  if (handling_) {
-    buffered_input_.append(bytes);
-    if (buffered_input_.size() > kMaxPipelinedBytes) {
-      stream_->SetReading(false);
-    }
+  buffered_input_.append(bytes);
+  if (!handling_) {
+    ProcessInput();
     return;
   }
-  buffered_input_.append(bytes);
-  ProcessInput();
+  lease_.Set(HeldBytes());
+  if (buffered_input_.size() > kMaxPipelinedBytes) {
+    stream_->SetReading(false);
+  }
 }
 
 void Http1Connection::ProcessInput() {
   const auto self = shared_from_this();
   while (stream_->open() && !handling_ && !buffered_input_.empty()) {
     if (!parser_.started()) {
-      limits_ = server_.hooks_.limits_();
-      parser_.Next(limits_);
-      body_.clear();
-      continue_sent_ = false;
-      ++requests_begun_;
-      timer_.Once(limits_.request_timeout_, [this] { OnRequestTimeout(); });
+      BeginRequest();
     }
-    const auto input = std::exchange(buffered_input_, {});
-    const auto taken = parser_.Feed(input);
-    buffered_input_.assign(input, taken);
-    if (parser_.error() != HttpParseError::kNone) {
-      Reject(ToStatus(parser_.error()));
-      return;
-    }
-    if (parser_.head_done() && !HasUnambiguousFraming()) {
-      Reject(400);
+    if (!ParseInput()) {
       return;
     }
     if (parser_.done()) {
@@ -358,6 +402,69 @@
   }
 }
 
+void Http1Connection::BeginRequest() {
+  limits_ = server_.hooks_.limits_();
+  parser_.Next(limits_);
+  body_ = {};
+  out_of_memory_ = false;
+  continue_sent_ = false;
+  ++requests_begun_;
+  lease_.BeginReceiving();
+  timer_.Once(limits_.request_timeout_, [this] { OnRequestTimeout(); });
+}
+
+bool Http1Connection::ParseInput() {
+  {
+    const auto input = std::exchange(buffered_input_, {});
+    const auto taken = parser_.Feed(input);
+    buffered_input_.assign(input, taken);
+  }
+  if (parser_.error() != HttpParseError::kNone) {
+    Reject(ToCause(parser_.error()));
+    return false;
+  }
+  if (parser_.head_done() && !HasUnambiguousFraming()) {
+    Reject(RefusalCause::kMalformed);
+    return false;
+  }
+  // An announced body that does not fit is refused before it arrives.
+  const auto announced =
+      parser_.head_done() ? AnnouncedBytes(parser_.headers()) : 0;
+  if (out_of_memory_ || !ReserveBody(announced) || !lease_.Grow(HeldBytes())) {
+    Reject(RefusalCause::kNoMemory);
+    return false;
+  }
+  return true;
+}
+
+void Http1Connection::AppendBody(std::string_view bytes) {
+  if (out_of_memory_) {
+    return;
+  }
+  const auto size = body_.size() + bytes.size();
+  if (size > body_.capacity()) {
+    // At least doubled, so that a body is copied a few times only; not beyond
+    // the limit, since each byte of the capacity counts.
+    const auto doubled = std::min(2 * body_.capacity(), limits_.body_bytes_);
+    const auto announced = AnnouncedBytes(parser_.headers());
+    out_of_memory_ = !ReserveBody(std::max({size, doubled, announced}));
+  }
+  if (!out_of_memory_) {
+    body_.append(bytes);
+  }
+}
+
+bool Http1Connection::ReserveBody(std::size_t bytes) {
+  if (bytes <= body_.capacity()) {
+    return true;
+  }
+  if (!lease_.Grow(HeldBytes() - daemon::HeldBytes(body_) + bytes)) {
+    return false;
+  }
+  body_.reserve(bytes);
+  return true;
+}
+
 /// Whether the request has exactly one interpretation of its length and host;
 /// otherwise it could smuggle another request.
 bool Http1Connection::HasUnambiguousFraming() const {
@@ -384,10 +491,12 @@
                       .path_ = parser_.target(),
                       .headers_ = parser_.TakeHeaders(),
                       .body_ = std::move(body_)};
-  body_.clear();
+  body_ = {};
   parser_.Next(limits_);
-  const auto exchange =
-      std::make_shared<Http1Exchange>(weak_from_this(), std::move(request));
+  lease_.EndReceiving();
+  lease_.Set(HeldBytes());
+  const auto exchange = std::make_shared<Http1Exchange>(
+      weak_from_this(), std::move(request), server_.memory_);
   handling_ = true;
   exchange_ = exchange;
   Guarded([&] { server_.handler_(exchange); });
@@ -432,6 +541,7 @@
 }
 
 void Http1Connection::OnDrained() {
+  lease_.Set(HeldBytes());
   if (const auto exchange = exchange_.lock()) {
     exchange->NotifyDrained();
   }
@@ -478,17 +588,30 @@
   const auto request = requests_begun_;
   stream_->ReadAvailable();
   if (registered_ && parser_.started() && requests_begun_ == request) {
-    Reject(408);
+    Reject(RefusalCause::kSlow);
   }
 }
 
-void Http1Connection::Reject(int status) {
+void Http1Connection::Reject(RefusalCause cause) {
+  HttpRefusal refusal{.status_ = ToStatus(cause),
+                      .cause_ = cause,
+                      .peer_ip_ = peer_ip_,
+                      .headers_ = parser_.headers(),
+                      .body_bytes_ = body_.size(),
+                      .retry_after_ = std::nullopt};
+  if (refusal.status_ == kUnavailable) {
+    refusal.retry_after_ = server_.memory_->RetryAfter();
+  }
+  HttpHeaders headers;
   if (server_.hooks_.on_refused_) {
-    server_.hooks_.on_refused_(status, peer_ip_);
+    headers = server_.hooks_.on_refused_(refusal);
   }
-  std::string head = "HTTP/1.1 " + std::to_string(status) + " ";
-  head.append(StatusText(status));
-  head += "\r\ncontent-length: 0\r\nconnection: close\r\n\r\n";
+  std::string head = "HTTP/1.1 " + std::to_string(refusal.status_) + " ";
+  head.append(StatusText(refusal.status_)).append("\r\n");
+  for (const auto& [name, value] : headers) {
+    head.append(name).append(": ").append(value).append("\r\n");
+  }
+  head += "content-length: 0\r\nconnection: close\r\n\r\n";
   stream_->Write(std::move(head));
   CloseGracefully();
 }
@@ -530,11 +653,31 @@
   return "";
 }
 
+std::string_view ToString(RefusalCause cause) noexcept {
+  switch (cause) {
+    case RefusalCause::kMalformed:
+      return "malformed";
+    case RefusalCause::kHeaderTooLarge:
+      return "header too large";
+    case RefusalCause::kBodyTooLarge:
+      return "body too large";
+    case RefusalCause::kSlow:
+      return "slow";
+    case RefusalCause::kNoMemory:
+      return "no memory";
+    case RefusalCause::kEndedForAnother:
+      return "ended for another";
+  }
+  return "";
+}
+
 Http1Server::Http1Server(Loop& loop, const Address& address,
-                         Http1ServerHooks hooks, HttpHandler handler)
+                         Http1ServerHooks hooks, HttpHandler handler,
+                         std::shared_ptr<CallerMemory> memory)
     : loop_(loop),
       hooks_(std::move(hooks)),
       handler_(std::move(handler)),
+      memory_(std::move(memory)),
       listener_(loop, address, [this](TcpStream::Ptr stream) {
         auto connection = std::make_shared<internal::Http1Connection>(
             *this, std::move(stream));
--- a/packages/daemon/src/daemon/http1_server.hpp
+++ b/packages/daemon/src/daemon/http1_server.hpp
@@ -6,10 +6,12 @@
 #include <cstdint>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
 #include <string_view>
 
+#include "daemon/caller_memory.hpp"
 #include "daemon/http_parser.hpp"
 #include "daemon/http_server.hpp"
 #include "daemon/tcp_stream.hpp"
@@ -31,12 +33,42 @@
 /// @brief Text of a cause in logs and metrics.
 [[nodiscard]] std::string_view ToString(UnansweredCause cause) noexcept;
 
+/// @brief Why the server itself refused a request.
+enum class RefusalCause : std::uint8_t {
+  kMalformed,
+  kHeaderTooLarge,
+  kBodyTooLarge,
+  /// It was not complete in time.
+  kSlow,
+  /// The memory for callers' connections is used up.
+  kNoMemory,
+  /// Its memory was needed for another request.
+  kEndedForAnother,
+};
+
+/// @brief Text of a cause in logs and metrics.
+[[nodiscard]] std::string_view ToString(RefusalCause cause) noexcept;
+
+/// @brief A request that the server itself refused.
+struct HttpRefusal {
+  int status_ = 0;
+  RefusalCause cause_ = RefusalCause::kMalformed;
+  std::string peer_ip_;
+  /// Headers received so far.
+  const HttpHeaders& headers_;
+  /// Bytes of the body received so far.
+  std::size_t body_bytes_ = 0;
+  /// Set with status 503.
+  std::optional<core::Duration> retry_after_;
+};
+
 /// @brief Callbacks of an Http1Server.
 struct Http1ServerHooks {
   /// Returns the limits for the next request.
   std::function<HttpLimits()> limits_;
-  /// Called for each request that the server itself refuses.
-  std::function<void(int status, const std::string& peer_ip)> on_refused_;
+  /// Called for each request that the server itself refuses. Returns headers to
+  /// add to the response.
+  std::function<HttpHeaders(const HttpRefusal& refusal)> on_refused_;
   /// Called for each request whose response was not ended, complete or not,
   /// while its caller was connected; none in a correct program.
   std::function<void(UnansweredCause cause, const HttpRequest& request)>
@@ -44,14 +76,17 @@
 };
 
 /// @brief Listener that hands each complete request to a handler. It refuses
-/// malformed requests with 400, slow ones with 408, and requests over the
-/// limits with 413 (body) or 431 (headers), and closes their connections. A
-/// request whose handler releases the exchange without a response gets 500.
+/// malformed requests with 400, slow ones with 408, requests over the limits
+/// with 413 (body) or 431 (headers), and those for which there is no memory
+/// with 503, and closes their connections. A request whose handler releases the
+/// exchange without a response gets 500.
 class Http1Server {
  public:
+  /// @param memory account of what the connections hold; null for none.
   /// @throws core::Error when the address cannot be listened on.
   Http1Server(Loop& loop, const Address& address, Http1ServerHooks hooks,
-              HttpHandler handler);
+              HttpHandler handler,
+              std::shared_ptr<CallerMemory> memory = nullptr);
   ~Http1Server();
   Http1Server(const Http1Server&) = delete;
   Http1Server& operator=(const Http1Server&) = delete;
@@ -77,6 +112,7 @@
   Loop& loop_;
   Http1ServerHooks hooks_;
   HttpHandler handler_;
+  std::shared_ptr<CallerMemory> memory_;
   std::set<std::shared_ptr<internal::Http1Connection>> connections_;
   bool closing_ = false;
   bool closes_idle_ = false;
--- a/packages/daemon/src/daemon/http_parser.cpp
+++ b/packages/daemon/src/daemon/http_parser.cpp
@@ -280,10 +280,28 @@
   return state_->message_.headers_;
 }
 
+std::size_t HttpParser::held_bytes() const noexcept {
+  return HeldBytes(state_->unparsed_) + HeldBytes(state_->message_.headers_);
+}
+
 HttpHeaders HttpParser::TakeHeaders() {
   return std::move(state_->message_.headers_);
 }
 
+std::size_t HeldBytes(const std::string& text) noexcept {
+  // A short text is part of its object.
+  static const auto kShort = std::string().capacity();
+  return text.capacity() > kShort ? text.capacity() + 1 : 0;
+}
+
+std::size_t HeldBytes(const HttpHeaders& headers) noexcept {
+  auto bytes = headers.capacity() * sizeof(HttpHeader);
+  for (const auto& [name, value] : headers) {
+    bytes += HeldBytes(name) + HeldBytes(value);
+  }
+  return bytes;
+}
+
 bool IsConnectionHeader(std::string_view name) noexcept {
   static constexpr auto kNames = std::to_array<std::string_view>(
       {"connection", "keep-alive", "proxy-connection", "te", "trailer",
--- a/packages/daemon/src/daemon/http_parser.hpp
+++ b/packages/daemon/src/daemon/http_parser.hpp
@@ -91,6 +91,9 @@
   [[nodiscard]] const std::string& target() const noexcept;
   /// @brief Headers in order of arrival, with names in lower case.
   [[nodiscard]] const HttpHeaders& headers() const noexcept;
+  /// @brief Bytes that the parser holds: headers, and what it has not parsed
+  /// yet.
+  [[nodiscard]] std::size_t held_bytes() const noexcept;
   /// @brief Moves the headers out of the parser.
   [[nodiscard]] HttpHeaders TakeHeaders();
 
@@ -99,6 +102,10 @@
   std::unique_ptr<State> state_;
 };
 
+/// @brief Bytes that a text holds outside of its object.
+[[nodiscard]] std::size_t HeldBytes(const std::string& text) noexcept;
+/// @brief Bytes that headers hold.
+[[nodiscard]] std::size_t HeldBytes(const HttpHeaders& headers) noexcept;
 /// @brief Whether a header is hop-by-hop, so that it must not be forwarded.
 /// @param name in lower case.
 [[nodiscard]] bool IsConnectionHeader(std::string_view name) noexcept;
--- a/packages/daemon/src/daemon/settings_table.cpp
+++ b/packages/daemon/src/daemon/settings_table.cpp
@@ -111,6 +111,12 @@
     {kEntry, "requests", "max_body_bytes", kNumber, "1048576", false, 1,
      1 << 30, "", "bytes",
      "Largest body of a request; larger ones are refused with status 413."},
+    {kAnyEntry, "requests", "memory_share", kReal, "0.5", false, 0.01, 0.9, "",
+     "share",
+     "Share of process.memory_mb that callers' requests, and responses not yet "
+     "sent, may hold together. A request beyond it is refused with status 503; "
+     "a quarter of it is left to requests of up to 64 KiB, and one request of "
+     "the largest size is always accepted while no other large one is held."},
     {kEntry, "requests", "default_deadline_ms", kReal, "60000", false, 1,
      kDayMs, "", "ms", "Deadline of a request without one."},
     {kEntry, "requests", "max_deadline_ms", kReal, "120000", false, 1, kDayMs,
