Return the memory of large requests to the system

Cause: glibc raises the size from which a block is mapped on its own with each large block that is freed, up to 32 MiB. Later bodies come from the heap and stay there, below any block that is still used. The sizes are now fixed at their initial values, and once less than half of a peak of the callers' memory is held, the free pages of the heap are returned, at most once for a herd of requests that end together.

--- a/packages/daemon/src/daemon/caller_memory.cpp
+++ b/packages/daemon/src/daemon/caller_memory.cpp
@@ -1,12 +1,21 @@
 // Sizes are counted in whole pages, so that small changes cost nothing.
 #include "daemon/caller_memory.hpp"
 
+#include <algorithm>
 #include <utility>
 
+#include "daemon/allocator.hpp"
+
 namespace chalkwell::daemon {
 namespace {
 
 constexpr std::size_t kPageBytes = 4096;
+/// Memory is returned after a peak of at least this part of the limit, once
+/// less than half of the peak is held.
+constexpr std::size_t kPeakDivisor = 8;
+/// Between the end of a peak and the return, so that a herd of requests that
+/// end together causes one return.
+constexpr auto kReturnDelay = std::chrono::milliseconds(500);
 
 std::size_t ToWholePages(std::size_t bytes) {
   return (bytes + kPageBytes - 1) / kPageBytes * kPageBytes;
@@ -15,7 +24,16 @@
 }  // namespace
 
 CallerMemory::CallerMemory(Loop& loop, routing::RequestMemorySettings settings)
-    : loop_(loop), memory_(settings) {}
+    : loop_(loop), memory_(settings), return_timer_(loop) {}
+
+void CallerMemory::OnShrunk() {
+  const bool was_high = peak_ >= limit() / kPeakDivisor;
+  if (!was_high || held() > peak_ / 2) {
+    return;
+  }
+  peak_ = held();
+  return_timer_.Once(kReturnDelay, [] { ReturnFreeMemory(); });
+}
 
 MemoryLease::MemoryLease(std::shared_ptr<CallerMemory> memory,
                          std::function<void()> on_ended)
@@ -33,6 +51,7 @@
   if (memory_ != nullptr) {
     memory_->on_ended_.erase(holder_);
     memory_->memory_.Remove(holder_);
+    memory_->OnShrunk();
   }
 }
 
@@ -66,6 +85,7 @@
   }
   if (growth.granted_) {
     bytes_ = pages;
+    memory_->peak_ = std::max(memory_->peak_, memory_->held());
   }
   return growth.granted_;
 }
@@ -75,6 +95,7 @@
   if (memory_ != nullptr && pages != bytes_) {
     bytes_ = pages;
     memory_->memory_.Set(holder_, pages);
+    memory_->peak_ = std::max(memory_->peak_, memory_->held());
   }
 }
 
--- a/packages/daemon/src/daemon/caller_memory.hpp
+++ b/packages/daemon/src/daemon/caller_memory.hpp
@@ -35,8 +35,14 @@
  private:
   friend class MemoryLease;
 
+  /// @brief Returns memory to the system once much less is held than before.
+  void OnShrunk();
+
   Loop& loop_;
   routing::RequestMemory memory_;
+  /// Most bytes held since memory was returned to the system.
+  std::size_t peak_ = 0;
+  Timer return_timer_;
   /// Called when a holder is ended for another one.
   std::map<routing::RequestMemory::HolderId, std::function<void()>> on_ended_;
 };
--- a/packages/daemon/src/daemon/main.cpp
+++ b/packages/daemon/src/daemon/main.cpp
@@ -6,6 +6,7 @@
 
 #include "chalkwell/core/error.hpp"
 #include "daemon/agent.hpp"
+#include "daemon/allocator.hpp"
 #include "daemon/crash_report.hpp"
 #include "daemon/direct/direct_agent.hpp"
 #include "daemon/direct/direct_entry.hpp"
@@ -82,6 +83,7 @@
 int RunDaemon(const Options& options, bool is_entry) {
   using chalkwell::daemon::UsedBy;
   chalkwell::daemon::InstallCrashHandler();
+  chalkwell::daemon::ConfigureAllocator();
   // SIGHUP must not end the process before the loop handles it.
   std::signal(SIGHUP, SIG_IGN);
   const bool has_adapter = !options.adapter_.empty();
