Limit the connections of callers to a share of the descriptors

400 connections that send nothing, or stop within a head or a body, took 419 to 452 descriptors of an entry that has 300. With the system's limit reached, connections to endpoints and the store fail, and 7 of 24 ordinary requests got no answer (reported).

Cause: connections are accepted without a limit. CallerConnections now decides without a clock or a network which connection makes room for a new one: the one that has been idle for longest, or else the one that has received its request for longest, if that is over 1 s. If all handle requests or have just begun one, the new connection gets 503. A connection whose request has arrived unread is not closed. Refused connections discard what their callers still send; they have an eighth of the connections, beyond which the oldest is closed. New setting: requests.connection_share; the rest is left to endpoints, the store, peers and files.

--- a/packages/daemon/src/daemon/direct/direct_entry.cpp
+++ b/packages/daemon/src/daemon/direct/direct_entry.cpp
@@ -305,7 +305,7 @@
           }
         });
       },
-      caller_memory_);
+      caller_memory_, CallerConnectionsOf(settings));
   process_.log().Write(core::EventNumber::kListening,
                        {{"caller", settings.Text("listen", "caller")}});
   peer_server_ = std::make_unique<PeerServer>(
@@ -827,6 +827,8 @@
                          static_cast<double>(caller_memory_->held()));
   process_.metrics().Set("caller_memory_bytes", {{"kind", "limit"}},
                          static_cast<double>(caller_memory_->limit()));
+  process_.metrics().Set("caller_connections", {},
+                         static_cast<double>(caller_server_->descriptors()));
 }
 
 void DirectEntry::Refuse(HttpExchange& exchange, const CallerRequest& caller,
--- a/packages/daemon/src/daemon/http1_server.cpp
+++ b/packages/daemon/src/daemon/http1_server.cpp
@@ -39,6 +39,7 @@
       return 408;
     case RefusalCause::kNoMemory:
     case RefusalCause::kEndedForAnother:
+    case RefusalCause::kNoConnection:
       return kUnavailable;
   }
   return kUnavailable;
@@ -72,8 +73,9 @@
 /// Connection of a caller.
 class Http1Connection : public std::enable_shared_from_this<Http1Connection> {
  public:
-  Http1Connection(Http1Server& server, TcpStream::Ptr stream)
+  Http1Connection(Http1Server& server, TcpStream::Ptr stream, std::uint64_t id)
       : server_(server),
+        id_(id),
         stream_(std::move(stream)),
         limits_(server.hooks_.limits_()),
         parser_(HttpParser::Kind::kRequest, limits_),
@@ -122,17 +124,27 @@
   void Disconnect();
   /// Closes the connection unless a request has begun, read or not.
   void CloseIfIdle();
+  [[nodiscard]] bool registered() const noexcept { return registered_; }
+  /// A request has arrived, parsed or not.
+  void MarkReceiving() {
+    if (!handling_ && !parser_.started()) {
+      SetPhase(routing::ConnectionPhase::kReceiving);
+    }
+  }
+  /// Refuses the request that is being received, or the first one.
+  void Reject(RefusalCause cause);
   /// Closes the connection after sending queued bytes.
   void CloseGracefully() {
     buffered_input_ = {};
+    SetPhase(routing::ConnectionPhase::kClosing);
     stream_->CloseGracefully();
+    server_.CloseOverdue();
     Unregister();
   }
 
  private:
   void OnData(std::string_view bytes);
   void OnDrained();
-  void Reject(RefusalCause cause);
   void ProcessInput();
   /// Parses input up to the end of the request.
   /// @return false if the request was refused.
@@ -151,6 +163,7 @@
   void Dispatch();
   void StartIdleTimer() {
     idle_since_ = server_.loop_.Now();
+    SetPhase(routing::ConnectionPhase::kIdle);
     limits_ = server_.hooks_.limits_();
     timer_.Once(limits_.idle_timeout_, [this] { OnIdleTimeout(); });
   }
@@ -163,11 +176,15 @@
     const auto self = shared_from_this();
     registered_ = false;
     timer_.Cancel();
-    server_.connections_.erase(self);
+    server_.connections_.erase(id_);
+  }
+  void SetPhase(routing::ConnectionPhase phase) {
+    server_.open_->phases_.SetPhase(id_, phase, server_.loop_.Now());
   }
   [[nodiscard]] bool HasUnambiguousFraming() const;
 
   Http1Server& server_;
+  std::uint64_t id_;
   TcpStream::Ptr stream_;
   HttpLimits limits_;
   HttpParser parser_;
@@ -410,6 +427,7 @@
   continue_sent_ = false;
   ++requests_begun_;
   lease_.BeginReceiving();
+  SetPhase(routing::ConnectionPhase::kReceiving);
   timer_.Once(limits_.request_timeout_, [this] { OnRequestTimeout(); });
 }
 
@@ -494,6 +512,7 @@
   body_ = {};
   parser_.Next(limits_);
   lease_.EndReceiving();
+  SetPhase(routing::ConnectionPhase::kHandling);
   lease_.Set(HeldBytes());
   const auto exchange = std::make_shared<Http1Exchange>(
       weak_from_this(), std::move(request), server_.memory_);
@@ -667,37 +686,91 @@
       return "no memory";
     case RefusalCause::kEndedForAnother:
       return "ended for another";
+    case RefusalCause::kNoConnection:
+      return "no connection";
   }
   return "";
 }
 
 Http1Server::Http1Server(Loop& loop, const Address& address,
                          Http1ServerHooks hooks, HttpHandler handler,
-                         std::shared_ptr<CallerMemory> memory)
+                         std::shared_ptr<CallerMemory> memory,
+                         std::size_t max_connections)
     : loop_(loop),
       hooks_(std::move(hooks)),
       handler_(std::move(handler)),
       memory_(std::move(memory)),
+      open_(std::make_shared<OpenConnections>(OpenConnections{
+          .phases_ =
+              routing::CallerConnections({.max_connections_ = max_connections}),
+          .streams_ = {}})),
       listener_(loop, address, [this](TcpStream::Ptr stream) {
-        auto connection = std::make_shared<internal::Http1Connection>(
-            *this, std::move(stream));
-        connections_.insert(connection);
-        connection->Begin();
+        OnAccepted(std::move(stream));
       }) {}
 
 Http1Server::~Http1Server() {
   listener_.Stop();
   while (!connections_.empty()) {
-    const auto connection = *connections_.begin();
+    const auto connection = connections_.begin()->second;
     connection->ReportServerStopped();
     connection->Disconnect();
   }
 }
 
+void Http1Server::OnAccepted(TcpStream::Ptr stream) {
+  const bool has_room = MakeRoom();
+  const auto id = open_->phases_.Add(loop_.Now());
+  open_->streams_[id] = stream;
+  stream->OnClosed([weak = std::weak_ptr(open_), id] {
+    if (const auto open = weak.lock()) {
+      open->phases_.Remove(id);
+      open->streams_.erase(id);
+    }
+  });
+  const auto connection =
+      std::make_shared<internal::Http1Connection>(*this, std::move(stream), id);
+  connections_.emplace(id, connection);
+  connection->Begin();
+  if (!has_room) {
+    connection->Reject(RefusalCause::kNoConnection);
+  }
+}
+
+bool Http1Server::MakeRoom() {
+  while (open_->phases_.full()) {
+    const auto id = open_->phases_.SelectForNew(loop_.Now());
+    const auto found = id ? connections_.find(*id) : connections_.end();
+    if (found == connections_.end()) {
+      return false;
+    }
+    const auto connection = found->second;
+    if (open_->phases_.PhaseOf(*id) == routing::ConnectionPhase::kIdle) {
+      connection->CloseIfIdle();
+      if (connection->registered()) {
+        // A request has arrived and may not have been parsed yet.
+        connection->MarkReceiving();
+      }
+    } else {
+      connection->Reject(RefusalCause::kNoConnection);
+    }
+  }
+  return true;
+}
+
+void Http1Server::CloseOverdue() {
+  while (const auto id = open_->phases_.SelectOverdue()) {
+    const auto stream = open_->streams_.at(*id).lock();
+    if (stream == nullptr) {
+      return;
+    }
+    stream->Close();
+  }
+}
+
 void Http1Server::CloseIdle() {
   closes_idle_ = true;
   const auto all = connections_;
-  for (const auto& connection : all) {
+  for (const auto& [id, connection] : all) {
     connection->CloseIfIdle();
   }
 }
--- a/packages/daemon/src/daemon/http1_server.hpp
+++ b/packages/daemon/src/daemon/http1_server.hpp
@@ -5,12 +5,13 @@
 
 #include <cstdint>
 #include <functional>
+#include <map>
 #include <memory>
 #include <optional>
-#include <set>
 #include <string>
 #include <string_view>
 
+#include "chalkwell/routing/caller_connections.hpp"
 #include "daemon/caller_memory.hpp"
 #include "daemon/http_parser.hpp"
 #include "daemon/http_server.hpp"
@@ -44,6 +45,8 @@
   kNoMemory,
   /// Its memory was needed for another request.
   kEndedForAnother,
+  /// All connections that callers may have are in use.
+  kNoConnection,
 };
 
 /// @brief Text of a cause in logs and metrics.
@@ -83,10 +86,13 @@
 class Http1Server {
  public:
   /// @param memory account of what the connections hold; null for none.
+  /// @param max_connections connections that may be open; 0 for no limit.
+  /// Beyond it, the one that has been idle for longest is closed.
   /// @throws core::Error when the address cannot be listened on.
   Http1Server(Loop& loop, const Address& address, Http1ServerHooks hooks,
               HttpHandler handler,
-              std::shared_ptr<CallerMemory> memory = nullptr);
+              std::shared_ptr<CallerMemory> memory = nullptr,
+              std::size_t max_connections = 0);
   ~Http1Server();
   Http1Server(const Http1Server&) = delete;
   Http1Server& operator=(const Http1Server&) = delete;
@@ -97,6 +103,10 @@
   [[nodiscard]] std::size_t connections() const noexcept {
     return connections_.size();
   }
+  /// @brief Number of open connections, including those that are closing.
+  [[nodiscard]] std::size_t descriptors() const noexcept {
+    return open_->phases_.size();
+  }
   /// @brief From now on closes each connection after its next response whose
   /// head is not yet written, unless the next request has already arrived.
   void CloseAfterResponses() noexcept { closing_ = true; }
@@ -108,12 +118,30 @@
 
  private:
   friend class internal::Http1Connection;
+  using ConnectionId = routing::CallerConnections::ConnectionId;
+
+  /// Connections whose descriptors are open. Shared with the streams, which
+  /// may outlive the server.
+  struct OpenConnections {
+    routing::CallerConnections phases_;
+    std::map<ConnectionId, std::weak_ptr<TcpStream>> streams_;
+  };
+
+  void OnAccepted(TcpStream::Ptr stream);
+  /// @brief Closes connections until another one may be open.
+  /// @return false if none can be closed.
+  [[nodiscard]] bool MakeRoom();
+  /// @brief Closes the connections that have been closing for longest, if there
+  /// are too many.
+  void CloseOverdue();
 
   Loop& loop_;
   Http1ServerHooks hooks_;
   HttpHandler handler_;
   std::shared_ptr<CallerMemory> memory_;
-  std::set<std::shared_ptr<internal::Http1Connection>> connections_;
+  std::shared_ptr<OpenConnections> open_;
+  std::map<ConnectionId, std::shared_ptr<internal::Http1Connection>>
+      connections_;
   bool closing_ = false;
   bool closes_idle_ = false;
   TcpListener listener_;
--- a/packages/daemon/src/daemon/settings.cpp
+++ b/packages/daemon/src/daemon/settings.cpp
@@ -3,6 +3,7 @@
 #include "daemon/settings.hpp"
 
 #include <ini.h>
+#include <sys/resource.h>
 
 #include <algorithm>
 #include <charconv>
@@ -381,4 +382,17 @@
   return pairs;
 }
 
+std::size_t CallerConnectionsOf(const Settings& settings) {
+  auto descriptors =
+      static_cast<std::size_t>(settings.Number("process", "max_descriptors"));
+  if (descriptors == 0) {
+    rlimit limit{};
+    (void)::getrlimit(RLIMIT_NOFILE, &limit);
+    descriptors = limit.rlim_cur;
+  }
+  const auto connections = static_cast<double>(descriptors) *
+                           settings.Real("requests", "connection_share");
+  return std::max<std::size_t>(1, static_cast<std::size_t>(connections));
+}
+
 }  // namespace chalkwell::daemon
--- a/packages/daemon/src/daemon/settings.hpp
+++ b/packages/daemon/src/daemon/settings.hpp
@@ -136,4 +136,8 @@
   std::filesystem::file_time_type modified_at_;
 };
 
+/// @brief Connections that callers of an entry may have: a share of its
+/// descriptors.
+[[nodiscard]] std::size_t CallerConnectionsOf(const Settings& settings);
+
 }  // namespace chalkwell::daemon
--- a/packages/daemon/src/daemon/settings_table.cpp
+++ b/packages/daemon/src/daemon/settings_table.cpp
@@ -117,6 +117,13 @@
      "sent, may hold together. A request beyond it is refused with status 503; "
      "a quarter of it is left to requests of up to 64 KiB, and one request of "
      "the largest size is always accepted while no other large one is held."},
+    {kAnyEntry, "requests", "connection_share", kReal, "0.4", false, 0.01, 0.9,
+     "", "share",
+     "Share of process.max_descriptors that callers' connections may use. "
+     "Beyond it the connection that has been idle for longest is closed; if "
+     "all are in use, a new one is refused with status 503. The rest is left "
+     "to "
+     "endpoints, the store, peers and files."},
     {kEntry, "requests", "default_deadline_ms", kReal, "60000", false, 1,
      kDayMs, "", "ms", "Deadline of a request without one."},
     {kEntry, "requests", "max_deadline_ms", kReal, "120000", false, 1, kDayMs,
--- a/packages/daemon/src/daemon/tcp_stream.cpp
+++ b/packages/daemon/src/daemon/tcp_stream.cpp
@@ -322,6 +322,9 @@
   handle->owner_ = nullptr;
   uv_close(reinterpret_cast<uv_handle_t*>(&handle->tcp_),
            [](uv_handle_t* raw) { delete static_cast<Handle*>(raw->data); });
+  if (const auto on_closed = std::exchange(on_closed_, nullptr)) {
+    Guarded(on_closed);
+  }
 }
 
 void TcpStream::Reset() {
--- a/packages/daemon/src/daemon/tcp_stream.hpp
+++ b/packages/daemon/src/daemon/tcp_stream.hpp
@@ -8,6 +8,7 @@
 #include <memory>
 #include <string>
 #include <string_view>
+#include <utility>
 
 #include "daemon/address.hpp"
 #include "daemon/loop.hpp"
@@ -61,6 +62,11 @@
 
   /// @brief Sets the callbacks and starts reading.
   void SetCallbacks(StreamCallbacks callbacks);
+  /// @brief Sets the handler that is called once, when the descriptor is
+  /// closed.
+  void OnClosed(std::function<void()> handler) {
+    on_closed_ = std::move(handler);
+  }
   [[nodiscard]] bool open() const noexcept { return handle_ != nullptr; }
   /// @brief Whether the connection attempt was refused (ECONNREFUSED): the host
   /// is up and nothing listens on the port.
@@ -122,6 +128,7 @@
   bool closing_ = false;
   bool refused_ = false;
   std::function<void(bool)> on_connect_;
+  std::function<void()> on_closed_;
   /// Connect timeout, or the time limit of CloseGracefully.
   std::unique_ptr<Timer> timer_;
 };
