Read the next request only when the last responses are sent

Callers that pipeline requests and take no response held 246 MB of an entry with 96 MB, 99 MB once the sum of what callers hold was limited, and it was not given back while they stayed.

Cause: a request is handled as soon as the one before has its response, although that response still waits in the connection's queue. What waits for one response is limited; the number of responses was not. While more than 64 KiB wait, the connection now leaves further requests unread; if its caller takes nothing for the idle timeout, it is reset.

--- a/packages/daemon/src/daemon/http1_server.cpp
+++ b/packages/daemon/src/daemon/http1_server.cpp
@@ -13,6 +13,10 @@
 /// pauses.
 constexpr std::size_t kMaxPipelinedBytes = std::size_t{16} << 10;
 
+/// Bytes of responses that may wait for a slow caller before its next request
+/// is read.
+constexpr std::size_t kMaxUnsentBytes = std::size_t{64} << 10;
+
 constexpr int kInternalError = 500;
 constexpr int kUnavailable = 503;
 
@@ -150,6 +154,10 @@
   /// @return false if the request was refused.
   [[nodiscard]] bool ParseInput();
   void BeginRequest();
+  void WaitUntilSent();
+  /// Resets the connection if its caller takes nothing for the idle timeout.
+  /// @param unsent bytes that are queued now.
+  void CheckProgress(std::size_t unsent);
   /// Adds received bytes to the body, if they may be held.
   void AppendBody(std::string_view bytes);
   /// Makes room for a body of this size.
@@ -193,6 +201,8 @@
   MemoryLease lease_;
   /// The body of the request must not be held.
   bool out_of_memory_ = false;
+  /// The next request is not read before the last responses are sent.
+  bool waits_until_sent_ = false;
   /// Received bytes not yet parsed, such as those of a next request.
   std::string buffered_input_;
   std::string peer_ip_;
@@ -400,6 +410,10 @@
 void Http1Connection::ProcessInput() {
   const auto self = shared_from_this();
   while (stream_->open() && !handling_ && !buffered_input_.empty()) {
+    if (!parser_.started() && stream_->pending() > kMaxUnsentBytes) {
+      WaitUntilSent();
+      return;
+    }
     if (!parser_.started()) {
       BeginRequest();
     }
@@ -419,6 +433,27 @@
   }
 }
 
+/// Leaves further requests unread until the caller has taken the responses
+/// before them.
+void Http1Connection::WaitUntilSent() {
+  waits_until_sent_ = true;
+  stream_->SetReading(false);
+  SetPhase(routing::ConnectionPhase::kReceiving);
+  CheckProgress(stream_->pending());
+}
+
+void Http1Connection::CheckProgress(std::size_t unsent) {
+  timer_.Once(limits_.idle_timeout_, [this, unsent] {
+    const auto self = shared_from_this();
+    if (stream_->pending() < unsent) {
+      CheckProgress(stream_->pending());
+      return;
+    }
+    stream_->Reset();
+    Unregister();
+  });
+}
+
 void Http1Connection::BeginRequest() {
   limits_ = server_.hooks_.limits_();
   parser_.Next(limits_);
@@ -564,6 +599,11 @@
   if (const auto exchange = exchange_.lock()) {
     exchange->NotifyDrained();
   }
+  if (std::exchange(waits_until_sent_, false)) {
+    stream_->SetReading(true);
+    StartIdleTimer();
+    ProcessInput();
+  }
 }
 
 void Http1Connection::CloseIfIdle() {
