Limit bodies and connections at the readiness address

150 bodies at the readiness address took an entry to 196 MB of 96; its limit was the default of 64 MiB a body, and neither their sum nor the connections were limited.

Cause: the listener took part in none of the accounts. It now shares that of the callers' memory, allows a probe 1 KiB of body and has 16 connections; what it refuses is logged and counted as elsewhere.

hostile_callers: bodies at the readiness address failed before, pass now; so does the row of silent connections there, whose case stays listed for the admin address.

--- a/packages/daemon/src/daemon/direct/direct_entry.cpp
+++ b/packages/daemon/src/daemon/direct/direct_entry.cpp
@@ -56,6 +56,9 @@
 /// Limit of a peer's request body, which holds only a few revisions. Responses
 /// are not limited by this.
 constexpr std::size_t kMaxPeerBody = std::size_t{1} << 16;
+/// Limits of readiness probes, which have no body and come from few callers.
+constexpr std::size_t kMaxProbeBody = 1024;
+constexpr std::size_t kMaxProbeConnections = 16;
 /// The platform stops routing new connections here after two failed readiness
 /// probes, which it makes once a second.
 constexpr auto kStopListeningDelay = milliseconds(2600);
@@ -275,9 +278,18 @@
            }});
   readiness_server_ = std::make_unique<Http1Server>(
       loop, ParseAddress(settings.Text("listen", "ready")),
-      Http1ServerHooks{.limits_ = [] { return HttpLimits{}; },
-                       .on_refused_ = nullptr},
-      [this](const HttpExchangePtr& exchange) { OnReadinessCheck(exchange); });
+      Http1ServerHooks{.limits_ =
+                           [] {
+                             HttpLimits limits;
+                             limits.body_bytes_ = kMaxProbeBody;
+                             return limits;
+                           },
+                       .on_refused_ =
+                           [this](const HttpRefusal& refusal) {
+                             return OnServerRefusal(refusal);
+                           }},
+      [this](const HttpExchangePtr& exchange) { OnReadinessCheck(exchange); },
+      caller_memory_, kMaxProbeConnections);
   for (const auto cause :
        {UnansweredCause::kDropped, UnansweredCause::kServerStopped}) {
     process_.metrics().Count("requests_unanswered_total",
