Limit the connections of the admin address and the own interface

400 silent connections took 417 to 420 descriptors of an entry that has 300, at the admin address and at the product's own interface.

Cause: HttpServer hands each accepted connection to h2o, which limits none. It now uses CallerConnections as Http1Server does. h2o owns the handle, so a connection without a request is closed by shutting its socket down, which h2o reads as the end; one whose requests are handled is never chosen. A new connection that finds no place is closed unread. The own interface uses requests.connection_share; the admin address has 16 connections.

hostile_callers: silent connections at each address, and at the own interface, failed before, pass now.

--- a/packages/daemon/src/daemon/admin.cpp
+++ b/packages/daemon/src/daemon/admin.cpp
@@ -12,6 +12,7 @@
 namespace {
 
 constexpr std::size_t kMaxBodyBytes = 1024;
+constexpr std::size_t kMaxConnections = 16;
 /// Prefix of the path; the content digest follows.
 constexpr std::string_view kLiftPathPrefix = "/quarantine/lift?content=";
 
@@ -77,7 +78,9 @@
   };
   return std::make_unique<HttpServer>(
       loop,
-      HttpServerSettings{.address_ = address, .max_body_bytes_ = kMaxBodyBytes},
+      HttpServerSettings{.address_ = address,
+                         .max_body_bytes_ = kMaxBodyBytes,
+                         .max_connections_ = kMaxConnections},
       std::move(handler));
 }
 
--- a/packages/daemon/src/daemon/entry.cpp
+++ b/packages/daemon/src/daemon/entry.cpp
@@ -70,7 +70,8 @@
       loop,
       HttpServerSettings{
           .address_ = ParseAddress(settings.Text("listen", "caller")),
-          .max_body_bytes_ = settings.Number("requests", "max_body_bytes")},
+          .max_body_bytes_ = settings.Number("requests", "max_body_bytes"),
+          .max_connections_ = CallerConnectionsOf(settings)},
       [this](const HttpExchangePtr& exchange) { OnRequest(exchange); });
   admin_server_ = MakeAdminServer(
       loop, ParseAddress(settings.Text("listen", "admin")), process.metrics(),
--- a/packages/daemon/src/daemon/http_server.cpp
+++ b/packages/daemon/src/daemon/http_server.cpp
@@ -3,14 +3,15 @@
 #include "daemon/http_server.hpp"
 
 #include <h2o.h>
+#include <sys/socket.h>
 
 #include <algorithm>
 #include <cctype>
-#include <deque>
-#include <unordered_set>
+#include <map>
 #include <utility>
 
 #include "chalkwell/core/error.hpp"
+#include "chalkwell/routing/caller_connections.hpp"
 
 namespace chalkwell::daemon {
 
@@ -31,6 +32,7 @@
 std::string ToText(const h2o_iovec_t& text) { return {text.base, text.len}; }
 
 class H2oExchange;
+struct OpenConnections;
 
 /// Allocated from the pool of the request, so that h2o calls Dispose when it
 /// releases the request.
@@ -63,6 +65,11 @@
     return req_ != nullptr && !ended_;
   }
 
+  /// Sets the handler that is called once, when h2o releases the request.
+  void OnReleased(std::function<void()> handler) {
+    on_released_ = std::move(handler);
+  }
+
   void Attach() {
     auto* generator = static_cast<Generator*>(
         h2o_mem_alloc_shared(&req_->pool, sizeof(Generator), Dispose));
@@ -188,6 +195,9 @@
       return;
     }
     req_ = nullptr;
+    if (const auto on_released = std::exchange(on_released_, nullptr)) {
+      Guarded(on_released);
+    }
     const bool aborted = !finished_;
     const auto handler = std::move(on_abort_);
     on_abort_ = nullptr;
@@ -217,11 +227,81 @@
   int buffered_status_ = 0;
   HttpHeaders buffered_headers_;
   std::function<void()> on_abort_;
+  std::function<void()> on_released_;
+};
+
+/// A connection and what it is used for; deleted once the system has closed it.
+struct Connection {
+  uv_tcp_t tcp_{};
+  OpenConnections* open_ = nullptr;
+  routing::CallerConnections::ConnectionId id_ = 0;
+  h2o_socket_t* socket_ = nullptr;
+  std::size_t requests_ = 0;
+};
+
+/// Open connections of a server.
+struct OpenConnections {
+  Loop* loop_ = nullptr;
+  routing::CallerConnections phases_{{}};
+  std::map<routing::CallerConnections::ConnectionId, Connection*> by_id_;
+  std::map<h2o_socket_t*, Connection*> by_socket_;
+
+  void SetPhase(const Connection& connection, routing::ConnectionPhase phase) {
+    phases_.SetPhase(connection.id_, phase, loop_->Now());
+  }
+  void OnRequestBegun(h2o_socket_t* socket) {
+    const auto found = by_socket_.find(socket);
+    if (found != by_socket_.end() && ++found->second->requests_ == 1) {
+      SetPhase(*found->second, routing::ConnectionPhase::kHandling);
+    }
+  }
+  void OnRequestReleased(h2o_socket_t* socket) {
+    const auto found = by_socket_.find(socket);
+    if (found != by_socket_.end() && --found->second->requests_ == 0) {
+      SetPhase(*found->second, routing::ConnectionPhase::kIdle);
+    }
+  }
+  /// Closes connections without a request until another one may be open.
+  /// @return false if none can be closed.
+  [[nodiscard]] bool MakeRoom();
+  void Add(Connection* connection);
+  void Remove(const Connection& connection);
 };
 
+bool OpenConnections::MakeRoom() {
+  while (phases_.full()) {
+    const auto id = phases_.SelectForNew(loop_->Now());
+    if (!id || phases_.SelectOverdue()) {
+      return false;
+    }
+    const auto& connection = *by_id_.at(*id);
+    // h2o owns the handle and closes it when it reads the end.
+    uv_os_fd_t descriptor = -1;
+    if (uv_fileno(reinterpret_cast<const uv_handle_t*>(&connection.tcp_),
+                  &descriptor) == 0) {
+      (void)::shutdown(descriptor, SHUT_RDWR);
+    }
+    SetPhase(connection, routing::ConnectionPhase::kClosing);
+  }
+  return true;
+}
+
+void OpenConnections::Add(Connection* connection) {
+  connection->id_ = phases_.Add(loop_->Now());
+  by_id_[connection->id_] = connection;
+  by_socket_[connection->socket_] = connection;
+}
+
+void OpenConnections::Remove(const Connection& connection) {
+  phases_.Remove(connection.id_);
+  by_id_.erase(connection.id_);
+  by_socket_.erase(connection.socket_);
+}
+
 struct Handler {
   h2o_handler_t super_;
   HttpHandler* handler_;
+  OpenConnections* open_;
 };
 
 /// Stricter than h2o's own limit of about 400 KB.
@@ -242,6 +322,10 @@
   Guarded([&] {
     auto exchange = std::make_shared<H2oExchange>(req);
     exchange->Attach();
+    auto* socket = req->conn->callbacks->get_socket(req->conn);
+    handler->open_->OnRequestBegun(socket);
+    exchange->OnReleased(
+        [open = handler->open_, socket] { open->OnRequestReleased(socket); });
     if (HeaderBytes(*req) > kMaxHeaderBytes) {
       exchange->Respond(kHeadersTooLarge, {},
                         "headers exceed " + std::to_string(kMaxHeaderBytes) +
@@ -261,31 +345,39 @@
   h2o_accept_ctx_t accept_{};
   uv_tcp_t listener_{};
   HttpHandler handler_;
+  OpenConnections open_;
   std::uint16_t port_ = 0;
   bool accepting_ = true;
-};
 
-namespace {
+  static void OnConnection(uv_stream_t* listener, int status);
+};
 
-void OnConnection(uv_stream_t* listener, int status) {
+void HttpServer::State::OnConnection(uv_stream_t* listener, int status) {
   if (status != 0) {
     return;
   }
-  auto* accept = static_cast<h2o_accept_ctx_t*>(listener->data);
-  auto* connection = new uv_tcp_t;
-  uv_tcp_init(listener->loop, connection);
-  auto* stream = reinterpret_cast<uv_stream_t*>(connection);
+  auto* state = static_cast<State*>(listener->data);
+  auto* connection = new Connection;
+  connection->open_ = &state->open_;
+  uv_tcp_init(listener->loop, &connection->tcp_);
+  auto* stream = reinterpret_cast<uv_stream_t*>(&connection->tcp_);
   const auto close = [](uv_handle_t* handle) {
-    delete reinterpret_cast<uv_tcp_t*>(handle);
+    auto* closed = reinterpret_cast<Connection*>(handle);
+    closed->open_->Remove(*closed);
+    delete closed;
   };
-  if (uv_accept(listener, stream) != 0) {
-    uv_close(reinterpret_cast<uv_handle_t*>(connection), close);
+  if (uv_accept(listener, stream) != 0 || !state->open_.MakeRoom()) {
+    uv_close(reinterpret_cast<uv_handle_t*>(stream), close);
     return;
   }
-  uv_tcp_nodelay(connection, 1);
-  h2o_accept(accept, h2o_uv_socket_create(stream, close));
+  uv_tcp_nodelay(&connection->tcp_, 1);
+  connection->socket_ = h2o_uv_socket_create(stream, close);
+  state->open_.Add(connection);
+  h2o_accept(&state->accept_, connection->socket_);
 }
 
+namespace {
+
 std::uint16_t BoundPort(const uv_tcp_t& listener) {
   sockaddr_storage storage{};
   int length = sizeof(storage);
@@ -310,18 +402,22 @@
       reinterpret_cast<Handler*>(h2o_create_handler(path, sizeof(Handler)));
   root->super_.on_req = OnRequest;
   root->handler_ = &state_->handler_;
+  root->open_ = &state_->open_;
+  state_->open_.loop_ = &loop;
+  state_->open_.phases_ = routing::CallerConnections(
+      {.max_connections_ = settings.max_connections_});
   h2o_context_init(&state_->context_, loop.raw(), &state_->config_);
   state_->accept_.ctx = &state_->context_;
   state_->accept_.hosts = state_->config_.hosts;
 
   uv_tcp_init(loop.raw(), &state_->listener_);
-  state_->listener_.data = &state_->accept_;
+  state_->listener_.data = state_;
   const auto storage = settings.address_.ToSockaddr();
   int error = uv_tcp_bind(&state_->listener_,
                           reinterpret_cast<const sockaddr*>(&storage), 0);
   if (error == 0) {
     error = uv_listen(reinterpret_cast<uv_stream_t*>(&state_->listener_),
-                      kBacklog, OnConnection);
+                      kBacklog, State::OnConnection);
   }
   if (error != 0) {
     throw core::Error(core::Step::kListen, settings.address_.ToString(),
--- a/packages/daemon/src/daemon/http_server.hpp
+++ b/packages/daemon/src/daemon/http_server.hpp
@@ -77,6 +77,9 @@
   Address address_;
   /// Requests with larger bodies are refused with 413.
   std::size_t max_body_bytes_ = std::size_t{1} << 20;
+  /// Connections that may be open; 0 for no limit. Beyond it, the one without a
+  /// request for longest is closed.
+  std::size_t max_connections_ = 0;
 };
 
 /// @brief Listener that hands each complete request to a handler. Requests with
