Leave the log's rate to lines that refusals do not displace

20,000 pipelined requests without a route, or with an unknown key, on four connections filled the log's rate of 1,000 lines a second: later lines, of ordinary requests too, were dropped.

Cause: each refusal writes a line, however many a caller causes. Refusals with a status of 4xx and those by a limit now share 100 lines a second; the next line states how many were not logged, and the counters count all. Refusals with 503 by a decision of the entry keep a line each.

hostile_callers "refusals of a crowd displace other lines of the log": failed before, passes now.

--- a/packages/daemon/src/daemon/direct/direct_entry.cpp
+++ b/packages/daemon/src/daemon/direct/direct_entry.cpp
@@ -56,6 +56,8 @@
 /// Limit of a peer's request body, which holds only a few revisions. Responses
 /// are not limited by this.
 constexpr std::size_t kMaxPeerBody = std::size_t{1} << 16;
+/// Lines of refusals that callers cause, of those that the log takes.
+constexpr LogRateLimit kRefusalLines{.lines_per_second_ = 100, .burst_ = 200};
 /// Limits of readiness probes, which have no body and come from few callers.
 constexpr std::size_t kMaxProbeBody = 1024;
 constexpr std::size_t kMaxProbeConnections = 16;
@@ -239,6 +241,7 @@
       started_at_(process.loop().Now()),
       caller_memory_(std::make_shared<CallerMemory>(
           process.loop(), RequestMemoryOf(process.settings()))),
+      refusal_lines_(kRefusalLines),
       stop_timer_(process.loop()),
       relay_timer_(process.loop()),
       subscribe_timer_(process.loop()) {}
@@ -814,6 +817,12 @@
   return std::max(1U, static_cast<std::uint32_t>(share));
 }
 
+bool DirectEntry::MayLogRefusal() {
+  const bool allowed = refusal_lines_.TryAcquire(process_.loop().Now());
+  refusals_not_logged_ += allowed ? 0 : 1;
+  return allowed;
+}
+
 HttpHeaders DirectEntry::OnServerRefusal(const HttpRefusal& refusal) {
   const std::string cause(ToString(refusal.cause_));
   const auto id =
@@ -843,10 +852,9 @@
                          static_cast<double>(caller_server_->descriptors()));
 }
 
-void DirectEntry::Refuse(HttpExchange& exchange, const CallerRequest& caller,
-                         int status, core::EventNumber event,
-                         const std::string& reason,
-                         std::optional<core::Duration> retry_after) {
+void DirectEntry::LogRefusal(const CallerRequest& caller, int status,
+                             core::EventNumber event, const std::string& reason,
+                             std::optional<core::Duration> retry_after) {
   const auto& announced = rules_manager_.announced();
   const auto newest = announced.Newest();
   process_.log().Write(
@@ -858,7 +866,19 @@
        {"rules_announced", newest ? std::to_string(newest->version_) : "none"},
        {"rules_announced_by", newest ? newest->source_.value() : "none"},
        {"rules_lag_ms", Millis(announced.LagAt(process_.loop().Now()))},
-       {"retry_after_ms", retry_after ? Millis(*retry_after) : "none"}});
+       {"retry_after_ms", retry_after ? Millis(*retry_after) : "none"},
+       {"not_logged", std::to_string(std::exchange(refusals_not_logged_, 0))}});
+}
+
+void DirectEntry::Refuse(HttpExchange& exchange, const CallerRequest& caller,
+                         int status, core::EventNumber event,
+                         const std::string& reason,
+                         std::optional<core::Duration> retry_after) {
+  // Callers can cause any number of refusals that promise nothing.
+  const bool limited = status != kUnavailable;
+  if (!limited || MayLogRefusal()) {
+    LogRefusal(caller, status, event, reason, retry_after);
+  }
   process_.metrics().Count("refused_total",
                            {{"status", std::to_string(status)}});
   exchange.Respond(status,
--- a/packages/daemon/src/daemon/direct/direct_entry.hpp
+++ b/packages/daemon/src/daemon/direct/direct_entry.hpp
@@ -31,6 +31,7 @@
 #include "daemon/direct/rate_limit_manager.hpp"
 #include "daemon/direct/rules_manager.hpp"
 #include "daemon/http1_server.hpp"
+#include "daemon/log_rate_limiter.hpp"
 #include "daemon/process_base.hpp"
 
 namespace chalkwell::daemon::direct {
@@ -90,9 +91,15 @@
   /// @brief Logs and counts a caller's request that got no response.
   void OnUnanswered(UnansweredCause cause, const HttpRequest& request);
   void OnReadinessCheck(const HttpExchangePtr& exchange);
+  /// @brief Whether another refusal that a caller causes may be logged; counts
+  /// it if not.
+  [[nodiscard]] bool MayLogRefusal();
   /// @brief Logs and counts a request that the server refused.
   /// @return headers of the response.
   [[nodiscard]] HttpHeaders OnServerRefusal(const HttpRefusal& refusal);
+  void LogRefusal(const CallerRequest& caller, int status,
+                  core::EventNumber event, const std::string& reason,
+                  std::optional<core::Duration> retry_after);
   void Refuse(HttpExchange& exchange, const CallerRequest& caller, int status,
               core::EventNumber event, const std::string& reason,
               std::optional<core::Duration> retry_after);
@@ -158,6 +165,10 @@
   core::TimePoint started_at_;
   std::unique_ptr<PeerServer> peer_server_;
   std::shared_ptr<CallerMemory> caller_memory_;
+  /// Leaves the log's rate to other lines.
+  LogRateLimiter refusal_lines_;
+  /// Refusals not logged since the last one that was.
+  std::uint64_t refusals_not_logged_ = 0;
   std::unique_ptr<Http1Server> caller_server_;
   std::unique_ptr<Http1Server> readiness_server_;
   std::unique_ptr<HttpServer> admin_server_;
--- a/tests/platform/caller_crowd.cpp
+++ b/tests/platform/caller_crowd.cpp
@@ -61,9 +61,9 @@
     // Columns: number, local address, remote address, state, send queue in
     // hexadecimal, a colon and the receive queue.
     std::array<char, 32> local{};
-    unsigned long unread = 0;
+    std::size_t unread = 0;
     unsigned state = 0;
-    const int fields = std::sscanf(line.c_str(), " %*d: %31s %*s %x %*x:%lx",
+    const int fields = std::sscanf(line.c_str(), " %*d: %31s %*s %x %*x:%zx",
                                    local.data(), &state, &unread);
     constexpr unsigned kListening = 0x0A;
     if (fields == 3 && state != kListening &&
@@ -155,8 +155,9 @@
     const int descriptor = connection.closed_ ? -1 : connection.descriptor_;
     const int events =
         (Finished(connection) ? 0 : POLLOUT) | (script_.reads_ ? POLLIN : 0);
-    waiting.push_back(
-        {.fd = descriptor, .events = static_cast<short>(events), .revents = 0});
+    waiting.push_back({.fd = descriptor,
+                       .events = static_cast<decltype(pollfd::events)>(events),
+                       .revents = 0});
   }
   if (::poll(waiting.data(), waiting.size(), kPollTimeoutMs) <= 0) {
     return false;
--- a/tests/platform/hostile_callers_test.cpp
+++ b/tests/platform/hostile_callers_test.cpp
@@ -142,22 +142,21 @@
   Node entry_;
 };
 
-/// Plays the crowd of a row and checks what must hold during and after it.
-void CheckCrowd(const Row& row) {
-  CAPTURE(row.name_);
-  LimitedEntry limited(row.phase_);
+/// Plays the crowd of a row and checks what must hold meanwhile.
+void CheckDuring(const Row& row, LimitedEntry& limited) {
   auto& child = limited.entry_.child_;
-  const auto resident_before = ResidentBytes(child.pid());
   limited.SetEndpoints(row.behaviour_, row.response_bytes_);
-  {
-    CallerCrowd crowd(limited.PortOf(row.port_), row.crowd_, row.script_);
-    crowd.Drive();
-    REQUIRE(child.running());
-    CHECK(OpenDescriptors(child.pid()) <= kMaxDescriptors);
-    const auto peak =
-        PeakResidentBytes(child.pid()) + crowd.peak_unread_bytes();
-    CHECK(peak <= kMemoryMb * kMegabyte);
-  }
+  CallerCrowd crowd(limited.PortOf(row.port_), row.crowd_, row.script_);
+  crowd.Drive();
+  REQUIRE(child.running());
+  CHECK(OpenDescriptors(child.pid()) <= kMaxDescriptors);
+  const auto peak = PeakResidentBytes(child.pid()) + crowd.peak_unread_bytes();
+  CHECK(peak <= kMemoryMb * kMegabyte);
+}
+
+/// Checks what must hold once a crowd has gone.
+void CheckAfter(LimitedEntry& limited, std::size_t resident_before) {
+  auto& child = limited.entry_.child_;
   limited.deployment_.store_.SetBusy(false);
   limited.SetEndpoints(Behaviour::kServe, 0);
   CHECK(Eventually([&] {
@@ -169,6 +168,15 @@
   CHECK(child.running());
 }
 
+/// Plays the crowd of a row and checks what must hold during and after it.
+void CheckCrowd(const Row& row) {
+  CAPTURE(row.name_);
+  LimitedEntry limited(row.phase_);
+  const auto resident_before = ResidentBytes(limited.entry_.child_.pid());
+  CheckDuring(row, limited);
+  CheckAfter(limited, resident_before);
+}
+
 TEST_CASE("large chunks of bodies without end exceed the memory",
           "[platform][hostile]") {
   CheckCrowd({"", Chunks(8192, kMaxBodyBytes - 8192)});
@@ -278,5 +286,30 @@
   CheckCrowd({"", {.head_ = LengthHead(0)}, kConnectionCrowd});
 }
 
+TEST_CASE("refusals of a crowd displace other lines of the log",
+          "[platform][hostile]") {
+  constexpr std::size_t kConnections = 4;
+  constexpr std::size_t kRequestsPerPart = 50;
+  constexpr std::size_t kParts = 100;
+  const std::string path = GENERATE("/unknown/x", "/safe/x");
+  CAPTURE(path);
+  LimitedEntry limited(Phase::kServing);
+  // Without a route, or with an unknown key.
+  std::string request = Head(path, "content-length: 0");
+  request.replace(request.find("Bearer k1"), 9, "Bearer k9");
+  std::string part;
+  for (std::size_t i = 0; i < kRequestsPerPart; ++i) {
+    part += request;
+  }
+  CallerCrowd crowd(limited.entry_.caller_port_, kConnections,
+                    {.part_ = part, .part_count_ = kParts});
+  crowd.Drive();
+  CHECK(crowd.open() == kConnections);
+  CHECK(limited.Serves(RequestText("/safe/x")));
+  const auto log = limited.deployment_.Log("e1");
+  CHECK(log.find("request-ended") != std::string::npos);
+  CHECK(log.find("log-dropped") == std::string::npos);
+}
+
 }  // namespace
 }  // namespace chalkwell::platform_tests
