--- a/packages/daemon/src/daemon/http1_server.cpp
+++ b/packages/daemon/src/daemon/http1_server.cpp
@@ -17,6 +17,9 @@
 /// is read.
 constexpr std::size_t kMaxUnsentBytes = std::size_t{64} << 10;
 
+/// Retry-After of a server whose memory is not limited.
+constexpr core::Duration kRetryAfter = std::chrono::seconds(1);
+
 constexpr int kInternalError = 500;
 constexpr int kUnavailable = 503;
 
@@ -659,7 +662,9 @@
                       .body_bytes_ = body_.size(),
                       .retry_after_ = std::nullopt};
   if (refusal.status_ == kUnavailable) {
-    refusal.retry_after_ = server_.memory_->RetryAfter();
+    refusal.retry_after_ = server_.memory_ == nullptr
+                               ? kRetryAfter
+                               : server_.memory_->RetryAfter();
   }
   HttpHeaders headers;
   if (server_.hooks_.on_refused_) {
