Count no holder for less than a page, and keep phases in lists

Sizes are now counted in whole pages rounded down, a lease joins the account with its first page, and the phases of connections are lists, since time does not go back: a small request allocates nothing for either.

--- a/packages/chalkwell/src/chalkwell/routing/caller_connections.cpp
+++ b/packages/chalkwell/src/chalkwell/routing/caller_connections.cpp
@@ -8,8 +8,8 @@
 
 CallerConnections::ConnectionId CallerConnections::Add(core::TimePoint now) {
   const auto id = ++last_id_;
-  connections_[id] = {ConnectionPhase::kIdle, now};
-  In(ConnectionPhase::kIdle).emplace(now, id);
+  auto& idle = In(ConnectionPhase::kIdle);
+  connections_[id] = idle.insert(idle.end(), {id, ConnectionPhase::kIdle, now});
   return id;
 }
 
@@ -19,11 +19,11 @@
   if (found == connections_.end()) {
     return;
   }
-  auto& [old_phase, since] = found->second;
-  In(old_phase).erase({since, connection});
-  old_phase = phase;
-  since = now;
-  In(phase).emplace(now, connection);
+  const auto element = found->second;
+  auto& queue = In(phase);
+  queue.splice(queue.end(), In(element->phase_), element);
+  element->phase_ = phase;
+  element->since_ = now;
 }
 
 void CallerConnections::Remove(ConnectionId connection) {
@@ -31,7 +31,7 @@
   if (found == connections_.end()) {
     return;
   }
-  In(found->second.phase_).erase({found->second.since_, connection});
+  In(found->second->phase_).erase(found->second);
   connections_.erase(found);
 }
 
@@ -47,12 +47,12 @@
     core::TimePoint now) const {
   const auto& idle = In(ConnectionPhase::kIdle);
   if (!idle.empty()) {
-    return idle.begin()->second;
+    return idle.front().id_;
   }
   const auto& receiving = In(ConnectionPhase::kReceiving);
   if (!receiving.empty() &&
-      receiving.begin()->first + settings_.protected_time_ <= now) {
-    return receiving.begin()->second;
+      receiving.front().since_ + settings_.protected_time_ <= now) {
+    return receiving.front().id_;
   }
   return std::nullopt;
 }
@@ -63,7 +63,7 @@
   if (settings_.max_connections_ == 0 || closing.size() <= max_closing()) {
     return std::nullopt;
   }
-  return closing.begin()->second;
+  return closing.front().id_;
 }
 
 std::size_t CallerConnections::max_closing() const noexcept {
--- a/packages/chalkwell/src/chalkwell/routing/caller_connections.hpp
+++ b/packages/chalkwell/src/chalkwell/routing/caller_connections.hpp
@@ -5,10 +5,9 @@
 #include <array>
 #include <cstddef>
 #include <cstdint>
-#include <map>
+#include <list>
 #include <optional>
-#include <set>
-#include <utility>
+#include <unordered_map>
 
 #include "chalkwell/core/fwd.hpp"
 #include "chalkwell/routing/fwd.hpp"
@@ -45,6 +44,12 @@
 
   explicit CallerConnections(CallerConnectionsSettings settings) noexcept
       : settings_(settings) {}
+  // Elements of the queues are referred to by iterators.
+  CallerConnections(CallerConnections&&) = default;
+  CallerConnections& operator=(CallerConnections&&) = default;
+  CallerConnections(const CallerConnections&) = delete;
+  CallerConnections& operator=(const CallerConnections&) = delete;
+  ~CallerConnections() = default;
 
   /// @brief Adds an idle connection.
   [[nodiscard]] ConnectionId Add(core::TimePoint now);
@@ -64,7 +69,7 @@
   /// closing than may be.
   [[nodiscard]] std::optional<ConnectionId> SelectOverdue() const;
   [[nodiscard]] ConnectionPhase PhaseOf(ConnectionId connection) const {
-    return connections_.at(connection).phase_;
+    return connections_.at(connection)->phase_;
   }
   /// @brief Number of open connections.
   [[nodiscard]] std::size_t size() const noexcept {
@@ -73,11 +78,13 @@
 
  private:
   struct Connection {
+    ConnectionId id_ = 0;
     ConnectionPhase phase_ = ConnectionPhase::kIdle;
     core::TimePoint since_;
   };
-  /// Ordered by the time since when the phase has lasted.
-  using Queue = std::set<std::pair<core::TimePoint, ConnectionId>>;
+  /// Ordered by the time since when the phase has lasted, since time does not
+  /// go back.
+  using Queue = std::list<Connection>;
 
   [[nodiscard]] const Queue& In(ConnectionPhase phase) const {
     return by_phase_.at(static_cast<std::size_t>(phase));
@@ -89,8 +96,7 @@
 
   CallerConnectionsSettings settings_;
   ConnectionId last_id_ = 0;
-  std::map<ConnectionId, Connection> connections_;
-  /// The same connections, by phase.
+  std::unordered_map<ConnectionId, Queue::iterator> connections_;
   std::array<Queue, 4> by_phase_;
 };
 
--- a/packages/daemon/src/daemon/caller_memory.cpp
+++ b/packages/daemon/src/daemon/caller_memory.cpp
@@ -1,4 +1,4 @@
-// Sizes are counted in whole pages, so that small changes cost nothing.
+// Sizes are counted in whole pages, so that few changes reach the account.
 #include "daemon/caller_memory.hpp"
 
 #include <algorithm>
@@ -18,7 +18,7 @@
 constexpr auto kReturnDelay = std::chrono::milliseconds(500);
 
 std::size_t ToWholePages(std::size_t bytes) {
-  return (bytes + kPageBytes - 1) / kPageBytes * kPageBytes;
+  return bytes / kPageBytes * kPageBytes;
 }
 
 }  // namespace
@@ -37,32 +37,42 @@
 
 MemoryLease::MemoryLease(std::shared_ptr<CallerMemory> memory,
                          std::function<void()> on_ended)
-    : memory_(std::move(memory)) {
-  if (memory_ == nullptr) {
-    return;
-  }
-  holder_ = memory_->memory_.Add();
-  if (on_ended) {
-    memory_->on_ended_.emplace(holder_, std::move(on_ended));
-  }
-}
+    : memory_(std::move(memory)), on_ended_(std::move(on_ended)) {}
 
 MemoryLease::~MemoryLease() {
-  if (memory_ != nullptr) {
+  if (holder_ != 0) {
     memory_->on_ended_.erase(holder_);
     memory_->memory_.Remove(holder_);
     memory_->OnShrunk();
   }
 }
 
+void MemoryLease::Join() {
+  if (holder_ != 0) {
+    return;
+  }
+  holder_ = memory_->memory_.Add();
+  if (on_ended_) {
+    memory_->on_ended_.emplace(holder_, on_ended_);
+  }
+  if (receiving_since_) {
+    memory_->memory_.BeginReceiving(holder_, *receiving_since_);
+  }
+}
+
 void MemoryLease::BeginReceiving() {
-  if (memory_ != nullptr) {
-    memory_->memory_.BeginReceiving(holder_, memory_->loop_.Now());
+  if (memory_ == nullptr) {
+    return;
+  }
+  receiving_since_ = memory_->loop_.Now();
+  if (holder_ != 0) {
+    memory_->memory_.BeginReceiving(holder_, *receiving_since_);
   }
 }
 
 void MemoryLease::EndReceiving() {
-  if (memory_ != nullptr) {
+  receiving_since_ = std::nullopt;
+  if (holder_ != 0) {
     memory_->memory_.EndReceiving(holder_);
   }
 }
@@ -72,6 +82,7 @@
   if (memory_ == nullptr || pages == bytes_) {
     return true;
   }
+  Join();
   const auto growth =
       memory_->memory_.Grow(holder_, pages, memory_->loop_.Now());
   for (const auto ended : growth.ended_) {
@@ -92,11 +103,13 @@
 
 void MemoryLease::Set(std::size_t bytes) {
   const auto pages = ToWholePages(bytes);
-  if (memory_ != nullptr && pages != bytes_) {
-    bytes_ = pages;
-    memory_->memory_.Set(holder_, pages);
-    memory_->peak_ = std::max(memory_->peak_, memory_->held());
+  if (memory_ == nullptr || pages == bytes_) {
+    return;
   }
+  Join();
+  bytes_ = pages;
+  memory_->memory_.Set(holder_, pages);
+  memory_->peak_ = std::max(memory_->peak_, memory_->held());
 }
 
 }  // namespace chalkwell::daemon
--- a/packages/daemon/src/daemon/caller_memory.hpp
+++ b/packages/daemon/src/daemon/caller_memory.hpp
@@ -6,6 +6,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 
 #include "chalkwell/routing/request_memory.hpp"
 #include "daemon/loop.hpp"
@@ -48,6 +49,8 @@
 };
 
 /// @brief What one connection or request holds; the destructor gives it back.
+///
+/// Less than a page is not counted, so that small requests cost nothing.
 class MemoryLease {
  public:
   /// @param memory null to hold bytes that are not counted.
@@ -70,9 +73,16 @@
   void Set(std::size_t bytes);
 
  private:
+  /// @brief Becomes a holder of the account, unless it is one.
+  void Join();
+
   /// Null when bytes are not counted.
   std::shared_ptr<CallerMemory> memory_;
+  std::function<void()> on_ended_;
+  /// 0 until a page is held.
   routing::RequestMemory::HolderId holder_ = 0;
+  /// Set while a request is received.
+  std::optional<core::TimePoint> receiving_since_;
   /// Size counted last, in whole pages.
   std::size_t bytes_ = 0;
 };
