Let the heap keep a few megabytes between its returns

With the allocator's thresholds at 128 KiB each large document that is parsed mapped its blocks or resized the heap, and gave them back at once: system calls and page faults that the adjusted thresholds avoided. Memory after a peak is returned explicitly, so that the thresholds need not do it: blocks of 1 MiB are mapped on their own, and 4 MiB may stay free at the heap's end.

--- a/packages/daemon/src/daemon/allocator.cpp
+++ b/packages/daemon/src/daemon/allocator.cpp
@@ -6,9 +6,11 @@
 namespace chalkwell::daemon {
 namespace {
 
-/// The allocator's initial values; setting them disables their adjustment.
-constexpr int kMapThresholdBytes = 128 << 10;
-constexpr int kTrimThresholdBytes = 128 << 10;
+/// Large enough that parsing a document neither maps blocks nor resizes the
+/// heap each time. Setting them disables their adjustment; what stays in the
+/// heap after a peak is returned explicitly.
+constexpr int kMapThresholdBytes = 1 << 20;
+constexpr int kTrimThresholdBytes = 4 << 20;
 
 }  // namespace
 
