Keep a connection's entry when an earlier one of its address ends

Found by reading: h2o frees a socket before the system has closed it, so that a new connection's socket may have the same address. The end of the earlier connection then removed the entry of the new one, whose requests were no longer counted: at the limit of connections it could have been closed while it handled one. The entry is now removed only for the connection that it names. No test shows it, since it needs an allocation at the same address; the cases of silent connections passed after the change.

--- a/packages/daemon/src/daemon/http_server.cpp
+++ b/packages/daemon/src/daemon/http_server.cpp
@@ -295,7 +295,11 @@
 void OpenConnections::Remove(const Connection& connection) {
   phases_.Remove(connection.id_);
   by_id_.erase(connection.id_);
-  by_socket_.erase(connection.socket_);
+  // A new connection may have got the same address.
+  const auto found = by_socket_.find(connection.socket_);
+  if (found != by_socket_.end() && found->second == &connection) {
+    by_socket_.erase(found);
+  }
 }
 
 struct Handler {
