--- a/tests/platform/standin_server.hpp
+++ b/tests/platform/standin_server.hpp
@@ -18,7 +18,12 @@
 /// @brief Loopback address of a server.
 [[nodiscard]] std::string AddressOf(const daemon::Http1Server& server);
 
-/// @return empty if the path has no such query parameter.
+/// @brief Whether the query of a path is encoded as URLs are: no bytes but
+/// visible ASCII, and two hexadecimal digits after each percent sign.
+[[nodiscard]] bool IsEncoded(const std::string& path);
+/// @brief Decodes a query parameter: percent escapes, and plus signs for
+/// blanks. A fragment does not belong to the query.
+/// @return empty if the path has no such parameter.
 [[nodiscard]] std::string QueryParameter(const std::string& path,
                                          const std::string& name);
 /// @throws std::invalid_argument if the text is neither empty nor a number.
--- a/tests/platform/standins.cpp
+++ b/tests/platform/standins.cpp
@@ -101,6 +101,18 @@
   });
 }
 
+void StoreStandin::PutBytes(const std::string& key, const std::string& value) {
+  thread_.RunAndWait([&] {
+    contents_.items_[key] = {value, ++contents_.revision_};
+    contents_.removed_.erase(key);
+    NotifyWatches();
+  });
+}
+
+void StoreStandin::OverrideRanges(RangeOverride range_override) {
+  thread_.RunAndWait([&] { range_override_ = std::move(range_override); });
+}
+
 void StoreStandin::Remove(const std::string& key) {
   thread_.RunAndWait([&] {
     contents_.items_.erase(key);
@@ -173,7 +185,8 @@
 
 void StoreStandin::Respond(const HttpExchangePtr& exchange,
                            const nlohmann::json& body) const {
-  Respond(exchange, 200, body.dump());
+  Respond(exchange, 200,
+          body.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace));
 }
 
 void StoreStandin::OnCall(const HttpExchangePtr& exchange) {
@@ -181,6 +194,8 @@
   const auto& path = exchange->request().path_;
   if (busy_ || random_() % 1000 < rejected_per_mille_) {
     Respond(exchange, 503, "");
+  } else if (!IsEncoded(path)) {
+    Respond(exchange, 400, "");
   } else if (path.starts_with("/kv-range") &&
              delay_.load() > std::chrono::milliseconds(0)) {
     thread_.loop().After(delay_.load(),
@@ -236,6 +251,12 @@
   const auto& path = exchange->request().path_;
   const auto prefix = QueryParameter(path, "pathPrefix");
   const auto after = QueryParameter(path, "afterRev");
+  if (range_override_) {
+    if (const auto response = range_override_(prefix, after)) {
+      Respond(exchange, response->status_, response->body_);
+      return;
+    }
+  }
   auto items = nlohmann::json::array();
   bool more = false;
   for (const auto& [key, item] : contents_.items_) {
--- a/tests/platform/standins.hpp
+++ b/tests/platform/standins.hpp
@@ -10,6 +10,7 @@
 #include <memory>
 #include <mutex>
 #include <nlohmann/json.hpp>
+#include <optional>
 #include <random>
 #include <string>
 #include <thread>
@@ -53,6 +54,16 @@
 /// prefix, and watches that wait for a change.
 class StoreStandin {
  public:
+  /// @brief Response to a read that replaces the regular one.
+  struct RangeResponse {
+    int status_ = 200;
+    std::string body_;
+  };
+  /// @brief Returns the response to a read of a prefix after a key; none for
+  /// the regular one.
+  using RangeOverride = std::function<std::optional<RangeResponse>(
+      const std::string& prefix, const std::string& after)>;
+
   /// @param page_size items in one response of a read; small, so that every
   /// test exercises paging.
   explicit StoreStandin(LoopThread& thread,
@@ -64,6 +75,13 @@
   /// @brief Sets a value under a new revision and responds to the watches of
   /// its prefix.
   void Put(const std::string& key, const nlohmann::json& value);
+  /// @brief As Put(), with a value of any bytes.
+  void PutBytes(const std::string& key, const std::string& value);
+  /// @brief Sets how many items a response to a read holds from now on.
+  void SetPageSize(std::size_t page_size) { page_size_ = page_size; }
+  /// @brief Sets a handler that may replace the responses to reads; it is
+  /// called on the loop.
+  void OverrideRanges(RangeOverride range_override);
   /// @brief Removes a value under a new revision and responds to the watches of
   /// its prefix.
   void Remove(const std::string& key);
@@ -136,7 +154,8 @@
   void NotifyWatches();
 
   LoopThread& thread_;
-  std::size_t page_size_;
+  std::atomic<std::size_t> page_size_;
+  RangeOverride range_override_;
   Contents contents_;
   Contents copy_;
   /// Rises by one each time a copy is restored.
