--- a/packages/daemon/src/daemon/http_client.cpp
+++ b/packages/daemon/src/daemon/http_client.cpp
@@ -8,6 +8,7 @@
 #include <utility>
 
 #include "daemon/http_parser.hpp"
+#include "daemon/request_target.hpp"
 #include "daemon/tcp_stream.hpp"
 
 namespace chalkwell::daemon {
@@ -41,6 +42,16 @@
   return head + "\r\n" + request.body_;
 }
 
+/// Whether no part of a request's head ends its line.
+bool IsSendable(const HttpRequest& request) {
+  static constexpr std::string_view kLineEnds("\r\n\0", 3);
+  return IsSendableTarget(request.path_) &&
+         std::ranges::all_of(request.headers_, [](const HttpHeader& header) {
+           return header.first.find_first_of(kLineEnds) == std::string::npos &&
+                  header.second.find_first_of(kLineEnds) == std::string::npos;
+         });
+}
+
 /// Timeout in the `keep-alive` header of a response: how long the server keeps
 /// an idle connection.
 std::optional<core::Duration> KeepAliveTimeout(const HttpHeaders& headers) {
@@ -137,6 +148,14 @@
       parser_.ExpectNoBody();
     }
     head_delivered_ = false;
+    if (!IsSendable(request)) {
+      state_->loop_.Post([self = shared_from_this()] {
+        if (self->busy()) {
+          self->Finish(HttpEnd::kNotSent);
+        }
+      });
+      return;
+    }
     if (stream_ != nullptr) {
       SendRequest();
       return;
--- a/packages/daemon/src/daemon/http_client.hpp
+++ b/packages/daemon/src/daemon/http_client.hpp
@@ -115,7 +115,8 @@
   HttpClient(const HttpClient&) = delete;
   HttpClient& operator=(const HttpClient&) = delete;
 
-  /// @brief Sends a request; the callbacks report the response.
+  /// @brief Sends a request; the callbacks report the response. One whose
+  /// target or headers would end their line ends as kNotSent.
   std::shared_ptr<HttpCall> Send(const Address& address,
                                  const HttpRequest& request,
                                  HttpCallbacks callbacks,
--- a/tests/daemon/http_client_test.cpp
+++ b/tests/daemon/http_client_test.cpp
@@ -5,6 +5,7 @@
 #include <atomic>
 #include <catch2/catch.hpp>
 #include <functional>
+#include <optional>
 #include <thread>
 
 #include "raw_socket.hpp"
@@ -112,6 +113,26 @@
   }
 }
 
+TEST_CASE("a request whose target or header would end its line is not sent",
+          "[daemon]") {
+  const auto request = GENERATE(
+      HttpRequest{.method_ = "GET", .path_ = "/a b"},
+      HttpRequest{.method_ = "GET", .path_ = "/a\r\nx: y"},
+      HttpRequest{.method_ = "GET", .path_ = ""},
+      HttpRequest{
+          .method_ = "GET", .path_ = "/", .headers_ = {{"x", "y\r\nz: 1"}}},
+      HttpRequest{.method_ = "GET", .path_ = "/", .headers_ = {{"x\n", "y"}}});
+  CAPTURE(request.path_);
+  Fixture fixture;
+  std::optional<HttpEnd> end;
+  const auto call =
+      fixture.client_.Send({"127.0.0.1", fixture.listener_.port()}, request,
+                           {.on_end_ = [&](HttpEnd ended) { end = ended; }});
+  CHECK_FALSE(end);
+  fixture.RunBriefly();
+  CHECK(end == HttpEnd::kNotSent);
+}
+
 TEST_CASE("a response that is reset behind its bytes looks complete",
           "[daemon]") {
   // Regression: a reset that arrived together with the last bytes was taken for
