Skip foreign items of the store one by one, by name and by value

Callers saw: no service while an entry of another writer was listed, also one whose own fields are odd; requests sent to addresses that no endpoint has; an endpoint hidden by a valid row under another name at its address.

Cause: a field of the item itself (no key, a revision that is text) failed the whole page and with it the list. Any key under the prefix named an endpoint, only its part behind the last slash was used, and numbers were taken without their range: port 0, slots of 2^32 + 1 became 1, start times overflowed in nanoseconds, a version near 2^64 became the target. Copies of deeply nested parts of an engine's report recursed.

--- a/tests/platform/codec_test.cpp
+++ b/tests/platform/codec_test.cpp
@@ -371,12 +371,12 @@
                    std::nullopt,
                    false},
                Row{{{{"name", "m"}, {"version", 3}}}, "draining", 3, true});
-  const auto decoded = DecodeEndpoint("servers/i-1", {{"service", "a"},
-                                                      {"addr", "1.2.3.4:5"},
-                                                      {"zone", "z"},
-                                                      {"slots", 16},
-                                                      {"state", row.state_},
-                                                      {"models", row.models_}});
+  const auto decoded = DecodeEndpoint("i-1", {{"service", "a"},
+                                              {"addr", "1.2.3.4:5"},
+                                              {"zone", "z"},
+                                              {"slots", 16},
+                                              {"state", row.state_},
+                                              {"models", row.models_}});
   CHECK(decoded.id_.value() == "i-1");
   CHECK(decoded.weights_version_ == row.version_);
   CHECK(decoded.leaving_ == row.leaving_);
--- a/tests/platform/foreign_keys_test.cpp
+++ b/tests/platform/foreign_keys_test.cpp
@@ -37,11 +37,13 @@
 TEST_CASE("an entry starts while a foreign key ends a page of the list",
           "[platform]") {
   const auto name = ForeignName();
-  CAPTURE(name);
+  const bool valid_row = GENERATE(true, false);
+  CAPTURE(name, valid_row);
   Deployment deployment;
   auto& store = deployment.store_;
   store.SetPageSize(1);
-  store.PutBytes("servers/" + name, "?");
+  store.PutBytes("servers/" + name,
+                 valid_row ? deployment.first_.Row("plain", "z1").dump() : "?");
   const auto entry = deployment.StartEntry("e1", store.address());
   REQUIRE(Eventually([&] { return entry.Ready(); }));
   CHECK(CountServed(entry) == kRequests);
@@ -61,7 +63,7 @@
   store.SetPageSize(1);
   const auto entry = deployment.StartEntry("e1", store.address());
   REQUIRE(Eventually([&] { return entry.Ready(); }));
-  store.PutBytes("servers/" + name, "?");
+  store.Put("servers/" + name, deployment.first_.Row("plain", "z1"));
   store.Remove("servers/i-second");
   const auto calls = store.calls();
   std::this_thread::sleep_for(kObservedTime);
@@ -71,5 +73,25 @@
   CHECK(deployment.second_.runs() == runs);
 }
 
+TEST_CASE("an entry reads the rules behind a foreign key of the operator",
+          "[platform]") {
+  const auto key = GENERATE(as<std::string>(), "op/a&b", "op/a b", "op/a%zz",
+                            "op/config&x", "op/evacuate/a#b", "op/version/a+b");
+  const bool valid = GENERATE(true, false);
+  CAPTURE(key, valid);
+  Deployment deployment;
+  auto& store = deployment.store_;
+  store.SetPageSize(1);
+  store.PutBytes(key, valid ? R"({"model":"m","version":7})" : "\xff{");
+  store.Put("op/version/m", {{"model", "m"}, {"version", 1}});
+  const auto entry = deployment.StartEntry("e1", store.address());
+  REQUIRE(Eventually([&] { return entry.Ready(); }));
+  CHECK(CountServed(entry) == kRequests);
+  const auto calls = store.calls();
+  std::this_thread::sleep_for(kObservedTime);
+  CHECK(store.calls() - calls < kMaxCalls);
+  CHECK(deployment.Log("e1").find(R"(version="7")") == std::string::npos);
+}
+
 }  // namespace
 }  // namespace chalkwell::platform_tests
--- a/tests/platform/foreign_rows_test.cpp
+++ b/tests/platform/foreign_rows_test.cpp
@@ -2,6 +2,7 @@
 // skipped and reported, and affects neither the other rows nor the revision.
 #include <catch2/catch.hpp>
 #include <functional>
+#include <limits>
 #include <nlohmann/json.hpp>
 #include <random>
 #include <string>
@@ -33,6 +34,14 @@
           {"seq", 7}};
 }
 
+json NestedList(int depth) {
+  auto list = json::array();
+  for (int i = 1; i < depth; ++i) {
+    list = json::array({std::move(list)});
+  }
+  return list;
+}
+
 std::string Base64(const std::string& bytes) {
   static const std::string kDigits =
       "ABCDEFGHIJKLMNOPQRSTUVWXYZabcdefghijklmnopqrstuvwxyz0123456789+/";
@@ -98,6 +107,22 @@
           [](json& value) { value["models"][0].erase("version"); }},
       Row{"a version below zero",
           [](json& value) { value["models"][0]["version"] = -1; }},
+      Row{"port 0", [](json& value) { value["addr"] = "1.2.3.4:0"; }},
+      Row{"a port out of range",
+          [](json& value) { value["addr"] = "1.2.3.4:99999"; }},
+      Row{"slots beyond 32 bits",
+          [](json& value) { value["slots"] = 4294967297; }},
+      Row{"a start time beyond the clock",
+          [](json& value) {
+            value["born"] = std::numeric_limits<std::int64_t>::max();
+          }},
+      Row{"a version near 2^64",
+          [](json& value) {
+            value["models"][0]["version"] =
+                std::numeric_limits<std::uint64_t>::max();
+          }},
+      Row{"models nested deeply",
+          [](json& value) { value["models"] = NestedList(100); }},
       Row{"not an object", [](json& value) { value = 7; }});
   CAPTURE(row.name_);
   auto corrupt = GoodRow();
@@ -116,7 +141,10 @@
 TEST_CASE("a row that cannot be parsed is skipped and reported", "[platform]") {
   const auto value =
       GENERATE(std::string("%%%"), Base64("{\"service\":"), Base64("\xff\xfe"),
-               Base64(""), Base64("null"), std::string("e30"));
+               Base64(""), Base64("null"), std::string("e30"),
+               Base64(R"({"slots":1e999})"), Base64(std::string(300'000, '[')),
+               Base64(R"({"models":)" + std::string(300'000, '[') +
+                      std::string(300'000, ']') + "}"));
   const auto published =
       Decode({Item("servers/i-1", value),
               Item("servers/i-2", Base64(GoodRow().dump()))});
@@ -125,6 +153,75 @@
   CHECK(published.decode_errors_.size() == 1);
 }
 
+TEST_CASE("an item with odd fields of its own hides no other item",
+          "[platform]") {
+  struct Row {
+    std::string name_;
+    std::function<void(json&)> corrupt_;
+  };
+  const auto row = GENERATE(
+      Row{"no key", [](json& item) { item.erase("tlsKey"); }},
+      Row{"a key that is a number", [](json& item) { item["tlsKey"] = 3; }},
+      Row{"no value", [](json& item) { item.erase("value"); }},
+      Row{"a value that is a list",
+          [](json& item) { item["value"] = json::array(); }},
+      Row{"a creation that is text",
+          [](json& item) { item["createdAt"] = "5"; }},
+      Row{"a creation below zero", [](json& item) { item["createdAt"] = -5; }},
+      Row{"a removal that is text", [](json& item) { item["removed"] = "no"; }},
+      Row{"an evacuation with a revision that is text",
+          [](json& item) {
+            item["tlsKey"] = "op/evacuate/z";
+            item["rev"] = "5";
+          }},
+      Row{"a list", [](json& item) { item = json::array(); }},
+      Row{"nothing", [](json& item) { item = nullptr; }});
+  CAPTURE(row.name_);
+  auto odd = Item("servers/i-2", Base64(GoodRow().dump()));
+  row.corrupt_(odd);
+  const auto published =
+      Decode({Item("servers/i-1", Base64(GoodRow().dump())), odd,
+              Item("servers/i-3", Base64(GoodRow().dump()))});
+  CHECK(published.outcome_ == ReadOutcome::kRead);
+  CHECK(published.revision_.number_ == 42);
+  CHECK(published.endpoints_.size() == 2);
+  CHECK(published.decode_errors_.size() == 1);
+}
+
+TEST_CASE("a valid row under a foreign name is skipped", "[platform]") {
+  const auto name = GENERATE(as<std::string>(), "", "i-2&x", "i-2+x", "i-2#x",
+                             "i-2%41", "i-2 x", "x/i-1", "i-2\r\nx",
+                             "i-\xc3\xbc", "i-2,x", "i-2;x", "i-2=x", "i-2\"x");
+  CAPTURE(name);
+  const auto published =
+      Decode({Item("servers/i-1", Base64(GoodRow().dump())),
+              Item("servers/" + name, Base64(GoodRow().dump()))});
+  CHECK(published.endpoints_.size() == 1);
+  CHECK(published.decode_errors_.size() == 1);
+}
+
+TEST_CASE("a target version under a foreign name is skipped", "[platform]") {
+  struct Row {
+    std::string key_;
+    json value_;
+    std::size_t versions_;
+  };
+  const auto row =
+      GENERATE(Row{"op/version/m", {{"model", "m"}, {"version", 2}}, 1},
+               Row{"op/version/m&x", {{"model", "m"}, {"version", 2}}, 0},
+               Row{"op/version/", {{"model", "m"}, {"version", 2}}, 0},
+               Row{"op/version/m",
+                   {{"model", "m"},
+                    {"version", std::numeric_limits<std::uint64_t>::max()}},
+                   0},
+               Row{"op/version/m", {{"model", "m"}, {"version", 2.5}}, 0});
+  const auto published =
+      Decode(json::array({Item(row.key_, Base64(row.value_.dump()))}));
+  CAPTURE(row.key_, row.value_.dump(), published.decode_errors_);
+  CHECK(published.weights_.size() == row.versions_);
+  CHECK(published.decode_errors_.size() == 1 - row.versions_);
+}
+
 /// Replaces or removes one value of a document, at any depth.
 void Mutate(json& value, std::mt19937& random) {
   const auto pick = [&](std::size_t count) {
