End reads of the store that do not advance, and use their first pages

Callers saw: no service after a restart while a page of the list could not be read; up to 15,000 calls a second from one process, out of a rate that all processes share.

Cause: a read of pages went on as long as the store said that more follow: the same key again, two keys by turns, new keys without end. A page that was rejected, empty or not decodable discarded the pages before it, and a process that had nothing else never became ready. A response to a watch that could not be decoded was requested again for ever.

Its rows are used; rows of names behind its last one are kept as known, so that what was not read is not taken for removed. A process that knows no whole list neither publishes what it knows nor answers peers with it, and takes a change from peers only after a whole list. A page that fails for now (5xx, 429, no response) still makes the read fail; its first pages serve a process without any list.

--- a/packages/daemon/src/daemon/direct/adapter.hpp
+++ b/packages/daemon/src/daemon/direct/adapter.hpp
@@ -134,6 +134,8 @@
   /// The store no longer has the history after the revision; a full read is
   /// needed.
   kCompacted,
+  /// The response to a watch could not be decoded; a full read is needed.
+  kUndecodable,
   kUnreachable,
 };
 
@@ -155,7 +157,13 @@
   std::vector<config::Evacuation> evacuations_;
   /// The whole section was read, so that what it lacks is not published.
   bool whole_ = false;
+  /// A read ended at a page that could not be read: what it lacks may be
+  /// published. With kUnreachable, another call may get the page.
+  bool truncated_ = false;
   std::vector<routing::EndpointRow> endpoints_;
+  /// Last name that was read from the list of endpoints, which is ordered by
+  /// name.
+  core::InstanceId read_until_;
   /// Undecoded pages of a section without rules, to be forwarded to peers; set
   /// only if the whole section was read.
   std::vector<std::string> encoded_pages_;
--- a/packages/daemon/src/daemon/direct/direct_entry.cpp
+++ b/packages/daemon/src/daemon/direct/direct_entry.cpp
@@ -425,6 +425,7 @@
   // evacuations that were published before them.
   rules_manager_.OnPublished(section, snapshot);
   if (section == Section::kEndpoints &&
+      snapshot.outcome_ == ReadOutcome::kRead &&
       std::exchange(list_read_failed_, false)) {
     reader_.Confirm(Section::kOperations);
   }
--- a/packages/daemon/src/daemon/direct/endpoint_list.cpp
+++ b/packages/daemon/src/daemon/direct/endpoint_list.cpp
@@ -78,7 +78,18 @@
   unknown_rows_ = std::move(unknown);
 }
 
+void EndpointList::AddUnreadRows(StoreSnapshot& snapshot) const {
+  for (auto& row : endpoints_.ListedRows()) {
+    if (row.id_ > snapshot.read_until_) {
+      snapshot.endpoints_.push_back(std::move(row));
+    }
+  }
+}
+
 void EndpointList::ApplyRead(StoreSnapshot snapshot, bool from_store) {
+  if (snapshot.outcome_ != ReadOutcome::kRead && endpoints_.has_list()) {
+    return;
+  }
   const std::string source(from_store ? "store" : "peer");
   if (snapshot.revision_ < endpoints_.store_revision()) {
     LogNotUsed(snapshot.revision_, source);
@@ -90,6 +101,11 @@
     return;
   }
   RemoveUnknownServices(snapshot.endpoints_);
+  if (snapshot.truncated_) {
+    AddUnreadRows(snapshot);
+  } else {
+    knows_whole_list_ = true;
+  }
   const auto now = loop_.Now();
   const auto before = endpoints_.Rows();
   NoteEra(snapshot.revision_);
@@ -105,7 +121,9 @@
   }
   if (from_store) {
     reader_role_.OnRead(now);
-    PublishRead(snapshot, complete);
+    if (knows_whole_list_) {
+      PublishRead(snapshot, complete);
+    }
     RunWaitingIfFresh();
   }
 }
@@ -206,6 +224,9 @@
 
 EndpointListMessage EndpointList::FullList() const {
   routing::EndpointListChange list;
+  if (!knows_whole_list_) {
+    return ToMessage(list, loop_.Now());
+  }
   list.to_ = endpoints_.store_revision();
   list.rows_ = endpoints_.ListedRows();
   list.full_ = true;
@@ -291,6 +312,13 @@
   outage_.OnListReceived(change.as_of_, loop_.Now());
   change.complete_ =
       change.complete_ && !outage_.LeasesMayHaveExpired(loop_.Now());
+  if (!knows_whole_list_) {
+    const bool has_rows = change.full_ && !message.fetch_;
+    if (!has_rows) {
+      return false;
+    }
+    knows_whole_list_ = change.to_ >= endpoints_.store_revision();
+  }
   // The rows of a change that is to be fetched are known already.
   if (!message.fetch_ && !endpoints_.ApplyChange(change, loop_.Now())) {
     return false;
--- a/packages/daemon/src/daemon/direct/endpoint_list.hpp
+++ b/packages/daemon/src/daemon/direct/endpoint_list.hpp
@@ -128,6 +128,9 @@
   /// @brief Reads the list again for the waiting tasks, after a delay.
   void ReadAgainForWaitingTasks();
   void RemoveUnknownServices(std::vector<routing::EndpointRow>& rows);
+  /// @brief Completes a truncated read with the known rows of names
+  /// that it did not reach.
+  void AddUnreadRows(StoreSnapshot& snapshot) const;
 
   Loop& loop_;
   routing::EndpointTable& endpoints_;
@@ -151,6 +154,9 @@
   core::TimePoint wait_until_;
   /// Tasks of WhenFresh() that wait for a read.
   std::vector<std::function<void()>> waiting_tasks_;
+  /// A whole list was read or received. What is known otherwise is not passed
+  /// to peers, which would take it for whole.
+  bool knows_whole_list_ = false;
   /// Lists that this process read from the store.
   routing::ListHistory history_;
   /// Rows of unknown services in the last list; each is logged once.
--- a/packages/daemon/src/daemon/direct/published_reader.cpp
+++ b/packages/daemon/src/daemon/direct/published_reader.cpp
@@ -31,6 +31,8 @@
       return "nothing-new";
     case ReadOutcome::kCompacted:
       return "history-gone";
+    case ReadOutcome::kUndecodable:
+      return "undecodable";
     case ReadOutcome::kUnreachable:
       return "unreachable";
   }
@@ -347,7 +349,9 @@
     case ReadOutcome::kRead:
       SetReachable(true);
       last_read_ = loop_.Now();
-      task.revision_ = std::max(task.revision_, snapshot.revision_);
+      if (!snapshot.truncated_) {
+        task.revision_ = std::max(task.revision_, snapshot.revision_);
+      }
       handler_(task.section_, snapshot);
       break;
     case ReadOutcome::kUnchanged:
@@ -359,8 +363,16 @@
       SetReachable(true);
       task.revision_ = {};
       break;
+    case ReadOutcome::kUndecodable:
+      SetReachable(true);
+      task.revision_ = {};
+      break;
     case ReadOutcome::kUnreachable:
       SetReachable(false);
+      if (snapshot.truncated_) {
+        // A process that knows nothing else uses the pages before.
+        handler_(task.section_, snapshot);
+      }
       if (task.section_ != Section::kOperations) {
         // The other sections are small, and reading them anew shows when the
         // store is reachable again.
@@ -372,7 +384,9 @@
   if (task.failed_ && task.on_failed_) {
     task.on_failed_();
   }
-  Schedule(task, !task.failed_, first);
+  const bool succeeded = !task.failed_ && !snapshot.truncated_ &&
+                         snapshot.outcome_ != ReadOutcome::kUndecodable;
+  Schedule(task, succeeded, first);
 }
 
 void PublishedReader::LogDecodeErrors(Section section,
--- a/packages/daemon/src/daemon/direct/rules_manager.cpp
+++ b/packages/daemon/src/daemon/direct/rules_manager.cpp
@@ -56,10 +56,11 @@
 void RulesManager::OnPublished(Section section, const StoreSnapshot& snapshot) {
   if (snapshot.rules_) {
     // Receivers of the document continue their watch after its revision. A read
-    // of the rules alone does not show what else was published until then.
-    const auto revision = section == Section::kOperations
-                              ? snapshot.revision_
-                              : core::StoreRevision();
+    // of the rules alone, or a truncated one, does not show what else was
+    // published until then.
+    const bool complete =
+        section == Section::kOperations && !snapshot.truncated_;
+    const auto revision = complete ? snapshot.revision_ : core::StoreRevision();
     Apply(*snapshot.rules_,
           {snapshot.rules_->version_, revision, snapshot.encoded_rules_},
           config::RulesOrigin::kStore);
