Take a status outside 100 to 599, or 101, for a malformed response

Cause: the parser accepted any three digits, and the client took everything below 200 for interim. A 101 that nobody asked for was, too, although what follows it is another protocol.

Change: the parser rejects these statuses of responses; the attempt is lost and retried where it may be, else the caller gets 502.

Evidence: on the code before, 16 of 44 assertions of the client's table and 8 of 16 with a real entry fail; all pass now.

--- a/packages/daemon/src/daemon/http_parser.cpp
+++ b/packages/daemon/src/daemon/http_parser.cpp
@@ -17,6 +17,12 @@
 using ErrorCode = boost::beast::error_code;
 using TextView = boost::beast::string_view;
 
+/// Valid status codes. This process asks for no other protocol, so that what
+/// follows a response that switches to one is no response.
+constexpr int kFirstStatus = 100;
+constexpr int kLastStatus = 599;
+constexpr int kSwitchingProtocols = 101;
+
 /// Message under construction, filled by either kind of parser.
 struct Message {
   std::string method_;
@@ -54,7 +60,12 @@
     message_->version_ = version;
   }
   void on_response_impl(int status, TextView, int version,
-                        ErrorCode&) override {
+                        ErrorCode& error) override {
+    if (status < kFirstStatus || status > kLastStatus ||
+        status == kSwitchingProtocols) {
+      error = http::error::bad_status;
+      return;
+    }
     message_->status_ = status;
     message_->version_ = version;
   }
--- a/tests/daemon/http_client_test.cpp
+++ b/tests/daemon/http_client_test.cpp
@@ -113,6 +113,27 @@
   }
 }
 
+TEST_CASE("a response with a status that is none is taken for a response",
+          "[daemon]") {
+  const auto status = GENERATE(as<std::string>(), "000", "001", "099", "101",
+                               "600", "999", "20", "2000", "-20", "2x0", "");
+  // A valid response follows, as after an interim one.
+  const bool followed = GENERATE(true, false);
+  CAPTURE(status, followed);
+  const std::string valid = "HTTP/1.1 200 OK\r\ncontent-length: 3\r\n\r\nabc";
+  Fixture fixture;
+  std::thread server([&] {
+    auto peer = fixture.listener_.Accept();
+    (void)peer.ReadUntil(kHeadEnd);
+    peer.Send("HTTP/1.1 " + status + " X\r\ncontent-length: " +
+              (followed ? "0\r\n\r\n" + valid : "3\r\n\r\nabc"));
+  });
+  const auto result = fixture.Fetch();
+  server.join();
+  CHECK(result.end_ == HttpEnd::kBroken);
+  CHECK(result.status_ == 0);
+}
+
 TEST_CASE("a request whose target or header would end its line is not sent",
           "[daemon]") {
   const auto request = GENERATE(
--- a/tests/platform/failed_status_test.cpp
+++ b/tests/platform/failed_status_test.cpp
@@ -42,5 +42,23 @@
   CHECK(deployment.first_.runs() + deployment.second_.runs() == row.runs_);
 }
 
+TEST_CASE("a response with a status that is none is forwarded", "[platform]") {
+  const auto row =
+      GENERATE(Row{"/once/x", 600, "502", 1}, Row{"/once/x", 999, "502", 1},
+               Row{"/safe/x", 999, "502", 2}, Row{"/stream/x", 999, "502", 2});
+  CAPTURE(row.path_, row.status_);
+  Deployment deployment;
+  for (auto* endpoint : {&deployment.first_, &deployment.second_}) {
+    endpoint->SetBehaviour(Behaviour::kFail);
+    endpoint->SetFailureStatus(row.status_);
+  }
+  const auto entry = deployment.StartEntry("e1", deployment.store_.address());
+  REQUIRE(Eventually([&] { return entry.Ready(); }));
+  const auto response = SendRequest(entry, RequestText(row.path_));
+  CHECK(Status(response) == row.forwarded_);
+  CHECK(response.find("response-seal") == std::string::npos);
+  CHECK(deployment.first_.runs() + deployment.second_.runs() == row.runs_);
+}
+
 }  // namespace
 }  // namespace chalkwell::platform_tests
