Refuse requests that a stopping entry would cut off

Cause: a stopping entry admitted requests as at any time, whatever their time limit and the time until its end.

Change: CanFinishBefore() decides by the end of the drain time. A request that may not be repeated is admitted only if its deadline comes before the end; any other if its target latency is left. The others get 503, which is true, with a short Retry-After, since other entries can serve them.

--- a/packages/chalkwell/src/chalkwell/membership/graceful_shutdown.cpp
+++ b/packages/chalkwell/src/chalkwell/membership/graceful_shutdown.cpp
@@ -11,6 +11,10 @@
          now - *began_at_ >= limit_;
 }
 
+std::optional<core::TimePoint> GracefulShutdown::end() const noexcept {
+  return began_at_ ? std::optional(*began_at_ + limit_) : std::nullopt;
+}
+
 void GracefulShutdown::Begin(core::TimePoint now) noexcept {
   if (began_at_) {
     return;
--- a/packages/chalkwell/src/chalkwell/membership/graceful_shutdown.hpp
+++ b/packages/chalkwell/src/chalkwell/membership/graceful_shutdown.hpp
@@ -37,6 +37,9 @@
   /// limit has passed.
   [[nodiscard]] bool MayExit(core::TimePoint now) const noexcept;
 
+  /// @brief When the limit has passed; none before Begin().
+  [[nodiscard]] std::optional<core::TimePoint> end() const noexcept;
+
   void Begin(core::TimePoint now) noexcept;
   void OnWorkAccepted() noexcept { ++pending_; }
   void OnWorkFinished() noexcept;
--- a/packages/daemon/src/daemon/direct/direct_entry.cpp
+++ b/packages/daemon/src/daemon/direct/direct_entry.cpp
@@ -6,6 +6,7 @@
 #include <nlohmann/json.hpp>
 #include <utility>
 
+#include "chalkwell/routing/stop_admission.hpp"
 #include "chalkwell/routing/stream_admission.hpp"
 #include "daemon/admin.hpp"
 #include "daemon/direct/direct_settings.hpp"
@@ -22,7 +23,8 @@
 constexpr int kUnavailable = 503;
 /// Retry-After sent to a caller when no better estimate is available.
 constexpr auto kRetryAfter = milliseconds(500);
-/// Shortest Retry-After while endpoints are in slow start or rate-limited.
+/// Shortest Retry-After: while endpoints are in slow start or rate-limited, and
+/// when other entries can serve the caller.
 constexpr auto kMinSendWait = milliseconds(100);
 /// A request with less time left than this is refused.
 constexpr auto kMinTimeLeft = milliseconds(30);
@@ -777,6 +779,18 @@
            std::nullopt);
     return;
   }
+  const auto end = process_.shutdown().end();
+  const routing::LateRequest late{
+      .repeatable_ = request.route_.may_retry(),
+      .deadline_ = request.deadline_,
+      .target_latency_ = request.route_.target_latency_};
+  if (end && !routing::CanFinishBefore(*end, late, now)) {
+    Refuse(*exchange, request.caller_, kUnavailable,
+           core::EventNumber::kRequestRefused,
+           "the process ends in " + Millis(*end - now) + " ms",
+           retry_jitter_.Draw(kMinSendWait));
+    return;
+  }
   std::string reason;
   if (const auto wait = CheckAdmission(request, now, reason)) {
     Refuse(*exchange, request.caller_, kUnavailable,
