Leave foreign entries in the store throughout the soak

The soak had only entries of the deployment in its store, so that keys that end a page in the middle of a name were never read.

Change: a foreign writer with a random sequence of its own puts and removes entries under odd names, with rows that have one odd field or none, in each run of the soak.

--- a/tests/soak/fault_injector.cpp
+++ b/tests/soak/fault_injector.cpp
@@ -77,7 +77,8 @@
       deployment_(deployment),
       callers_(callers),
       checker_(checker),
-      random_(settings_.seed_) {
+      random_(settings_.seed_),
+      foreign_writer_(settings_.seed_, deployment.store()) {
   AddDepartures();
   AddDisturbances();
 }
@@ -184,6 +185,7 @@
       scheduled_.erase(scheduled_.begin());
       action();
     }
+    foreign_writer_.Tick(now);
     RestartCrashed();
     std::this_thread::sleep_for(kTick);
   }
--- a/tests/soak/fault_injector.hpp
+++ b/tests/soak/fault_injector.hpp
@@ -12,6 +12,7 @@
 #include "soak/callers.hpp"
 #include "soak/checker.hpp"
 #include "soak/deployment.hpp"
+#include "soak/foreign_writer.hpp"
 
 namespace chalkwell::soak {
 
@@ -140,6 +141,7 @@
   Callers& callers_;
   Checker& checker_;
   std::mt19937_64 random_;
+  ForeignWriter foreign_writer_;
   std::vector<Kind> departure_kinds_;
   std::vector<Kind> disturbance_kinds_;
   std::multimap<TimePoint, Action> scheduled_;
