Count pages and truncated reads of the store, and test what follows them

A read of many pages counted as one call in logs and metrics, so that they could not tell a process that reads one page after the other from one that waits.

Change: store_pages_total and store_truncated_reads_total, by section. Tests hold the reader to a full read after a truncated read, and after a response to a watch that cannot be decoded.

--- a/packages/daemon/src/daemon/direct/adapter.hpp
+++ b/packages/daemon/src/daemon/direct/adapter.hpp
@@ -167,6 +167,8 @@
   /// Undecoded pages of a section without rules, to be forwarded to peers; set
   /// only if the whole section was read.
   std::vector<std::string> encoded_pages_;
+  /// Pages that were received, of a read.
+  std::size_t page_count_ = 0;
   /// Descriptions of rows that could not be decoded, for the log.
   std::vector<std::string> decode_errors_;
 };
--- a/packages/daemon/src/daemon/direct/published_reader.cpp
+++ b/packages/daemon/src/daemon/direct/published_reader.cpp
@@ -267,6 +267,13 @@
   metrics_.Count("store_answers_total",
                  {{"section", std::string(ToString(section))},
                   {"end", std::string(ToString(snapshot.outcome_))}});
+  if (snapshot.truncated_) {
+    metrics_.Count("store_truncated_reads_total",
+                   {{"section", std::string(ToString(section))}});
+  }
+  metrics_.Count("store_pages_total",
+                 {{"section", std::string(ToString(section))}},
+                 static_cast<double>(snapshot.page_count_));
   auto bytes = snapshot.encoded_rules_.size();
   for (const auto& page : snapshot.encoded_pages_) {
     bytes += page.size();
--- a/tests/daemon/published_reader_test.cpp
+++ b/tests/daemon/published_reader_test.cpp
@@ -57,11 +57,12 @@
   }
 
   void Respond(Call& call, ReadOutcome outcome,
-               const core::StoreRevision& revision) {
+               const core::StoreRevision& revision, bool truncated = false) {
     StoreSnapshot snapshot;
+    snapshot.truncated_ = truncated;
     snapshot.outcome_ = outcome;
     snapshot.revision_ = revision;
-    snapshot.whole_ = !call.after_.known();
+    snapshot.whole_ = !truncated && !call.after_.known();
     call.done_(std::move(snapshot));
   }
 
@@ -135,6 +136,11 @@
           Revision(1, 0),
           false,
           {}},
+      Row{"response not decodable",
+          ReadOutcome::kUndecodable,
+          Revision(1, 0),
+          false,
+          {}},
       Row{"older era", ReadOutcome::kRead, Revision(0, 905), false, {}});
   CAPTURE(row.name_);
   Fixture fixture;
@@ -146,6 +152,18 @@
   CHECK(fixture.applied().size() == (row.applied_ ? 2 : 1));
 }
 
+TEST_CASE("a watch follows a truncated read, which misses what it lacks",
+          "[daemon]") {
+  const auto outcome = GENERATE(ReadOutcome::kRead, ReadOutcome::kUnreachable);
+  Fixture fixture;
+  fixture.Respond(fixture.NextCall(), outcome, Revision(1, 900), true);
+  CHECK(fixture.applied().size() == 1);
+  auto& again = fixture.NextCall();
+  CHECK_FALSE(again.after_.known());
+  fixture.Respond(again, ReadOutcome::kRead, Revision(1, 901));
+  CHECK(fixture.NextCall().after_ == Revision(1, 901));
+}
+
 TEST_CASE("a full read of an older era is not applied", "[daemon][era]") {
   Fixture fixture;
   fixture.Respond(fixture.NextCall(), ReadOutcome::kRead, Revision(2, 900));
