--- a/packages/chalkwell/src/chalkwell/membership/graceful_shutdown.cpp
+++ b/packages/chalkwell/src/chalkwell/membership/graceful_shutdown.cpp
@@ -11,7 +11,7 @@
          now - *began_at_ >= limit_;
 }
 
-std::optional<core::TimePoint> GracefulShutdown::end() const noexcept {
+std::optional<core::TimePoint> GracefulShutdown::drain_end() const noexcept {
   return began_at_ ? std::optional(*began_at_ + limit_) : std::nullopt;
 }
 
--- a/packages/chalkwell/src/chalkwell/membership/graceful_shutdown.hpp
+++ b/packages/chalkwell/src/chalkwell/membership/graceful_shutdown.hpp
@@ -38,7 +38,7 @@
   [[nodiscard]] bool MayExit(core::TimePoint now) const noexcept;
 
   /// @brief When the limit has passed; none before Begin().
-  [[nodiscard]] std::optional<core::TimePoint> end() const noexcept;
+  [[nodiscard]] std::optional<core::TimePoint> drain_end() const noexcept;
 
   void Begin(core::TimePoint now) noexcept;
   void OnWorkAccepted() noexcept { ++pending_; }
--- a/packages/daemon/src/daemon/direct/direct_entry.cpp
+++ b/packages/daemon/src/daemon/direct/direct_entry.cpp
@@ -779,7 +779,7 @@
            std::nullopt);
     return;
   }
-  const auto end = process_.shutdown().end();
+  const auto end = process_.shutdown().drain_end();
   const routing::LateRequest late{
       .repeatable_ = request.route_.may_retry(),
       .deadline_ = request.deadline_,
--- a/review/standins/deployment.cpp
+++ b/review/standins/deployment.cpp
@@ -649,10 +649,9 @@
 }
 
 Node& Deployment::StartEntry(int machine, const std::string& zone) {
-  return Start(machine, "entry",
-               {{"zone", zone},
-                {"limits.memoryMb", "260"},
-                {"limits.maxFds", "4100"}});
+  return Start(
+      machine, "entry",
+      {{"zone", zone}, {"limits.memoryMb", "260"}, {"limits.maxFds", "4100"}});
 }
 
 Node& Deployment::StartAgent(int machine, const Runner& runner,
--- a/tests/soak/foreign_writer.cpp
+++ b/tests/soak/foreign_writer.cpp
@@ -11,7 +11,7 @@
 
 using nlohmann::json;
 
-constexpr int kMeanIntervalMs = 500;
+constexpr std::size_t kMeanIntervalMs = 500;
 constexpr std::size_t kMaxEntries = 20;
 constexpr std::size_t kMaxNameLength = 12;
 /// Bytes of names beside letters, and those that are most likely to matter.
