--- a/tests/platform/endless_response_test.cpp
+++ b/tests/platform/endless_response_test.cpp
@@ -89,7 +89,8 @@
                   "HTTP/1.1 200 OK\r\nx: ", "");
 }
 
-TEST_CASE("an agent keeps the endless response of its engine", "[platform]") {
+TEST_CASE("an agent keeps the endless response of its engine",
+          "[platform][foreign]") {
   const auto head = EndlessHead();
   CAPTURE(head);
   const EndlessServer engine(head);
@@ -105,7 +106,8 @@
   CHECK(PeakResidentBytes(agent.child_.pid()) < kMaxMemory);
 }
 
-TEST_CASE("an entry keeps the endless responses of an endpoint", "[platform]") {
+TEST_CASE("an entry keeps the endless responses of an endpoint",
+          "[platform][foreign]") {
   const auto head = EndlessHead();
   CAPTURE(head);
   const EndlessServer endpoint(head);
--- a/tests/platform/foreign_keys_test.cpp
+++ b/tests/platform/foreign_keys_test.cpp
@@ -35,7 +35,7 @@
 }
 
 TEST_CASE("an entry starts while a foreign key ends a page of the list",
-          "[platform]") {
+          "[platform][foreign]") {
   const auto name = ForeignName();
   const bool valid_row = GENERATE(true, false);
   CAPTURE(name, valid_row);
@@ -55,7 +55,7 @@
 }
 
 TEST_CASE("an entry keeps serving when a foreign key appears in the list",
-          "[platform]") {
+          "[platform][foreign]") {
   const auto name = ForeignName();
   CAPTURE(name);
   Deployment deployment;
@@ -74,7 +74,7 @@
 }
 
 TEST_CASE("an entry reads the rules behind a foreign key of the operator",
-          "[platform]") {
+          "[platform][foreign]") {
   const auto key = GENERATE(as<std::string>(), "op/a&b", "op/a b", "op/a%zz",
                             "op/config&x", "op/evacuate/a#b", "op/version/a+b");
   const bool valid = GENERATE(true, false);
--- a/tests/platform/page_faults_test.cpp
+++ b/tests/platform/page_faults_test.cpp
@@ -120,7 +120,7 @@
 }
 
 TEST_CASE("an entry uses the pages before one that it cannot read",
-          "[platform]") {
+          "[platform][foreign]") {
   const auto fault = GeneratePageFault();
   CAPTURE(fault.name_);
   Deployment deployment;
@@ -138,7 +138,7 @@
 }
 
 TEST_CASE("endpoints behind a page that cannot be read are not taken as gone",
-          "[platform]") {
+          "[platform][foreign]") {
   const auto fault = GeneratePageFault();
   CAPTURE(fault.name_);
   Deployment deployment;
