Handle dropped history and undecodable changes in one branch

The linter found the two branches of PublishedReader::OnResponse to be the same; whether the next read is delayed is decided after the switch. No change of what the reader does.

--- a/packages/daemon/src/daemon/direct/published_reader.cpp
+++ b/packages/daemon/src/daemon/direct/published_reader.cpp
@@ -367,9 +367,6 @@
       task.revision_ = std::max(task.revision_, snapshot.revision_);
       break;
     case ReadOutcome::kCompacted:
-      SetReachable(true);
-      task.revision_ = {};
-      break;
     case ReadOutcome::kUndecodable:
       SetReachable(true);
       task.revision_ = {};
