Show sound requests refused with a crashing part (review case 7)

After a quiet time, prompt parts that all requests share are quarantined together with the one that crashes runners, and every request of the route is refused for a minute (rule LOST).

--- a/review/7/run.sh
+++ b/review/7/run.sh
@@ -5,13 +5,13 @@
 # case could not run.
 here="$(cd "$(dirname "$0")" && pwd)"
 cd "$here/../.." || exit 2
-program=target/review-2/short_stream
+program=target/review-2/part
 if [ ! -x "$program" ] || [ ! -x target/chalkwelld ]; then
   echo "build the deploy file's program and run review/build-2.sh first" >&2
   exit 2
 fi
 # Its children end with it.
-timeout -k 2 112 "$program" "$here"
+timeout -k 2 112 "$program" "$here" quiet
 code=$?
 [ "$code" -le 2 ] || code=2
 exit "$code"
