--- a/review/10/run.sh
+++ b/review/10/run.sh
@@ -5,7 +5,7 @@
 # case could not run.
 here="$(cd "$(dirname "$0")" && pwd)"
 cd "$here/../.." || exit 2
-program=target/review-2/manifest
+program=target/review-2/part
 if [ ! -x "$program" ] || [ ! -x target/chalkwelld ]; then
   echo "build the deploy file's program and run review/build-2.sh first" >&2
   exit 2
--- a/review/standins-2/manifest.cpp
+++ b/review/standins-2/manifest.cpp
@@ -1,6 +1,7 @@
 // All machines lose power; as they return, one answer of the origin arrives
 // spoilt: a manifest with one wrong digit in a digest. Rule RECOVER: fewer than
-// a quarter of the later requests are served.
+// a quarter of the later requests are served. It has no folder of its own
+// (REPORT-2.md); its argument names the folder for record.txt.
 #include <algorithm>
 
 #include "world.hpp"
--- a/review/standins-2/part.cpp
+++ b/review/standins-2/part.cpp
@@ -1,11 +1,12 @@
 // One part of a prompt crashes each runner that begins to write an answer on
 // it. Two cases:
-// - The prompts are those of long conversations, of 40 shared parts. Rule
+// - 10: the prompts are those of long conversations, of 40 shared parts. Rule
 //   BUDGET: more than three requests with that part reach runners later than
 //   contactMs after the fifth crash.
-// - "quiet", the second argument: the prompts have three shared parts, and the
-//   crashing one comes first after a quiet time. Rule LOST: sound requests with
-//   the same first part begin less than half as often as before.
+// - 7, with "quiet" as the second argument: the prompts have three shared
+// parts,
+//   and the crashing one comes first after a quiet time. Rule LOST: sound
+//   requests with the same first part begin less than half as often as before.
 #include <cstdlib>
 
 #include "world.hpp"
@@ -31,19 +32,21 @@
 constexpr int kAllowed = 3;
 /// Shared parts of a prompt, and which of them crashes runners.
 constexpr int kParts = 40;
+constexpr int kPartTokens = 20;
 const std::string kCrashingPart = "dead0bad";
 
 /// Parts of a prompt: those that all share, one that crashes runners or not,
 /// and one of its own.
 std::string Prompt(int shared, int crashing_at, bool crashes, int number) {
+  const auto tokens = std::to_string(kPartTokens);
   std::string text;
   for (int part = 1; part <= shared; ++part) {
     const bool here = part == crashing_at;
     text += (here ? (crashes ? kCrashingPart : "600d0bad")
                   : "5c1e0" + std::to_string(100 + part)) +
-            ":20,";
+            ":" + tokens + ",";
   }
-  return text + "91bd" + std::to_string(1000 + number) + ":20";
+  return text + "91bd" + std::to_string(1000 + number) + ":" + tokens;
 }
 
 /// What the runners have seen of the part that crashes them.
@@ -141,12 +144,13 @@
   /// @return whether the request was served whole.
   bool Send(int entry, bool crashes) {
     const int number = ++number_;
-    const auto answer =
-        world_.Send(kFirstEntry + entry % kEntries, "POST", "/pool/2f",
-                    "Model: " + review::kModel +
-                        "\r\nToken-Counts: 820,40\r\nPrompt-Prefix: " +
-                        Prompt(parts_, crashing_at_, crashes, number) + "\r\n",
-                    "prompt " + std::to_string(number), Milliseconds(6000));
+    const auto answer = world_.Send(
+        kFirstEntry + entry % kEntries, "POST", "/pool/2f",
+        "Model: " + review::kModel +
+            "\r\nToken-Counts: " + std::to_string(kPartTokens * (parts_ + 1)) +
+            ",40\r\nPrompt-Prefix: " +
+            Prompt(parts_, crashing_at_, crashes, number) + "\r\n",
+        "prompt " + std::to_string(number), Milliseconds(6000));
     return answer.status_ == 200 && answer.complete_;
   }
 
